Begin the workspace: shared types and a thin reducer

Cause: nothing exists yet, and the lanes need one vocabulary and one set of events and effects before they can work side by side. Change: names, time, the fleet document, error table, traffic view, slot and claim messages; a thin planner, dispatcher and reducer that already carry one host through hold, wave and release over compare-and-swap. Conclusion: the edges, the stand-ins and the daemon can now be built against it.

--- /dev/null
+++ b/benches/src/main.rs
@@ -0,0 +1,3 @@
+//! One command for all benchmarks of borageswitch.
+
+fn main() {}
--- /dev/null
+++ b/crates/borageswitch_control/src/reducer/views.rs
@@ -0,0 +1,92 @@
+//! Makes the traffic threads' view from the fleet document.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use borageswitch_policy::dealing;
+use borageswitch_types::{
+    fleet::{Fleet, Host, HostPhase, Service},
+    names::{DaemonName, HostName},
+    view::{ServiceView, TargetState, TargetView, TeamShare, TrafficView},
+};
+
+use crate::{effect::Effect, reducer::State};
+
+/// When a caller that was not admitted may come back.
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+impl State {
+    pub(super) fn publish_view(&mut self) {
+        let Some(fleet) = self.sync.fleet() else { return };
+        let entries: Arc<[DaemonName]> = Arc::from([self.me().clone()]);
+        let view = make_view(fleet, self.me(), entries, !self.stopping);
+        self.effects.push(Effect::PublishView(Arc::new(view)));
+    }
+}
+
+fn make_view(
+    fleet: &Fleet,
+    me: &DaemonName,
+    entries: Arc<[DaemonName]>,
+    admitting: bool,
+) -> TrafficView {
+    let services = fleet
+        .services
+        .iter()
+        .map(|(name, service)| (name.clone(), service_view(fleet, service, me, &entries)))
+        .collect();
+    let teams = fleet
+        .teams
+        .iter()
+        .map(|(name, team)| {
+            (name.clone(), TeamShare { weight: team.weight, slot_quota: team.slot_quota })
+        })
+        .collect();
+    TrafficView {
+        revision: fleet.revision,
+        admitting,
+        retry_after: RETRY_AFTER,
+        me: me.clone(),
+        entries,
+        services,
+        teams,
+        callers: fleet.callers.clone(),
+    }
+}
+
+fn service_view(
+    fleet: &Fleet,
+    service: &Service,
+    me: &DaemonName,
+    entries: &[DaemonName],
+) -> ServiceView {
+    let targets: BTreeMap<HostName, TargetView> = fleet
+        .hosts_in(&service.pool)
+        .filter_map(|(name, host)| Some((name.clone(), target_view(name, host, me, entries)?)))
+        .collect();
+    ServiceView { limits: service.limits.clone(), targets }
+}
+
+fn target_view(
+    name: &HostName,
+    host: &Host,
+    me: &DaemonName,
+    entries: &[DaemonName],
+) -> Option<TargetView> {
+    let state = match host.phase {
+        HostPhase::Serving => TargetState::Open,
+        HostPhase::Trial { .. } => TargetState::Warming,
+        HostPhase::Leaving { .. } => TargetState::Leaving,
+        HostPhase::Rebooting { .. } | HostPhase::Held { .. } | HostPhase::Failed { .. } => {
+            return None;
+        }
+    };
+    Some(TargetView {
+        host: name.clone(),
+        address: host.spec.addresses.target,
+        epoch: host.epoch,
+        state,
+        slots: host.spec.slots,
+        dealt_slots: dealing::deal(host.spec.slots, name, me, entries),
+        dealt_connections: dealing::deal(host.spec.connections, name, me, entries),
+    })
+}
--- /dev/null
+++ b/crates/borageswitch_edge/src/observe/mod.rs
@@ -0,0 +1,1 @@
+//! Answers the balancer's probes and shows metrics and state over HTTP.
--- /dev/null
+++ b/crates/borageswitch_edge/src/operators/mod.rs
@@ -0,0 +1,1 @@
+//! Serves the operators' remote procedure calls.
--- /dev/null
+++ b/crates/borageswitch_edge/src/peers/mod.rs
@@ -0,0 +1,1 @@
+//! Keeps the connections between daemons.
--- /dev/null
+++ b/crates/borageswitch_edge/src/traffic/mod.rs
@@ -0,0 +1,1 @@
+//! Serves callers and sends their requests to targets.
--- /dev/null
+++ b/crates/borageswitch_planner/src/capacity.rs
@@ -0,0 +1,59 @@
+//! What a pool can carry after the loss of its largest failure domain.
+
+use std::collections::BTreeMap;
+
+use borageswitch_types::{
+    Fleet,
+    fleet::{FailureDomain, Host, Refusal},
+    names::{HostName, PoolName},
+};
+
+/// The slots of `pool` that are left after the loss of its largest failure domain.
+///
+/// `usable` decides which hosts count; a caller that asks "what if" leaves out some more.
+pub fn surviving_slots<F>(fleet: &Fleet, pool: &PoolName, survives: FailureDomain, usable: F) -> u32
+where
+    F: Fn(&HostName, &Host) -> bool,
+{
+    let mut domains: BTreeMap<(&str, &str), u32> = BTreeMap::new();
+    for (name, host) in fleet.hosts_in(pool).filter(|(name, host)| usable(name, host)) {
+        *domains.entry(domain_of(name, host, survives)).or_default() += u32::from(host.spec.slots);
+    }
+    let all: u32 = domains.values().sum();
+    match survives {
+        FailureDomain::None => all,
+        _ => all - domains.values().max().copied().unwrap_or(0),
+    }
+}
+
+fn domain_of<'a>(
+    name: &'a HostName,
+    host: &'a Host,
+    survives: FailureDomain,
+) -> (&'a str, &'a str) {
+    let data_centre = host.spec.data_centre.as_str();
+    match survives {
+        FailureDomain::None | FailureDomain::Host => (name.as_str(), ""),
+        FailureDomain::Rack => (data_centre, host.spec.rack.as_str()),
+        FailureDomain::DataCentre => (data_centre, ""),
+    }
+}
+
+/// Checks that every service of `pool` keeps its promised slots when `without` are gone.
+///
+/// # Errors
+///
+/// [`Refusal::BudgetBroken`] names the first service that would not.
+pub fn check_budgets(fleet: &Fleet, pool: &PoolName, without: &[&HostName]) -> Result<(), Refusal> {
+    let services = || fleet.services.iter().filter(|(_, service)| service.pool == *pool);
+    let promised: u32 = services().map(|(_, service)| service.promised_slots).sum();
+    for (name, service) in services() {
+        let usable =
+            |host: &HostName, record: &Host| record.gives_capacity() && !without.contains(&host);
+        let left = surviving_slots(fleet, pool, service.survives, usable);
+        if left < promised {
+            return Err(Refusal::BudgetBroken { service: name.clone(), left, promised });
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/borageswitch_policy/src/dealing.rs
@@ -0,0 +1,33 @@
+//! Deals each target's slots among the live entries by membership alone.
+//!
+//! The load pattern: nine entries share one target with eight slots. If each entry guessed, a
+//! burst at all of them would send the target up to nine times what it can run. Dealing needs no
+//! message: every entry computes the same shares from the same members, and the shares of one
+//! target add up to exactly its slots.
+
+use std::hash::{Hash, Hasher};
+
+use borageswitch_types::names::{DaemonName, HostName};
+use rustc_hash::FxHasher;
+
+/// How many of `total` units of `host` are dealt to `me`.
+///
+/// Every entry ranks the entries by a hash of entry and host and gives each its even share; what
+/// does not divide goes to the first in rank, so that over many hosts no entry is favoured.
+pub fn deal(total: u16, host: &HostName, me: &DaemonName, entries: &[DaemonName]) -> u16 {
+    let count = entries.len() as u16;
+    if count == 0 || !entries.contains(me) {
+        return 0;
+    }
+    let (share, left) = (total / count, total % count);
+    let mine = score(host, me);
+    let before = entries.iter().filter(|e| (score(host, e), *e) < (mine, me)).count();
+    share + u16::from(before < usize::from(left))
+}
+
+fn score(host: &HostName, entry: &DaemonName) -> u64 {
+    let mut hasher = FxHasher::default();
+    host.hash(&mut hasher);
+    entry.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/borageswitch_settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings files in JSON with comments, checked as a whole.
--- /dev/null
+++ b/tools/schema_codegen/src/main.rs
@@ -0,0 +1,3 @@
+//! Generates the committed code of the operators' schema.
+
+fn main() {}
