Let a borrowed slot pass from hand to hand, and show promised slots in the view

A share names its owner and loan, so that a holder may hand it on within its term and give it back to the owner. ServiceView gains promised_slots, from which the cap on set-aside targets follows.

--- a/crates/borageswitch_control/src/reducer/views.rs
+++ b/crates/borageswitch_control/src/reducer/views.rs
@@ -63,7 +63,7 @@
         .hosts_in(&service.pool)
         .filter_map(|(name, host)| Some((name.clone(), target_view(name, host, me, entries)?)))
         .collect();
-    ServiceView { limits: service.limits.clone(), targets }
+    ServiceView { limits: service.limits.clone(), promised_slots: service.promised_slots, targets }
 }
 
 fn target_view(
--- a/crates/borageswitch_types/src/slots.rs
+++ b/crates/borageswitch_types/src/slots.rs
@@ -1,36 +1,48 @@
 //! Messages by which entries share the slots of a target.
 //!
 //! Membership alone deals each target's slots among the live entries, so the steady state needs
-//! none of these. An entry with waiting requests borrows idle slots for a short time.
+//! none of these. An entry with waiting requests borrows idle slots for a short time. A borrowed
+//! slot may be handed on to a third entry within its term without asking its owner: whoever holds
+//! it gives it back to the owner.
 
 use std::time::Duration;
 
-use crate::names::{HostName, ServiceName};
+use crate::names::{DaemonName, HostName, ServiceName};
 
-/// Slots of one target that pass from one entry to another.
+/// One slot of one target that passes from one entry to another.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct SlotShare {
+    /// The entry to which membership deals the slot, and which gets it back.
+    pub owner: DaemonName,
+    /// Numbers the loan at its owner.
+    pub loan: u64,
     /// The target's host.
     pub host: HostName,
     /// How often the host has changed its assignment; a share of an earlier epoch is void.
     pub epoch: u64,
-    /// How many of its slots.
-    pub slots: u16,
+    /// How long requests may be started on the slot, from the moment at which the ask was sent.
+    /// The borrower counts from its own ask and the lender from its later grant, so that the loan
+    /// ends first at the borrower.
+    pub term: Duration,
 }
 
 /// A message between two entries about the slots of one service.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum SlotMessage {
-    /// The sender has waiting requests and asks for idle slots.
+    /// An entry has waiting requests and asks for idle slots.
     Ask {
         /// The service whose requests wait.
         service: ServiceName,
+        /// Who asks: the sender, or the entry for which the sender passes the ask on.
+        asker: DaemonName,
         /// Chosen by the asker; the grant repeats it.
         ask: u64,
         /// How many slots would be used at once.
         wanted: u16,
+        /// How often the ask may still be passed on.
+        hops: u8,
     },
-    /// The answer to an ask; no shares means that the sender has no idle slots.
+    /// The answer to an ask; no shares means that nobody who was asked has an idle slot.
     Grant {
         /// The service whose slots are lent.
         service: ServiceName,
@@ -38,20 +50,21 @@
         ask: u64,
         /// What is lent.
         shares: Vec<SlotShare>,
-        /// How long the shares may be used, from the moment the ask was sent: the borrower counts
-        /// from its own ask, the lender from its later grant, so that the loan ends first at the
-        /// borrower.
-        term: Duration,
         /// How many slots of the service stay idle at the sender: a hint whom to ask next.
         idle_left: u16,
     },
-    /// The sender gives shares back before their term ends.
+    /// To the owner: requests started within the term still run on these slots.
+    Hold {
+        /// The service whose slots are lent.
+        service: ServiceName,
+        /// The loans that last on.
+        loans: Vec<u64>,
+    },
+    /// To the owner: these slots come back.
     Return {
         /// The service whose slots come back.
         service: ServiceName,
-        /// The ask by which they were borrowed.
-        ask: u64,
-        /// What comes back.
-        shares: Vec<SlotShare>,
+        /// The loans that end.
+        loans: Vec<u64>,
     },
 }
--- a/crates/borageswitch_types/src/view.rs
+++ b/crates/borageswitch_types/src/view.rs
@@ -42,6 +42,9 @@
 pub struct ServiceView {
     /// Queue lengths, times and shares.
     pub limits: ServiceLimits,
+    /// The slots that the availability budget promises: how many failing targets may be set aside
+    /// follows from it.
+    pub promised_slots: u32,
     /// The targets, by host.
     pub targets: BTreeMap<HostName, TargetView>,
 }
