--- a/crates/borageswitch_control/src/effect.rs
+++ b/crates/borageswitch_control/src/effect.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use borageswitch_types::{
+    Time,
     agent::AgentCommand,
     claim::{ClaimOutcome, ClaimTicket},
     fleet::Fleet,
@@ -33,6 +34,12 @@
         /// The peer.
         member: Member,
     },
+    /// Dial an address whose daemon is not known yet, until it answers once;
+    /// [`Event::PeerUp`](crate::Event::PeerUp) then tells who it is.
+    DialPeer {
+        /// Where a peer may listen.
+        address: SocketAddr,
+    },
     /// Close the connection to a peer and dial no more.
     DropPeer {
         /// The peer.
@@ -72,6 +79,9 @@
     },
     /// Hand the traffic threads a new view.
     PublishView(Arc<TrafficView>),
+    /// Let the traffic threads take new requests until the given time on the monotonic clock, and
+    /// not after it: the daemon's permission to serve ends by itself when the process was paused.
+    AdmitUntil(Time),
     /// Hand the operators' edge the document that it shows.
     PublishFleet(Arc<Fleet>),
     /// Tell the balancer whether to send new connections.
--- a/crates/borageswitch_control/src/lib.rs
+++ b/crates/borageswitch_control/src/lib.rs
@@ -5,9 +5,10 @@
 //! from outside, so the daemon, the golden sessions and the randomised runs execute the same code.
 //! The edges carry effects out and bring back what came of them as further events.
 
+pub mod config;
 pub mod effect;
 pub mod event;
 pub mod reducer;
 pub mod store;
 
-pub use self::{effect::Effect, event::Event, reducer::State};
+pub use self::{config::ControlConfig, effect::Effect, event::Event, reducer::State};
--- a/crates/borageswitch_control/src/reducer/mod.rs
+++ b/crates/borageswitch_control/src/reducer/mod.rs
@@ -19,33 +19,18 @@
     agent::AgentStatus,
     claim::ClaimOutcome,
     fleet::Revision,
-    names::{DaemonName, HostName, RegionName},
+    names::{DaemonName, HostName},
     time::UnixMillis,
 };
-use borageswitch_wire::{
-    operator::{OperatorAnswer, OperatorRequest},
-    peer::Member,
-};
+use borageswitch_wire::operator::{OperatorAnswer, OperatorRequest};
 
 use crate::{
+    config::ControlConfig,
     effect::Effect,
     event::{Event, OperatorCall, TrafficReport},
     store::{CallId, StoreAnswer, StoreError, StoreRequest, Version},
 };
 
-/// What one daemon is told of itself.
-#[derive(Clone, Debug)]
-pub struct ControlConfig {
-    /// This daemon.
-    pub me: Member,
-    /// Its region.
-    pub region: RegionName,
-    /// After this time a call to the store counts as lost.
-    pub store_timeout: Duration,
-    /// How long a duty lasts without being kept alive.
-    pub duty_ttl: Duration,
-}
-
 /// Why a call to the store was made.
 #[derive(Clone, Debug)]
 enum Purpose {
--- a/crates/borageswitch_types/src/claim.rs
+++ b/crates/borageswitch_types/src/claim.rs
@@ -34,6 +34,42 @@
     pub deadline: Time,
 }
 
+/// The key of a non-idempotent request: a digest of service, caller and the caller's own id.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+    derive_more::Display,
+)]
+#[display("{_0:032x}")]
+pub struct ClaimKey(pub u128);
+
+/// Distinguishes one try to claim a key from every other try.
+///
+/// When the store's answer to a claim is lost, the nonce in the store tells whose claim it is.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+    derive_more::Display,
+)]
+#[display("{_0:016x}")]
+pub struct ClaimNonce(pub u64);
+
 /// What came of a claim.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
--- a/crates/borageswitch_wire/src/peer.rs
+++ b/crates/borageswitch_wire/src/peer.rs
@@ -1,9 +1,10 @@
 //! Messages between daemons, encoded by `bincode` in frames on `h2` streams.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use borageswitch_types::{
-    Fleet,
+    Fleet, Time,
+    claim::{ClaimKey, ClaimNonce, ClaimOutcome},
     fleet::{AppliedChange, Duty, Revision},
     names::{DaemonName, DataCentreName, HostName},
     slots::SlotMessage,
@@ -34,6 +35,69 @@
     /// For each host that takes no new work by that revision: its epoch and the requests that
     /// this daemon still has in flight there.
     pub draining: BTreeMap<HostName, (u64, u32)>,
+    /// Whether this daemon takes new work.
+    pub serving: bool,
+}
+
+/// What a daemon knows of another one, passed on along the tree of heartbeats.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Heard {
+    /// The other daemon.
+    pub daemon: DaemonName,
+    /// How long ago, at the most, the other daemon said this.
+    pub age: Duration,
+    /// The revision that it knew.
+    pub revision: Revision,
+    /// How far it had come.
+    pub progress: Progress,
+    /// The duties that it held.
+    pub duties: Vec<Duty>,
+}
+
+/// Sent at intervals along the tree of heartbeats: the sender lives and has come this far.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Heartbeat {
+    /// When it was sent, on the sender's clock; the receiver only repeats it.
+    pub sent: Time,
+    /// The newest [`Self::sent`] that the sender has had from the receiver.
+    ///
+    /// All that the heartbeat says was true at that time or later. Without it a heartbeat that
+    /// lay in a buffer for a minute would pass for news.
+    pub echo: Option<Time>,
+    /// The sender's revision.
+    pub revision: Revision,
+    /// How far the sender has come.
+    pub progress: Progress,
+    /// The duties that the sender holds.
+    pub duties: Vec<Duty>,
+    /// What the sender has heard of daemons other than the receiver.
+    pub heard: Vec<Heard>,
+}
+
+/// Changes from one revision to another.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Delta {
+    /// The revision before the first change.
+    pub base: Revision,
+    /// The changes, oldest first.
+    pub changes: Vec<AppliedChange>,
+    /// The store's version of the document after the last change.
+    pub store_version: u64,
+    /// [`fleet_digest`] of the document after the last change.
+    pub digest: u64,
+}
+
+/// Asks the receiver to write a claim into the store.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct ClaimAsk {
+    /// The request's key.
+    pub key: ClaimKey,
+    /// Distinguishes this try from every other one with the same key.
+    pub nonce: ClaimNonce,
+    /// How long the claim lasts.
+    pub window: Duration,
+    /// How long the asker waits.
+    pub wait: Duration,
 }
 
 /// A message between two daemons.
@@ -48,27 +112,28 @@
         /// The sender's revision.
         revision: Revision,
     },
-    /// Sent at intervals: the sender lives and has come this far.
-    Heartbeat {
-        /// How far it has come.
-        progress: Progress,
-        /// The duties that it holds.
-        duties: Vec<Duty>,
-    },
-    /// Changes that follow `base`, oldest first.
-    Changes {
-        /// The revision before the first change.
-        base: Revision,
-        /// The changes.
-        changes: Vec<AppliedChange>,
-    },
+    /// The sender lives.
+    Heartbeat(Heartbeat),
+    /// The members that the sender knows, for whoever cannot ask the store.
+    Roster(Vec<Member>),
+    /// Changes that follow a revision.
+    Changes(Delta),
     /// A whole document, for a peer that is too far behind for changes.
-    Snapshot(Box<Fleet>),
+    Snapshot {
+        /// The document.
+        fleet: Box<Fleet>,
+        /// The store's version of it.
+        store_version: u64,
+    },
     /// Asks for everything after a revision.
     AskFleet {
         /// What the sender has.
         have: Revision,
     },
+    /// Asks for claims.
+    ClaimAsks(Vec<ClaimAsk>),
+    /// Answers claims.
+    ClaimAnswers(Vec<(ClaimNonce, ClaimOutcome)>),
     /// About the slots of a service; goes straight to the traffic threads.
     Slots(SlotMessage),
 }
@@ -112,6 +177,31 @@
     }
 }
 
+/// A 64-bit FNV-1a digest of a document, by which two daemons notice that they differ.
+///
+/// # Errors
+///
+/// When the document cannot be encoded.
+pub fn fleet_digest(fleet: &Fleet) -> Result<u64, CodecError> {
+    let mut digest = Digest(FNV_OFFSET);
+    bincode::serde::encode_into_writer(fleet, &mut digest, codec())?;
+    Ok(digest.0)
+}
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+struct Digest(u64);
+
+impl bincode::enc::write::Writer for Digest {
+    fn write(&mut self, bytes: &[u8]) -> Result<(), bincode::error::EncodeError> {
+        for byte in bytes {
+            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
+        }
+        Ok(())
+    }
+}
+
 fn codec() -> impl bincode::config::Config {
     bincode::config::standard().with_limit::<MAX_FRAME>()
 }
