Complete the changes of the fleet document

Cause: only ten of the changes were known; the others were refused as not known. Change: every variant is handled, in one module a subject; a change that reserves more than the power cap is refused unless the reservation does not grow, so a cap can be lowered below what is reserved and the throttles that follow can be written. New phases Parked and Starting and new power states Lifting, SwitchingOff and Surging keep what was asked of an agent in the document, so that a planner that takes over finds it. The invariants are asserted over the whole document after each change.

--- a/crates/borageswitch_control/src/reducer/views.rs
+++ b/crates/borageswitch_control/src/reducer/views.rs
@@ -76,7 +76,11 @@
         HostPhase::Serving => TargetState::Open,
         HostPhase::Trial { .. } => TargetState::Warming,
         HostPhase::Leaving { .. } => TargetState::Leaving,
-        HostPhase::Rebooting { .. } | HostPhase::Held { .. } | HostPhase::Failed { .. } => {
+        HostPhase::Rebooting { .. }
+        | HostPhase::Held { .. }
+        | HostPhase::Parked
+        | HostPhase::Starting { .. }
+        | HostPhase::Failed { .. } => {
             return None;
         }
     };
--- a/crates/borageswitch_planner/src/capacity.rs
+++ b/crates/borageswitch_planner/src/capacity.rs
@@ -4,7 +4,7 @@
 
 use borageswitch_types::{
     Fleet,
-    fleet::{FailureDomain, Host, Refusal},
+    fleet::{FailureDomain, Host, HostPhase, LeaveReason, Refusal},
     names::{HostName, PoolName},
 };
 
@@ -26,7 +26,8 @@
     }
 }
 
-fn domain_of<'a>(
+/// What fails together with a host.
+pub(crate) fn domain_of<'a>(
     name: &'a HostName,
     host: &'a Host,
     survives: FailureDomain,
@@ -45,12 +46,35 @@
 ///
 /// [`Refusal::BudgetBroken`] names the first service that would not.
 pub fn check_budgets(fleet: &Fleet, pool: &PoolName, without: &[&HostName]) -> Result<(), Refusal> {
+    check_counting(fleet, pool, |host, record| record.gives_capacity() && !without.contains(&host))
+}
+
+/// Checks that the pool could keep its services' promises with every host that belongs to it,
+/// those out for a wave included.
+///
+/// # Errors
+///
+/// [`Refusal::BudgetBroken`] names the first service whose promise could not be kept.
+pub fn check_installed(fleet: &Fleet, pool: &PoolName) -> Result<(), Refusal> {
+    check_counting(fleet, pool, |_, host| {
+        matches!(
+            host.phase,
+            HostPhase::Serving
+                | HostPhase::Rebooting { .. }
+                | HostPhase::Trial { .. }
+                | HostPhase::Leaving { why: LeaveReason::Wave { .. } }
+        )
+    })
+}
+
+fn check_counting<F>(fleet: &Fleet, pool: &PoolName, usable: F) -> Result<(), Refusal>
+where
+    F: Fn(&HostName, &Host) -> bool,
+{
     let services = || fleet.services.iter().filter(|(_, service)| service.pool == *pool);
     let promised: u32 = services().map(|(_, service)| service.promised_slots).sum();
     for (name, service) in services() {
-        let usable =
-            |host: &HostName, record: &Host| record.gives_capacity() && !without.contains(&host);
-        let left = surviving_slots(fleet, pool, service.survives, usable);
+        let left = surviving_slots(fleet, pool, service.survives, &usable);
         if left < promised {
             return Err(Refusal::BudgetBroken { service: name.clone(), left, promised });
         }
--- /dev/null
+++ b/crates/borageswitch_planner/src/changes/hosts.rs
@@ -0,0 +1,212 @@
+//! Carries a host from phase to phase.
+
+use borageswitch_types::{
+    Fleet,
+    fleet::{Host, HostPhase, HostPower, LeaveReason, Reason, Refusal},
+    names::{HostName, OperationId, PoolName},
+    time::UnixMillis,
+};
+
+use crate::{
+    capacity,
+    changes::{find_host, find_wave, set_phase, skip_in_waves, unknown, wrong_state},
+};
+
+pub(super) fn move_host(fleet: &mut Fleet, name: &HostName, to: &PoolName) -> Result<(), Refusal> {
+    if !fleet.pools.contains_key(to) {
+        return Err(unknown("to", to.as_str()));
+    }
+    let host = find_host(fleet, name)?;
+    if host.pool == *to {
+        return Err(wrong_state("to", format!("'{name}' stands in '{to}' already")));
+    }
+    match host.phase {
+        HostPhase::Serving => {
+            let from = host.pool.clone();
+            capacity::check_budgets(fleet, &from, &[name])?;
+            let leaving = HostPhase::Leaving { why: LeaveReason::Move { to: to.clone() } };
+            set_phase(find_host(fleet, name)?, leaving);
+            Ok(())
+        }
+        // A host that does nothing can change pool at once: no request of the old pool is on it.
+        HostPhase::Held { .. } | HostPhase::Failed { .. } | HostPhase::Parked => {
+            host.pool = to.clone();
+            host.epoch += 1;
+            Ok(())
+        }
+        HostPhase::Leaving { .. }
+        | HostPhase::Rebooting { .. }
+        | HostPhase::Trial { .. }
+        | HostPhase::Starting { .. } => Err(wrong_state(
+            "host",
+            format!("'{name}' is {}; try again once it serves", doing(host)),
+        )),
+    }
+}
+
+/// What a host does, for people.
+pub(crate) fn doing(host: &Host) -> &'static str {
+    match host.phase {
+        HostPhase::Serving => "serving",
+        HostPhase::Leaving { why: LeaveReason::Move { .. } } => "leaving for another pool",
+        HostPhase::Leaving { why: LeaveReason::Wave { .. } } => "leaving for a wave",
+        HostPhase::Leaving { why: LeaveReason::Hold { .. } } => "leaving to be held",
+        HostPhase::Leaving { why: LeaveReason::Power } => "leaving to be switched off",
+        HostPhase::Rebooting { .. } => "rebooting",
+        HostPhase::Trial { .. } => "on trial",
+        HostPhase::Held { .. } => "held",
+        HostPhase::Parked => "kept off for the power cap",
+        HostPhase::Starting { .. } => "starting",
+        HostPhase::Failed { .. } => "failed",
+    }
+}
+
+pub(super) fn hold(fleet: &mut Fleet, name: &HostName, why: &Reason) -> Result<(), Refusal> {
+    let host = find_host(fleet, name)?;
+    match host.phase {
+        HostPhase::Serving => {
+            let pool = host.pool.clone();
+            capacity::check_budgets(fleet, &pool, &[name])?;
+        }
+        HostPhase::Leaving { .. } | HostPhase::Trial { .. } => {}
+        HostPhase::Parked | HostPhase::Failed { .. } => {
+            set_phase(host, HostPhase::Held { reason: why.clone() });
+            skip_in_waves(fleet, name, "an operator holds it");
+            return Ok(());
+        }
+        HostPhase::Held { .. } | HostPhase::Rebooting { .. } | HostPhase::Starting { .. } => {
+            return Err(wrong_state("host", format!("'{name}' is {}", doing(host))));
+        }
+    }
+    skip_in_waves(fleet, name, "an operator holds it");
+    let leaving = HostPhase::Leaving { why: LeaveReason::Hold { reason: why.clone() } };
+    set_phase(find_host(fleet, name)?, leaving);
+    Ok(())
+}
+
+pub(super) fn release(fleet: &mut Fleet, name: &HostName) -> Result<(), Refusal> {
+    let host = find_host(fleet, name)?;
+    match host.phase {
+        HostPhase::Held { .. } | HostPhase::Failed { .. } => {
+            host.failures = 0;
+            if host.power == HostPower::Surging {
+                host.power = HostPower::Full;
+            }
+            let running = !matches!(host.power, HostPower::Off | HostPower::SwitchingOff { .. });
+            set_phase(host, if running { HostPhase::Serving } else { HostPhase::Parked });
+            Ok(())
+        }
+        HostPhase::Leaving { .. } => {
+            set_phase(host, HostPhase::Serving);
+            skip_in_waves(fleet, name, "an operator let it serve on");
+            Ok(())
+        }
+        _ => {
+            let state = doing(host);
+            Err(wrong_state(
+                "host",
+                format!("'{name}' is {state}, neither held, failed nor leaving"),
+            ))
+        }
+    }
+}
+
+pub(super) fn finish_leave(
+    fleet: &mut Fleet,
+    name: &HostName,
+    not_after: UnixMillis,
+    operation: &OperationId,
+) -> Result<(), Refusal> {
+    let host = find_host(fleet, name)?;
+    let HostPhase::Leaving { why } = host.phase.clone() else {
+        return Err(wrong_state("host", format!("'{name}' is not leaving")));
+    };
+    match why {
+        LeaveReason::Move { to } => {
+            host.pool = to;
+            set_phase(host, HostPhase::Serving);
+        }
+        LeaveReason::Hold { reason } => set_phase(host, HostPhase::Held { reason }),
+        LeaveReason::Power => {
+            let reserved = host.reserved_power();
+            host.power = HostPower::SwitchingOff { operation: operation.clone(), reserved };
+            set_phase(host, HostPhase::Parked);
+        }
+        LeaveReason::Wave { wave } => {
+            // A reboot forgets the throttle, so the host counts in full from here on.
+            host.power = HostPower::Full;
+            set_phase(host, HostPhase::Rebooting { wave, operation: operation.clone(), not_after });
+        }
+    }
+    Ok(())
+}
+
+pub(super) fn renew_reboot(
+    fleet: &mut Fleet,
+    name: &HostName,
+    until: UnixMillis,
+    renewed: &OperationId,
+) -> Result<(), Refusal> {
+    let host = find_host(fleet, name)?;
+    let (HostPhase::Rebooting { operation, not_after, .. }
+    | HostPhase::Starting { operation, not_after }) = &mut host.phase
+    else {
+        return Err(wrong_state("host", format!("'{name}' is {}", doing(host))));
+    };
+    if until <= *not_after {
+        return Err(wrong_state("not_after", "the running command is valid for longer".to_owned()));
+    }
+    *operation = renewed.clone();
+    *not_after = until;
+    Ok(())
+}
+
+pub(super) fn back(
+    fleet: &mut Fleet,
+    name: &HostName,
+    answered: &OperationId,
+) -> Result<(), Refusal> {
+    let host = find_host(fleet, name)?;
+    let (operation, next) = match host.phase.clone() {
+        HostPhase::Rebooting { wave, operation, .. } => (operation, HostPhase::Trial { wave }),
+        HostPhase::Starting { operation, .. } => (operation, HostPhase::Serving),
+        _ => return Err(wrong_state("host", format!("'{name}' is not rebooting"))),
+    };
+    if operation != *answered {
+        return Err(wrong_state("operation", "another reboot was asked for since".to_owned()));
+    }
+    set_phase(host, next);
+    Ok(())
+}
+
+pub(super) fn pass_trial(fleet: &mut Fleet, name: &HostName) -> Result<(), Refusal> {
+    let host = find_host(fleet, name)?;
+    let HostPhase::Trial { wave } = host.phase.clone() else {
+        return Err(wrong_state("host", format!("'{name}' is not on trial")));
+    };
+    host.failures = 0;
+    set_phase(host, HostPhase::Serving);
+    let record = find_wave(fleet, &wave)?;
+    record.out.remove(name);
+    record.done.insert(name.clone());
+    Ok(())
+}
+
+pub(super) fn fail(fleet: &mut Fleet, name: &HostName, why: &Reason) -> Result<(), Refusal> {
+    let host = find_host(fleet, name)?;
+    if matches!(host.phase, HostPhase::Failed { .. }) {
+        return Err(wrong_state("host", format!("'{name}' has failed already")));
+    }
+    host.failures = host.failures.saturating_add(1);
+    if matches!(host.phase, HostPhase::Rebooting { .. } | HostPhase::Starting { .. }) {
+        host.power = HostPower::Surging;
+    }
+    set_phase(host, HostPhase::Failed { reason: why.clone() });
+    for wave in fleet.waves.values_mut() {
+        if wave.out.remove(name) {
+            wave.failed.insert(name.clone(), why.clone());
+        }
+    }
+    skip_in_waves(fleet, name, "it failed before its turn");
+    Ok(())
+}
--- a/crates/borageswitch_planner/src/lib.rs
+++ b/crates/borageswitch_planner/src/lib.rs
@@ -3,11 +3,12 @@
 //! [`changes`] says what the fleet document looks like after a change, or why the change is
 //! refused. Every daemon applies the same function to the same changes, so all come to the same
 //! document. [`capacity`] measures a pool against the availability budgets of its services.
-//! [`steps`] looks at the document and at what was observed, and names the steps that the holder
+//! [`invariants`] states what must hold of every document. [`steps`] looks at the document and at what was observed, and names the steps that the holder
 //! of the planner's duty should take now.
 //!
 //! All of it is pure: no I/O, no clock, no random numbers.
 
 pub mod capacity;
 pub mod changes;
+pub mod invariants;
 pub mod steps;
--- a/crates/borageswitch_planner/src/steps.rs
+++ b/crates/borageswitch_planner/src/steps.rs
@@ -75,6 +75,7 @@
                 LeaveReason::Move { to } => format!("{name} is drained and goes to {to}"),
                 LeaveReason::Wave { wave } => format!("{name} is drained and reboots for {wave}"),
                 LeaveReason::Hold { .. } => format!("{name} is drained and held"),
+                LeaveReason::Power => format!("{name} is drained and switched off"),
             };
             Some(change(FleetChange::FinishLeave { host: name.clone(), not_after }, what))
         }
--- a/crates/borageswitch_types/src/fleet/change.rs
+++ b/crates/borageswitch_types/src/fleet/change.rs
@@ -221,11 +221,12 @@
         /// The host.
         host: HostName,
     },
-    /// The agent has confirmed the throttle and the lag of its readings has passed.
+    /// The agent has confirmed the throttle and the lag of its readings has passed, or it has
+    /// confirmed that the throttle is lifted.
     ConfirmThrottle {
         /// The host.
         host: HostName,
-        /// The throttle that it answers.
+        /// The command that it answers.
         operation: OperationId,
     },
     /// The planner reserves the peak again and lifts the throttle.
@@ -233,6 +234,30 @@
         /// The host.
         host: HostName,
     },
+    /// The agent never began a reboot or start and its not-after time has passed: ask again.
+    RenewReboot {
+        /// The host.
+        host: HostName,
+        /// The last time at which the agent may begin it.
+        not_after: UnixMillis,
+    },
+    /// The power cap leaves no watts for a host: it takes no new work and is then switched off.
+    ParkHost {
+        /// The host.
+        host: HostName,
+    },
+    /// The planner asks for a host that is held, failed or parked to be switched off.
+    SwitchOff {
+        /// The host.
+        host: HostName,
+    },
+    /// The planner reserves the boot surge of a parked or failed host and has it started.
+    StartHost {
+        /// The host.
+        host: HostName,
+        /// The last time at which the agent may begin it.
+        not_after: UnixMillis,
+    },
     /// The agent has confirmed that a held or failed host is off.
     ConfirmOff {
         /// The host.
--- a/crates/borageswitch_types/src/fleet/host.rs
+++ b/crates/borageswitch_types/src/fleet/host.rs
@@ -52,6 +52,8 @@
         /// What the operator said.
         reason: Reason,
     },
+    /// The power cap leaves no watts for it; it is switched off until it does.
+    Power,
 }
 
 /// What a host does at the moment.
@@ -84,6 +86,15 @@
         /// Why.
         reason: Reason,
     },
+    /// It is kept off until the power cap leaves watts for it.
+    Parked,
+    /// It was asked to start and serves once its agent reports it ready.
+    Starting {
+        /// The id of the command to the host's agent.
+        operation: OperationId,
+        /// After this time the agent refuses the command.
+        not_after: UnixMillis,
+    },
     /// It did not come back, or failed what it started; it is out of use until it is replaced or
     /// released.
     Failed {
@@ -104,6 +115,20 @@
     },
     /// The agent has confirmed the throttle and the lag of its readings has passed.
     Throttled,
+    /// The peak is reserved again and the agent was asked to lift the throttle.
+    Lifting {
+        /// The id of the command to the host's agent.
+        operation: OperationId,
+    },
+    /// The agent was asked to switch the host off; until it confirms, the host counts as before.
+    SwitchingOff {
+        /// The id of the command to the host's agent.
+        operation: OperationId,
+        /// What the host could draw when the agent was asked.
+        reserved: Watts,
+    },
+    /// It failed while it booted: it counts at its boot surge, since it may still be at it.
+    Surging,
     /// The agent has confirmed that the host is off.
     Off,
 }
@@ -121,30 +146,51 @@
     pub phase: HostPhase,
     /// How its draw is limited.
     pub power: HostPower,
+    /// How often it has failed since an operator released it or a wave trusted it.
+    #[serde(default)]
+    pub failures: u16,
 }
 
 impl Host {
     /// A host that serves in `pool` from now on.
     pub fn serving(spec: HostSpec, pool: PoolName) -> Self {
-        Self { spec, pool, epoch: 1, phase: HostPhase::Serving, power: HostPower::Full }
+        Self {
+            spec,
+            pool,
+            epoch: 1,
+            phase: HostPhase::Serving,
+            power: HostPower::Full,
+            failures: 0,
+        }
     }
 
     /// What the host may draw at the most.
     ///
     /// Readings lag, so a host counts at its highest possible draw until a lower one is confirmed.
     pub fn reserved_power(&self) -> Watts {
-        if matches!(self.phase, HostPhase::Rebooting { .. }) {
-            return self.spec.draw.boot.max(self.spec.draw.peak);
+        let boot = self.spec.draw.boot.max(self.spec.draw.peak);
+        if matches!(self.phase, HostPhase::Rebooting { .. } | HostPhase::Starting { .. }) {
+            return boot;
         }
         match self.power {
-            HostPower::Full | HostPower::Throttling { .. } => self.spec.draw.peak,
+            HostPower::Full | HostPower::Throttling { .. } | HostPower::Lifting { .. } => {
+                self.spec.draw.peak
+            }
             HostPower::Throttled => self.spec.draw.throttled,
+            HostPower::SwitchingOff { reserved, .. } => reserved,
+            HostPower::Surging => boot,
             HostPower::Off => Watts(0),
         }
     }
 
+    /// What a reboot would add to [`Self::reserved_power`].
+    pub fn boot_surge(&self) -> Watts {
+        let boot = self.spec.draw.boot.max(self.spec.draw.peak);
+        Watts(boot.0.saturating_sub(self.reserved_power().0))
+    }
+
     /// Whether the host counts towards the capacity of its pool.
     pub fn gives_capacity(&self) -> bool {
-        matches!(self.phase, HostPhase::Serving) && self.power != HostPower::Off
+        self.phase == HostPhase::Serving
     }
 }
--- a/crates/borageswitch_types/src/fleet/pool.rs
+++ b/crates/borageswitch_types/src/fleet/pool.rs
@@ -25,6 +25,9 @@
     pub wanted_hosts: u32,
     /// Whether its hosts stand by to replace failed hosts of other pools.
     pub spare: bool,
+    /// Which pools keep their hosts longest when power is short: the highest go last.
+    #[serde(default)]
+    pub priority: u8,
 }
 
 /// How requests of a service are queued, bounded and tried again.
--- a/crates/borageswitch_types/src/fleet/wave.rs
+++ b/crates/borageswitch_types/src/fleet/wave.rs
@@ -87,4 +87,7 @@
     pub done: BTreeSet<HostName>,
     /// Hosts that were written off, with what was seen.
     pub failed: BTreeMap<HostName, Reason>,
+    /// Hosts that the wave passed over, with the reason.
+    #[serde(default)]
+    pub skipped: BTreeMap<HostName, Reason>,
 }
