--- a/crates/borageswitch_fakes/src/lib.rs
+++ b/crates/borageswitch_fakes/src/lib.rs
@@ -17,3 +17,17 @@
 //! | `GET /v1/hosts` (host list) | 200, JSON `[{"host":"…","leaving":false}]` |
 //! | `POST /v1/command` (agent), JSON of `AgentCommand` | 200, JSON of `AgentStatus`; 409 refused |
 //! | anything else at a target | the answer; 503 with header `target-refused: yes` when it did not run |
+//!
+//! - [`serve`] accepts connections and applies [`faults`].
+//! - [`store`] and [`host_list`] are the platform's services.
+//! - [`host`] is one machine: its target and its agent.
+//! - [`control`] injects faults from outside the process.
+//! - [`site`] puts a whole site together on loopback ports.
+
+pub mod control;
+pub mod faults;
+pub mod host;
+pub mod host_list;
+pub mod serve;
+pub mod site;
+pub mod store;
