Read a pool's priority from the site's settings

Change: priority is read, from 0 to 255, and left out as before. Measured: the settings tests pass, the written site reads the same again. Conclusion: settings and document agree.

--- a/crates/borageswitch_settings/src/site/read.rs
+++ b/crates/borageswitch_settings/src/site/read.rs
@@ -76,7 +76,8 @@
 fn read_pool(reader: &mut ObjectReader) -> Option<Pool> {
     let wanted_hosts = reader.number("wanted_hosts", 0, 10_000);
     let spare = reader.flag_or("spare", false);
-    Some(Pool { wanted_hosts: wanted_hosts?, spare: spare? })
+    let priority = reader.number_or("priority", Pool::default().priority, 0, 255);
+    Some(Pool { wanted_hosts: wanted_hosts?, spare: spare?, priority: priority? })
 }
 
 fn read_service(reader: &mut ObjectReader) -> Option<Service> {
