--- /dev/null
+++ b/crates/borageswitch_edge/src/platform/client.rs
@@ -0,0 +1,163 @@
+//! One HTTP exchange with the platform, bounded in time and size.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures_lite::future;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+
+use crate::platform::connections::{Connection, Connections};
+
+/// The largest answer that is read, in bytes: a list of values with room to spare.
+const MAX_ANSWER: usize = 16 << 20;
+
+/// A request with its whole body.
+pub(super) type PlatformRequest = Request<Full<Bytes>>;
+
+/// A whole answer.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+/// Why a call has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallError {
+    /// It is proved that not one byte of the request was written.
+    NotSent,
+    /// The request may have been read.
+    Lost {
+        /// Whether it was sent on a connection that had served before.
+        reused: bool,
+    },
+}
+
+/// Makes calls and keeps their connections.
+pub(super) struct Client {
+    connections: Connections,
+    connect_timeout: Duration,
+    ex: Arc<smol::Executor<'static>>,
+}
+
+impl Client {
+    pub(super) fn new(
+        connect_timeout: Duration,
+        max_age: Duration,
+        ex: Arc<smol::Executor<'static>>,
+    ) -> Self {
+        Self { connections: Connections::new(max_age), connect_timeout, ex }
+    }
+
+    /// Makes a call, on a kept connection if there is one.
+    pub(super) async fn call(
+        &self,
+        address: SocketAddr,
+        mut req: PlatformRequest,
+        timeout: Duration,
+    ) -> Result<Answer, CallError> {
+        let deadline = Instant::now() + timeout;
+        while let Some(conn) = self.connections.take(address) {
+            match self.exchange(address, conn, req, true, deadline).await {
+                Ok(answer) => return Ok(answer),
+                // The other end closed the connection while it was unused: another one is tried,
+                // with the very request that came back unsent.
+                Err(Failed::Unsent(back)) => req = *back,
+                Err(Failed::Call(err)) => return Err(err),
+            }
+        }
+        self.call_anew(address, req, deadline).await
+    }
+
+    /// Makes a call on a connection of its own, whatever connections are kept.
+    pub(super) async fn call_anew(
+        &self,
+        address: SocketAddr,
+        req: PlatformRequest,
+        deadline: Instant,
+    ) -> Result<Answer, CallError> {
+        let conn = self.connect(address, deadline).await.ok_or(CallError::NotSent)?;
+        match self.exchange(address, conn, req, false, deadline).await {
+            Ok(answer) => Ok(answer),
+            Err(Failed::Unsent(_)) => Err(CallError::NotSent),
+            Err(Failed::Call(err)) => Err(err),
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr, deadline: Instant) -> Option<Connection> {
+        let until = deadline.min(Instant::now() + self.connect_timeout);
+        let stream = before(until, TcpStream::connect(address)).await?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, driver) = http1::handshake(FuturesIo::new(stream)).await.ok()?;
+        let driver = async move {
+            if let Err(err) = driver.await {
+                log::debug!("a connection to the platform at {address} ended: {err}");
+            }
+        };
+        let driver = self.ex.spawn(driver);
+        Some(Connection { sender, opened: Instant::now(), _driver: driver })
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// The connection is kept only after a whole answer. In every other case it is dropped and with
+    /// it closed, so a late answer can reach no later call.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        mut conn: Connection,
+        req: PlatformRequest,
+        reused: bool,
+        deadline: Instant,
+    ) -> Result<Answer, Failed> {
+        let lost = Failed::Call(CallError::Lost { reused });
+        let exchange = async {
+            let response = match conn.sender.try_send_request(req).await {
+                Ok(response) => response,
+                Err(mut err) => {
+                    return Err(match err.take_message() {
+                        Some(back) => Failed::Unsent(Box::new(back)),
+                        None => Failed::Call(CallError::Lost { reused }),
+                    });
+                }
+            };
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, MAX_ANSWER).collect().await;
+            let body = body.map_err(|_| Failed::Call(CallError::Lost { reused }))?.to_bytes();
+            Ok(Answer { status: head.status, headers: head.headers, body })
+        };
+        let Some(outcome) = before(deadline, exchange).await else {
+            self.connections.forget(address);
+            return Err(lost);
+        };
+        let answer = outcome?;
+        self.connections.keep(address, conn);
+        Ok(answer)
+    }
+}
+
+enum Failed {
+    Unsent(Box<PlatformRequest>),
+    Call(CallError),
+}
+
+/// The output of a future, or nothing once `deadline` has passed.
+pub(crate) async fn before<F>(deadline: Instant, f: F) -> Option<F::Output>
+where
+    F: Future,
+{
+    let timer = async {
+        smol::Timer::at(deadline).await;
+        None
+    };
+    future::or(async { Some(f.await) }, timer).await
+}
