Let operators set the priority of a pool

Cause: a pool's priority decides which hosts keep their power; the schema did not carry it. Change: the field, read and written with its bound of 255.

--- a/crates/borageswitch_wire/src/schema/incoming.rs
+++ b/crates/borageswitch_wire/src/schema/incoming.rs
@@ -60,7 +60,8 @@
         FleetChange::ApplySite(Box::new(site))
     };
     SetPoolRequest |req| {
-        let spec = Pool::from(field::given("spec", req.spec)?);
+        let spec = field::given("spec", req.spec)?;
+        let spec = Pool::try_from(spec).map_err(|err| err.within("spec"))?;
         FleetChange::SetPool { pool: field::name("pool", &req.pool)?, spec }
     };
     RemovePoolRequest |req| FleetChange::RemovePool { pool: field::name("pool", &req.pool)? };
@@ -142,9 +143,13 @@
     Ok(settings)
 }
 
-impl From<proto::Pool> for Pool {
-    fn from(pool: proto::Pool) -> Self {
-        Pool { wanted_hosts: pool.wanted_hosts, spare: pool.spare }
+impl TryFrom<proto::Pool> for Pool {
+    type Error = FieldError;
+
+    fn try_from(pool: proto::Pool) -> Result<Self, FieldError> {
+        let priority = u8::try_from(pool.priority)
+            .map_err(|_| FieldError::new("priority", "must not be above 255"))?;
+        Ok(Pool { wanted_hosts: pool.wanted_hosts, spare: pool.spare, priority })
     }
 }
 
@@ -252,7 +257,7 @@
             entries_expected: field::small("entries_expected", entries)?,
             power_cap: Watts(site.power_cap_watts),
             services: entries_of("services", site.services, Service::try_from)?,
-            pools: entries_of("pools", site.pools, |pool| Ok(Pool::from(pool)))?,
+            pools: entries_of("pools", site.pools, Pool::try_from)?,
             hosts: entries_of("hosts", site.hosts, placed_host)?,
             teams: entries_of("teams", site.teams, Team::try_from)?,
             callers: entries_of("callers", site.callers, |team| field::name("team", &team))?,
--- a/crates/borageswitch_wire/src/schema/outgoing.rs
+++ b/crates/borageswitch_wire/src/schema/outgoing.rs
@@ -14,7 +14,11 @@
 
 impl From<&Pool> for proto::Pool {
     fn from(pool: &Pool) -> Self {
-        proto::Pool { wanted_hosts: pool.wanted_hosts, spare: pool.spare }
+        proto::Pool {
+            wanted_hosts: pool.wanted_hosts,
+            spare: pool.spare,
+            priority: pool.priority.into(),
+        }
     }
 }
 
