--- a/crates/borageswitch_edge/src/traffic/core.rs
+++ b/crates/borageswitch_edge/src/traffic/core.rs
@@ -129,6 +129,7 @@
         let service = match &message {
             SlotMessage::Ask { service, .. }
             | SlotMessage::Grant { service, .. }
+            | SlotMessage::Hold { service, .. }
             | SlotMessage::Return { service, .. } => service,
         };
         if let Some(queue) = self.queue(service) {
