Give the benchmarks one command and a table

Measured: nothing yet, the list is empty. Conclusion: a benchmark is a module with a run function and one line here.

--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -1,3 +1,62 @@
 //! One command for all benchmarks of borageswitch.
+//!
+//! `cargo run --release -p borageswitch_benches` runs every benchmark; names pick some of them.
+//! Each gives its figures as a table and, with `--json FILE`, as JSON. Figures that are compared
+//! come from one run, as ratios against our own baselines.
 
-fn main() {}
+mod report;
+
+use std::{collections::BTreeMap, fs, path::PathBuf, process::ExitCode};
+
+use clap::{Arg, ArgAction, Command, value_parser};
+
+/// A benchmark: its name, what it measures, and what runs it and gives its figures.
+struct Benchmark {
+    name: &'static str,
+    about: &'static str,
+    run: fn() -> serde_json::Value,
+}
+
+/// Every benchmark, in the order of a full run.
+const BENCHMARKS: &[Benchmark] = &[];
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let picked: Vec<&String> = matches.get_many("names").map(Iterator::collect).unwrap_or_default();
+    let mut figures = BTreeMap::new();
+    for benchmark in BENCHMARKS {
+        if !picked.is_empty() && !picked.iter().any(|name| *name == benchmark.name) {
+            continue;
+        }
+        println!("## {}: {}", benchmark.name, benchmark.about);
+        let result = (benchmark.run)();
+        report::print(&result);
+        figures.insert(benchmark.name, result);
+    }
+    match matches.get_one::<PathBuf>("json") {
+        Some(path) => write_json(path, &figures),
+        None => ExitCode::SUCCESS,
+    }
+}
+
+fn command() -> Command {
+    let names =
+        Arg::new("names").num_args(0..).action(ArgAction::Append).help("Run only these benchmarks");
+    let json = Arg::new("json")
+        .long("json")
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("Also write the figures as JSON");
+    Command::new("borageswitch_benches").about("Benchmarks of borageswitch").args([names, json])
+}
+
+fn write_json(path: &PathBuf, figures: &BTreeMap<&str, serde_json::Value>) -> ExitCode {
+    let text = format!("{:#}\n", serde_json::json!(figures));
+    match fs::write(path, text) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("--json: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
