Connect daemons with each other, and answer probes

Cause: daemons must hear each other without the store, and the balancer and operators must see whether a daemon is ready and what it does. Change: one proved h2 connection for each pair of daemons with bounded queues and a limit of silence; liveness, readiness, metrics and dump over HTTP.

--- a/crates/borageswitch_edge/src/operators/mod.rs
+++ b/crates/borageswitch_edge/src/operators/mod.rs
@@ -11,12 +11,12 @@
 mod status;
 mod watchers;
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_channel::Sender;
 use borageswitch_control::{Event, event::OperatorCall};
 use borageswitch_types::Fleet;
-use borageswitch_wire::operator::OperatorAnswer;
+use borageswitch_wire::operator::{OperatorAnswer, OperatorRequest};
 
 use self::{calls::Calls, service::Shared, watchers::Watchers};
 
@@ -54,6 +54,11 @@
         self.local_addr
     }
 
+    /// What asks the control thread for dumps on behalf of another edge.
+    pub(crate) fn dumps(&self) -> Dumps {
+        Dumps { shared: self.shared.clone() }
+    }
+
     /// Answers a call, if its operator still waits.
     pub fn answer(&self, call: OperatorCall, answer: OperatorAnswer) {
         self.shared.calls.answer(call, answer);
@@ -70,3 +75,16 @@
         self.shared.watchers.decision(decision);
     }
 }
+
+/// Asks the control thread for dumps. Its answers come by [`Operators::answer`] too.
+#[derive(Clone)]
+pub(crate) struct Dumps {
+    shared: Arc<Shared>,
+}
+
+impl Dumps {
+    /// A dump, unless the control thread does not give one in time.
+    pub(crate) async fn ask(&self, patience: Duration) -> Option<OperatorAnswer> {
+        self.shared.calls.ask(OperatorRequest::Dump, patience).await.ok()
+    }
+}
--- /dev/null
+++ b/crates/borageswitch_edge/src/peers/frames.rs
@@ -0,0 +1,89 @@
+//! Length-prefixed frames on an `h2` stream.
+
+use std::future::poll_fn;
+
+use bytes::{Buf, Bytes, BytesMut};
+use h2::{RecvStream, SendStream};
+
+/// The bytes of the length that precedes each frame.
+pub(super) const PREFIX: usize = 4;
+
+/// Why no further frame can be read or written.
+#[derive(Debug, derive_more::Display, derive_more::From)]
+pub(super) enum FrameError {
+    /// The other end has closed the stream.
+    #[display("the stream ended")]
+    Ended,
+    /// A frame is longer than allowed.
+    #[display("a frame of {_0} bytes exceeds its limit")]
+    #[from(skip)]
+    TooLong(usize),
+    /// The connection broke.
+    #[display("{_0}")]
+    Broken(h2::Error),
+}
+
+impl std::error::Error for FrameError {}
+
+/// Reads frames.
+pub(super) struct FrameReader {
+    stream: RecvStream,
+    buf: BytesMut,
+}
+
+impl FrameReader {
+    pub(super) fn new(stream: RecvStream) -> Self {
+        Self { stream, buf: BytesMut::new() }
+    }
+
+    /// Reads a frame of at most `limit` bytes.
+    ///
+    /// The length is judged before the frame is gathered: a stranger who announces four gigabytes
+    /// is closed after four bytes. What is buffered is bounded by `limit` and the flow window.
+    pub(super) async fn read(&mut self, limit: usize) -> Result<Bytes, FrameError> {
+        self.fill(PREFIX).await?;
+        let len = self.buf.get_u32() as usize;
+        if len > limit {
+            return Err(FrameError::TooLong(len));
+        }
+        self.fill(len).await?;
+        Ok(self.buf.split_to(len).freeze())
+    }
+
+    async fn fill(&mut self, len: usize) -> Result<(), FrameError> {
+        while self.buf.len() < len {
+            let chunk = self.stream.data().await.ok_or(FrameError::Ended)??;
+            self.stream.flow_control().release_capacity(chunk.len())?;
+            self.buf.extend_from_slice(&chunk);
+        }
+        Ok(())
+    }
+}
+
+/// Writes frames.
+pub(super) struct FrameWriter {
+    stream: SendStream<Bytes>,
+}
+
+impl FrameWriter {
+    pub(super) fn new(stream: SendStream<Bytes>) -> Self {
+        Self { stream }
+    }
+
+    /// Writes a frame once the other end has room for it.
+    pub(super) async fn write(&mut self, frame: &[u8]) -> Result<(), FrameError> {
+        let len = u32::try_from(frame.len()).map_err(|_| FrameError::TooLong(frame.len()))?;
+        let mut data = BytesMut::with_capacity(PREFIX + frame.len());
+        data.extend_from_slice(&len.to_be_bytes());
+        data.extend_from_slice(frame);
+        let mut data = data.freeze();
+        while data.has_remaining() {
+            self.stream.reserve_capacity(data.len());
+            let room = poll_fn(|cx| self.stream.poll_capacity(cx)).await;
+            let room = room.ok_or(FrameError::Ended)??;
+            let part = data.split_to(room.min(data.len()));
+            self.stream.send_data(part, false)?;
+        }
+        Ok(())
+    }
+}
