Plan batches, moves and power for waves, and explain what waits

Cause: the planner took one host at a time, moved none and knew no power cap. Change: a plan keeps tallies of capacity and watts while it adds steps. Canaries of each type go first, then batches that double; hosts go from the largest failure domain of a pool first; spare hosts are lent to the pools with most rounds left; failed hosts are restarted or replaced, a lost rack is not written off at once; a lowered cap throttles, then stops by priority. explain runs the same checks and says why a host, a pool or a wave waits. The control lane has to fill unreachable_since and failing of Observed; done_since is filled here.

--- a/crates/borageswitch_control/src/reducer/mod.rs
+++ b/crates/borageswitch_control/src/reducer/mod.rs
@@ -19,7 +19,7 @@
     agent::AgentStatus,
     claim::ClaimOutcome,
     fleet::Revision,
-    names::{DaemonName, HostName},
+    names::{DaemonName, HostName, OperationId},
     time::UnixMillis,
 };
 use borageswitch_wire::operator::{OperatorAnswer, OperatorRequest};
@@ -53,6 +53,7 @@
     planner_duty: duties::PlannerDuty,
     traffic: TrafficReport,
     agents: BTreeMap<HostName, AgentStatus>,
+    done_since: BTreeMap<HostName, (OperationId, Time)>,
     commanded: BTreeMap<HostName, Time>,
     phase_since: BTreeMap<HostName, (u64, Time)>,
     waits: Vec<(OperatorCall, Revision, Time)>,
@@ -74,6 +75,7 @@
             planner_duty: duties::PlannerDuty::default(),
             traffic: TrafficReport::default(),
             agents: BTreeMap::new(),
+            done_since: BTreeMap::new(),
             commanded: BTreeMap::new(),
             phase_since: BTreeMap::new(),
             waits: Vec::new(),
@@ -91,7 +93,7 @@
             Event::Store { call, outcome } => self.store_answered(call, outcome),
             Event::Agent { host, outcome } => {
                 if let Ok(status) = outcome {
-                    self.agents.insert(host, status);
+                    self.note_agent(host, status);
                 }
             }
             Event::Operator { call, request } => self.operator_asks(call, request),
--- a/crates/borageswitch_control/src/reducer/planning.rs
+++ b/crates/borageswitch_control/src/reducer/planning.rs
@@ -4,7 +4,7 @@
 
 use borageswitch_planner::steps::{self, Observed, Step};
 use borageswitch_types::{
-    agent::AgentCommand,
+    agent::{AgentCommand, AgentStatus},
     fleet::{Author, ChangeRequest, Duty, HostPhase},
     names::{HostName, OperationId},
 };
@@ -70,9 +70,22 @@
                 .iter()
                 .map(|(host, (_, since))| (host.clone(), *since))
                 .collect(),
+            done_since: self.done_since.clone(),
+            ..Observed::default()
         }
     }
 
+    /// Notes what a host's agent says, and since when it has reported its last command as done.
+    pub(super) fn note_agent(&mut self, host: HostName, status: AgentStatus) {
+        if let Some(done) = &status.done {
+            let known = self.done_since.get(&host).is_some_and(|(known, _)| known == done);
+            if !known {
+                self.done_since.insert(host.clone(), (done.clone(), self.now));
+            }
+        }
+        self.agents.insert(host, status);
+    }
+
     /// Leaving hosts on which nothing is in flight by a view that already shows them leaving.
     fn drained(&self) -> BTreeSet<HostName> {
         let Some(fleet) = self.sync.fleet() else { return BTreeSet::new() };
--- a/crates/borageswitch_planner/src/capacity.rs
+++ b/crates/borageswitch_planner/src/capacity/mod.rs
@@ -1,4 +1,13 @@
 //! What a pool can carry after the loss of its largest failure domain.
+//!
+//! The functions here judge one pool by the document alone, as a change must. [`Ledger`] keeps the
+//! same tallies for all pools at once, so that a planning step over a large fleet counts each host
+//! once.
+
+mod ledger;
+
+#[cfg(test)]
+mod tests;
 
 use std::collections::BTreeMap;
 
@@ -8,6 +17,8 @@
     names::{HostName, PoolName},
 };
 
+pub use self::ledger::Ledger;
+
 /// The slots of `pool` that are left after the loss of its largest failure domain.
 ///
 /// `usable` decides which hosts count; a caller that asks "what if" leaves out some more.
--- a/crates/borageswitch_planner/src/changes/mod.rs
+++ b/crates/borageswitch_planner/src/changes/mod.rs
@@ -30,6 +30,8 @@
 
 use crate::invariants;
 
+pub(crate) use self::{hosts::doing, waves::status_word};
+
 /// Applies a change and gives the revision that it made.
 ///
 /// A repeated operation changes nothing and gives the revision that it made the first time.
--- /dev/null
+++ b/crates/borageswitch_planner/src/explain.rs
@@ -0,0 +1,380 @@
+//! Tells in plain sentences why a host, a pool or a wave waits.
+//!
+//! The sentences come from the same checks by which the planner decides, run on the same document
+//! and observations, so that they cannot disagree with what it does.
+
+use std::time::Duration;
+
+use borageswitch_types::{
+    Fleet,
+    fleet::{
+        FleetChange, Host, HostPhase, HostPower, LeaveReason, Reason, Watts, Wave, WaveStatus,
+    },
+    names::{HostName, PoolName, WaveName},
+};
+
+use crate::{
+    changes::{doing, status_word},
+    steps::{
+        Observed, Plan, Step,
+        hosts::{CLOCK_MARGIN, MAX_RESTARTS, READING_LAG, START_TIMEOUT},
+        moves::{self, GIVE_BACK_AFTER, MAX_MOVES},
+        next_steps, waves,
+    },
+};
+
+/// The most hosts that one explanation names one by one.
+const MAX_NAMED: usize = 8;
+
+/// Why a host is as it is and what it waits for; empty if there is no such host.
+pub fn host(fleet: &Fleet, observed: &Observed, name: &HostName) -> Vec<Reason> {
+    let Some((name, host)) = fleet.hosts.get_key_value(name) else { return Vec::new() };
+    let plan = Plan::new(fleet, observed);
+    let mut lines = vec![format!("{name} stands in {} and is {}.", host.pool, doing(host))];
+    lines.extend(phase(&plan, name, host));
+    lines.extend(health(&plan, name));
+    lines.extend(power_state(&plan, name, host));
+    if host.phase == HostPhase::Serving {
+        lines.extend(pending(&plan, name, host));
+    }
+    lines.extend(planned(fleet, observed, |change| subject(change) == Some(name)));
+    finish(fleet, lines, |change| subject(change) == Some(name))
+}
+
+/// How a pool stands against its promises and its size; empty if there is no such pool.
+pub fn pool(fleet: &Fleet, observed: &Observed, name: &PoolName) -> Vec<Reason> {
+    let Some((name, spec)) = fleet.pools.get_key_value(name) else { return Vec::new() };
+    let plan = Plan::new(fleet, observed);
+    let sizes = moves::sizes(&plan);
+    let size = sizes.get(name).cloned().unwrap_or_default();
+    let mut lines = vec![match spec.wanted_hosts {
+        0 => format!("{name} has {} hosts and no wanted size.", size.members),
+        wanted => format!("{name} has {} hosts of {wanted} wanted.", size.members),
+    }];
+    lines.push(match plan.ledger.check_pool(name) {
+        Ok(()) => "Every service in it keeps its promise, also after the loss of the largest \
+                   failure domain."
+            .to_owned(),
+        Err(refusal) => format!("A promise is broken: {refusal}."),
+    });
+    let hosts: Vec<_> = fleet.hosts_in(name).collect();
+    let spare = Plan::new(fleet, observed).ledger.removable(&hosts).len();
+    lines.push(format!("It could let {spare} of its serving hosts go now."));
+    for (host_name, host) in hosts.iter().filter(|(_, h)| h.phase != HostPhase::Serving) {
+        lines.push(format!("{host_name} is {}.", doing(host)));
+    }
+    lines.extend(size_wait(&plan, &size));
+    lines.extend(planned(fleet, observed, |change| {
+        matches!(change, FleetChange::MoveHost { to, .. } if to == name)
+            || subject(change).is_some_and(|host| hosts.iter().any(|(other, _)| *other == host))
+    }));
+    finish(fleet, lines, |change| match change {
+        FleetChange::SetPool { pool, .. } => pool == name,
+        FleetChange::MoveHost { to, .. } => to == name,
+        _ => false,
+    })
+}
+
+/// How far a wave has come and what it waits for; empty if there is no such wave.
+pub fn wave(fleet: &Fleet, observed: &Observed, name: &WaveName) -> Vec<Reason> {
+    let Some((name, record)) = fleet.waves.get_key_value(name) else { return Vec::new() };
+    let plan = Plan::new(fleet, observed);
+    let mut lines = vec![format!(
+        "{name} is {}: {} pending, {} out, {} done, {} failed, {} passed over.",
+        status_word(&record.status),
+        record.pending.len(),
+        record.out.len(),
+        record.done.len(),
+        record.failed.len(),
+        record.skipped.len(),
+    )];
+    lines.extend(progress(&plan, record));
+    for host_name in record.out.iter().take(MAX_NAMED) {
+        let Some((host_name, host)) = fleet.hosts.get_key_value(host_name) else { continue };
+        lines.push(format!("{host_name} is {}.", doing(host)));
+        lines.extend(phase(&plan, host_name, host));
+    }
+    for (host_name, why) in record.failed.iter().chain(&record.skipped).take(MAX_NAMED) {
+        lines.push(format!("{host_name} is not done: {why}."));
+    }
+    let steps = planned(fleet, observed, |change| concerns_wave(change, name, record));
+    if record.status == WaveStatus::Running && steps.is_empty() {
+        lines.extend(blocked(&plan, record));
+    }
+    lines.extend(steps);
+    finish(fleet, lines, |change| concerns_wave(change, name, record))
+}
+
+fn concerns_wave(change: &FleetChange, name: &WaveName, record: &Wave) -> bool {
+    match change {
+        FleetChange::StartWave { wave, .. }
+        | FleetChange::PauseWave { wave }
+        | FleetChange::ResumeWave { wave }
+        | FleetChange::AbortWave { wave }
+        | FleetChange::HaltWave { wave, .. }
+        | FleetChange::FinishWave { wave }
+        | FleetChange::BeginLeave { wave, .. } => wave == name,
+        other => subject(other).is_some_and(|host| record.out.contains(host)),
+    }
+}
+
+/// The host that a change is about.
+fn subject(change: &FleetChange) -> Option<&HostName> {
+    match change {
+        FleetChange::AddHost { host, .. }
+        | FleetChange::RemoveHost { host }
+        | FleetChange::MoveHost { host, .. }
+        | FleetChange::HoldHost { host, .. }
+        | FleetChange::ReleaseHost { host }
+        | FleetChange::BeginLeave { host, .. }
+        | FleetChange::FinishLeave { host, .. }
+        | FleetChange::HostBack { host, .. }
+        | FleetChange::PassTrial { host }
+        | FleetChange::FailHost { host, .. }
+        | FleetChange::BeginThrottle { host }
+        | FleetChange::ConfirmThrottle { host, .. }
+        | FleetChange::LiftThrottle { host }
+        | FleetChange::RenewReboot { host, .. }
+        | FleetChange::ParkHost { host }
+        | FleetChange::SwitchOff { host }
+        | FleetChange::StartHost { host, .. }
+        | FleetChange::ConfirmOff { host } => Some(host),
+        _ => None,
+    }
+}
+
+/// What the planner would change next.
+fn planned<F>(fleet: &Fleet, observed: &Observed, concerns: F) -> Vec<String>
+where
+    F: Fn(&FleetChange) -> bool,
+{
+    let next = next_steps(fleet, observed).into_iter().filter_map(|step| match step {
+        Step::Change { change, reason } if concerns(&change) => Some(reason),
+        Step::Change { .. } | Step::Command { .. } => None,
+    });
+    next.take(MAX_NAMED).map(|reason| format!("Next: {reason}.")).collect()
+}
+
+/// Adds the last change that the document remembers.
+fn finish<F>(fleet: &Fleet, mut lines: Vec<String>, concerns: F) -> Vec<Reason>
+where
+    F: Fn(&FleetChange) -> bool,
+{
+    let last = fleet.recent.iter().rev().find(|applied| concerns(&applied.request.change));
+    if let Some(applied) = last {
+        let reason = &applied.request.reason;
+        lines.push(format!("Last change, revision {}: {reason}.", applied.revision));
+    }
+    lines.into_iter().map(Reason::from).collect()
+}
+
+fn phase(plan: &Plan<'_>, name: &HostName, host: &Host) -> Option<String> {
+    let observed = plan.observed;
+    match &host.phase {
+        HostPhase::Serving => None,
+        HostPhase::Leaving { .. } if !observed.drained.contains(name) => Some(
+            "It waits for its last requests to end, and for every live daemon to confirm that \
+             none is left; no request is cut for it."
+                .to_owned(),
+        ),
+        HostPhase::Leaving { why: LeaveReason::Wave { .. } } => Some(format!(
+            "It is drained; its reboot needs {} beside the {} that are reserved under a cap of {}.",
+            host.boot_surge(),
+            plan.fleet.reserved_power(),
+            plan.fleet.power_cap,
+        )),
+        HostPhase::Leaving { .. } => Some("It is drained.".to_owned()),
+        HostPhase::Rebooting { operation, not_after, wave } => {
+            let timeout =
+                plan.fleet.waves.get(wave).map_or(START_TIMEOUT, |w| w.settings.reboot_timeout);
+            Some(boot_wait(plan, name, observed.has_done(name, operation), not_after.0, timeout))
+        }
+        HostPhase::Starting { operation, not_after } => {
+            let done = observed.has_done(name, operation);
+            Some(boot_wait(plan, name, done, not_after.0, START_TIMEOUT))
+        }
+        HostPhase::Trial { wave } => {
+            let trial = plan.fleet.waves.get(wave)?.settings.trial;
+            let since = observed.in_phase_for(name);
+            Some(format!("It has been on trial for {} of {} s.", since.as_secs(), trial.as_secs()))
+        }
+        HostPhase::Held { reason } => {
+            Some(format!("An operator took it out of use: {reason}. It waits to be released."))
+        }
+        HostPhase::Parked => Some(format!(
+            "Its start needs {} beside the {} that are reserved under a cap of {}.",
+            host.boot_surge(),
+            plan.fleet.reserved_power(),
+            plan.fleet.power_cap,
+        )),
+        HostPhase::Failed { reason } => Some(failed(plan, name, host, reason)),
+    }
+}
+
+fn boot_wait(
+    plan: &Plan<'_>,
+    name: &HostName,
+    began: bool,
+    not_after: u64,
+    timeout: Duration,
+) -> String {
+    let since = plan.observed.in_phase_for(name).as_secs();
+    let limit = timeout.as_secs();
+    let expired = plan.observed.wall.0 > not_after + CLOCK_MARGIN.as_millis() as u64;
+    let what = match (began, expired) {
+        (true, _) => "the agent has carried the command out and does not report ready yet",
+        (false, false) => "the agent has not confirmed the command",
+        (false, true) => "the agent did not begin in time and is asked for its status",
+    };
+    format!("It has been at it for {since} of at most {limit} s: {what}.")
+}
+
+fn failed(plan: &Plan<'_>, name: &HostName, host: &Host, reason: &Reason) -> String {
+    let next = if host.failures > MAX_RESTARTS {
+        format!("after {} failures in a row it waits to be released", host.failures)
+    } else if !plan.observed.agents.get(name).is_some_and(|status| status.ready) {
+        "it is restarted once its agent reports it ready".to_owned()
+    } else {
+        format!("it is restarted once {} are free", host.boot_surge())
+    };
+    format!("What was seen: {reason}; {next}.")
+}
+
+fn health(plan: &Plan<'_>, name: &HostName) -> Option<String> {
+    let silent = plan.observed.unreachable_for(name);
+    if !silent.is_zero() {
+        return Some(format!("It could not be reached for {} s.", silent.as_secs()));
+    }
+    let seen = plan.observed.failing.get(name)?;
+    Some(format!("It fails what it is given: {seen}."))
+}
+
+fn power_state(plan: &Plan<'_>, name: &HostName, host: &Host) -> Option<String> {
+    let lag = READING_LAG.as_secs();
+    Some(match &host.power {
+        HostPower::Full => return None,
+        HostPower::Throttling { operation } if plan.observed.has_done(name, operation) => {
+            let watts = plan.observed.agents.get(name).map_or(0, |status| status.draw_watts);
+            let limit = host.spec.draw.throttled;
+            format!(
+                "Its throttle is confirmed; it counts once readings, which lag by up to {lag} s, \
+                 show no more than {limit}: the last was {}.",
+                Watts(watts),
+            )
+        }
+        HostPower::Throttling { .. } => {
+            "Its agent was asked to throttle it and has not confirmed it.".to_owned()
+        }
+        HostPower::Throttled => format!("It is throttled to {}.", host.spec.draw.throttled),
+        HostPower::Lifting { .. } => "Its agent was asked to lift the throttle.".to_owned(),
+        HostPower::SwitchingOff { .. } => {
+            "Its agent was asked to switch it off and has not confirmed it.".to_owned()
+        }
+        HostPower::Surging => "It failed while it booted and counts at its boot surge.".to_owned(),
+        HostPower::Off => "It is off.".to_owned(),
+    })
+}
+
+/// Why a serving host that a wave has ahead of it does not leave.
+fn pending<'a>(plan: &Plan<'a>, name: &'a HostName, host: &'a Host) -> Option<String> {
+    let waiting = |(_, wave): &(&WaveName, &Wave)| wave.pending.contains(name);
+    let (wave_name, wave) = plan.fleet.waves.iter().find(waiting)?;
+    if wave.status != WaveStatus::Running {
+        return Some(format!("{wave_name} is {}.", status_word(&wave.status)));
+    }
+    let stage = waves::stage(plan.fleet, wave);
+    if !plan.is_free(name, host) {
+        return Some(format!("{wave_name} passes it by until it can be reached."));
+    }
+    if let Err(refusal) = plan.ledger.check_without(name, host) {
+        return Some(format!("{wave_name} waits, since without it {refusal}."));
+    }
+    if !plan.power.fits(host.boot_surge().0) {
+        return Some(format!(
+            "{wave_name} waits for {} under the power cap of {}.",
+            host.boot_surge(),
+            plan.fleet.power_cap
+        ));
+    }
+    let out = wave.out.len();
+    Some(match stage {
+        waves::Stage::Canaries { limit } => {
+            format!("{wave_name} waits for its canaries: {out} of at most {limit} are out.")
+        }
+        waves::Stage::Batches { limit } => {
+            format!("{wave_name} has other hosts first: {out} of at most {limit} are out.")
+        }
+    })
+}
+
+fn progress(plan: &Plan<'_>, record: &Wave) -> Option<String> {
+    match &record.status {
+        WaveStatus::Running => Some(match waves::stage(plan.fleet, record) {
+            waves::Stage::Canaries { limit } => {
+                format!("Canaries go first, at most {limit} at once.")
+            }
+            waves::Stage::Batches { limit } => format!("At most {limit} hosts are out at once."),
+        }),
+        WaveStatus::Paused => Some("An operator paused it; it waits to be resumed.".to_owned()),
+        WaveStatus::Halted { reason } => {
+            Some(format!("It stopped itself: {reason}. It waits to be resumed or aborted."))
+        }
+        WaveStatus::Aborting => Some("Hosts that are out come back first.".to_owned()),
+        WaveStatus::Finished => None,
+    }
+}
+
+/// Why no pending host leaves, one line for each kind of cause.
+fn blocked(plan: &Plan<'_>, record: &Wave) -> Vec<String> {
+    let excess = plan.power.excess();
+    if excess > 0 {
+        let over = Watts(excess);
+        return vec![format!("No host may boot while the reservation is {over} above the cap.")];
+    }
+    if record.out.len() >= waves::stage(plan.fleet, record).limit() {
+        return vec!["As many hosts are out as may be.".to_owned()];
+    }
+    let mut lines: Vec<String> = Vec::new();
+    for name in &record.pending {
+        let Some((name, host)) = plan.fleet.hosts.get_key_value(name) else { continue };
+        let line = if host.phase != HostPhase::Serving {
+            format!("{name} is {}.", doing(host))
+        } else if !plan.observed.is_usable(name) {
+            format!("{name} cannot be counted on: it is silent or fails its work.")
+        } else if let Err(refusal) = plan.ledger.check_without(name, host) {
+            format!("Without a host of {}, {refusal}.", host.pool)
+        } else if !plan.power.fits(host.boot_surge().0) {
+            format!("A reboot needs {} that the power cap does not leave.", host.boot_surge())
+        } else {
+            continue;
+        };
+        if !lines.contains(&line) {
+            lines.push(line);
+        }
+    }
+    lines.truncate(MAX_NAMED);
+    lines
+}
+
+fn size_wait(plan: &Plan<'_>, size: &moves::PoolSize) -> Option<String> {
+    let moving =
+        |host: &&Host| matches!(host.phase, HostPhase::Leaving { why: LeaveReason::Move { .. } });
+    let in_flight = plan.fleet.hosts.values().filter(moving).count();
+    if size.lacks() > 0 && in_flight >= MAX_MOVES {
+        return Some(format!("It lacks hosts, and {in_flight} moves are in flight already."));
+    }
+    if size.lacks() > 0 {
+        return Some(format!(
+            "It lacks {} hosts, which come from spare pools and pools with more than they want.",
+            size.lacks()
+        ));
+    }
+    if size.surplus() > 0 {
+        return Some(format!(
+            "It gives {} hosts back once no wave needs them and no host of it has changed for {} s.",
+            size.surplus(),
+            GIVE_BACK_AFTER.as_secs()
+        ));
+    }
+    None
+}
