Prove the connections between daemons by tests

Cause: a peer's port meets strangers, silent connections and daemons that dial each other at once. Change: tests for a wrong key, garbage, silence, reconnection, oversized frames and duplicates; an acceptor leaves a duplicate for the dialler to close, or its proof was lost and the dialler came back for ever.

--- a/crates/borageswitch_edge/src/operators/mod.rs
+++ b/crates/borageswitch_edge/src/operators/mod.rs
@@ -3,9 +3,11 @@
 //! A call becomes one event for the reducer and waits for its answer; the fleet document and the
 //! decisions are shown from what the reducer has published. [`server`] accepts connections,
 //! [`calls`] keeps the calls that wait, [`watchers`] passes decisions on, [`status`] turns answers
-//! into gRPC statuses, and [`service`] ties them to the schema.
+//! into gRPC statuses, and [`service`] ties them to the schema. [`client`] is the other end, for
+//! whoever asks a daemon.
 
 mod calls;
+pub mod client;
 mod server;
 mod service;
 mod status;
--- a/crates/borageswitch_edge/src/peers/accept.rs
+++ b/crates/borageswitch_edge/src/peers/accept.rs
@@ -64,10 +64,20 @@
             return;
         }
     };
-    let Some(place) = shared.registry.enter(&link.member.daemon, Role::Acceptor).await else {
-        return;
-    };
-    link.run(shared, place).await;
+    match shared.registry.enter(&link.member.daemon, Role::Acceptor).await {
+        Some(place) => link.run(shared, place).await,
+        None => let_dialler_close(link, shared.cfg.handshake_timeout).await,
+    }
+}
+
+/// Leaves a connection that is not kept for the dialler to close.
+///
+/// Closed here at once, it would take this end's proof with it that is not sent yet. The dialler
+/// would see a failure instead of a duplicate, and dial again and again.
+async fn let_dialler_close(link: Link, patience: Duration) {
+    let Link { reader, writer, driver, .. } = link;
+    before(Instant::now() + patience, driver).await;
+    drop((reader, writer));
 }
 
 async fn prove(stream: TcpStream, shared: &Arc<Shared>) -> Result<Link, LinkError> {
--- a/crates/borageswitch_edge/src/peers/frames.rs
+++ b/crates/borageswitch_edge/src/peers/frames.rs
@@ -76,7 +76,11 @@
         let mut data = BytesMut::with_capacity(PREFIX + frame.len());
         data.extend_from_slice(&len.to_be_bytes());
         data.extend_from_slice(frame);
-        let mut data = data.freeze();
+        self.write_raw(data.freeze()).await
+    }
+
+    /// Writes bytes as they are, without a length before them.
+    pub(super) async fn write_raw(&mut self, mut data: Bytes) -> Result<(), FrameError> {
         while data.has_remaining() {
             self.stream.reserve_capacity(data.len());
             let room = poll_fn(|cx| self.stream.poll_capacity(cx)).await;
--- a/crates/borageswitch_edge/src/peers/mod.rs
+++ b/crates/borageswitch_edge/src/peers/mod.rs
@@ -20,6 +20,9 @@
 mod queue;
 mod registry;
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     collections::BTreeMap,
     io::Result as IoResult,
--- a/crates/borageswitch_edge/tests/support/mod.rs
+++ b/crates/borageswitch_edge/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod proxy;
+
 use std::{
     net::SocketAddr,
     sync::Arc,
