--- a/crates/borageswitch_edge/src/traffic/core.rs
+++ b/crates/borageswitch_edge/src/traffic/core.rs
@@ -47,10 +47,25 @@
     slots: SlotSender,
     queues: RwLock<BTreeMap<ServiceName, Arc<ServiceQueue>>>,
     next_ticket: AtomicU64,
+    /// Microseconds on the monotonic clock until which new requests are taken.
+    admit_until: AtomicU64,
     threads_end: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
 
 impl Core {
+    /// Lets new requests in until `until` on the monotonic clock.
+    pub(super) fn admit_until(&self, until: Time) {
+        self.admit_until.store(until.as_micros(), Ordering::SeqCst);
+    }
+
+    /// Whether the permission to take new requests still lasts.
+    ///
+    /// It is checked by each request and not by a timer: a process that was paused past the end of
+    /// its permission refuses the first request after the pause.
+    pub(super) fn may_admit(&self) -> bool {
+        self.now().as_micros() < self.admit_until.load(Ordering::SeqCst)
+    }
+
     pub(super) fn new(
         cfg: TrafficConfig,
         local_addr: SocketAddr,
@@ -71,6 +86,7 @@
             slots,
             queues: RwLock::default(),
             next_ticket: AtomicU64::new(0),
+            admit_until: AtomicU64::new(u64::MAX),
             threads_end: async_channel::bounded(1),
             cfg,
         }
--- a/crates/borageswitch_edge/src/traffic/exchange.rs
+++ b/crates/borageswitch_edge/src/traffic/exchange.rs
@@ -123,7 +123,7 @@
     let view = core.view.load_full().ok_or(ErrorKind::NotAdmitting)?;
     let name = head::service_name(&parts)?;
     let (name, service) = view.services.get_key_value(name).ok_or(ErrorKind::UnknownService)?;
-    if !view.admitting {
+    if !view.admitting || !core.may_admit() {
         let retry_after = Some(view.retry_after);
         return Err(Refusal { kind: ErrorKind::NotAdmitting, retry_after });
     }
--- a/crates/borageswitch_edge/src/traffic/mod.rs
+++ b/crates/borageswitch_edge/src/traffic/mod.rs
@@ -43,6 +43,7 @@
 
 use borageswitch_control::Event;
 use borageswitch_types::{
+    Time,
     claim::{ClaimOutcome, ClaimTicket},
     names::DaemonName,
     slots::SlotMessage,
@@ -101,6 +102,12 @@
         self.core.publish_view(view);
     }
 
+    /// Lets new requests in until `until` on the clock that the configuration began, and refuses
+    /// them after it.
+    pub fn admit_until(&self, until: Time) {
+        self.core.admit_until(until);
+    }
+
     /// Hands a peer's message about slots to the dispatcher of its service.
     pub fn take_slots(&self, from: DaemonName, message: SlotMessage) {
         self.core.take_slots(from, message);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,12 @@
 //! borageswitch manages the capacity and maintenance of a fleet of hosts for scheduled job
 //! services at a site whose electric power is capped.
 //!
-//! This crate is the facade over the subsystems, for whoever embeds a daemon.
+//! This crate is the thin facade over the subsystems, each a crate of its own: it puts them
+//! together into a [`daemon`] and gives the process its [`logging`]. Whoever embeds a daemon, as
+//! the examples and the end-to-end tests do, begins here.
+
+pub mod daemon;
+pub mod logging;
 
 pub use borageswitch_control as control;
 pub use borageswitch_edge as edge;
