--- /dev/null
+++ b/crates/borageswitch_control/src/reducer/admission.rs
@@ -0,0 +1,81 @@
+//! Until when this daemon may take new work by itself.
+//!
+//! A daemon that is cut off does not hear that a host leaves. It serves while one of two things
+//! holds: its lease in the store is valid and it has read the document since; or it hears a
+//! majority of the expected daemons, none of which knows a higher revision. In the second case
+//! every planner that acts has had the confirmation of a majority too, and waits as long as this
+//! daemon may go on without hearing; two majorities share a daemon, which carries the news.
+//!
+//! The permission is a time on the monotonic clock and not a flag: when the whole process was
+//! paused, the traffic threads wake up with a permission that has ended.
+
+use borageswitch_types::{Time, fleet::Revision};
+
+use crate::{effect::Effect, reducer::State};
+
+/// The permission as it was last given to the traffic threads.
+#[derive(Debug, Default)]
+pub(super) struct Admission {
+    until: Time,
+    is_admitting: bool,
+    is_ready: Option<bool>,
+}
+
+impl State {
+    pub(super) fn is_admitting(&self) -> bool {
+        self.admission.is_admitting
+    }
+
+    pub(super) fn refresh_admission(&mut self) {
+        let until = self.admitted_until();
+        if until != self.admission.until {
+            self.admission.until = until;
+            self.effects.push(Effect::AdmitUntil(until));
+        }
+        let is_admitting = self.now < until;
+        if is_admitting != self.admission.is_admitting {
+            self.admission.is_admitting = is_admitting;
+            self.note_admission(is_admitting);
+            self.publish_view();
+            self.beat_soon();
+        }
+        if self.admission.is_ready != Some(is_admitting) {
+            self.admission.is_ready = Some(is_admitting);
+            self.effects.push(Effect::SetReady(is_admitting));
+        }
+    }
+
+    fn note_admission(&mut self, is_admitting: bool) {
+        let text = match (is_admitting, self.stopping) {
+            (true, _) => "takes new work",
+            (false, true) => "takes no new work: it is stopping",
+            (false, false) => "takes no new work: it has neither a lease nor a majority",
+        };
+        self.decide(format!("{} {text}", self.me()));
+    }
+
+    fn admitted_until(&self) -> Time {
+        let Some(fleet) = self.sync.fleet().filter(|_| !self.stopping) else { return Time::ZERO };
+        if !self.cfg.guards.self_fence {
+            return Time::MAX;
+        }
+        let by_lease =
+            if self.session.is_caught_up() { self.session.valid_until() } else { Time::ZERO };
+        by_lease.max(self.majority_until(fleet.entries_expected, fleet.revision))
+    }
+
+    /// When fewer than a majority will have been heard within the time of silence.
+    fn majority_until(&self, expected: u16, revision: Revision) -> Time {
+        let others_needed = usize::from(expected / 2);
+        if others_needed == 0 {
+            return Time::MAX;
+        }
+        let heard = &self.members.heard;
+        if heard.values().any(|heard| heard.revision > revision) {
+            return Time::ZERO;
+        }
+        let mut times: Vec<Time> = heard.values().map(|heard| heard.at).collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        times.get(others_needed - 1).map_or(Time::ZERO, |at| *at + self.cfg.silence)
+    }
+}
--- /dev/null
+++ b/crates/borageswitch_control/src/reducer/claims/chain.rs
@@ -0,0 +1,404 @@
+//! The claims of one shard: a chain of small values in the store, appended by compare-and-swap.
+//!
+//! Any daemon may append to any chain. Safety rests on the store alone: a claim is granted only
+//! when the compare-and-swap that adds it to the open segment took effect, made by a writer that
+//! has read every claim before it. Two daemons that both believe to be the shard's owner collide
+//! in the compare-and-swap, and the loser reads what the other has written.
+//!
+//! A full segment is sealed by the write that fills it, and the next one is created only by a
+//! writer that has seen the seal, so the chain has one end. An open segment is never deleted.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use borageswitch_types::{
+    Time,
+    claim::{ClaimKey, ClaimNonce, ClaimOutcome, ClaimTicket},
+    names::DaemonName,
+    time::UnixMillis,
+};
+
+use crate::{
+    reducer::{
+        claims::segment::{Claim, Segment},
+        store_calls::Backoff,
+    },
+    store::{KeyValue, StoreAnswer, StoreError, StoreRequest, Version},
+};
+
+/// A segment is sealed at this length: about 16 KB, so that an append stays a small write.
+const SEGMENT_CLAIMS: usize = 256;
+/// Writes of one shard keep this distance. Eight shards make at most 100 writes a second at any
+/// rate of requests; a claim waits 40 ms longer on average while its shard is busy.
+const WRITE_INTERVAL: Duration = Duration::from_millis(80);
+/// The most claims in one write.
+const BATCH: usize = 64;
+/// The most claims that wait for one shard; more are refused at once.
+const WAITING: usize = 4_096;
+/// Wall clocks of daemons differ by less than this.
+const CLOCK_SKEW: Duration = Duration::from_secs(60);
+/// That a segment does not exist is believed for this time. It is far shorter than any window: a
+/// writer that was paused for longer could otherwise create a segment that was created, sealed
+/// and deleted in the meantime, and grant a claim that nobody would ever read.
+const ABSENCE_BELIEVED: Duration = Duration::from_secs(20);
+const RETRY_BASE: Duration = Duration::from_millis(60);
+
+/// Who asked for a claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Asker {
+    Here(ClaimTicket),
+    Peer(DaemonName),
+}
+
+/// A claim that waits for the store.
+#[derive(Clone, Debug)]
+pub(super) struct Ask {
+    pub(super) key: ClaimKey,
+    pub(super) nonce: ClaimNonce,
+    pub(super) window: Duration,
+    pub(super) deadline: Time,
+    pub(super) asker: Asker,
+}
+
+/// What came of an ask.
+#[derive(Clone, Debug)]
+pub(super) struct Verdict {
+    pub(super) nonce: ClaimNonce,
+    pub(super) asker: Asker,
+    pub(super) outcome: ClaimOutcome,
+}
+
+/// A call on behalf of a chain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::reducer) enum Step {
+    /// Read the whole chain.
+    Load,
+    /// Read the segment that is believed to be the last.
+    ReadHead,
+    /// Append claims to the last segment, or create it.
+    Append,
+    /// Delete a segment whose claims may be forgotten.
+    Drop(u64),
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Stage {
+    #[default]
+    Unloaded,
+    HeadUnknown,
+    Ready,
+}
+
+#[derive(Debug)]
+struct Sealed {
+    version: Version,
+    newest_until: UnixMillis,
+    claims: Vec<Claim>,
+}
+
+/// What this daemon knows of one shard's chain.
+#[derive(Debug)]
+pub(super) struct Chain {
+    prefix: Arc<str>,
+    stage: Stage,
+    is_calling: bool,
+    claimed: BTreeMap<ClaimKey, Claim>,
+    sealed: BTreeMap<u64, Sealed>,
+    head: u64,
+    head_version: Version,
+    head_segment: Segment,
+    absent_at: Time,
+    waiting: VecDeque<Ask>,
+    batch: Vec<Ask>,
+    written: Segment,
+    verdicts: Vec<Verdict>,
+    next_write: Time,
+    backoff: Backoff,
+    pub(super) last_used: Time,
+    reads_back: bool,
+}
+
+impl Chain {
+    /// A chain of which nothing is known yet; its keys begin with `prefix`.
+    pub(super) fn new(prefix: Arc<str>, reads_back: bool) -> Self {
+        Self {
+            prefix,
+            stage: Stage::Unloaded,
+            is_calling: false,
+            claimed: BTreeMap::new(),
+            sealed: BTreeMap::new(),
+            head: 1,
+            head_version: Version::ABSENT,
+            head_segment: Segment::default(),
+            absent_at: Time::ZERO,
+            waiting: VecDeque::new(),
+            batch: Vec::new(),
+            written: Segment::default(),
+            verdicts: Vec::new(),
+            next_write: Time::ZERO,
+            backoff: Backoff::default(),
+            last_used: Time::ZERO,
+            reads_back,
+        }
+    }
+
+    pub(super) fn ask(&mut self, now: Time, ask: Ask) {
+        self.last_used = now;
+        if self.waiting.len() >= WAITING {
+            self.conclude(ask, ClaimOutcome::Unavailable);
+            return;
+        }
+        self.waiting.push_back(ask);
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.batch.is_empty() && !self.is_calling
+    }
+
+    pub(super) fn claims(&self) -> usize {
+        self.claimed.len()
+    }
+
+    pub(super) fn waiting(&self) -> usize {
+        self.waiting.len() + self.batch.len()
+    }
+
+    pub(super) fn take_verdicts(&mut self) -> Vec<Verdict> {
+        std::mem::take(&mut self.verdicts)
+    }
+
+    /// The call to make now, if any; [`Self::answered`] follows before the next one.
+    pub(super) fn next_call(
+        &mut self,
+        now: Time,
+        wall: UnixMillis,
+        is_owner: bool,
+    ) -> Option<(Step, StoreRequest)> {
+        if self.is_calling || now < self.next_write {
+            return None;
+        }
+        self.settle_known(now);
+        let call = match self.stage {
+            _ if self.waiting.is_empty() => self.forget_call(wall, is_owner)?,
+            Stage::Unloaded => (Step::Load, StoreRequest::List { prefix: self.prefix.clone() }),
+            Stage::Ready if self.is_believed(now) => self.append_call(now, wall),
+            Stage::HeadUnknown | Stage::Ready => {
+                (Step::ReadHead, StoreRequest::Get { key: self.key(self.head) })
+            }
+        };
+        self.is_calling = true;
+        Some(call)
+    }
+
+    fn key(&self, number: u64) -> Arc<str> {
+        format!("{}{number:012}", self.prefix).into()
+    }
+
+    fn is_believed(&self, now: Time) -> bool {
+        self.head_version != Version::ABSENT || now.since(self.absent_at) < ABSENCE_BELIEVED
+    }
+
+    /// Ends the asks that are late, and those whose key is known to be claimed.
+    fn settle_known(&mut self, now: Time) {
+        for ask in std::mem::take(&mut self.waiting) {
+            let known = self.claimed.get(&ask.key).map(|claim| claim.nonce);
+            match known {
+                _ if ask.deadline <= now => self.conclude(ask, ClaimOutcome::Unavailable),
+                Some(nonce) if nonce == ask.nonce => self.conclude(ask, ClaimOutcome::Granted),
+                Some(_) => self.conclude(ask, ClaimOutcome::AlreadyClaimed),
+                None => self.waiting.push_back(ask),
+            }
+        }
+    }
+
+    fn conclude(&mut self, ask: Ask, outcome: ClaimOutcome) {
+        let Ask { nonce, asker, .. } = ask;
+        self.verdicts.push(Verdict { nonce, asker, outcome });
+    }
+
+    fn append_call(&mut self, now: Time, wall: UnixMillis) -> (Step, StoreRequest) {
+        self.next_write = now + WRITE_INTERVAL;
+        let mut next = self.head_segment.clone();
+        for ask in std::mem::take(&mut self.waiting) {
+            let taken = self.batch.iter().any(|other| other.key == ask.key);
+            if taken || self.batch.len() >= BATCH {
+                self.waiting.push_back(ask);
+                continue;
+            }
+            let until = UnixMillis(wall.0 + ask.window.as_millis() as u64);
+            next.claims.push(Claim { key: ask.key, nonce: ask.nonce, made: wall, until });
+            self.batch.push(ask);
+        }
+        next.sealed = next.claims.len() >= SEGMENT_CLAIMS;
+        let request = StoreRequest::CompareAndSwap {
+            key: self.key(self.head),
+            expected: self.head_version,
+            value: next.to_text().into_bytes().into(),
+            lease: None,
+        };
+        self.written = next;
+        (Step::Append, request)
+    }
+
+    fn forget_call(&mut self, wall: UnixMillis, is_owner: bool) -> Option<(Step, StoreRequest)> {
+        let (number, oldest) = self.sealed.first_key_value().filter(|_| is_owner)?;
+        let skew = CLOCK_SKEW.as_millis() as u64;
+        let is_past = oldest.newest_until.0 + skew < wall.0;
+        let request = StoreRequest::Delete { key: self.key(*number), expected: oldest.version };
+        is_past.then_some((Step::Drop(*number), request))
+    }
+
+    /// Takes the answer to the call that is open.
+    pub(super) fn answered(
+        &mut self,
+        step: Step,
+        asked_at: Time,
+        now: Time,
+        outcome: Result<StoreAnswer, StoreError>,
+    ) {
+        self.is_calling = false;
+        let failed = matches!(outcome, Err(_) | Ok(StoreAnswer::Conflict));
+        match (step, outcome) {
+            (Step::Load, Ok(StoreAnswer::Values(values))) => {
+                let is_whole = self.load(asked_at, &values);
+                self.next_write = if is_whole { now } else { now + RETRY_BASE };
+            }
+            (Step::ReadHead, Ok(StoreAnswer::Value(kv))) => self.read_head(asked_at, kv),
+            (Step::Append, Ok(StoreAnswer::Written { version })) => {
+                self.appended(asked_at, now, version);
+            }
+            (Step::Append, Err(StoreError::AnswerLost)) if !self.reads_back => {
+                // Without the read-back a lost answer would pass for success.
+                for ask in std::mem::take(&mut self.batch) {
+                    self.conclude(ask, ClaimOutcome::Granted);
+                }
+                self.stage = Stage::HeadUnknown;
+            }
+            (Step::Append, outcome) => self.not_appended(&outcome),
+            (Step::Drop(number), Ok(StoreAnswer::Done | StoreAnswer::Conflict)) => {
+                self.forget(number);
+            }
+            _ => {}
+        }
+        match failed {
+            true => {
+                let mut rng = fastrand::Rng::with_seed(now.as_micros() ^ self.head);
+                self.next_write = now + self.backoff.next_wait(RETRY_BASE, &mut rng);
+            }
+            false => self.backoff.reset(),
+        }
+    }
+
+    /// Takes the whole chain, and tells whether the list showed a whole one.
+    fn load(&mut self, asked_at: Time, values: &[KeyValue]) -> bool {
+        self.claimed.clear();
+        self.sealed.clear();
+        self.head = 1;
+        self.head_version = Version::ABSENT;
+        self.head_segment = Segment::default();
+        self.absent_at = asked_at;
+        let last = values.len().saturating_sub(1);
+        for (index, kv) in values.iter().enumerate() {
+            let number = kv.key.strip_prefix(&*self.prefix).and_then(|text| text.parse().ok());
+            let (Some(number), Some(segment)) = (number, Segment::from_bytes(&kv.value)) else {
+                log::error!("the claims under {} cannot be read", kv.key);
+                return false;
+            };
+            if !segment.sealed && index != last {
+                // The list was read while the chain grew; it is read again.
+                return false;
+            }
+            self.take_segment(number, kv.version, segment);
+        }
+        let has_open_end = values.is_empty() || self.head_version != Version::ABSENT;
+        self.stage = if has_open_end { Stage::Ready } else { Stage::HeadUnknown };
+        true
+    }
+
+    fn take_segment(&mut self, number: u64, version: Version, segment: Segment) {
+        for claim in &segment.claims {
+            self.note_claim(*claim);
+        }
+        self.head = number;
+        self.head_version = version;
+        self.head_segment = segment;
+        if self.head_segment.sealed {
+            self.go_on();
+        }
+    }
+
+    /// Goes on to the segment after one that was seen sealed.
+    fn go_on(&mut self) {
+        let segment = std::mem::take(&mut self.head_segment);
+        let newest_until = segment.newest_until();
+        let sealed = Sealed { version: self.head_version, newest_until, claims: segment.claims };
+        self.sealed.insert(self.head, sealed);
+        self.head += 1;
+        self.head_version = Version::ABSENT;
+    }
+
+    /// # Panics
+    ///
+    /// When the chain holds two claims of one key and the window of the first had not passed when
+    /// the second was made: a request could have run twice.
+    fn note_claim(&mut self, claim: Claim) {
+        let before = self.claimed.insert(claim.key, claim);
+        let is_once = |before: Claim| before.nonce == claim.nonce || before.until <= claim.made;
+        assert!(before.is_none_or(is_once), "the key {} is claimed twice", claim.key);
+    }
+
+    fn read_head(&mut self, asked_at: Time, kv: Option<KeyValue>) {
+        let Some(kv) = kv else {
+            let vanished = self.head_version != Version::ABSENT;
+            self.absent_at = asked_at;
+            self.stage = if vanished { Stage::Unloaded } else { Stage::Ready };
+            return;
+        };
+        let Some(segment) = Segment::from_bytes(&kv.value) else {
+            log::error!("the claims under {} cannot be read", kv.key);
+            return;
+        };
+        let sealed = segment.sealed;
+        self.take_segment(self.head, kv.version, segment);
+        self.stage = if sealed { Stage::HeadUnknown } else { Stage::Ready };
+    }
+
+    fn appended(&mut self, asked_at: Time, now: Time, version: Version) {
+        let written = std::mem::take(&mut self.written);
+        let sealed = written.sealed;
+        self.take_segment(self.head, version, written);
+        if sealed {
+            // Nobody could create the next segment before this write sealed the last one.
+            self.absent_at = asked_at;
+        }
+        for ask in std::mem::take(&mut self.batch) {
+            let in_time = now < ask.deadline;
+            let outcome = if in_time { ClaimOutcome::Granted } else { ClaimOutcome::Unavailable };
+            self.conclude(ask, outcome);
+        }
+    }
+
+    /// The write may or may not have taken effect: the asks wait again, and the segment is read
+    /// first unless it is sure that nothing was sent. Their nonces tell whose claims it holds.
+    fn not_appended(&mut self, outcome: &Result<StoreAnswer, StoreError>) {
+        for ask in std::mem::take(&mut self.batch).into_iter().rev() {
+            self.waiting.push_front(ask);
+        }
+        let no_effect = matches!(outcome, Err(StoreError::NotSent | StoreError::Refused));
+        if !no_effect {
+            self.stage = Stage::HeadUnknown;
+        }
+    }
+
+    fn forget(&mut self, number: u64) {
+        let Some(sealed) = self.sealed.remove(&number) else { return };
+        for claim in sealed.claims {
+            if self.claimed.get(&claim.key) == Some(&claim) {
+                self.claimed.remove(&claim.key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/borageswitch_control/src/reducer/drains.rs
@@ -0,0 +1,183 @@
+//! Which leaving hosts are drained: nothing of any daemon is in flight there any more.
+//!
+//! Without the wait for everyone's confirmation a host would be rebooted while another entry,
+//! which had not heard of the leave yet, still sends it work; its callers would see answers break
+//! off. A daemon that is silent counts as live until it has surely stopped taking work and the
+//! requests that it had in flight have surely ended.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use borageswitch_types::{
+    Time,
+    fleet::{Host, HostPhase, Revision},
+    names::{DaemonName, HostName, PoolName},
+};
+use borageswitch_wire::peer::Progress;
+
+use crate::reducer::{State, members::Known};
+
+/// The epoch of a host, and when and at which revision this daemon first saw it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EpochSeen {
+    pub(super) epoch: u64,
+    pub(super) revision: Revision,
+}
+
+/// Why a leaving host is not drained.
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display)]
+pub(super) enum Undrained {
+    #[display("this daemon's traffic threads do not send by the new revision yet")]
+    NotApplied,
+    #[display("this daemon has {_0} requests in flight there")]
+    InFlight(u32),
+    #[display("the store's list of members is not read since the leave")]
+    NoList,
+    #[display("{daemon} has not confirmed that nothing is in flight{detail}")]
+    Waits { daemon: DaemonName, detail: &'static str },
+    #[display("{confirmed} daemons have confirmed and {needed} are a majority")]
+    NoMajority { confirmed: usize, needed: usize },
+    #[display("daemons that are not seen may serve for some more seconds")]
+    Unseen,
+}
+
+impl State {
+    /// What this daemon says of its own progress.
+    pub(super) fn own_progress(&self) -> Progress {
+        let applied = self.traffic.applied;
+        let draining = self.leaving.iter().filter_map(|host| {
+            let seen = self.epochs.get(host).filter(|seen| applied >= seen.revision)?;
+            let in_flight = self.traffic.draining.get(host).copied().unwrap_or(0);
+            Some((host.clone(), (seen.epoch, in_flight)))
+        });
+        let draining: BTreeMap<HostName, (u64, u32)> = draining.collect();
+        Progress { applied, draining, failing: self.own_failing(), serving: self.is_admitting() }
+    }
+
+    /// Keeps the epochs and the leaving hosts in step with the document.
+    pub(super) fn note_phases(&mut self) {
+        let Some(fleet) = self.sync.fleet().cloned() else { return };
+        self.forget_hosts();
+        let before = std::mem::take(&mut self.leaving);
+        for (name, host) in &fleet.hosts {
+            self.note_epoch(name, host, fleet.revision);
+            if matches!(host.phase, HostPhase::Leaving { .. }) {
+                self.leaving.insert(name.clone());
+            }
+        }
+        if !self.leaving.is_subset(&before) {
+            self.list_soon();
+        }
+    }
+
+    fn note_epoch(&mut self, name: &HostName, host: &Host, revision: Revision) {
+        if self.epochs.get(name).is_some_and(|seen| seen.epoch == host.epoch) {
+            return;
+        }
+        let seen = EpochSeen { epoch: host.epoch, revision };
+        self.epochs.insert(name.clone(), seen);
+        self.observed.phase_since.insert(name.clone(), self.now);
+    }
+
+    /// Brings the set of drained hosts up to date.
+    pub(super) fn refresh_drained(&mut self) {
+        let drained = self.leaving.iter().filter(|host| self.undrained(host).is_none());
+        self.observed.drained = drained.cloned().collect();
+    }
+
+    /// Why a leaving host is not drained, or nothing if it is and the planner may go on.
+    fn undrained(&self, host: &HostName) -> Option<Undrained> {
+        let seen = self.epochs.get(host)?;
+        let covered = self.members.list_covers.is_some_and(|covered| covered >= seen.revision);
+        match self.undrained_here(host) {
+            None if !covered && self.cfg.guards.acknowledgements => Some(Undrained::NoList),
+            undrained => undrained,
+        }
+    }
+
+    /// Why a leaving host is not drained, as far as this daemon can tell without the list of
+    /// members, which only the planner reads often.
+    pub(super) fn undrained_here(&self, host: &HostName) -> Option<Undrained> {
+        let seen = self.epochs.get(host)?;
+        if self.traffic.applied < seen.revision {
+            return Some(Undrained::NotApplied);
+        }
+        match self.traffic.draining.get(host).copied().unwrap_or(0) {
+            0 => {}
+            in_flight => return Some(Undrained::InFlight(in_flight)),
+        }
+        if !self.cfg.guards.acknowledgements {
+            return None;
+        }
+        self.unconfirmed(host, seen.epoch)
+    }
+
+    fn unconfirmed(&self, host: &HostName, epoch: u64) -> Option<Undrained> {
+        let patience = self.patience(host);
+        let mut confirmed_at = Vec::new();
+        for (daemon, known) in &self.members.known {
+            match self.confirmation(daemon, host, epoch) {
+                Some(at) => confirmed_at.push(at),
+                None if self.is_surely_gone(daemon, known, patience) => {}
+                None => {
+                    let detail = if self.may_be_alive(daemon) { "" } else { " and is silent" };
+                    return Some(Undrained::Waits { daemon: daemon.clone(), detail });
+                }
+            }
+        }
+        self.unseen(&confirmed_at)
+    }
+
+    /// Whether daemons that this one does not know of might still serve by an old document.
+    fn unseen(&self, confirmed_at: &[Time]) -> Option<Undrained> {
+        let expected = self.sync.fleet().map_or(0, |fleet| fleet.entries_expected);
+        let needed = usize::from(expected / 2) + 1;
+        let confirmed = confirmed_at.len() + 1;
+        if confirmed < needed {
+            return Some(Undrained::NoMajority { confirmed, needed });
+        }
+        let last = confirmed_at.iter().max().copied().unwrap_or_default();
+        let settled = last + self.cfg.silence <= self.now;
+        let all_seen = confirmed >= usize::from(expected);
+        (!all_seen && !settled).then_some(Undrained::Unseen)
+    }
+
+    fn confirmation(&self, daemon: &DaemonName, host: &HostName, epoch: u64) -> Option<Time> {
+        let heard = self.members.heard.get(daemon)?;
+        let (acked, at) = heard.acks.get(host)?;
+        (*acked == epoch).then_some(*at)
+    }
+
+    /// Whether a daemon has been silent, and without a lease, so long that it has stopped taking
+    /// work by itself and every request of its has ended.
+    fn is_surely_gone(&self, daemon: &DaemonName, known: &Known, patience: Duration) -> bool {
+        let lease_ended = match &known.listed {
+            Some(listed) => listed.gone_since,
+            None => Some(known.first_known),
+        };
+        let Some(lease_ended) = lease_ended else { return false };
+        let heard = self.members.heard.get(daemon).map_or(Time::ZERO, |heard| heard.at);
+        let last = lease_ended.max(heard).max(known.first_known);
+        last + self.cfg.silence + patience <= self.now
+    }
+
+    /// The longest time that a request may be in flight on a host.
+    fn patience(&self, host: &HostName) -> Duration {
+        let Some(fleet) = self.sync.fleet() else { return Duration::ZERO };
+        let Some(record) = fleet.hosts.get(host) else { return Duration::ZERO };
+        self.longest_deadline(|pool| *pool == record.pool)
+    }
+
+    /// The longest time that a crashed daemon may matter for any host.
+    pub(super) fn longest_patience(&self) -> Duration {
+        self.longest_deadline(|_| true) + self.cfg.silence
+    }
+
+    fn longest_deadline<F>(&self, in_pool: F) -> Duration
+    where
+        F: Fn(&PoolName) -> bool,
+    {
+        let Some(fleet) = self.sync.fleet() else { return Duration::ZERO };
+        let services = fleet.services.values().filter(|service| in_pool(&service.pool));
+        services.map(|service| service.limits.max_deadline).max().unwrap_or_default()
+    }
+}
--- a/crates/borageswitch_control/src/reducer/duties.rs
+++ b/crates/borageswitch_control/src/reducer/duties.rs
@@ -1,134 +1,193 @@
-//! Takes the planner's duty under a lease of the platform's store.
+//! Takes duties: keys in the store under the daemon's lease.
+//!
+//! A duty's key can be created by one daemon at a time and ends with that daemon's lease. Its
+//! version is the fence: each holder's is higher than those of all holders before. A holder that
+//! was paused finds its lease past on its own clock before any effect leaves.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use borageswitch_types::{Time, fleet::Fence};
+use borageswitch_types::{
+    Time,
+    fleet::{Author, ChangeRequest, Duty, Fence, FleetChange},
+};
 
 use crate::{
-    reducer::{Purpose, State},
+    reducer::{State, store_calls::Purpose, writing::Origin},
     store::{LeaseId, StoreAnswer, StoreError, StoreRequest, Version},
 };
 
-/// A holder keeps its lease alive after this part of its time.
-const KEEP_ALIVE_DIVISOR: u32 = 3;
-/// A holder lets no effect out in the last part of its lease: the store's clock may run faster.
-const MARGIN_DIVISOR: u32 = 4;
+const RETRY_BASE: Duration = Duration::from_millis(500);
+
+/// A call on behalf of a duty.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Step {
+    /// Create the duty's key under the lease.
+    Claim(LeaseId),
+    /// The answer to a claim was lost: read whose the duty is.
+    ReadBack(LeaseId),
+}
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Stage {
     #[default]
     Idle,
-    Granting,
-    Claiming,
-    Held,
-    KeepingAlive,
+    Calling,
+    Held(Fence),
 }
 
-/// How far this daemon has come with the planner's duty.
 #[derive(Debug, Default)]
-pub(super) struct PlannerDuty {
+struct DutyState {
     stage: Stage,
-    lease: Option<LeaseId>,
-    fence: Fence,
-    asked_at: Time,
-    valid_until: Time,
     next_try: Time,
 }
 
-impl PlannerDuty {
-    pub(super) fn is_held(&self) -> bool {
-        matches!(self.stage, Stage::Held | Stage::KeepingAlive)
-    }
+/// How far this daemon has come with each duty that it could take.
+#[derive(Debug, Default)]
+pub(super) struct Duties {
+    states: BTreeMap<Duty, DutyState>,
+}
 
-    pub(super) fn fence(&self) -> Fence {
-        self.fence
+impl Duties {
+    pub(super) fn fence(&self, duty: &Duty) -> Option<Fence> {
+        match self.states.get(duty)?.stage {
+            Stage::Held(fence) => Some(fence),
+            _ => None,
+        }
     }
 
-    /// Whether effects may leave under this duty: it is held and its lease has not nearly ended.
-    pub(super) fn may_act(&self, now: Time) -> bool {
-        self.is_held() && now < self.valid_until
+    pub(super) fn held(&self) -> Vec<Duty> {
+        let held = self.states.iter().filter(|(_, s)| matches!(s.stage, Stage::Held(_)));
+        held.map(|(duty, _)| duty.clone()).collect()
     }
 }
 
 impl State {
-    fn duty_key(&self) -> Arc<str> {
-        format!("borageswitch/{}/duty/planner", self.cfg.region).into()
+    pub(super) fn duty_key(&self, duty: &Duty) -> Arc<str> {
+        format!("borageswitch/{}/duty/{duty}", self.cfg.region).into()
+    }
+
+    /// Whether this daemon holds a duty under a lease that has not nearly ended.
+    pub(super) fn may_act(&self, duty: &Duty) -> bool {
+        let in_time = self.now < self.session.valid_until() || !self.cfg.guards.fencing;
+        self.duties.fence(duty).is_some() && in_time && !self.stopping
+    }
+
+    pub(super) fn relay_duty(&self) -> Duty {
+        Duty::Relay(self.cfg.me.data_centre.clone())
     }
 
     pub(super) fn duty_tick(&mut self) {
-        if self.stopping || self.sync.fleet().is_none() {
+        if self.stopping || self.sync.fleet().is_none() || self.session.lease().is_none() {
             return;
         }
-        let ttl = self.cfg.duty_ttl;
-        match self.planner_duty.stage {
-            Stage::Idle if self.planner_duty.next_try <= self.now => {
-                self.duty_call(Stage::Granting, StoreRequest::GrantLease { ttl });
-            }
-            Stage::Held if self.now >= self.planner_duty.next_try => {
-                if let Some(lease) = self.planner_duty.lease {
-                    self.duty_call(Stage::KeepingAlive, StoreRequest::KeepAlive { lease });
-                }
+        for duty in [Duty::Planner, self.relay_duty()] {
+            let state = self.duties.states.entry(duty.clone()).or_default();
+            let due = state.stage == Stage::Idle && state.next_try <= self.now;
+            if let (true, None, Some(lease)) = (due, self.holder_heard(&duty), self.session.lease())
+            {
+                self.claim_duty(&duty, lease);
             }
-            _ => {}
         }
     }
 
-    fn duty_call(&mut self, stage: Stage, request: StoreRequest) {
-        self.planner_duty.stage = stage;
-        if stage != Stage::Claiming {
-            self.planner_duty.asked_at = self.now;
-        }
-        self.call_store(Purpose::Duty, request, self.cfg.store_timeout);
+    fn claim_duty(&mut self, duty: &Duty, lease: LeaseId) {
+        let request = StoreRequest::CompareAndSwap {
+            key: self.duty_key(duty),
+            expected: Version::ABSENT,
+            value: self.me().as_str().as_bytes().into(),
+            lease: Some(lease),
+        };
+        self.set_stage(duty, Stage::Calling);
+        let purpose = Purpose::Duty(duty.clone(), Step::Claim(lease));
+        self.call_store(purpose, request, self.cfg.store_timeout);
     }
 
-    pub(super) fn duty_answered(&mut self, outcome: Result<StoreAnswer, StoreError>) {
-        match (self.planner_duty.stage, outcome) {
-            (Stage::Granting, Ok(StoreAnswer::Lease { lease, .. })) => {
-                self.planner_duty.lease = Some(lease);
-                let value = self.me().as_str().as_bytes().into();
-                let request = StoreRequest::CompareAndSwap {
-                    key: self.duty_key(),
-                    expected: Version::ABSENT,
-                    value,
-                    lease: Some(lease),
-                };
-                self.duty_call(Stage::Claiming, request);
-            }
-            (Stage::Claiming, Ok(StoreAnswer::Written { version })) => {
-                self.planner_duty.fence = Fence(version.0);
-                self.duty_lasts();
+    fn set_stage(&mut self, duty: &Duty, stage: Stage) {
+        self.duties.states.entry(duty.clone()).or_default().stage = stage;
+    }
+
+    pub(super) fn duty_answered(
+        &mut self,
+        duty: &Duty,
+        step: Step,
+        outcome: Result<StoreAnswer, StoreError>,
+    ) {
+        let (Step::Claim(lease) | Step::ReadBack(lease)) = step;
+        if self.session.lease() != Some(lease) {
+            // The lease ended while the answer was on its way, and the key with it.
+            self.duty_not_won(duty);
+            return;
+        }
+        match outcome {
+            Ok(StoreAnswer::Written { version }) => self.duty_won(duty, version),
+            Ok(StoreAnswer::Value(Some(kv))) if &*kv.value == self.me().as_str().as_bytes() => {
+                self.duty_won(duty, kv.version);
             }
-            (Stage::KeepingAlive, Ok(StoreAnswer::Lease { .. })) => self.duty_lasts(),
-            (Stage::KeepingAlive, Err(_)) if self.now < self.planner_duty.valid_until => {
-                self.planner_duty.stage = Stage::Held;
+            Err(StoreError::AnswerLost) => {
+                let request = StoreRequest::Get { key: self.duty_key(duty) };
+                let purpose = Purpose::Duty(duty.clone(), Step::ReadBack(lease));
+                self.call_store(purpose, request, self.cfg.store_timeout);
             }
-            _ => self.duty_lost(),
+            _ => self.duty_not_won(duty),
+        }
+    }
+
+    fn duty_won(&mut self, duty: &Duty, version: Version) {
+        let fence = Fence(version.0);
+        self.set_stage(duty, Stage::Held(fence));
+        self.decide(format!("{} takes {duty} with fence {fence}", self.me()));
+        self.beat_soon();
+        if *duty == Duty::Planner {
+            self.list_members();
+            let req = self.holder_request(
+                FleetChange::TakeDuty { duty: duty.clone() },
+                format!("{} takes {duty}", self.me()).into(),
+            );
+            self.queue_change(Origin::Planner, req);
         }
     }
 
-    fn duty_lasts(&mut self) {
-        let ttl = self.cfg.duty_ttl;
-        let asked_at = self.planner_duty.asked_at;
-        self.planner_duty.stage = Stage::Held;
-        self.planner_duty.valid_until = asked_at + (ttl - ttl / MARGIN_DIVISOR);
-        self.planner_duty.next_try = asked_at + ttl / KEEP_ALIVE_DIVISOR;
+    /// A change in the name of the planner's duty.
+    pub(super) fn holder_request(
+        &mut self,
+        change: FleetChange,
+        reason: Arc<str>,
+    ) -> ChangeRequest {
+        let fence = self.duties.fence(&Duty::Planner).unwrap_or_default();
+        let author = match self.cfg.guards.fencing {
+            true => Author::Holder { duty: Duty::Planner, fence },
+            false => Author::Operator { name: "unfenced".into() },
+        };
+        ChangeRequest { operation: self.new_operation(), expected: None, author, reason, change }
+    }
+
+    fn duty_not_won(&mut self, duty: &Duty) {
+        let state = self.duties.states.entry(duty.clone()).or_default();
+        state.stage = Stage::Idle;
+        state.next_try = self.now + RETRY_BASE.mul_f64(1.0 + self.rng.f64());
     }
 
-    fn duty_lost(&mut self) {
-        if let Some(lease) = self.planner_duty.lease.take() {
-            let request = StoreRequest::RevokeLease { lease };
-            self.next_call += 1;
-            let call = crate::store::CallId(self.next_call);
-            let timeout = self.cfg.store_timeout;
-            self.effects.push(crate::Effect::CallStore { call, request, timeout });
+    pub(super) fn lose_duties(&mut self, why: &str) {
+        for duty in self.duties.held() {
+            self.decide(format!("{} no longer holds {duty}: {why}", self.me()));
+            self.duty_not_won(&duty);
         }
-        self.planner_duty.stage = Stage::Idle;
-        self.planner_duty.next_try = self.now + self.cfg.duty_ttl / KEEP_ALIVE_DIVISOR;
     }
 
-    pub(super) fn give_back_duty(&mut self) {
-        if self.planner_duty.lease.is_some() {
-            self.duty_lost();
+    /// Gives the duties back so that others need not wait for the lease to end.
+    pub(super) fn give_back_duties(&mut self) {
+        for duty in self.duties.held() {
+            let Some(fence) = self.duties.fence(&duty) else { continue };
+            let key = self.duty_key(&duty);
+            let request = StoreRequest::Delete { key, expected: Version(fence.0) };
+            self.call_store(Purpose::Farewell, request, self.cfg.store_timeout);
         }
+        self.lose_duties("the daemon is stopping");
+    }
+
+    /// A newer holder has written: this daemon's duty has passed on.
+    pub(super) fn duty_fenced(&mut self, duty: &Duty) {
+        self.decide(format!("{} was fenced off {duty} by a newer holder", self.me()));
+        self.duty_not_won(duty);
     }
 }
--- a/crates/borageswitch_control/src/reducer/fleet_sync.rs
+++ b/crates/borageswitch_control/src/reducer/fleet_sync.rs
@@ -1,30 +1,48 @@
 //! Reads and watches the fleet document and adopts only higher revisions.
+//!
+//! Only the relay of a data centre watches the store, so waiting watches grow with data centres
+//! and not with daemons. Everybody else is told by the tree and reads the store seldom: after its
+//! registration, when no relay is heard, and when it stays behind a revision that it has heard of.
 
 use std::{sync::Arc, time::Duration};
 
 use borageswitch_types::{
     Fleet, Time,
     fleet::{FLEET_FORMAT, Revision},
+    names::DaemonName,
 };
 
 use crate::{
     effect::Effect,
-    reducer::{Purpose, State},
+    reducer::{
+        State,
+        store_calls::{Backoff, Purpose},
+    },
     store::{KeyValue, StoreAnswer, StoreError, StoreRequest, Version},
 };
 
 /// How long the store holds a watch: long enough to cost few calls, short enough that a watch that
 /// went silent is noticed.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
-/// How long to wait after a failed read.
-const RETRY_WAIT: Duration = Duration::from_millis(500);
+/// The first wait after a failed read.
+const RETRY_BASE: Duration = Duration::from_millis(250);
+/// A daemon without a relay reads the store this often.
+const READ_WITHOUT_RELAY: Duration = Duration::from_secs(2);
+/// A daemon that stays behind for this time reads the store.
+const READ_WHEN_BEHIND: Duration = Duration::from_secs(2);
 
 /// The document as this daemon knows it.
 #[derive(Debug, Default)]
 pub(super) struct FleetSync {
     fleet: Option<Arc<Fleet>>,
     version: Version,
+    pub(super) digest: Option<u64>,
     read_again: Option<Time>,
+    last_read: Time,
+    backoff: Backoff,
+    /// Since when a higher revision has been known than the document's.
+    behind_since: Option<Time>,
+    pub(super) next_ask: Time,
 }
 
 impl FleetSync {
@@ -39,46 +57,81 @@
 
 impl State {
     pub(super) fn read_fleet(&mut self) {
+        if self.store_calls.is_open(|purpose| *purpose == Purpose::ReadFleet) {
+            self.sync.read_again = Some(self.now + RETRY_BASE);
+            return;
+        }
+        self.sync.last_read = self.now;
         let request = StoreRequest::Get { key: self.fleet_key() };
         self.call_store(Purpose::ReadFleet, request, self.cfg.store_timeout);
     }
 
     pub(super) fn sync_tick(&mut self) {
-        if self.sync.read_again.is_some_and(|at| at <= self.now) {
+        if self.exited {
+            return;
+        }
+        if self.sync.read_again.is_some_and(|at| at <= self.now) || self.should_read() {
             self.sync.read_again = None;
             self.read_fleet();
         }
+        if self.may_act(&self.relay_duty()) {
+            self.watch_fleet();
+        }
+    }
+
+    fn should_read(&mut self) -> bool {
+        let idle = self.now.since(self.sync.last_read);
+        let behind = self.sync.behind_since.is_some_and(|s| s + READ_WHEN_BEHIND <= self.now);
+        if behind && idle >= READ_WHEN_BEHIND {
+            return true;
+        }
+        let relay = self.relay_duty();
+        let is_told = self.may_act(&relay) || self.holder_heard(&relay).is_some();
+        !is_told && idle >= READ_WITHOUT_RELAY && self.sync.read_again.is_none()
+    }
+
+    /// Notes that a peer knows a revision; whoever stays behind one reads the store.
+    pub(super) fn note_revision(&mut self, revision: Revision) {
+        let (known, _) = self.known();
+        if revision <= known {
+            return;
+        }
+        self.sync.behind_since.get_or_insert(self.now);
     }
 
-    pub(super) fn fleet_read(&mut self, outcome: Result<StoreAnswer, StoreError>) {
+    pub(super) fn fleet_read(&mut self, asked: Time, outcome: Result<StoreAnswer, StoreError>) {
         match outcome {
             Ok(StoreAnswer::Value(Some(kv))) => self.take_value(&kv),
             Ok(StoreAnswer::Value(None)) => self.take_absent(),
             _ => {
-                self.sync.read_again = Some(self.now + RETRY_WAIT);
-                self.writer_read_failed();
+                let wait = self.sync.backoff.next_wait(RETRY_BASE, &mut self.rng);
+                self.sync.read_again = Some(self.now + wait);
                 return;
             }
         }
-        self.writer_read();
-        self.watch_fleet();
+        self.sync.backoff.reset();
+        self.session.note_read(asked);
+        self.writer_read(asked);
     }
 
     pub(super) fn fleet_watched(&mut self, outcome: Result<StoreAnswer, StoreError>) {
         match outcome {
-            Ok(StoreAnswer::Value(kv)) => {
-                if let Some(kv) = kv {
-                    self.take_value(&kv);
-                }
-                self.watch_fleet();
+            Ok(StoreAnswer::Value(Some(kv))) => self.take_value(&kv),
+            Ok(_) => {}
+            Err(_) => {
+                let wait = self.sync.backoff.next_wait(RETRY_BASE, &mut self.rng);
+                self.sync.read_again = Some(self.now + wait);
+                return;
             }
-            _ => self.sync.read_again = Some(self.now + RETRY_WAIT),
+        }
+        if self.may_act(&self.relay_duty()) {
+            self.watch_fleet();
         }
     }
 
     fn watch_fleet(&mut self) {
-        let watching = self.calls.values().any(|purpose| matches!(purpose, Purpose::WatchFleet));
-        if watching {
+        let watching = self.store_calls.is_open(|purpose| *purpose == Purpose::WatchFleet);
+        if watching || self.sync.read_again.is_some() {
             return;
         }
         let request = StoreRequest::Watch {
@@ -90,37 +143,81 @@
     }
 
     fn take_absent(&mut self) {
-        if self.sync.fleet.is_none() {
-            self.sync.fleet = Some(Arc::new(Fleet::empty(self.cfg.region.clone())));
+        match &self.sync.fleet {
+            None => self.sync.fleet = Some(Arc::new(Fleet::empty(self.cfg.region.clone()))),
+            // The store has lost the document; the next change writes it whole again.
+            Some(_) => self.sync.version = Version::ABSENT,
         }
     }
 
     fn take_value(&mut self, kv: &KeyValue) {
+        if kv.version == self.sync.version && self.sync.fleet.is_some() {
+            return;
+        }
         match serde_json::from_slice::<Fleet>(&kv.value) {
-            Ok(fleet) if fleet.format == FLEET_FORMAT => self.adopt(fleet, kv.version),
+            Ok(fleet) if fleet.format == FLEET_FORMAT => self.adopt(fleet, kv.version, None),
             Ok(fleet) => log::error!("the fleet document has the unknown format {}", fleet.format),
             Err(err) => log::error!("the fleet document cannot be read: {err}"),
         }
     }
 
-    /// Adopts a document unless a newer one is known.
+    /// Adopts a document unless a newer one is known, and passes it on to the neighbours other
+    /// than the one from which it came.
     ///
-    /// Reads, watches and answers to writes race each other. Without the check an answer that was
-    /// read early and arrived late would bring an old document back, and a host that had left
-    /// would get new work.
-    pub(super) fn adopt(&mut self, fleet: Fleet, version: Version) {
-        let known = self.known().0;
+    /// Reads, watches, peers and answers to writes race each other. Without the check an answer
+    /// that was read early and arrived late would bring an old document back, and a host that had
+    /// left would get new work.
+    pub(super) fn adopt(&mut self, fleet: Fleet, version: Version, from: Option<&DaemonName>) {
+        let before = self.sync.fleet.clone();
         if version > self.sync.version {
             self.sync.version = version;
         }
-        if fleet.revision <= known && self.sync.fleet.is_some() && known != Revision::default() {
+        let known = before.as_ref().map(|known| known.revision);
+        if self.cfg.guards.adopt_only_higher
+            && known.is_some_and(|known| fleet.revision <= known && known > Revision::default())
+        {
             return;
         }
+        if let Some(before) = &before {
+            check_successor(before, &fleet);
+        }
         let fleet = Arc::new(fleet);
         self.sync.fleet = Some(fleet.clone());
+        self.sync.digest = None;
+        self.sync.behind_since = None;
         self.effects.push(Effect::PublishFleet(fleet));
         self.note_phases();
         self.publish_view();
-        self.effects.push(Effect::SetReady(!self.stopping));
+        self.spread(known.unwrap_or_default(), from);
+        self.beat_soon();
+        self.plan_soon();
+    }
+}
+
+/// Asserts what no two documents in a row may break, whichever way they came.
+///
+/// # Panics
+///
+/// When the revision or a fence goes down, or a host changes its pool within one epoch.
+fn check_successor(before: &Fleet, after: &Fleet) {
+    assert!(
+        after.revision >= before.revision,
+        "the document would go back from revision {} to {}",
+        before.revision,
+        after.revision
+    );
+    for (duty, fence) in &before.fences {
+        let kept = after.fences.get(duty).is_some_and(|after| after >= fence);
+        assert!(kept, "the fence of {duty} would go back below {fence}");
+    }
+    for (name, host) in &after.hosts {
+        let Some(known) = before.hosts.get(name) else { continue };
+        assert!(
+            known.pool == host.pool || known.epoch != host.epoch,
+            "{name} would stand in {} and {} in epoch {}",
+            known.pool,
+            host.pool,
+            host.epoch
+        );
     }
 }
--- /dev/null
+++ b/crates/borageswitch_control/src/reducer/members.rs
@@ -0,0 +1,275 @@
+//! Who belongs to the region: learned from the store's list, from peers' rosters and by hearing.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use borageswitch_types::{
+    Time,
+    fleet::{Duty, HostPhase, Revision},
+    names::DaemonName,
+};
+use borageswitch_wire::peer::Member;
+
+use crate::{
+    effect::Effect,
+    reducer::{State, store_calls::Purpose, tree::HeardState},
+    store::{KeyValue, StoreAnswer, StoreError, StoreRequest, Version},
+};
+
+/// A planner lists the members this often while a host leaves; a drain waits for a list.
+const LIST_WHILE_LEAVING: Duration = Duration::from_secs(1);
+/// A planner lists the members this often otherwise.
+const LIST_AS_PLANNER: Duration = Duration::from_secs(15);
+/// Everybody else learns from rosters and lists seldom.
+const LIST_SELDOM: Duration = Duration::from_secs(120);
+/// A member that was never listed is forgotten when it was not heard for this time.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+/// A daemon leaves the dialling to the peer with the lower name for this time.
+const DIAL_PATIENCE: Duration = Duration::from_secs(2);
+/// Names of daemons that are gone, kept so that an old roster does not bring them back.
+const MOST_GONE: usize = 256;
+
+/// A member as the store's last list showed it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Listed {
+    member_version: Version,
+    /// Whether its lease stood.
+    pub(super) live: bool,
+    /// Since when the lists have shown no lease, as this daemon saw them.
+    pub(super) gone_since: Option<Time>,
+}
+
+/// One known member other than this daemon.
+#[derive(Clone, Debug)]
+pub(super) struct Known {
+    pub(super) member: Member,
+    pub(super) first_known: Time,
+    up: bool,
+    dialled: bool,
+    pub(super) listed: Option<Listed>,
+}
+
+/// Everybody whom this daemon knows.
+#[derive(Debug, Default)]
+pub(super) struct Members {
+    pub(super) known: BTreeMap<DaemonName, Known>,
+    pub(super) heard: BTreeMap<DaemonName, HeardState>,
+    gone: BTreeSet<DaemonName>,
+    pub(super) own_version: Option<Version>,
+    next_list: Time,
+    /// The revision that was known when the last answered list was asked for.
+    pub(super) list_covers: Option<Revision>,
+    /// Counts the changes of [`Self::known`].
+    pub(super) generation: u64,
+}
+
+impl State {
+    /// The other daemon that holds a duty, as far as it was heard not long ago.
+    pub(super) fn holder_heard(&self, duty: &Duty) -> Option<&DaemonName> {
+        let recent = |heard: &HeardState| heard.at + self.cfg.silence / 2 > self.now;
+        let mut holders = self.members.heard.iter().filter(|(_, h)| h.duties.contains(duty));
+        holders.find(|(_, heard)| recent(heard)).map(|(daemon, _)| daemon)
+    }
+
+    /// Whether a member may be alive: it was heard, or has not had the time to be heard.
+    pub(super) fn may_be_alive(&self, daemon: &DaemonName) -> bool {
+        let silence = self.cfg.silence;
+        let heard = self.members.heard.get(daemon).is_some_and(|h| h.at + silence > self.now);
+        let new = self.members.known.get(daemon);
+        heard || new.is_some_and(|known| known.first_known + silence > self.now)
+    }
+
+    pub(super) fn learn(&mut self, member: Member) {
+        let daemon = member.daemon.clone();
+        let skip = daemon == *self.me() || self.members.gone.contains(&daemon);
+        if skip || self.members.known.contains_key(&daemon) {
+            return;
+        }
+        let first_known = self.now;
+        let known = Known { member, first_known, up: false, dialled: false, listed: None };
+        self.members.known.insert(daemon, known);
+        self.members.generation += 1;
+    }
+
+    pub(super) fn peer_up(&mut self, member: Member) {
+        let daemon = member.daemon.clone();
+        self.members.gone.remove(&daemon);
+        self.learn(member);
+        let now = self.now;
+        if let Some(known) = self.members.known.get_mut(&daemon) {
+            known.up = true;
+            // A connection that stands again gives the peer time to be heard.
+            known.first_known = now;
+        }
+        self.beat_soon();
+    }
+
+    pub(super) fn peer_down(&mut self, daemon: &DaemonName) {
+        if let Some(known) = self.members.known.get_mut(daemon) {
+            known.up = false;
+        }
+    }
+
+    pub(super) fn members_tick(&mut self) {
+        if self.exited {
+            return;
+        }
+        if self.members.next_list <= self.now && self.session.lease().is_some() {
+            self.list_members();
+        }
+        self.dial_members();
+        self.forget_members();
+    }
+
+    fn dial_members(&mut self) {
+        let me = self.cfg.me.daemon.clone();
+        let now = self.now;
+        for known in self.members.known.values_mut() {
+            let mine = me < known.member.daemon || known.first_known + DIAL_PATIENCE <= now;
+            if !known.up && !known.dialled && mine {
+                known.dialled = true;
+                let member = known.member.clone();
+                self.effects.push(Effect::ConnectPeer { member });
+            }
+        }
+    }
+
+    fn forget_members(&mut self) {
+        let (now, silence) = (self.now, self.cfg.silence);
+        let heard = &self.members.heard;
+        let is_gone = |daemon: &DaemonName, known: &Known| {
+            let last = heard.get(daemon).map_or(known.first_known, |h| h.at.max(known.first_known));
+            let listed = known.listed.is_some();
+            !listed && last + FORGET_AFTER <= now && last + silence <= now
+        };
+        let gone = self.members.known.iter().filter(|(daemon, known)| is_gone(daemon, known));
+        let gone: Vec<DaemonName> = gone.map(|(daemon, _)| daemon.clone()).collect();
+        for daemon in gone {
+            self.forget(&daemon);
+        }
+    }
+
+    fn forget(&mut self, daemon: &DaemonName) {
+        self.members.known.remove(daemon);
+        self.members.heard.remove(daemon);
+        self.members.generation += 1;
+        if self.members.gone.len() >= MOST_GONE {
+            self.members.gone.pop_first();
+        }
+        self.members.gone.insert(daemon.clone());
+        self.effects.push(Effect::DropPeer { daemon: daemon.clone() });
+        self.decide(format!("{daemon} is no longer a member"));
+    }
+
+    pub(super) fn list_members(&mut self) {
+        let is_list = |purpose: &Purpose| matches!(purpose, Purpose::ListMembers { .. });
+        if self.store_calls.is_open(is_list) {
+            return;
+        }
+        let (known, _) = self.known();
+        let request = StoreRequest::List { prefix: self.daemon_prefix() };
+        self.members.next_list = self.now + self.list_wait();
+        self.call_store(Purpose::ListMembers { known }, request, self.cfg.store_timeout);
+    }
+
+    fn list_wait(&mut self) -> Duration {
+        if !self.may_act(&Duty::Planner) {
+            return LIST_SELDOM.mul_f64(0.75 + self.rng.f64() / 2.0);
+        }
+        let leaving = |fleet: &Arc<borageswitch_types::Fleet>| {
+            fleet.hosts.values().any(|host| matches!(host.phase, HostPhase::Leaving { .. }))
+        };
+        let any_leaves = self.sync.fleet().is_some_and(leaving);
+        if any_leaves { LIST_WHILE_LEAVING } else { LIST_AS_PLANNER }
+    }
+
+    /// Asks for a list soon: a host has begun to leave, and its drain waits for a list.
+    pub(super) fn list_soon(&mut self) {
+        if self.may_act(&Duty::Planner) {
+            self.members.next_list = self.now;
+        }
+    }
+
+    pub(super) fn members_listed(
+        &mut self,
+        known: Revision,
+        outcome: Result<StoreAnswer, StoreError>,
+    ) {
+        let Ok(StoreAnswer::Values(values)) = outcome else { return };
+        let mut listed: BTreeMap<DaemonName, (Option<KeyValue>, bool)> = BTreeMap::new();
+        let prefix = self.daemon_prefix();
+        for kv in &values {
+            let rest = kv.key.strip_prefix(&*prefix).and_then(|rest| rest.rsplit_once('/'));
+            let Some((daemon, kind)) = rest else { continue };
+            let entry = listed.entry(daemon.into()).or_default();
+            match kind {
+                "member" => entry.0 = Some(kv.clone()),
+                "live" => entry.1 = true,
+                _ => {}
+            }
+        }
+        self.members.list_covers = Some(known);
+        self.take_list(&listed);
+        self.forget_crashed();
+    }
+
+    fn take_list(&mut self, listed: &BTreeMap<DaemonName, (Option<KeyValue>, bool)>) {
+        for (daemon, (kv, live)) in listed {
+            let Some(kv) = kv else { continue };
+            if daemon == self.me() {
+                self.members.own_version = Some(kv.version);
+                continue;
+            }
+            match serde_json::from_slice::<Member>(&kv.value) {
+                Ok(member) => self.learn(member),
+                Err(err) => log::error!("the member key of {daemon} cannot be read: {err}"),
+            }
+            let now = self.now;
+            let Some(known) = self.members.known.get_mut(daemon) else { continue };
+            let before = known.listed.take().unwrap_or_default();
+            let gone_since = if *live { None } else { before.gone_since.or(Some(now)) };
+            let member_version = kv.version;
+            known.listed = Some(Listed { member_version, live: *live, gone_since });
+        }
+        let left = self.members.known.iter().filter(|(daemon, known)| {
+            known.listed.is_some() && listed.get(*daemon).is_none_or(|(kv, _)| kv.is_none())
+        });
+        let left: Vec<DaemonName> = left.map(|(daemon, _)| daemon.clone()).collect();
+        for daemon in left {
+            self.forget(&daemon);
+        }
+    }
+
+    /// As the planner, removes the member keys of daemons that crashed so long ago that nothing of
+    /// theirs can be in flight.
+    fn forget_crashed(&mut self) {
+        if !self.may_act(&Duty::Planner) {
+            return;
+        }
+        let patience = self.longest_patience();
+        let crashed = self.members.known.iter().filter_map(|(daemon, known)| {
+            let listed = known.listed.as_ref()?;
+            let past = listed.gone_since? + patience <= self.now && !self.may_be_alive(daemon);
+            past.then(|| (daemon.clone(), listed.member_version))
+        });
+        let crashed: Vec<(DaemonName, Version)> = crashed.collect();
+        for (daemon, expected) in crashed {
+            let key: Arc<str> = format!("{}{daemon}/member", self.daemon_prefix()).into();
+            let request = StoreRequest::Delete { key, expected };
+            self.call_store(Purpose::ForgetMember(daemon), request, self.cfg.store_timeout);
+        }
+    }
+
+    pub(super) fn member_forgotten(
+        &mut self,
+        daemon: &DaemonName,
+        outcome: &Result<StoreAnswer, StoreError>,
+    ) {
+        if matches!(outcome, Ok(StoreAnswer::Done)) && !self.may_be_alive(daemon) {
+            self.forget(daemon);
+        }
+    }
+}
--- a/crates/borageswitch_control/src/reducer/mod.rs
+++ b/crates/borageswitch_control/src/reducer/mod.rs
@@ -1,63 +1,93 @@
 //! The reducer: the one place where the daemon's control state changes.
 //!
-//! - [`fleet_sync`] reads and watches the fleet document and adopts only higher revisions.
+//! - [`session`] keeps the daemon's lease and its place in the store; [`duties`] stand under it.
+//! - [`members`] knows who belongs to the region; [`tree`] carries heartbeats between them.
+//! - [`fleet_sync`] reads, watches and adopts the document; [`spreading`] passes changes on.
 //! - [`writing`] turns changes into compare-and-swaps and settles answers that were lost.
-//! - [`duties`] takes the planner's duty under a lease.
-//! - [`planning`] asks the planner for steps and sends them on their way.
+//! - [`admission`] says until when the daemon may take new work by itself.
+//! - [`drains`] tells which leaving hosts are drained; [`planning`] sends the planner's steps.
+//! - [`observing`] keeps what the planner's holder sees of hosts.
+//! - [`claims`] lets a non-idempotent request be sent at most once.
 //! - [`views`] makes the traffic threads' view from the document.
+//! - [`operators`] and [`explaining`] answer operators and keep decisions.
+//! - [`store_calls`] bounds and counts the calls to the store.
 
+mod admission;
+mod claims;
+mod drains;
 mod duties;
+mod explaining;
 mod fleet_sync;
+mod members;
+mod observing;
+mod operators;
 mod planning;
+mod session;
+mod spreading;
+mod store_calls;
+mod tree;
 mod views;
 mod writing;
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
+use borageswitch_planner::steps::Observed;
 use borageswitch_types::{
     Fleet, Time,
-    agent::AgentStatus,
-    claim::ClaimOutcome,
     fleet::Revision,
-    names::{DaemonName, HostName, OperationId},
+    names::{DaemonName, HostName},
     time::UnixMillis,
 };
-use borageswitch_wire::operator::{OperatorAnswer, OperatorRequest};
+use borageswitch_wire::PeerMessage;
 
 use crate::{
     config::ControlConfig,
     effect::Effect,
-    event::{Event, OperatorCall, TrafficReport},
-    store::{CallId, StoreAnswer, StoreError, StoreRequest, Version},
+    event::{Event, TrafficReport},
+    store::Version,
 };
 
-/// Why a call to the store was made.
-#[derive(Clone, Debug)]
-enum Purpose {
-    ReadFleet,
-    WatchFleet,
-    WriteFleet,
-    Duty,
-}
+/// Ticks come many times a second; a longer time without any event means that the process was
+/// paused, and is worth a line in the log.
+const PAUSE: Duration = Duration::from_secs(2);
+/// After the stop so many reports of the traffic threads must say that nothing is unfinished: the
+/// first may have been made before they knew.
+const REPORTS_AFTER_STOP: u32 = 2;
 
 /// The control state of one daemon.
 #[derive(Debug)]
 pub struct State {
     cfg: ControlConfig,
+    rng: fastrand::Rng,
     now: Time,
     wall: UnixMillis,
-    next_call: u64,
-    calls: BTreeMap<CallId, Purpose>,
+    operations: u64,
+    store_calls: store_calls::StoreCalls,
+    session: session::Session,
+    duties: duties::Duties,
+    members: members::Members,
+    tree: tree::Tree,
     sync: fleet_sync::FleetSync,
     writer: writing::Writer,
-    planner_duty: duties::PlannerDuty,
+    admission: admission::Admission,
+    planning: planning::Planning,
+    observing: observing::Observing,
+    claims: claims::Claims,
+    decisions: explaining::Decisions,
     traffic: TrafficReport,
-    agents: BTreeMap<HostName, AgentStatus>,
-    done_since: BTreeMap<HostName, (OperationId, Time)>,
+    observed: Observed,
     commanded: BTreeMap<HostName, Time>,
-    phase_since: BTreeMap<HostName, (u64, Time)>,
-    waits: Vec<(OperatorCall, Revision, Time)>,
+    epochs: BTreeMap<HostName, drains::EpochSeen>,
+    leaving: BTreeSet<HostName>,
+    entries: Arc<[DaemonName]>,
+    waits: Vec<operators::Wait>,
     stopping: bool,
+    reports_since_stop: u32,
+    exited: bool,
     effects: Vec<Effect>,
 }
 
@@ -65,52 +95,58 @@
     /// The state of a daemon that has just started and knows nothing.
     pub fn new(cfg: ControlConfig) -> Self {
         Self {
+            rng: fastrand::Rng::with_seed(cfg.seed),
+            entries: Arc::from([cfg.me.daemon.clone()]),
             cfg,
             now: Time::ZERO,
             wall: UnixMillis::default(),
-            next_call: 0,
-            calls: BTreeMap::new(),
+            operations: 0,
+            store_calls: store_calls::StoreCalls::default(),
+            session: session::Session::default(),
+            duties: duties::Duties::default(),
+            members: members::Members::default(),
+            tree: tree::Tree::default(),
             sync: fleet_sync::FleetSync::default(),
             writer: writing::Writer::default(),
-            planner_duty: duties::PlannerDuty::default(),
+            admission: admission::Admission::default(),
+            planning: planning::Planning::default(),
+            observing: observing::Observing::default(),
+            claims: claims::Claims::default(),
+            decisions: explaining::Decisions::default(),
             traffic: TrafficReport::default(),
-            agents: BTreeMap::new(),
-            done_since: BTreeMap::new(),
+            observed: Observed::default(),
             commanded: BTreeMap::new(),
-            phase_since: BTreeMap::new(),
+            epochs: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             waits: Vec::new(),
             stopping: false,
+            reports_since_stop: 0,
+            exited: false,
             effects: Vec::new(),
         }
     }
 
     /// Handles one event at `now` and gives what is to be done because of it.
+    ///
+    /// # Panics
+    ///
+    /// When a promise would be broken: a document or a fence that goes back, a key claimed twice,
+    /// a command that would leave after the holder's lease.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
-        self.now = now;
+        self.note_time(now);
         match event {
-            Event::Started => self.read_fleet(),
+            Event::Started => self.start(),
             Event::Tick { wall } => self.tick(wall),
             Event::Store { call, outcome } => self.store_answered(call, outcome),
-            Event::Agent { host, outcome } => {
-                if let Ok(status) = outcome {
-                    self.note_agent(host, status);
-                }
-            }
+            Event::PeerUp { member } => self.peer_up(member),
+            Event::PeerDown { daemon } => self.peer_down(&daemon),
+            Event::Peer { from, message } => self.peer_says(&from, message),
+            Event::HostList { .. } => {}
+            Event::Agent { host, outcome } => self.agent_answered(host, outcome),
             Event::Operator { call, request } => self.operator_asks(call, request),
-            Event::Traffic(report) => {
-                self.traffic = report;
-                self.answer_waits();
-                self.try_exit();
-            }
-            Event::Claim(claim) => self.effects.push(Effect::AnswerClaim {
-                ticket: claim.ticket,
-                outcome: ClaimOutcome::Unavailable,
-            }),
-            Event::Stop { .. } => self.stop(),
-            Event::PeerUp { .. }
-            | Event::PeerDown { .. }
-            | Event::Peer { .. }
-            | Event::HostList { .. } => {}
+            Event::Traffic(report) => self.traffic_reported(report),
+            Event::Claim(claim) => self.claim(&claim),
+            Event::Stop { reason } => self.stop(&reason),
         }
         std::mem::take(&mut self.effects)
     }
@@ -120,109 +156,109 @@
         self.sync.fleet()
     }
 
+    /// How many calls to the store were made, by purpose, since the start.
+    pub fn store_call_counts(&self) -> &BTreeMap<&'static str, u64> {
+        self.store_calls.counts()
+    }
+
+    /// The live daemons that do not send by a revision yet, or have not said so.
+    pub fn lagging_daemons(&self, revision: Revision) -> Vec<DaemonName> {
+        self.lagging(revision)
+    }
+
     fn me(&self) -> &DaemonName {
         &self.cfg.me.daemon
     }
 
+    fn note_time(&mut self, now: Time) {
+        let pause = now.since(self.now);
+        let is_first = self.now == Time::ZERO;
+        self.now = now;
+        if pause >= PAUSE && !is_first {
+            self.decide(format!("{} was paused for {} ms", self.me(), pause.as_millis()));
+            self.refresh_admission();
+        }
+    }
+
+    fn start(&mut self) {
+        for address in self.cfg.seeds.clone() {
+            self.effects.push(Effect::DialPeer { address });
+        }
+        self.read_fleet();
+        self.session_tick();
+    }
+
     fn tick(&mut self, wall: UnixMillis) {
         self.wall = wall;
+        self.store_calls_tick();
+        self.session_tick();
+        self.members_tick();
         self.sync_tick();
         self.duty_tick();
-        self.plan();
+        self.refresh_entries();
+        self.refresh_admission();
+        self.tree_tick();
+        self.plan_tick();
+        self.observing_tick();
         self.writer_tick();
+        self.claims_tick();
         self.answer_waits();
         self.try_exit();
     }
 
-    fn call_store(&mut self, purpose: Purpose, request: StoreRequest, timeout: Duration) -> CallId {
-        self.next_call += 1;
-        let call = CallId(self.next_call);
-        self.calls.insert(call, purpose);
-        self.effects.push(Effect::CallStore { call, request, timeout });
-        call
-    }
-
-    fn store_answered(&mut self, call: CallId, outcome: Result<StoreAnswer, StoreError>) {
-        let Some(purpose) = self.calls.remove(&call) else { return };
-        match purpose {
-            Purpose::ReadFleet => self.fleet_read(outcome),
-            Purpose::WatchFleet => self.fleet_watched(outcome),
-            Purpose::WriteFleet => self.fleet_written(outcome),
-            Purpose::Duty => self.duty_answered(outcome),
-        }
-    }
-
-    fn operator_asks(&mut self, call: OperatorCall, request: OperatorRequest) {
-        match request {
-            OperatorRequest::Change(req) => {
-                self.queue_change(writing::Origin::Operator(call), *req);
+    fn peer_says(&mut self, from: &DaemonName, message: PeerMessage) {
+        match message {
+            PeerMessage::Hello { member, revision, .. } => {
+                self.peer_up(member);
+                self.compare_revision(from, revision);
             }
-            OperatorRequest::WaitInForce { revision, timeout } => {
-                self.waits.push((call, revision, self.now + timeout));
-                self.answer_waits();
+            PeerMessage::Heartbeat(heartbeat) => self.heartbeat_received(from, heartbeat),
+            PeerMessage::Roster(members) => members.into_iter().for_each(|m| self.learn(m)),
+            PeerMessage::Changes(delta) => self.changes_received(from, &delta),
+            PeerMessage::Snapshot { fleet, store_version } => {
+                self.snapshot_received(from, *fleet, store_version);
             }
-            OperatorRequest::GetFleet => {
-                let answer = match self.sync.fleet() {
-                    Some(fleet) => {
-                        OperatorAnswer::Json(serde_json::to_string(&**fleet).unwrap_or_default())
-                    }
-                    None => OperatorAnswer::NotFound,
-                };
-                self.answer(call, answer);
-            }
-            OperatorRequest::Dump => {
-                let answer = OperatorAnswer::Json(self.dump());
-                self.answer(call, answer);
+            PeerMessage::AskFleet { have } => self.fleet_asked(from, have),
+            PeerMessage::ClaimAsks(asks) => self.claims_asked(from, asks),
+            PeerMessage::ClaimAnswers(answers) => {
+                for (nonce, outcome) in answers {
+                    self.claim_concluded(nonce, outcome);
+                }
             }
-            OperatorRequest::Explain(_) => self.answer(call, OperatorAnswer::NotFound),
+            PeerMessage::Slots(_) => {}
         }
     }
 
-    fn answer(&mut self, call: OperatorCall, answer: OperatorAnswer) {
-        self.effects.push(Effect::AnswerOperator { call, answer });
-    }
-
-    fn answer_waits(&mut self) {
-        let (now, applied) = (self.now, self.traffic.applied);
-        let me = self.me().clone();
-        let mut answers = Vec::new();
-        self.waits.retain(|(call, revision, until)| {
-            let lagging = if applied >= *revision { Vec::new() } else { vec![me.clone()] };
-            let waits_on = !lagging.is_empty() && now < *until;
-            if !waits_on {
-                answers.push((*call, OperatorAnswer::InForce { revision: *revision, lagging }));
-            }
-            waits_on
-        });
-        for (call, answer) in answers {
-            self.answer(call, answer);
+    fn traffic_reported(&mut self, report: TrafficReport) {
+        let before = &self.traffic;
+        let is_news = report.applied != before.applied || report.draining != before.draining;
+        self.traffic = report;
+        self.reports_since_stop += u32::from(self.stopping);
+        if is_news {
+            self.beat_soon();
+            self.plan_soon();
+            self.answer_waits();
         }
+        self.try_exit();
     }
 
-    fn dump(&self) -> String {
-        let dump = serde_json::json!({
-            "daemon": self.me(),
-            "region": self.cfg.region,
-            "revision": self.sync.fleet().map(|fleet| fleet.revision),
-            "store_version": self.sync.version(),
-            "applied": self.traffic.applied,
-            "draining": self.traffic.draining,
-            "planner": self.planner_duty.is_held(),
-            "stopping": self.stopping,
-        });
-        dump.to_string()
-    }
-
-    fn stop(&mut self) {
+    fn stop(&mut self, reason: &str) {
+        if self.stopping {
+            return;
+        }
+        self.decide(format!("{} stops: {reason}", self.me()));
         self.stopping = true;
-        self.effects.push(Effect::SetReady(false));
-        self.publish_view();
-        self.give_back_duty();
+        self.give_back_duties();
+        self.refresh_admission();
+        self.beat_soon();
         self.try_exit();
     }
 
     fn try_exit(&mut self) {
-        if self.stopping && self.traffic.unfinished == 0 {
+        let is_idle = self.traffic.unfinished == 0 && self.reports_since_stop >= REPORTS_AFTER_STOP;
+        if self.stopping && is_idle && !self.exited {
+            self.unregister();
+            self.exited = true;
             self.effects.push(Effect::Exit);
         }
     }
--- /dev/null
+++ b/crates/borageswitch_control/src/reducer/observing.rs
@@ -0,0 +1,140 @@
+//! What the planner's holder sees of hosts: agents' answers, silence, and failing work.
+//!
+//! Probing each of 1,700 hosts every few seconds would cost more than all else that daemons say.
+//! Hosts with traffic are watched by the traffic: entries report which hosts fail nearly all they
+//! are given. The holder asks the agents of those, and of all others one a second in turn.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use borageswitch_types::{
+    Time,
+    agent::{AgentCommand, AgentError, AgentStatus},
+    fleet::{Duty, HostPhase},
+    names::HostName,
+};
+
+use crate::reducer::State;
+
+/// A host that fails this share of its work, in thousandths, is reported to the planner.
+pub(super) const FAILING_PERMILLE: u16 = 800;
+/// How often one host in turn, and each suspected host, is asked.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// The most suspected hosts that are asked at once: a lost data centre must not cause a storm.
+const SUSPECTS: usize = 16;
+/// One unanswered command may be the network's fault; a host is silent after this many.
+const SILENT_AFTER: u32 = 2;
+
+/// The rhythm of probes and the hosts whose agents did not answer.
+#[derive(Debug, Default)]
+pub(super) struct Observing {
+    next_probe: Time,
+    last_host: Option<HostName>,
+    unanswered: BTreeMap<HostName, u32>,
+}
+
+impl State {
+    pub(super) fn agent_answered(
+        &mut self,
+        host: HostName,
+        outcome: Result<AgentStatus, AgentError>,
+    ) {
+        match outcome {
+            Ok(status) => self.note_status(host, status),
+            Err(AgentError::Silent) => self.note_silence(host),
+            Err(AgentError::Refused) => {
+                self.observing.unanswered.remove(&host);
+                self.observed.unreachable_since.remove(&host);
+            }
+        }
+    }
+
+    fn note_status(&mut self, host: HostName, status: AgentStatus) {
+        self.observing.unanswered.remove(&host);
+        let was_silent = self.observed.unreachable_since.remove(&host).is_some();
+        if let Some(done) = &status.done {
+            let known = self.observed.done_since.get(&host).is_some_and(|(known, _)| known == done);
+            if !known {
+                self.observed.done_since.insert(host.clone(), (done.clone(), self.now));
+            }
+        }
+        if was_silent || self.observed.agents.get(&host) != Some(&status) {
+            self.observed.agents.insert(host, status);
+            self.plan_soon();
+        }
+    }
+
+    fn note_silence(&mut self, host: HostName) {
+        // A host that does its work well can be reached, whatever its agent does.
+        let works = self.traffic.failing.get(&host).is_some_and(|share| *share < FAILING_PERMILLE);
+        let unanswered = self.observing.unanswered.entry(host.clone()).or_default();
+        *unanswered += 1;
+        if *unanswered >= SILENT_AFTER && !works {
+            self.observed.unreachable_since.entry(host).or_insert(self.now);
+        }
+    }
+
+    /// The hosts that this daemon saw fail nearly everything.
+    pub(super) fn own_failing(&self) -> BTreeMap<HostName, u16> {
+        let failing = self.traffic.failing.iter();
+        let failing = failing.filter(|(_, share)| **share >= FAILING_PERMILLE);
+        failing.map(|(host, share)| (host.clone(), *share)).collect()
+    }
+
+    /// Which hosts fail their work in the eyes of half the entries that report any failure, or of
+    /// two at least: one entry alone may have a fault of its own.
+    pub(super) fn refresh_failing(&mut self) {
+        let mut reports: BTreeMap<HostName, usize> = BTreeMap::new();
+        let silence = self.cfg.silence;
+        let heard = self.members.heard.values().filter(|heard| heard.at + silence > self.now);
+        let others = heard.flat_map(|heard| heard.progress.failing.keys().cloned());
+        for host in others.chain(self.own_failing().into_keys()) {
+            *reports.entry(host).or_default() += 1;
+        }
+        let needed = if self.entries.len() > 1 { 2 } else { 1 };
+        reports.retain(|_, count| *count >= needed);
+        let texts = reports.into_iter().map(|(host, count)| {
+            (host, format!("{count} entries see it fail nearly all requests").into())
+        });
+        self.observed.failing = texts.collect();
+    }
+
+    pub(super) fn observing_tick(&mut self) {
+        if self.observing.next_probe > self.now || !self.may_act(&Duty::Planner) {
+            return;
+        }
+        self.observing.next_probe = self.now + PROBE_INTERVAL;
+        let suspects = self.observing.unanswered.keys().chain(self.observed.failing.keys());
+        let mut hosts: Vec<HostName> = suspects.take(SUSPECTS).cloned().collect();
+        hosts.extend(self.next_host());
+        for host in hosts {
+            self.command(host, AgentCommand::Status);
+        }
+    }
+
+    fn next_host(&mut self) -> Option<HostName> {
+        let fleet = self.sync.fleet()?.clone();
+        let after = self.observing.last_host.take();
+        let is_probed = |name: &HostName| {
+            let host = &fleet.hosts[name];
+            !matches!(host.phase, HostPhase::Held { .. })
+        };
+        let later = fleet.hosts.keys().filter(|name| after.as_ref().is_none_or(|a| *name > a));
+        let next = later.chain(fleet.hosts.keys()).find(|name| is_probed(name)).cloned();
+        self.observing.last_host.clone_from(&next);
+        next
+    }
+
+    /// Forgets the hosts that are no longer in the document.
+    pub(super) fn forget_hosts(&mut self) {
+        let Some(fleet) = self.sync.fleet().cloned() else { return };
+        let hosts = &fleet.hosts;
+        self.epochs.retain(|host, _| hosts.contains_key(host));
+        self.commanded.retain(|host, _| hosts.contains_key(host));
+        self.observing.unanswered.retain(|host, _| hosts.contains_key(host));
+        let observed = &mut self.observed;
+        observed.phase_since.retain(|host, _| hosts.contains_key(host));
+        observed.agents.retain(|host, _| hosts.contains_key(host));
+        observed.done_since.retain(|host, _| hosts.contains_key(host));
+        observed.unreachable_since.retain(|host, _| hosts.contains_key(host));
+    }
+}
--- /dev/null
+++ b/crates/borageswitch_control/src/reducer/operators.rs
@@ -0,0 +1,103 @@
+//! Answers what operators ask.
+
+use std::sync::Arc;
+
+use borageswitch_types::{Time, fleet::Revision, names::DaemonName};
+use borageswitch_wire::operator::{OperatorAnswer, OperatorRequest};
+
+use crate::{
+    effect::Effect,
+    event::OperatorCall,
+    reducer::{State, writing::Origin},
+};
+
+/// An operator who waits until a revision is in force.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Wait {
+    call: OperatorCall,
+    revision: Revision,
+    until: Time,
+}
+
+impl State {
+    pub(super) fn operator_asks(&mut self, call: OperatorCall, request: OperatorRequest) {
+        match request {
+            OperatorRequest::Change(req) => {
+                self.queue_change(Origin::Operator(call), *req);
+            }
+            OperatorRequest::WaitInForce { revision, timeout } => {
+                let until = self.now + timeout;
+                self.waits.push(Wait { call, revision, until });
+                self.answer_waits();
+            }
+            OperatorRequest::GetFleet => {
+                let answer = match self.sync.fleet() {
+                    Some(fleet) => {
+                        OperatorAnswer::Json(serde_json::to_string(&**fleet).unwrap_or_default())
+                    }
+                    None => OperatorAnswer::NotFound,
+                };
+                self.answer(call, answer);
+            }
+            OperatorRequest::Dump => {
+                let answer = OperatorAnswer::Json(self.dump());
+                self.answer(call, answer);
+            }
+            OperatorRequest::Explain(subject) => {
+                let answer = match self.explain(&subject) {
+                    Some(lines) => {
+                        OperatorAnswer::Explanation(lines.into_iter().map(Arc::from).collect())
+                    }
+                    None => OperatorAnswer::NotFound,
+                };
+                self.answer(call, answer);
+            }
+        }
+    }
+
+    pub(super) fn answer(&mut self, call: OperatorCall, answer: OperatorAnswer) {
+        self.effects.push(Effect::AnswerOperator { call, answer });
+    }
+
+    /// Answers whoever waits for a revision that is in force by now, or has waited long enough.
+    pub(super) fn answer_waits(&mut self) {
+        let waits = std::mem::take(&mut self.waits);
+        for wait in waits {
+            let lagging = self.lagging(wait.revision);
+            if !lagging.is_empty() && self.now < wait.until {
+                self.waits.push(wait);
+                continue;
+            }
+            let answer = OperatorAnswer::InForce { revision: wait.revision, lagging };
+            self.answer(wait.call, answer);
+        }
+    }
+
+    /// The live daemons that do not send by a revision yet, or have not said so.
+    ///
+    /// A daemon that has been silent for longer than it may serve by itself counts no more.
+    pub(super) fn lagging(&self, revision: Revision) -> Vec<DaemonName> {
+        let has_applied = |daemon: &DaemonName| {
+            let heard = self.members.heard.get(daemon);
+            heard.is_some_and(|heard| heard.progress.applied >= revision)
+        };
+        let known = self.members.known.keys();
+        let behind = known.filter(|d| !has_applied(d) && self.may_serve(d)).cloned();
+        let own = (self.traffic.applied < revision).then(|| self.me().clone());
+        own.into_iter().chain(behind).collect()
+    }
+
+    /// Whether a silent daemon may still serve: its lease may stand, or it may hear a majority.
+    fn may_serve(&self, daemon: &DaemonName) -> bool {
+        let listed = self.members.known.get(daemon).and_then(|known| known.listed.as_ref());
+        let lease_stands = listed.is_some_and(|listed| listed.live);
+        let listed_lately = self.members.list_covers.is_some();
+        self.may_be_alive(daemon)
+            || (lease_stands && listed_lately && self.heard_within_ttl(daemon))
+    }
+
+    fn heard_within_ttl(&self, daemon: &DaemonName) -> bool {
+        let patience = self.cfg.silence + self.cfg.duty_ttl;
+        self.members.heard.get(daemon).is_some_and(|heard| heard.at + patience > self.now)
+    }
+}
--- a/crates/borageswitch_control/src/reducer/planning.rs
+++ b/crates/borageswitch_control/src/reducer/planning.rs
@@ -1,11 +1,12 @@
 //! Asks the planner for steps and sends them on their way.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::time::Duration;
 
-use borageswitch_planner::steps::{self, Observed, Step};
+use borageswitch_planner::steps::{self, Step};
 use borageswitch_types::{
-    agent::{AgentCommand, AgentStatus},
-    fleet::{Author, ChangeRequest, Duty, HostPhase},
+    Time,
+    agent::AgentCommand,
+    fleet::{Duty, Refusal},
     names::{HostName, OperationId},
 };
 use borageswitch_wire::operator::OperatorAnswer;
@@ -17,26 +18,49 @@
 
 /// How often a host's agent is asked.
 const COMMAND_INTERVAL: Duration = Duration::from_millis(500);
+/// With news the planner is asked this often at the most: a step costs milliseconds on a large
+/// fleet, and confirmations arrive one by one.
+const SOONEST_PLAN: Duration = Duration::from_millis(100);
+/// Without news the planner is asked this often, for what follows from time alone.
+const PLAN_INTERVAL: Duration = Duration::from_secs(1);
+/// At most so many planned changes go into one write.
+const CHANGES_AT_ONCE: usize = 8;
+
+/// When the planner was asked and shall be asked again.
+#[derive(Debug, Default)]
+pub(super) struct Planning {
+    last: Time,
+    next: Time,
+}
 
 impl State {
-    pub(super) fn plan(&mut self) {
-        if !self.planner_duty.may_act(self.now) || self.writer.holds_planner_change() {
+    pub(super) fn plan_soon(&mut self) {
+        let soon = (self.planning.last + SOONEST_PLAN).max(self.now);
+        self.planning.next = self.planning.next.min(soon);
+    }
+
+    pub(super) fn plan_tick(&mut self) {
+        let due = self.planning.next <= self.now;
+        if !due || !self.may_act(&Duty::Planner) || self.writer.holds_planner_change() {
             return;
         }
+        self.planning.last = self.now;
+        self.planning.next = self.now + PLAN_INTERVAL;
+        self.refresh_drained();
+        self.refresh_failing();
         let Some(fleet) = self.sync.fleet().cloned() else { return };
-        let observed = self.observed();
-        for step in steps::next_steps(&fleet, &observed) {
+        self.observed.now = self.now;
+        self.observed.wall = self.wall;
+        let mut changes = 0;
+        for step in steps::next_steps(&fleet, &self.observed) {
             match step {
-                Step::Change { change, reason } => {
-                    let operation = self.new_operation();
-                    let author =
-                        Author::Holder { duty: Duty::Planner, fence: self.planner_duty.fence() };
-                    self.effects.push(Effect::Decide { text: reason.clone() });
-                    let expected = None;
-                    let req = ChangeRequest { operation, expected, author, reason, change };
+                Step::Change { change, reason } if changes < CHANGES_AT_ONCE => {
+                    changes += 1;
+                    self.decide(reason.to_string());
+                    let req = self.holder_request(change, reason);
                     self.queue_change(Origin::Planner, req);
-                    return;
                 }
+                Step::Change { .. } => {}
                 Step::Command { host, command } => self.command(host, command),
             }
         }
@@ -44,63 +68,15 @@
 
     pub(super) fn planner_step_concluded(&mut self, answer: &OperatorAnswer) {
         if let OperatorAnswer::Refused(refusal) = answer {
-            log::info!("a planned step was refused: {refusal}");
-        }
-    }
-
-    pub(super) fn note_phases(&mut self) {
-        let Some(fleet) = self.sync.fleet().cloned() else { return };
-        self.phase_since.retain(|host, _| fleet.hosts.contains_key(host));
-        for (name, host) in &fleet.hosts {
-            let known = self.phase_since.get(name).is_some_and(|(epoch, _)| *epoch == host.epoch);
-            if !known {
-                self.phase_since.insert(name.clone(), (host.epoch, self.now));
-            }
-        }
-    }
-
-    fn observed(&self) -> Observed {
-        Observed {
-            now: self.now,
-            wall: self.wall,
-            drained: self.drained(),
-            agents: self.agents.clone(),
-            phase_since: self
-                .phase_since
-                .iter()
-                .map(|(host, (_, since))| (host.clone(), *since))
-                .collect(),
-            done_since: self.done_since.clone(),
-            ..Observed::default()
-        }
-    }
-
-    /// Notes what a host's agent says, and since when it has reported its last command as done.
-    pub(super) fn note_agent(&mut self, host: HostName, status: AgentStatus) {
-        if let Some(done) = &status.done {
-            let known = self.done_since.get(&host).is_some_and(|(known, _)| known == done);
-            if !known {
-                self.done_since.insert(host.clone(), (done.clone(), self.now));
+            self.decide(format!("a planned step was refused: {refusal}"));
+            if let Refusal::Fenced { duty } = refusal {
+                self.duty_fenced(duty);
             }
         }
-        self.agents.insert(host, status);
-    }
-
-    /// Leaving hosts on which nothing is in flight by a view that already shows them leaving.
-    fn drained(&self) -> BTreeSet<HostName> {
-        let Some(fleet) = self.sync.fleet() else { return BTreeSet::new() };
-        if self.traffic.applied < fleet.revision {
-            return BTreeSet::new();
-        }
-        let leaving =
-            fleet.hosts.iter().filter(|(_, host)| matches!(host.phase, HostPhase::Leaving { .. }));
-        leaving
-            .filter(|(name, _)| self.traffic.draining.get(*name).copied().unwrap_or(0) == 0)
-            .map(|(name, _)| name.clone())
-            .collect()
+        self.plan_soon();
     }
 
-    fn command(&mut self, host: HostName, command: AgentCommand) {
+    pub(super) fn command(&mut self, host: HostName, command: AgentCommand) {
         let recently =
             self.commanded.get(&host).is_some_and(|at| self.now.since(*at) < COMMAND_INTERVAL);
         let Some(record) = self.sync.fleet().and_then(|fleet| fleet.hosts.get(&host)) else {
@@ -110,12 +86,13 @@
             return;
         }
         let agent = record.spec.addresses.agent;
+        assert!(self.may_act(&Duty::Planner), "a command would leave after the lease's time");
         self.commanded.insert(host.clone(), self.now);
         self.effects.push(Effect::CommandHost { host, agent, command });
     }
 
-    fn new_operation(&mut self) -> OperationId {
-        self.next_call += 1;
-        OperationId::from(format!("{}-{}", self.me(), self.next_call))
+    pub(super) fn new_operation(&mut self) -> OperationId {
+        self.operations += 1;
+        OperationId::from(format!("{}-{}", self.me(), self.operations))
     }
 }
--- /dev/null
+++ b/crates/borageswitch_control/src/reducer/session.rs
@@ -0,0 +1,210 @@
+//! The daemon's place in the store: a member key that lasts, and a live key under a lease.
+//!
+//! The member key stays when a daemon crashes, so that every later planner knows of requests that
+//! the daemon may still have in flight. The live key ends with the lease. While the lease is
+//! valid on the daemon's own clock, less a margin, the store's live key stands, and no planner
+//! counts the daemon as gone.
+
+use std::{sync::Arc, time::Duration};
+
+use borageswitch_types::Time;
+
+use crate::{
+    reducer::{
+        State,
+        store_calls::{Backoff, Purpose},
+    },
+    store::{LeaseId, StoreAnswer, StoreError, StoreRequest, Version},
+};
+
+/// A lease is kept alive after this part of its time.
+const KEEP_ALIVE_DIVISOR: u32 = 3;
+/// Nothing rests on the last part of a lease: the store's clock may run faster.
+const MARGIN_DIVISOR: u32 = 4;
+const RETRY_BASE: Duration = Duration::from_millis(250);
+
+/// A call on behalf of the session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Step {
+    Grant,
+    WriteMember,
+    WriteLive,
+    KeepAlive,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Stage {
+    #[default]
+    Idle,
+    Calling,
+    Held,
+    KeepingAlive,
+}
+
+/// The daemon's lease and how far its registration has come.
+#[derive(Debug, Default)]
+pub(super) struct Session {
+    stage: Stage,
+    lease: Option<LeaseId>,
+    valid_until: Time,
+    registered_at: Time,
+    /// Whether the document was read from the store after the registration.
+    ///
+    /// A leave may have been accepted before a planner could see this daemon as a member. The
+    /// read after the registration shows it; without it the daemon could send work to a host
+    /// that is about to reboot.
+    caught_up: bool,
+    next_try: Time,
+    backoff: Backoff,
+}
+
+impl Session {
+    /// The lease, if the daemon is registered and nothing has said that it ended.
+    pub(super) fn lease(&self) -> Option<LeaseId> {
+        let held = matches!(self.stage, Stage::Held | Stage::KeepingAlive);
+        self.lease.filter(|_| held)
+    }
+
+    /// Until when the store surely keeps the lease; in the past while none is held.
+    pub(super) fn valid_until(&self) -> Time {
+        if self.lease().is_some() { self.valid_until } else { Time::ZERO }
+    }
+
+    pub(super) fn is_caught_up(&self) -> bool {
+        self.lease().is_some() && self.caught_up
+    }
+
+    pub(super) fn note_read(&mut self, asked_at: Time) {
+        self.caught_up |= self.lease().is_some() && asked_at >= self.registered_at;
+    }
+}
+
+impl State {
+    pub(super) fn daemon_prefix(&self) -> Arc<str> {
+        format!("borageswitch/{}/daemon/", self.cfg.region).into()
+    }
+
+    fn member_key(&self) -> Arc<str> {
+        format!("{}{}/member", self.daemon_prefix(), self.me()).into()
+    }
+
+    fn live_key(&self) -> Arc<str> {
+        format!("{}{}/live", self.daemon_prefix(), self.me()).into()
+    }
+
+    pub(super) fn session_tick(&mut self) {
+        if self.session.next_try > self.now || self.exited {
+            return;
+        }
+        match (self.session.stage, self.session.lease) {
+            (Stage::Idle, _) if !self.stopping => {
+                let ttl = self.cfg.duty_ttl;
+                self.session_call(Step::Grant, StoreRequest::GrantLease { ttl });
+            }
+            (Stage::Held, Some(lease)) => {
+                self.session_call(Step::KeepAlive, StoreRequest::KeepAlive { lease });
+            }
+            _ => {}
+        }
+    }
+
+    fn session_call(&mut self, step: Step, request: StoreRequest) {
+        let keeps = step == Step::KeepAlive;
+        self.session.stage = if keeps { Stage::KeepingAlive } else { Stage::Calling };
+        self.call_store(Purpose::Session(step), request, self.cfg.store_timeout);
+    }
+
+    pub(super) fn session_answered(
+        &mut self,
+        step: Step,
+        asked_at: Time,
+        outcome: Result<StoreAnswer, StoreError>,
+    ) {
+        match (step, outcome) {
+            (Step::Grant, Ok(StoreAnswer::Lease { lease, .. })) => {
+                self.session.lease = Some(lease);
+                self.lease_lasts(asked_at);
+                self.write_member();
+            }
+            (Step::WriteMember, Ok(StoreAnswer::Written { version })) => {
+                self.members.own_version = Some(version);
+                self.write_live();
+            }
+            (Step::WriteMember, Ok(StoreAnswer::Conflict)) => self.write_live(),
+            (Step::WriteLive, Ok(StoreAnswer::Written { .. })) => self.registered(),
+            (Step::KeepAlive, Ok(StoreAnswer::Lease { .. })) => {
+                self.session.stage = Stage::Held;
+                self.session.backoff.reset();
+                self.lease_lasts(asked_at);
+            }
+            (Step::KeepAlive, Err(_)) => {
+                self.session.stage = Stage::Held;
+                let wait = self.session.backoff.next_wait(RETRY_BASE, &mut self.rng);
+                self.session.next_try = self.now + wait;
+            }
+            _ => self.session_lost(),
+        }
+    }
+
+    fn lease_lasts(&mut self, asked_at: Time) {
+        let ttl = self.cfg.duty_ttl;
+        self.session.valid_until = asked_at + (ttl - ttl / MARGIN_DIVISOR);
+        self.session.next_try = asked_at + ttl / KEEP_ALIVE_DIVISOR;
+    }
+
+    fn write_member(&mut self) {
+        let value = serde_json::to_vec(&self.cfg.me).unwrap_or_default().into();
+        let request = StoreRequest::CompareAndSwap {
+            key: self.member_key(),
+            expected: Version::ABSENT,
+            value,
+            lease: None,
+        };
+        self.session_call(Step::WriteMember, request);
+    }
+
+    fn write_live(&mut self) {
+        let request = StoreRequest::CompareAndSwap {
+            key: self.live_key(),
+            expected: Version::ABSENT,
+            value: Arc::from(&b"live"[..]),
+            lease: self.session.lease,
+        };
+        self.session_call(Step::WriteLive, request);
+    }
+
+    fn registered(&mut self) {
+        self.session.stage = Stage::Held;
+        self.session.registered_at = self.now;
+        self.session.caught_up = false;
+        self.session.backoff.reset();
+        self.read_fleet();
+        self.list_members();
+    }
+
+    /// The lease has ended, or cannot be told from one that has: all duties end with it.
+    fn session_lost(&mut self) {
+        if let Some(lease) = self.session.lease.take() {
+            let request = StoreRequest::RevokeLease { lease };
+            self.call_store(Purpose::Farewell, request, self.cfg.store_timeout);
+        }
+        self.session.stage = Stage::Idle;
+        self.session.caught_up = false;
+        let wait = self.session.backoff.next_wait(RETRY_BASE, &mut self.rng);
+        self.session.next_try = self.now + wait;
+        self.lose_duties("the daemon's lease in the store has ended");
+    }
+
+    /// Takes the daemon out of the store: nothing of it is in flight any more.
+    pub(super) fn unregister(&mut self) {
+        let timeout = self.cfg.store_timeout;
+        if let Some(version) = self.members.own_version {
+            let request = StoreRequest::Delete { key: self.member_key(), expected: version };
+            self.call_store(Purpose::Farewell, request, timeout);
+        }
+        if let Some(lease) = self.session.lease.take() {
+            let request = StoreRequest::RevokeLease { lease };
+            self.call_store(Purpose::Farewell, request, timeout);
+        }
+    }
+}
--- /dev/null
+++ b/crates/borageswitch_control/src/reducer/store_calls.rs
@@ -0,0 +1,186 @@
+//! Calls to the store: numbered, bounded in time and number, and counted by purpose.
+//!
+//! The store takes several hundred writes and two thousand reads a second for everything that
+//! runs on the platform. A daemon that retried without bound during an outage would be part of
+//! the crowd that keeps the store down; the budget and the jittered backoff prevent it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use borageswitch_types::{
+    Time,
+    fleet::{Duty, Revision},
+    names::DaemonName,
+};
+
+use crate::{
+    effect::Effect,
+    reducer::{State, claims, duties, session},
+    store::{CallId, StoreAnswer, StoreError, StoreRequest},
+};
+
+/// Calls a second that one daemon may make, those for its own lease not counted. Nine daemons
+/// together stay under 400 a second in the worst case.
+const BUDGET_RATE: u64 = 40;
+/// Calls that may be made at once after a quiet time.
+const BUDGET_BURST: u64 = 80;
+const MICROS_PER_CALL: u64 = 1_000_000 / BUDGET_RATE;
+/// The longest wait between two tries.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(5);
+/// After this many timeouts without any event a call counts as lost, whatever the edge does.
+const OVERDUE: u32 = 2;
+
+/// Why a call to the store was made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Purpose {
+    ReadFleet,
+    WatchFleet,
+    WriteFleet,
+    Session(session::Step),
+    ListMembers {
+        known: Revision,
+    },
+    ForgetMember(DaemonName),
+    Duty(Duty, duties::Step),
+    Claims(u8, claims::Step),
+    /// Nobody waits for the answer.
+    Farewell,
+}
+
+impl Purpose {
+    /// The name under which calls are counted.
+    fn name(&self) -> &'static str {
+        match self {
+            Purpose::ReadFleet => "read_fleet",
+            Purpose::WatchFleet => "watch_fleet",
+            Purpose::WriteFleet => "write_fleet",
+            Purpose::Session(_) => "lease",
+            Purpose::ListMembers { .. } | Purpose::ForgetMember(_) => "members",
+            Purpose::Duty(..) => "duties",
+            Purpose::Claims(..) => "claims",
+            Purpose::Farewell => "farewell",
+        }
+    }
+
+    /// Whether the call is made whatever the budget says: without its lease a daemon stops.
+    fn is_vital(&self) -> bool {
+        matches!(self, Purpose::Session(_) | Purpose::Farewell)
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct OpenCall {
+    pub(super) purpose: Purpose,
+    pub(super) asked_at: Time,
+    overdue_at: Time,
+}
+
+/// The open calls, the budget and the counters.
+#[derive(Debug, Default)]
+pub(super) struct StoreCalls {
+    last: u64,
+    open: BTreeMap<CallId, OpenCall>,
+    counts: BTreeMap<&'static str, u64>,
+    over_budget: Vec<CallId>,
+    /// The time at which the budget is full again; a call moves it forward.
+    spent_until: Time,
+}
+
+impl StoreCalls {
+    /// How many calls were made, by purpose.
+    pub(super) fn counts(&self) -> &BTreeMap<&'static str, u64> {
+        &self.counts
+    }
+
+    pub(super) fn is_open<F>(&self, matches: F) -> bool
+    where
+        F: Fn(&Purpose) -> bool,
+    {
+        self.open.values().any(|call| matches(&call.purpose))
+    }
+
+    fn take_from_budget(&mut self, now: Time) -> bool {
+        let full = now.as_micros().max(self.spent_until.as_micros());
+        let spent = full - now.as_micros();
+        if spent + MICROS_PER_CALL > BUDGET_BURST * MICROS_PER_CALL {
+            return false;
+        }
+        self.spent_until = Time::from_micros(full + MICROS_PER_CALL);
+        true
+    }
+}
+
+/// Waits between tries that fail, doubled each time and jittered so that daemons spread out.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Backoff {
+    failures: u32,
+}
+
+impl Backoff {
+    pub(super) fn reset(&mut self) {
+        self.failures = 0;
+    }
+
+    pub(super) fn next_wait(&mut self, base: Duration, rng: &mut fastrand::Rng) -> Duration {
+        let wait = (base * 2_u32.pow(self.failures.min(6))).min(LONGEST_BACKOFF);
+        self.failures += 1;
+        wait.mul_f64(0.5 + rng.f64() / 2.0)
+    }
+}
+
+impl State {
+    pub(super) fn call_store(
+        &mut self,
+        purpose: Purpose,
+        request: StoreRequest,
+        timeout: Duration,
+    ) -> CallId {
+        self.store_calls.last += 1;
+        let call = CallId(self.store_calls.last);
+        let vital = purpose.is_vital();
+        let name = purpose.name();
+        let overdue_at = self.now + timeout * OVERDUE;
+        let open = OpenCall { purpose, asked_at: self.now, overdue_at };
+        self.store_calls.open.insert(call, open);
+        if !vital && !self.store_calls.take_from_budget(self.now) {
+            self.store_calls.over_budget.push(call);
+            return call;
+        }
+        *self.store_calls.counts.entry(name).or_default() += 1;
+        self.effects.push(Effect::CallStore { call, request, timeout });
+        call
+    }
+
+    /// Ends the calls that were over the budget, and those that the edge has forgotten.
+    pub(super) fn store_calls_tick(&mut self) {
+        for call in std::mem::take(&mut self.store_calls.over_budget) {
+            self.store_answered(call, Err(StoreError::NotSent));
+        }
+        let now = self.now;
+        let overdue = self.store_calls.open.iter().filter(|(_, open)| open.overdue_at <= now);
+        let overdue: Vec<CallId> = overdue.map(|(call, _)| *call).collect();
+        for call in overdue {
+            self.store_answered(call, Err(StoreError::AnswerLost));
+        }
+    }
+
+    pub(super) fn store_answered(
+        &mut self,
+        call: CallId,
+        outcome: Result<StoreAnswer, StoreError>,
+    ) {
+        let Some(OpenCall { purpose, asked_at, .. }) = self.store_calls.open.remove(&call) else {
+            return;
+        };
+        match purpose {
+            Purpose::ReadFleet => self.fleet_read(asked_at, outcome),
+            Purpose::WatchFleet => self.fleet_watched(outcome),
+            Purpose::WriteFleet => self.fleet_written(outcome),
+            Purpose::Session(step) => self.session_answered(step, asked_at, outcome),
+            Purpose::ListMembers { known } => self.members_listed(known, outcome),
+            Purpose::ForgetMember(daemon) => self.member_forgotten(&daemon, &outcome),
+            Purpose::Duty(duty, step) => self.duty_answered(&duty, step, outcome),
+            Purpose::Claims(shard, step) => self.claims_answered(shard, step, asked_at, outcome),
+            Purpose::Farewell => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/borageswitch_control/src/reducer/tree.rs
@@ -0,0 +1,244 @@
+//! Heartbeats along a tree: daemons to the relay of their data centre, relays to the planner.
+//!
+//! Nine daemons that all spoke to each other would cost each sixteen messages a beat; in the tree a
+//! daemon has one parent, and only relays and the planner have more neighbours. Each heartbeat
+//! passes on what was heard of others, with its age, so everyone hears of everyone. While no
+//! holder of a duty is heard, the lowest name stands in, so the tree needs no store.
+//!
+//! An age counts from the echo: a heartbeat repeats the newest sending time that its sender has
+//! had from the receiver, and what it says was true at that time or later.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use borageswitch_types::{
+    Time,
+    fleet::{Duty, Revision},
+    names::{DaemonName, DataCentreName, HostName},
+};
+use borageswitch_wire::{
+    PeerMessage,
+    peer::{Heard, Heartbeat, Member, Progress},
+};
+
+use crate::{effect::Effect, reducer::State};
+
+/// What has changed is passed on at once, but not more often than this.
+const SOONEST_BEAT: Duration = Duration::from_millis(100);
+/// A child that sent no heartbeat for this many beats is no longer answered.
+const CHILD_BEATS: u32 = 3;
+/// Every so many beats a silent member is tried, so that a healed partition is noticed.
+const PROBE_BEATS: u64 = 4;
+
+/// What was last heard of one daemon, directly or through others.
+#[derive(Clone, Debug)]
+pub(super) struct HeardState {
+    /// It lived at this time or later.
+    pub(super) at: Time,
+    pub(super) revision: Revision,
+    pub(super) progress: Progress,
+    pub(super) duties: Vec<Duty>,
+    /// For each leaving host the epoch for which it reported nothing in flight, and since when
+    /// this daemon knows.
+    pub(super) acks: BTreeMap<HostName, (u64, Time)>,
+}
+
+/// The neighbours in the tree and the rhythm of heartbeats.
+#[derive(Debug, Default)]
+pub(super) struct Tree {
+    next_beat: Time,
+    last_beat: Time,
+    /// Whether the next beat brings news to all neighbours, not to the parent alone.
+    has_news: bool,
+    beats: u64,
+    /// When each neighbour last sent, on our clock, and its own sending time, to be echoed.
+    arrived: BTreeMap<DaemonName, Arrival>,
+    rosters: BTreeMap<DaemonName, u64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    at: Time,
+    sent: Time,
+    is_child: bool,
+}
+
+impl State {
+    pub(super) fn beat_soon(&mut self) {
+        let soon = (self.tree.last_beat + SOONEST_BEAT).max(self.now);
+        self.tree.next_beat = self.tree.next_beat.min(soon);
+        self.tree.has_news = true;
+    }
+
+    pub(super) fn tree_tick(&mut self) {
+        if self.tree.next_beat > self.now || self.exited {
+            return;
+        }
+        self.tree.beats += 1;
+        self.tree.last_beat = self.now;
+        self.tree.next_beat = self.now + self.cfg.heartbeat;
+        // Children are answered when they send, so without news a beat is for the parent alone.
+        let has_news = std::mem::take(&mut self.tree.has_news);
+        let receivers = match has_news {
+            true => self.neighbours(),
+            false => self.parent().into_iter().collect(),
+        };
+        for daemon in receivers {
+            self.send_heartbeat(&daemon);
+        }
+        if let Some(daemon) = self.silent_member() {
+            self.send_heartbeat(&daemon);
+        }
+    }
+
+    /// The parent, if any, and the children that sent lately.
+    pub(super) fn neighbours(&self) -> Vec<DaemonName> {
+        let children = self.tree.arrived.keys().filter(|daemon| self.is_child(daemon));
+        let mut neighbours: Vec<DaemonName> = children.cloned().collect();
+        if let Some(parent) = self.parent()
+            && !neighbours.contains(&parent)
+        {
+            neighbours.push(parent);
+        }
+        neighbours
+    }
+
+    /// Whether a daemon has lately taken this one for its parent.
+    fn is_child(&self, daemon: &DaemonName) -> bool {
+        let recent = self.cfg.heartbeat * CHILD_BEATS;
+        let arrival = self.tree.arrived.get(daemon);
+        arrival.is_some_and(|a| a.is_child && a.at + recent > self.now)
+    }
+
+    pub(super) fn parent(&self) -> Option<DaemonName> {
+        let here = &self.cfg.me.data_centre;
+        let hub = self.head(&Duty::Relay(here.clone()), Some(here));
+        if hub != *self.me() {
+            return Some(hub);
+        }
+        let root = self.head(&Duty::Planner, None);
+        (root != *self.me()).then_some(root)
+    }
+
+    /// The holder of a duty, or the lowest name that may be alive to stand in for it.
+    fn head(&self, duty: &Duty, within: Option<&DataCentreName>) -> DaemonName {
+        if self.duties.fence(duty).is_some() {
+            return self.me().clone();
+        }
+        if let Some(holder) = self.holder_heard(duty) {
+            return holder.clone();
+        }
+        let inside = |member: &Member| within.is_none_or(|dc| *dc == member.data_centre);
+        let others = self.members.known.iter();
+        let others = others.filter(|(daemon, k)| inside(&k.member) && self.may_be_alive(daemon));
+        others.map(|(daemon, _)| daemon).chain([self.me()]).min().unwrap_or(self.me()).clone()
+    }
+
+    /// A known member that is not heard, another one each time.
+    fn silent_member(&self) -> Option<DaemonName> {
+        if !self.tree.beats.is_multiple_of(PROBE_BEATS) {
+            return None;
+        }
+        let silent = self.members.known.keys().filter(|daemon| {
+            self.members.heard.get(*daemon).is_none_or(|h| h.at + self.cfg.silence <= self.now)
+        });
+        let silent: Vec<&DaemonName> = silent.collect();
+        let turn = (self.tree.beats / PROBE_BEATS) as usize;
+        (!silent.is_empty()).then(|| silent[turn % silent.len()].clone())
+    }
+
+    fn send_heartbeat(&mut self, to: &DaemonName) {
+        let heartbeat = self.make_heartbeat(to);
+        self.send(to, PeerMessage::Heartbeat(heartbeat));
+        let generation = self.members.generation;
+        if self.tree.rosters.get(to) != Some(&generation) {
+            self.tree.rosters.insert(to.clone(), generation);
+            let known = self.members.known.values().map(|known| known.member.clone());
+            let roster = known.chain([self.cfg.me.clone()]).collect();
+            self.send(to, PeerMessage::Roster(roster));
+        }
+    }
+
+    fn make_heartbeat(&self, to: &DaemonName) -> Heartbeat {
+        let silence = self.cfg.silence;
+        let others = self.members.heard.iter();
+        let others = others.filter(|(d, h)| *d != to && h.at + silence > self.now);
+        let heard = others.map(|(daemon, heard)| Heard {
+            daemon: daemon.clone(),
+            age_ms: self.now.since(heard.at).as_millis() as u32 + 1,
+            revision: heard.revision,
+            progress: heard.progress.clone(),
+            duties: heard.duties.clone(),
+        });
+        Heartbeat {
+            sent: self.now,
+            echo: self.tree.arrived.get(to).map(|arrival| arrival.sent),
+            to_parent: self.wants_answer(to),
+            revision: self.known().0,
+            progress: self.own_progress(),
+            duties: self.duties.held(),
+            heard: heard.collect(),
+        }
+    }
+
+    /// Whether an answer is wanted: the receiver is the parent, or a silent member that is tried.
+    fn wants_answer(&self, to: &DaemonName) -> bool {
+        self.parent().as_ref() == Some(to) || !self.is_child(to)
+    }
+
+    pub(super) fn send(&mut self, to: &DaemonName, message: PeerMessage) {
+        self.effects.push(Effect::SendPeer { to: to.clone(), message });
+    }
+
+    pub(super) fn heartbeat_received(&mut self, from: &DaemonName, heartbeat: Heartbeat) {
+        let arrival = Arrival { at: self.now, sent: heartbeat.sent, is_child: heartbeat.to_parent };
+        let known = self.tree.arrived.get(from);
+        if known.is_none_or(|known| known.sent <= heartbeat.sent) {
+            self.tree.arrived.insert(from.clone(), arrival);
+        }
+        let is_parent = self.parent().as_ref() == Some(from);
+        let Heartbeat { echo, revision, progress, duties, heard, .. } = heartbeat;
+        if let Some(at) = echo.filter(|echo| *echo <= self.now) {
+            self.hear(from, at, revision, progress, duties);
+            for other in heard {
+                let age = Duration::from_millis(u64::from(other.age_ms));
+                let at = Time::from_micros(at.as_micros().saturating_sub(age.as_micros() as u64));
+                self.hear(&other.daemon, at, other.revision, other.progress, other.duties);
+            }
+        }
+        if arrival.is_child && !is_parent {
+            // An answer at once keeps the ages along the tree short.
+            self.send_heartbeat(from);
+        }
+        self.compare_revision(from, revision);
+    }
+
+    fn hear(
+        &mut self,
+        daemon: &DaemonName,
+        at: Time,
+        revision: Revision,
+        progress: Progress,
+        duties: Vec<Duty>,
+    ) {
+        let known = self.members.heard.get(daemon);
+        if daemon == self.me() || known.is_some_and(|known| known.at >= at) {
+            return;
+        }
+        let mut acks = known.map(|known| known.acks.clone()).unwrap_or_default();
+        acks.retain(|host, _| progress.draining.contains_key(host));
+        for (host, (epoch, in_flight)) in &progress.draining {
+            let is_new = acks.get(host).is_none_or(|(acked, _)| acked != epoch);
+            if *in_flight == 0 && is_new {
+                acks.insert(host.clone(), (*epoch, self.now));
+            }
+        }
+        let news = known.is_none_or(|known| known.progress != progress || known.duties != duties);
+        let state = HeardState { at, revision, progress, duties, acks };
+        self.members.heard.insert(daemon.clone(), state);
+        if news {
+            self.beat_soon();
+            self.plan_soon();
+            self.answer_waits();
+        }
+    }
+}
--- a/crates/borageswitch_control/src/reducer/views.rs
+++ b/crates/borageswitch_control/src/reducer/views.rs
@@ -17,10 +17,24 @@
 impl State {
     pub(super) fn publish_view(&mut self) {
         let Some(fleet) = self.sync.fleet() else { return };
-        let entries: Arc<[DaemonName]> = Arc::from([self.me().clone()]);
-        let view = make_view(fleet, self.me(), entries, !self.stopping);
+        let entries = self.entries.clone();
+        let view = make_view(fleet, self.me(), entries, self.is_admitting());
         self.effects.push(Effect::PublishView(Arc::new(view)));
     }
+
+    /// Deals the targets' slots anew when the set of serving daemons has changed.
+    pub(super) fn refresh_entries(&mut self) {
+        let silence = self.cfg.silence;
+        let heard = self.members.heard.iter();
+        let serving = heard.filter(|(_, h)| h.progress.serving && h.at + silence > self.now);
+        let mut entries: Vec<DaemonName> = serving.map(|(daemon, _)| daemon.clone()).collect();
+        entries.push(self.me().clone());
+        entries.sort_unstable();
+        if entries != *self.entries {
+            self.entries = entries.into();
+            self.publish_view();
+        }
+    }
 }
 
 fn make_view(
--- a/crates/borageswitch_control/src/reducer/writing.rs
+++ b/crates/borageswitch_control/src/reducer/writing.rs
@@ -1,23 +1,35 @@
 //! Turns changes into compare-and-swaps of the fleet document.
 //!
-//! One write is in flight at a time. A write whose answer was lost may have taken effect, now or
-//! later: the document is read again and asked for the operation id before anything else is done.
+//! One write is in flight at a time, and takes several waiting changes along. A write whose answer
+//! was lost may have taken effect, now or later: the document is read again and asked for the
+//! operation ids before anything else is done.
 
-use std::{collections::VecDeque, sync::Arc};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use borageswitch_planner::changes;
-use borageswitch_types::{Fleet, Time, fleet::ChangeRequest};
+use borageswitch_types::{
+    Fleet, Time,
+    fleet::{ChangeRequest, Duty},
+};
 use borageswitch_wire::operator::OperatorAnswer;
 
 use crate::{
     event::OperatorCall,
-    reducer::{Purpose, State},
+    reducer::{
+        State,
+        store_calls::{Backoff, Purpose},
+    },
     store::{StoreAnswer, StoreError, StoreRequest},
 };
 
 /// How long an operator's change is tried before the answer is that it is undecided, in
 /// multiples of the store's timeout.
 const PATIENCE: u32 = 5;
+/// The most changes in one write; more would let one refusal hold up many operators.
+const BATCH: usize = 16;
+/// The most changes that wait: the rest are told at once that they were not tried.
+const QUEUE: usize = 256;
+const RETRY_BASE: Duration = Duration::from_millis(50);
 
 /// Who waits for a change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,22 +45,42 @@
     until: Time,
 }
 
+/// A write in flight: the document that it would make, and the answers of the first changes in
+/// the queue should it take effect.
+#[derive(Debug)]
+struct Batch {
+    next: Fleet,
+    answers: Vec<OperatorAnswer>,
+}
+
 /// The changes that wait and the write in flight.
 #[derive(Debug, Default)]
 pub(super) struct Writer {
     queue: VecDeque<Pending>,
-    writing: Option<Fleet>,
-    reading: bool,
+    writing: Option<Batch>,
+    /// Nothing is written before the document is read by a call made at this time or later.
+    read_needed: Option<Time>,
+    next_try: Time,
+    backoff: Backoff,
 }
 
 impl Writer {
     pub(super) fn holds_planner_change(&self) -> bool {
         self.queue.iter().any(|pending| pending.origin == Origin::Planner)
     }
+
+    pub(super) fn waiting(&self) -> usize {
+        self.queue.len()
+    }
 }
 
 impl State {
     pub(super) fn queue_change(&mut self, origin: Origin, req: ChangeRequest) {
+        if self.writer.queue.len() >= QUEUE {
+            let detail = Arc::from("too many changes wait at this daemon; nothing was tried");
+            self.conclude(origin, OperatorAnswer::Undecided { detail });
+            return;
+        }
         let until = self.now + self.cfg.store_timeout * PATIENCE;
         self.writer.queue.push_back(Pending { origin, req, until });
         self.write_next();
@@ -64,28 +96,54 @@
             let detail = Arc::from("the platform's store did not answer in time");
             self.conclude(pending.origin, OperatorAnswer::Undecided { detail });
         }
+        if self.writer.read_needed.is_some() && !self.writer.queue.is_empty() {
+            self.read_fleet_for_writer();
+        }
         self.write_next();
     }
 
+    fn read_fleet_for_writer(&mut self) {
+        if !self.store_calls.is_open(|purpose| *purpose == Purpose::ReadFleet)
+            && self.writer.next_try <= self.now
+        {
+            self.writer.next_try = self.now + RETRY_BASE * 4;
+            self.read_fleet();
+        }
+    }
+
+    /// A holder that no longer holds its duty lets nothing out, waiting changes included.
+    fn drop_planner_changes(&mut self) {
+        if !self.may_act(&Duty::Planner) {
+            self.writer.queue.retain(|pending| pending.origin != Origin::Planner);
+        }
+    }
+
     fn write_next(&mut self) {
-        while self.writer.writing.is_none() && !self.writer.reading {
-            let (Some(pending), Some(fleet)) = (self.writer.queue.front(), self.sync.fleet())
-            else {
-                return;
-            };
-            let mut next = Fleet::clone(fleet);
-            match changes::apply(&mut next, &pending.req) {
-                Ok(revision) if next.revision == fleet.revision => {
-                    self.conclude_front(OperatorAnswer::Accepted { revision });
-                }
-                Ok(_) => self.write(next),
-                Err(refusal) => self.conclude_front(OperatorAnswer::Refused(refusal)),
-            }
+        let blocked = self.writer.writing.is_some() || self.writer.read_needed.is_some();
+        if blocked || self.writer.next_try > self.now {
+            return;
+        }
+        self.drop_planner_changes();
+        let Some(fleet) = self.sync.fleet().cloned() else { return };
+        let mut next = Fleet::clone(&fleet);
+        let pending = self.writer.queue.iter().take(BATCH);
+        let answers = pending.map(|pending| match changes::apply(&mut next, &pending.req) {
+            Ok(revision) => OperatorAnswer::Accepted { revision },
+            Err(refusal) => OperatorAnswer::Refused(refusal),
+        });
+        let answers: Vec<OperatorAnswer> = answers.collect();
+        if answers.is_empty() {
+            return;
         }
+        if next.revision == fleet.revision {
+            self.conclude_first(answers);
+            return;
+        }
+        self.write(Batch { next, answers });
     }
 
-    fn write(&mut self, next: Fleet) {
-        let value: Arc<[u8]> = match serde_json::to_vec(&next) {
+    fn write(&mut self, batch: Batch) {
+        let value: Arc<[u8]> = match serde_json::to_vec(&batch.next) {
             Ok(bytes) => bytes.into(),
             Err(err) => {
                 log::error!("the fleet document cannot be written: {err}");
@@ -98,39 +156,44 @@
             value,
             lease: None,
         };
-        self.writer.writing = Some(next);
+        self.writer.writing = Some(batch);
         self.call_store(Purpose::WriteFleet, request, self.cfg.store_timeout);
     }
 
     pub(super) fn fleet_written(&mut self, outcome: Result<StoreAnswer, StoreError>) {
-        let Some(written) = self.writer.writing.take() else { return };
+        let Some(batch) = self.writer.writing.take() else { return };
         match outcome {
             Ok(StoreAnswer::Written { version }) => {
-                let revision = written.revision;
-                self.adopt(written, version);
-                self.conclude_front(OperatorAnswer::Accepted { revision });
+                self.writer.backoff.reset();
+                self.adopt(batch.next, version, None);
+                self.conclude_first(batch.answers);
                 self.write_next();
             }
-            Err(StoreError::NotSent | StoreError::Refused) => {}
+            Err(StoreError::NotSent | StoreError::Refused) => {
+                let wait = self.writer.backoff.next_wait(RETRY_BASE, &mut self.rng);
+                self.writer.next_try = self.now + wait;
+            }
             _ => {
-                self.writer.reading = true;
-                self.read_fleet();
+                self.writer.read_needed = Some(self.now);
+                self.read_fleet_for_writer();
             }
         }
     }
 
-    pub(super) fn writer_read(&mut self) {
-        self.writer.reading = false;
+    /// The document was read by a call made at `asked`.
+    pub(super) fn writer_read(&mut self, asked: Time) {
+        if self.writer.read_needed.is_some_and(|needed| asked >= needed) {
+            self.writer.read_needed = None;
+            self.writer.next_try = self.now;
+        }
         self.write_next();
     }
 
-    pub(super) fn writer_read_failed(&mut self) {
-        self.writer.reading = self.writer.reading && !self.writer.queue.is_empty();
-    }
-
-    fn conclude_front(&mut self, answer: OperatorAnswer) {
-        if let Some(pending) = self.writer.queue.pop_front() {
-            self.conclude(pending.origin, answer);
+    fn conclude_first(&mut self, answers: Vec<OperatorAnswer>) {
+        for answer in answers {
+            if let Some(pending) = self.writer.queue.pop_front() {
+                self.conclude(pending.origin, answer);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/borageswitch_control/tests/support/checker.rs
@@ -0,0 +1,79 @@
+//! What no run may break, judged from outside the daemons.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use borageswitch_types::{
+    Fleet, Time,
+    claim::ClaimOutcome,
+    fleet::{Author, Fence, HostPhase, Revision},
+    names::{DaemonName, HostName, OperationId, ServiceName},
+};
+
+/// The truth of the store's document and what was seen of it.
+#[derive(Debug, Default)]
+pub struct Checker {
+    pub truth: Option<Fleet>,
+    published: BTreeMap<DaemonName, Revision>,
+    operations: BTreeSet<OperationId>,
+    granted: BTreeMap<u64, DaemonName>,
+    highest_fence: Fence,
+    pub grants: u64,
+    pub reboots: u64,
+    pub requests: u64,
+}
+
+impl Checker {
+    /// A new value of the fleet document took effect in the store.
+    pub fn committed(&mut self, bytes: &[u8]) {
+        let fleet: Fleet = serde_json::from_slice(bytes).expect("the document can be read");
+        let before = self.truth.as_ref().map_or(Revision(0), |truth| truth.revision);
+        assert!(fleet.revision > before, "the store's document went back to {}", fleet.revision);
+        for change in fleet.recent.iter().filter(|change| change.revision > before) {
+            let operation = &change.request.operation;
+            assert!(self.operations.insert(operation.clone()), "{operation} took effect twice");
+            if let Author::Holder { fence, .. } = change.request.author {
+                assert!(fence >= self.highest_fence, "a holder with an old fence has written");
+                self.highest_fence = fence;
+            }
+        }
+        let reserved = fleet.reserved_power();
+        assert!(reserved <= fleet.power_cap, "{reserved} reserved under {}", fleet.power_cap);
+        self.truth = Some(fleet);
+    }
+
+    pub fn published(&mut self, daemon: &DaemonName, revision: Revision) {
+        let before = self.published.insert(daemon.clone(), revision).unwrap_or_default();
+        assert!(revision >= before, "{daemon} went back from {before} to {revision}");
+    }
+
+    /// A request goes to a host for a service.
+    pub fn request_started(&mut self, daemon: &DaemonName, host: &HostName, service: &ServiceName) {
+        self.requests += 1;
+        let truth = self.truth.as_ref().expect("requests follow the first document");
+        let Some(record) = truth.hosts.get(host) else { return };
+        let pool = &truth.services[service].pool;
+        assert!(record.pool == *pool, "{daemon} sends work of {pool} to {host} of {}", record.pool);
+        let is_out = matches!(record.phase, HostPhase::Rebooting { .. } | HostPhase::Held { .. });
+        assert!(!is_out, "{daemon} sends new work to {host}, which is {:?}", record.phase);
+    }
+
+    pub fn reboot_started(&mut self, host: &HostName, in_flight: &[DaemonName]) {
+        self.reboots += 1;
+        assert!(in_flight.is_empty(), "{host} reboots with requests of {in_flight:?} in flight");
+    }
+
+    /// A command leaves a daemon while the store says who holds the planner's duty.
+    pub fn commanded(&mut self, now: Time, daemon: &DaemonName, holder: Option<&str>) {
+        let is_holder = holder == Some(daemon.as_str());
+        assert!(is_holder, "{daemon} commands at {now:?} while the duty is with {holder:?}");
+    }
+
+    pub fn claim_answered(&mut self, id: u64, daemon: &DaemonName, outcome: ClaimOutcome) {
+        if outcome != ClaimOutcome::Granted {
+            return;
+        }
+        self.grants += 1;
+        let before = self.granted.insert(id, daemon.clone());
+        assert!(before.is_none(), "request {id} is granted to {before:?} and {daemon}");
+    }
+}
--- /dev/null
+++ b/crates/borageswitch_control/tests/support/store.rs
@@ -0,0 +1,101 @@
+//! A stand-in for the platform's store in virtual time: keys, versions, leases and watches.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use borageswitch_control::store::{KeyValue, LeaseId, StoreAnswer, StoreRequest, Version};
+use borageswitch_types::Time;
+
+#[derive(Clone, Debug)]
+struct Entry {
+    version: Version,
+    value: Arc<[u8]>,
+    lease: Option<LeaseId>,
+}
+
+/// The store's content.
+#[derive(Debug, Default)]
+pub struct FakeStore {
+    keys: BTreeMap<Arc<str>, Entry>,
+    leases: BTreeMap<LeaseId, Time>,
+    ttls: BTreeMap<LeaseId, std::time::Duration>,
+    last: u64,
+}
+
+impl FakeStore {
+    fn next(&mut self) -> u64 {
+        self.last += 1;
+        self.last
+    }
+
+    /// Ends the leases that were not kept alive, and their keys.
+    pub fn expire(&mut self, now: Time) {
+        self.leases.retain(|_, until| *until > now);
+        let leases = &self.leases;
+        self.keys.retain(|_, e| e.lease.is_none_or(|lease| leases.contains_key(&lease)));
+    }
+
+    pub fn value(&self, key: &str) -> Option<&[u8]> {
+        self.keys.get(key).map(|entry| &*entry.value)
+    }
+
+    pub fn version(&self, key: &str) -> Version {
+        self.keys.get(key).map_or(Version::ABSENT, |entry| entry.version)
+    }
+
+    /// Executes a call; a watch is answered as a read.
+    pub fn execute(&mut self, now: Time, request: &StoreRequest) -> StoreAnswer {
+        self.expire(now);
+        match request {
+            StoreRequest::Get { key } | StoreRequest::Watch { key, .. } => {
+                StoreAnswer::Value(self.read(key))
+            }
+            StoreRequest::List { prefix } => {
+                let keys = self.keys.keys().filter(|key| key.starts_with(&**prefix));
+                StoreAnswer::Values(keys.filter_map(|key| self.read(key)).collect())
+            }
+            StoreRequest::CompareAndSwap { key, expected, value, lease } => {
+                if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+                    return StoreAnswer::LeaseLost;
+                }
+                if self.version(key) != *expected {
+                    return StoreAnswer::Conflict;
+                }
+                let version = Version(self.next());
+                let entry = Entry { version, value: value.clone(), lease: *lease };
+                self.keys.insert(key.clone(), entry);
+                StoreAnswer::Written { version }
+            }
+            StoreRequest::Delete { key, expected } => {
+                if self.version(key) != *expected {
+                    return StoreAnswer::Conflict;
+                }
+                self.keys.remove(key);
+                StoreAnswer::Done
+            }
+            StoreRequest::GrantLease { ttl } => {
+                let lease = LeaseId(self.next());
+                self.leases.insert(lease, now + *ttl);
+                self.ttls.insert(lease, *ttl);
+                StoreAnswer::Lease { lease, ttl: *ttl }
+            }
+            StoreRequest::KeepAlive { lease } => match self.leases.get_mut(lease) {
+                Some(until) => {
+                    let ttl = self.ttls[lease];
+                    *until = now + ttl;
+                    StoreAnswer::Lease { lease: *lease, ttl }
+                }
+                None => StoreAnswer::LeaseLost,
+            },
+            StoreRequest::RevokeLease { lease } => {
+                self.leases.remove(lease);
+                self.expire(now);
+                StoreAnswer::Done
+            }
+        }
+    }
+
+    fn read(&self, key: &Arc<str>) -> Option<KeyValue> {
+        let entry = self.keys.get(key)?;
+        Some(KeyValue { key: key.clone(), version: entry.version, value: entry.value.clone() })
+    }
+}
--- a/crates/borageswitch_wire/src/peer.rs
+++ b/crates/borageswitch_wire/src/peer.rs
@@ -35,6 +35,8 @@
     /// For each host that takes no new work by that revision: its epoch and the requests that
     /// this daemon still has in flight there.
     pub draining: BTreeMap<HostName, (u64, u32)>,
+    /// The hosts that fail nearly all requests of this daemon, with the share in thousandths.
+    pub failing: BTreeMap<HostName, u16>,
     /// Whether this daemon takes new work.
     pub serving: bool,
 }
@@ -44,8 +46,8 @@
 pub struct Heard {
     /// The other daemon.
     pub daemon: DaemonName,
-    /// How long ago, at the most, the other daemon said this.
-    pub age: Duration,
+    /// How long ago, at the most, the other daemon said this, in milliseconds.
+    pub age_ms: u32,
     /// The revision that it knew.
     pub revision: Revision,
     /// How far it had come.
@@ -64,6 +66,8 @@
     /// All that the heartbeat says was true at that time or later. Without it a heartbeat that
     /// lay in a buffer for a minute would pass for news.
     pub echo: Option<Time>,
+    /// Whether the sender takes the receiver for its parent in the tree and expects an answer.
+    pub to_parent: bool,
     /// The sender's revision.
     pub revision: Revision,
     /// How far the sender has come.
