--- a/crates/borageswitch_control/src/reducer/explaining.rs
+++ b/crates/borageswitch_control/src/reducer/explaining.rs
@@ -2,12 +2,8 @@
 
 use std::{collections::BTreeMap, collections::VecDeque, sync::Arc};
 
-use borageswitch_planner::capacity;
-use borageswitch_types::{
-    Fleet, Time,
-    fleet::{Duty, Host, HostPhase, LeaveReason, Wave},
-    names::{HostName, PoolName, WaveName},
-};
+use borageswitch_planner::explain;
+use borageswitch_types::{Time, fleet::Duty, names::HostName};
 use borageswitch_wire::operator::Subject;
 
 use crate::{effect::Effect, reducer::State};
@@ -41,12 +37,18 @@
 
     pub(super) fn explain(&self, subject: &Subject) -> Option<Vec<String>> {
         let fleet = self.sync.fleet()?;
-        let (name, mut lines) = match subject {
-            Subject::Host(host) => (host.as_str(), self.explain_host(host, fleet.hosts.get(host)?)),
-            Subject::Pool(pool) => (pool.as_str(), explain_pool(fleet, pool)?),
-            Subject::Wave(wave) => (wave.as_str(), self.explain_wave(wave, fleet.waves.get(wave)?)),
+        let observed = &self.observed;
+        let (name, reasons) = match subject {
+            Subject::Host(host) => (host.as_str(), explain::host(fleet, observed, host)),
+            Subject::Pool(pool) => (pool.as_str(), explain::pool(fleet, observed, pool)),
+            Subject::Wave(wave) => (wave.as_str(), explain::wave(fleet, observed, wave)),
             Subject::Request(id) => (&**id, vec![]),
         };
+        if reasons.is_empty() && !matches!(subject, Subject::Request(_)) {
+            return None;
+        }
+        let mut lines: Vec<String> = reasons.iter().map(ToString::to_string).collect();
+        lines.extend(self.explain_drains(subject));
         let holder = match self.may_act(&Duty::Planner) {
             true => Some(self.me()),
             false => self.holder_heard(&Duty::Planner),
@@ -69,34 +71,22 @@
         last.iter().rev().map(|d| format!("{} s ago: {}", ago(d), d.text)).collect()
     }
 
-    fn explain_host(&self, name: &HostName, host: &Host) -> Vec<String> {
-        let mut lines =
-            vec![format!("{name} belongs to {} and {}", host.pool, describe(&host.phase))];
-        if matches!(host.phase, HostPhase::Leaving { .. }) {
-            match self.undrained_here(name) {
-                Some(why) => lines.push(format!("{name} is not drained: {why}")),
-                None => lines.push(format!("{name} is drained and its next step is due")),
-            }
-        }
-        lines
-    }
-
-    fn explain_wave(&self, name: &WaveName, wave: &Wave) -> Vec<String> {
-        let (pending, out) = (wave.pending.len(), wave.out.len());
-        let (done, failed) = (wave.done.len(), wave.failed.len());
-        let mut lines = vec![format!(
-            "{name} is {:?}: {pending} hosts wait, {out} are out, {done} are done, {failed} failed",
-            wave.status
-        )];
-        for host in &wave.out {
-            if let Some(record) = self.sync.fleet().and_then(|fleet| fleet.hosts.get(host)) {
-                lines.extend(self.explain_host(host, record));
+    /// Why hosts that leave are not drained: a host by itself, or those of a wave.
+    fn explain_drains(&self, subject: &Subject) -> Vec<String> {
+        let is_meant = |host: &&HostName| match subject {
+            Subject::Host(name) => *host == name,
+            Subject::Wave(wave) => {
+                let wave = self.sync.fleet().and_then(|fleet| fleet.waves.get(wave));
+                wave.is_some_and(|wave| wave.out.contains(*host))
             }
-        }
-        for (host, reason) in &wave.failed {
-            lines.push(format!("{host} failed: {reason}"));
-        }
-        lines
+            Subject::Pool(_) | Subject::Request(_) => false,
+        };
+        let hosts = self.leaving.iter().filter(is_meant);
+        let lines = hosts.map(|host| match self.undrained_here(host) {
+            Some(why) => format!("{host} is not drained: {why}"),
+            None => format!("{host} is drained and its next step is due"),
+        });
+        lines.collect()
     }
 
     /// The daemon's whole state as JSON.
@@ -143,45 +133,3 @@
         dump.to_string()
     }
 }
-
-fn describe(phase: &HostPhase) -> String {
-    match phase {
-        HostPhase::Serving => "serves".to_owned(),
-        HostPhase::Leaving { why: LeaveReason::Move { to } } => {
-            format!("takes no new work: it goes to {to}")
-        }
-        HostPhase::Leaving { why: LeaveReason::Wave { wave } } => {
-            format!("takes no new work: it is rebooted for {wave}")
-        }
-        HostPhase::Leaving { why: LeaveReason::Hold { reason } } => {
-            format!("takes no new work: it is held: {reason}")
-        }
-        HostPhase::Rebooting { wave, .. } => format!("reboots for {wave}"),
-        HostPhase::Trial { wave } => format!("is on trial after its reboot for {wave}"),
-        HostPhase::Held { reason } => format!("is held: {reason}"),
-        HostPhase::Failed { reason } => format!("has failed: {reason}"),
-    }
-}
-
-fn explain_pool(fleet: &Fleet, pool: &PoolName) -> Option<Vec<String>> {
-    let record = fleet.pools.get(pool)?;
-    let hosts = fleet.hosts_in(pool).count();
-    let serving = fleet.hosts_in(pool).filter(|(_, host)| host.gives_capacity()).count();
-    let mut lines = vec![format!(
-        "{pool} has {hosts} hosts of {} wanted; {serving} serve",
-        record.wanted_hosts
-    )];
-    for (name, service) in fleet.services.iter().filter(|(_, service)| service.pool == *pool) {
-        let left = capacity::surviving_slots(fleet, pool, service.survives, |_, host| {
-            host.gives_capacity()
-        });
-        lines.push(format!(
-            "{name} keeps {left} slots after the loss of its largest failure domain; {} are promised",
-            service.promised_slots
-        ));
-    }
-    for (name, host) in fleet.hosts_in(pool).filter(|(_, host)| !host.gives_capacity()) {
-        lines.push(format!("{name} {}", describe(&host.phase)));
-    }
-    Some(lines)
-}
--- a/crates/borageswitch_control/tests/support/mod.rs
+++ b/crates/borageswitch_control/tests/support/mod.rs
@@ -26,7 +26,7 @@
 pub fn site(entries: u16) -> SiteConfig {
     let hosts = (0..HOSTS).map(|i| (host_name(i), (host_spec(i), PoolName::from(POOLS[i % 2]))));
     let services = POOLS.iter().map(|pool| (ServiceName::from(*pool), service(pool)));
-    let pool = Pool { wanted_hosts: 6, spare: false };
+    let pool = Pool { wanted_hosts: 6, ..Pool::default() };
     SiteConfig {
         entries_expected: entries,
         power_cap: Watts(100 * HOSTS as u64 + 400),
@@ -55,6 +55,8 @@
 }
 
 fn service(pool: &str) -> Service {
-    let limits = ServiceLimits { max_deadline: Duration::from_secs(2), ..Default::default() };
+    let max_deadline = Duration::from_secs(2);
+    let default_deadline = Duration::from_secs(1);
+    let limits = ServiceLimits { max_deadline, default_deadline, ..Default::default() };
     Service { pool: pool.into(), promised_slots: 16, survives: FailureDomain::Host, limits }
 }
--- a/crates/borageswitch_control/tests/support/world.rs
+++ b/crates/borageswitch_control/tests/support/world.rs
@@ -512,6 +512,14 @@
         let boot = self.millis(500, 1_500);
         let fake = self.hosts.entry(host.clone()).or_default();
         let mut refused = false;
+        match &command {
+            AgentCommand::Throttle { operation, .. } => fake.done = Some(operation.clone()),
+            AgentCommand::PowerOff { operation } => {
+                fake.done = Some(operation.clone());
+                fake.up_at = Time::MAX;
+            }
+            AgentCommand::Status | AgentCommand::Reboot { .. } => {}
+        }
         if let AgentCommand::Reboot { operation, not_after } = command
             && fake.done.as_ref() != Some(&operation)
         {
