Give operators a command line

Cause: every action of an operator must be scriptable, tell the field at fault and survive the loss of a daemon.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,9 +2,11 @@
 //! services at a site whose electric power is capped.
 //!
 //! This crate is the thin facade over the subsystems, each a crate of its own: it puts them
-//! together into a [`daemon`] and gives the process its [`logging`]. Whoever embeds a daemon, as
+//! together into a [`daemon`], gives the process its [`logging`], and holds the operators' command
+//! line in [`ctl`]. Whoever embeds a daemon, as
 //! the examples and the end-to-end tests do, begins here.
 
+pub mod ctl;
 pub mod daemon;
 pub mod logging;
 
