--- a/tools/schema_codegen/src/main.rs
+++ b/tools/schema_codegen/src/main.rs
@@ -59,3 +59,6 @@
         "the committed code differs from the schema: run `cargo run -p schema_codegen`",
     ))
 }
+
+#[cfg(test)]
+mod tests;
