--- a/crates/borageswitch_planner/src/changes/hosts.rs
+++ b/crates/borageswitch_planner/src/changes/hosts.rs
@@ -84,16 +84,31 @@
     Ok(())
 }
 
-pub(super) fn release(fleet: &mut Fleet, name: &HostName) -> Result<(), Refusal> {
+/// Lets a host serve again.
+///
+/// One that failed while it booted may still be at it, and one that is off cannot serve: these are
+/// switched off for certain and started again as soon as the power cap leaves their watts.
+pub(super) fn release(
+    fleet: &mut Fleet,
+    name: &HostName,
+    operation: &OperationId,
+) -> Result<(), Refusal> {
     let host = find_host(fleet, name)?;
     match host.phase {
         HostPhase::Held { .. } | HostPhase::Failed { .. } => {
             host.failures = 0;
-            if host.power == HostPower::Surging {
-                host.power = HostPower::Full;
-            }
-            let running = !matches!(host.power, HostPower::Off | HostPower::SwitchingOff { .. });
-            set_phase(host, if running { HostPhase::Serving } else { HostPhase::Parked });
+            let next = match host.power {
+                HostPower::Off | HostPower::SwitchingOff { .. } => HostPhase::Parked,
+                HostPower::Surging => {
+                    begin_off(host, operation);
+                    HostPhase::Parked
+                }
+                HostPower::Full
+                | HostPower::Throttling { .. }
+                | HostPower::Throttled
+                | HostPower::Lifting { .. } => HostPhase::Serving,
+            };
+            set_phase(host, next);
             Ok(())
         }
         HostPhase::Leaving { .. } => {
@@ -103,14 +118,18 @@
         }
         _ => {
             let state = doing(host);
-            Err(wrong_state(
-                "host",
-                format!("'{name}' is {state}, neither held, failed nor leaving"),
-            ))
+            let why = format!("'{name}' is {state}, neither held, failed nor leaving");
+            Err(wrong_state("host", why))
         }
     }
 }
 
+/// Has a host switched off; until the agent confirms, it counts as before.
+pub(super) fn begin_off(host: &mut Host, operation: &OperationId) {
+    let reserved = host.reserved_power();
+    host.power = HostPower::SwitchingOff { operation: operation.clone(), reserved };
+}
+
 pub(super) fn finish_leave(
     fleet: &mut Fleet,
     name: &HostName,
@@ -128,8 +147,7 @@
         }
         LeaveReason::Hold { reason } => set_phase(host, HostPhase::Held { reason }),
         LeaveReason::Power => {
-            let reserved = host.reserved_power();
-            host.power = HostPower::SwitchingOff { operation: operation.clone(), reserved };
+            begin_off(host, operation);
             set_phase(host, HostPhase::Parked);
         }
         LeaveReason::Wave { wave } => {
--- a/crates/borageswitch_planner/src/changes/mod.rs
+++ b/crates/borageswitch_planner/src/changes/mod.rs
@@ -118,7 +118,7 @@
         }
         FleetChange::MoveHost { host, to } => hosts::move_host(fleet, host, to),
         FleetChange::HoldHost { host, reason } => hosts::hold(fleet, host, reason),
-        FleetChange::ReleaseHost { host } => hosts::release(fleet, host),
+        FleetChange::ReleaseHost { host } => hosts::release(fleet, host, operation),
         FleetChange::StartWave { wave, hosts, settings } => {
             waves::start(fleet, wave, hosts, settings)
         }
--- a/crates/borageswitch_planner/src/changes/power.rs
+++ b/crates/borageswitch_planner/src/changes/power.rs
@@ -11,7 +11,11 @@
     time::UnixMillis,
 };
 
-use crate::changes::{find_host, hosts::doing, invalid, set_phase, skip_in_waves, wrong_state};
+use crate::changes::{
+    find_host,
+    hosts::{begin_off, doing},
+    invalid, set_phase, skip_in_waves, wrong_state,
+};
 
 pub(super) fn set_cap(fleet: &mut Fleet, cap: Watts) -> Result<(), Refusal> {
     if cap == Watts(0) && !fleet.hosts.is_empty() {
@@ -115,8 +119,7 @@
         | HostPower::Throttled
         | HostPower::Surging
         | HostPower::Lifting { .. } => {
-            let reserved = host.reserved_power();
-            host.power = HostPower::SwitchingOff { operation: operation.clone(), reserved };
+            begin_off(host, operation);
             Ok(())
         }
     }
