--- a/crates/borageswitch_planner/src/explain.rs
+++ b/crates/borageswitch_planner/src/explain.rs
@@ -17,8 +17,10 @@
     changes::{doing, status_word},
     steps::{
         Observed, Plan, Step,
-        hosts::{CLOCK_MARGIN, MAX_RESTARTS, READING_LAG, START_TIMEOUT},
-        moves::{self, GIVE_BACK_AFTER, MAX_MOVES},
+        hosts::{
+            CLOCK_MARGIN, FAIL_AFTER, MAX_RESTARTS, RACK_FAIL_AFTER, READING_LAG, START_TIMEOUT,
+        },
+        moves::{self, GIVE_BACK_AFTER, MAX_MOVES, REPLACE_AFTER},
         next_steps, waves,
     },
 };
@@ -224,7 +226,7 @@
     let what = match (began, expired) {
         (true, _) => "the agent has carried the command out and does not report ready yet",
         (false, false) => "the agent has not confirmed the command",
-        (false, true) => "the agent did not begin in time and is asked for its status",
+        (false, true) => "the agent may not begin it any more and has not reported its end",
     };
     format!("It has been at it for {since} of at most {limit} s: {what}.")
 }
@@ -243,7 +245,15 @@
 fn health(plan: &Plan<'_>, name: &HostName) -> Option<String> {
     let silent = plan.observed.unreachable_for(name);
     if !silent.is_zero() {
-        return Some(format!("It could not be reached for {} s.", silent.as_secs()));
+        return Some(format!(
+            "It could not be reached for {} s: it counts for no promise, after {} s a spare host \
+             may replace it, and after {} s, or {} s if its whole rack is silent, it counts as \
+             failed.",
+            silent.as_secs(),
+            REPLACE_AFTER.as_secs(),
+            FAIL_AFTER.as_secs(),
+            RACK_FAIL_AFTER.as_secs(),
+        ));
     }
     let seen = plan.observed.failing.get(name)?;
     Some(format!("It fails what it is given: {seen}."))
--- a/crates/borageswitch_planner/src/model/mod.rs
+++ b/crates/borageswitch_planner/src/model/mod.rs
@@ -65,7 +65,8 @@
     pub failed: u64,
     /// The most hosts that were out at once.
     pub most_out: u64,
-    /// Seconds in which some promise was broken, by whatever cause.
+    /// Seconds in which some pool could not have kept its promises after the loss of one more
+    /// failure domain, by whatever cause; silent hosts do not count.
     pub broken_seconds: u64,
 }
 
@@ -301,7 +302,7 @@
             .map(|pool| ledger.removable(&self.fleet.hosts_in(pool).collect::<Vec<_>>()).len())
             .sum();
         self.measures.buffer_host_seconds += idle as u64 * time.as_secs();
-        if self.kept_pools().len() < self.fleet.pools.len() {
+        if self.fleet.pools.keys().any(|pool| ledger.check_pool(pool).is_err()) {
             self.measures.broken_seconds += time.as_secs();
         }
         let waves = self.fleet.waves.values();
--- a/crates/borageswitch_planner/src/steps/power.rs
+++ b/crates/borageswitch_planner/src/steps/power.rs
@@ -117,9 +117,10 @@
     let mut missing = excess.saturating_sub(coming_free(plan.fleet));
     let hosts = by_rank(plan);
     switch_idle_off(plan, &hosts, &mut missing);
-    throttle(plan, &hosts, &mut missing, "the power cap was lowered");
+    let throttles = throttle(plan, &hosts, &mut missing, "the power cap was lowered");
     let throttling = |host: &Host| matches!(host.power, HostPower::Throttling { .. });
-    if missing > 0 && !plan.fleet.hosts.values().any(throttling) {
+    let on_their_way = throttles > 0 || plan.fleet.hosts.values().any(throttling);
+    if missing > 0 && !on_their_way {
         stop(plan, &hosts, missing);
     }
 }
@@ -138,12 +139,14 @@
     }
 }
 
+/// Throttles hosts until `missing` watts are found, and says how many.
 fn throttle<'a>(
     plan: &mut Plan<'a>,
     hosts: &[(&'a HostName, &'a Host)],
     missing: &mut u64,
     why: &str,
-) {
+) -> usize {
+    let mut throttles = 0;
     for (name, host) in hosts {
         let running = matches!(
             host.phase,
@@ -155,9 +158,11 @@
             continue;
         }
         *missing = missing.saturating_sub(gain);
+        throttles += 1;
         let why = format!("{name} is throttled: {why}");
         plan.change(FleetChange::BeginThrottle { host: HostName::clone(name) }, why);
     }
+    throttles
 }
 
 /// Stops hosts by the priority of their pools: first those without which all promises are kept.
