--- a/src/ctl/action.rs
+++ b/src/ctl/action.rs
@@ -126,7 +126,7 @@
         ("host", "list") => Listing::Hosts(get(matches, "pool")),
         ("team", "list") => Listing::Teams,
         ("wave", "list") => Listing::Waves,
-        _ => return change(matches, wanted(group, verb, matches)?),
+        _ => return change(group, verb, matches),
     };
     Some(Action::List(listing))
 }
@@ -140,7 +140,8 @@
     })
 }
 
-fn change(matches: &ArgMatches, wanted: Wanted) -> Option<Action> {
+fn change(group: &str, verb: &str, matches: &ArgMatches) -> Option<Action> {
+    let wanted = wanted(group, verb, matches)?;
     let operator = get(matches, "operator")
         .or_else(|| std::env::var("USER").ok())
         .filter(|name: &String| !name.is_empty())
@@ -148,7 +149,7 @@
     Some(Action::Change(Change {
         operation: get(matches, "operation-id").unwrap_or_else(new_operation),
         expected: get(matches, "expected-revision").map(Revision),
-        reason: get(matches, "reason")?,
+        reason: get(matches, "reason").unwrap_or_else(|| format!("{group} {verb}")),
         operator,
         wait: get(matches, "wait"),
         wanted,
@@ -196,7 +197,10 @@
         }
         "remove" => FleetChange::RemoveHost { host },
         "move" => FleetChange::MoveHost { host, to: get(matches, "to")? },
-        "hold" => FleetChange::HoldHost { host, reason: get::<String>(matches, "reason")?.into() },
+        "hold" => {
+            let reason = get::<String>(matches, "reason").unwrap_or_default();
+            FleetChange::HoldHost { host, reason: reason.into() }
+        }
         "release" => FleetChange::ReleaseHost { host },
         _ => return None,
     })
--- a/src/ctl/command.rs
+++ b/src/ctl/command.rs
@@ -17,8 +17,8 @@
 /// How long `--wait` waits when it names no time.
 const DEFAULT_WAIT: &str = "30s";
 
-/// The whole command line.
-pub(super) fn command() -> Command {
+/// The whole command line, for help and for pages about it.
+pub fn command() -> Command {
     Command::new("borageswitchctl")
         .about("Manages the fleet of a site")
         .subcommand_required(true)
@@ -64,7 +64,7 @@
             .value_parser(value_parser!(u64)),
         value("operation-id", "ID", "The same id is carried out once; a new one when not given")
             .value_parser(checked::<OperationId>()),
-        value("reason", "TEXT", "Why, for whoever asks later").default_value(""),
+        value("reason", "TEXT", "Why, for whoever asks later; the command when not given"),
         value("operator", "NAME", "Who asks; the environment's USER when not given"),
         value("wait", "TIME", "Return when the change is in force everywhere, or name who lags")
             .value_parser(time())
@@ -279,11 +279,12 @@
 }
 
 fn explain() -> Command {
-    let subject =
-        |kind: &'static str, parser: ValueParser| Command::new(kind).arg(name(kind, parser));
+    let subject = |kind: &'static str, about: &'static str, parser: ValueParser| {
+        Command::new(kind).about(about).arg(name(kind, parser))
+    };
     group("explain", "Tells why something is as it is")
-        .subcommand(subject("host", checked::<HostName>()))
-        .subcommand(subject("pool", checked::<PoolName>()))
-        .subcommand(subject("wave", checked::<WaveName>()))
-        .subcommand(subject("request", value_parser!(String)))
+        .subcommand(subject("host", "Tells why a host waits", checked::<HostName>()))
+        .subcommand(subject("pool", "Tells why a pool is as it is", checked::<PoolName>()))
+        .subcommand(subject("wave", "Tells why a wave waits", checked::<WaveName>()))
+        .subcommand(subject("request", "Tells what became of a request id", value_parser!(String)))
 }
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -14,11 +14,9 @@
 mod send;
 mod session;
 
-#[cfg(test)]
-mod tests;
-
 use std::{ffi::OsString, io::Write, sync::Arc};
 
+pub use self::command::command;
 use self::{action::Invocation, error::CtlError, session::Session};
 
 /// Carries out one command line and gives the exit code.
@@ -31,7 +29,7 @@
     O: Write,
     E: Write,
 {
-    let matches = match command::command().try_get_matches_from(args) {
+    let matches = match command().try_get_matches_from(args) {
         Ok(matches) => matches,
         Err(usage) => {
             let shown = usage.render();
--- a/src/ctl/output.rs
+++ b/src/ctl/output.rs
@@ -11,10 +11,11 @@
 
 use crate::ctl::action::{Format, Listing};
 
-/// Rows under headings, each column as wide as its widest cell.
+/// Rows under headings. A cell is a text, a number or a flag, so that programs need not read
+/// numbers out of texts.
 struct Table {
     heads: Vec<&'static str>,
-    rows: Vec<Vec<String>>,
+    rows: Vec<Vec<Value>>,
 }
 
 impl Table {
@@ -22,14 +23,13 @@
     where
         O: Write,
     {
-        let heads: Vec<String> = self.heads.iter().map(|head| (*head).to_owned()).collect();
-        let widths: Vec<usize> = (0..heads.len())
-            .map(|column| {
-                let cells = self.rows.iter().map(|row| row[column].chars().count());
-                cells.chain([heads[column].len()]).max().unwrap_or(0)
-            })
+        let heads = self.heads.iter().map(|head| (*head).to_owned()).collect();
+        let rows = self.rows.iter().map(|row| row.iter().map(shown).collect());
+        let rows: Vec<Vec<String>> = std::iter::once(heads).chain(rows).collect();
+        let widths: Vec<usize> = (0..self.heads.len())
+            .map(|column| rows.iter().map(|row| row[column].chars().count()).max().unwrap_or(0))
             .collect();
-        for row in std::iter::once(&heads).chain(&self.rows) {
+        for row in &rows {
             let cells: Vec<String> =
                 row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}")).collect();
             writeln!(out, "{}", cells.join("  ").trim_end())?;
@@ -41,13 +41,22 @@
         let keys: Vec<String> =
             self.heads.iter().map(|head| head.to_lowercase().replace(' ', "_")).collect();
         let rows = self.rows.iter().map(|row| {
-            let cells = keys.iter().cloned().zip(row.iter().map(|cell| json!(cell)));
+            let cells = keys.iter().cloned().zip(row.iter().cloned());
             Value::Object(cells.collect())
         });
         Value::Array(rows.collect())
     }
 }
 
+fn shown(cell: &Value) -> String {
+    match cell {
+        Value::String(text) => text.clone(),
+        Value::Bool(true) => "yes".to_owned(),
+        Value::Bool(false) => "no".to_owned(),
+        cell => cell.to_string(),
+    }
+}
+
 /// A change was accepted.
 pub(super) fn accepted<O>(
     out: &mut O,
@@ -130,18 +139,18 @@
 
 fn summary(fleet: &Fleet) -> Table {
     let facts = [
-        ("region", fleet.region.to_string()),
-        ("revision", fleet.revision.to_string()),
-        ("entries expected", fleet.entries_expected.to_string()),
-        ("power cap", fleet.power_cap.to_string()),
-        ("power reserved", fleet.reserved_power().to_string()),
-        ("hosts", fleet.hosts.len().to_string()),
-        ("pools", fleet.pools.len().to_string()),
-        ("services", fleet.services.len().to_string()),
-        ("teams", fleet.teams.len().to_string()),
-        ("waves", fleet.waves.len().to_string()),
+        ("region", json!(fleet.region)),
+        ("revision", json!(fleet.revision)),
+        ("entries expected", json!(fleet.entries_expected)),
+        ("power cap", json!(fleet.power_cap.to_string())),
+        ("power reserved", json!(fleet.reserved_power().to_string())),
+        ("hosts", json!(fleet.hosts.len())),
+        ("pools", json!(fleet.pools.len())),
+        ("services", json!(fleet.services.len())),
+        ("teams", json!(fleet.teams.len())),
+        ("waves", json!(fleet.waves.len())),
     ];
-    let rows = facts.map(|(fact, value)| vec![fact.to_owned(), value]);
+    let rows = facts.map(|(fact, value)| vec![json!(fact), value]);
     Table { heads: vec!["FACT", "VALUE"], rows: rows.to_vec() }
 }
 
@@ -150,12 +159,12 @@
         let serving = fleet.hosts_in(name).filter(|(_, host)| host.gives_capacity()).count();
         let hosts = fleet.hosts_in(name).count();
         vec![
-            name.to_string(),
-            pool.wanted_hosts.to_string(),
-            hosts.to_string(),
-            serving.to_string(),
-            if pool.spare { "yes" } else { "no" }.to_owned(),
-            pool.priority.to_string(),
+            json!(name),
+            json!(pool.wanted_hosts),
+            json!(hosts),
+            json!(serving),
+            json!(pool.spare),
+            json!(pool.priority),
         ]
     });
     let heads = vec!["POOL", "WANTED", "HOSTS", "SERVING", "SPARE", "PRIORITY"];
@@ -165,12 +174,12 @@
 fn services(fleet: &Fleet) -> Table {
     let rows = fleet.services.iter().map(|(name, service)| {
         vec![
-            name.to_string(),
-            service.pool.to_string(),
-            service.promised_slots.to_string(),
-            format!("{:?}", service.survives),
-            format!("{:?}", service.limits.default_deadline),
-            service.limits.queue_len.to_string(),
+            json!(name),
+            json!(service.pool),
+            json!(service.promised_slots),
+            json!(service.survives),
+            json!(format!("{:?}", service.limits.default_deadline)),
+            json!(service.limits.queue_len),
         ]
     });
     let heads = vec!["SERVICE", "POOL", "PROMISED SLOTS", "SURVIVES", "DEADLINE", "QUEUE"];
@@ -180,13 +189,13 @@
 fn hosts(fleet: &Fleet) -> Table {
     let rows = fleet.hosts.iter().map(|(name, host)| {
         vec![
-            name.to_string(),
-            host.pool.to_string(),
-            host.spec.data_centre.to_string(),
-            host.spec.rack.to_string(),
-            phase(&host.phase),
-            power(&host.power).to_owned(),
-            host.reserved_power().to_string(),
+            json!(name),
+            json!(host.pool),
+            json!(host.spec.data_centre),
+            json!(host.spec.rack),
+            json!(phase(&host.phase)),
+            json!(power(&host.power)),
+            json!(host.reserved_power().to_string()),
         ]
     });
     let heads = vec!["HOST", "POOL", "DATA CENTRE", "RACK", "PHASE", "POWER", "RESERVED"];
@@ -226,12 +235,7 @@
 fn teams(fleet: &Fleet) -> Table {
     let rows = fleet.teams.iter().map(|(name, team)| {
         let callers = fleet.callers.values().filter(|known| *known == name).count();
-        vec![
-            name.to_string(),
-            team.weight.to_string(),
-            team.slot_quota.to_string(),
-            callers.to_string(),
-        ]
+        vec![json!(name), json!(team.weight), json!(team.slot_quota), json!(callers)]
     });
     Table { heads: vec!["TEAM", "WEIGHT", "SLOT QUOTA", "CALLERS"], rows: rows.collect() }
 }
@@ -239,13 +243,13 @@
 fn waves(fleet: &Fleet) -> Table {
     let rows = fleet.waves.iter().map(|(name, wave)| {
         vec![
-            name.to_string(),
-            status(&wave.status),
-            wave.pending.len().to_string(),
-            wave.out.len().to_string(),
-            wave.done.len().to_string(),
-            wave.failed.len().to_string(),
-            wave.skipped.len().to_string(),
+            json!(name),
+            json!(status(&wave.status)),
+            json!(wave.pending.len()),
+            json!(wave.out.len()),
+            json!(wave.done.len()),
+            json!(wave.failed.len()),
+            json!(wave.skipped.len()),
         ]
     });
     let heads = vec!["WAVE", "STATUS", "PENDING", "OUT", "DONE", "FAILED", "SKIPPED"];
