Compose the dispatcher of the decisions under load

Cause: the first dispatcher is one first-come queue over dealt slots.

Change: one module a decision, composed by Dispatcher: fair queueing among teams and callers, order of priorities, early refusal and standing-queue control, run times learned by kind with slots kept for short requests, targets set aside by failures and slowness within the availability budget, slow start, retry budget, cancellation in O(log n), and slots lent between entries. A model without network plays sites of entries, callers and targets in virtual time.

Without a view the dispatcher now refuses with NotAdmitting, which is true, where it said UnknownService.

--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -4,7 +4,9 @@
 //! Each gives its figures as a table and, with `--json FILE`, as JSON. Figures that are compared
 //! come from one run, as ratios against our own baselines.
 
+mod load;
 mod report;
+mod slots;
 
 use std::{collections::BTreeMap, fs, path::PathBuf, process::ExitCode};
 
@@ -18,7 +20,18 @@
 }
 
 /// Every benchmark, in the order of a full run.
-const BENCHMARKS: &[Benchmark] = &[];
+const BENCHMARKS: &[Benchmark] = &[
+    Benchmark {
+        name: "load",
+        about: "decisions under load beside a first-come baseline, in a model without network",
+        run: load::run,
+    },
+    Benchmark {
+        name: "slots",
+        about: "waiting time and messages of slots shared among entries, in a model",
+        run: slots::run,
+    },
+];
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
--- a/crates/borageswitch_policy/src/dealing.rs
+++ b/crates/borageswitch_policy/src/dealing.rs
@@ -15,19 +15,24 @@
 /// Every entry ranks the entries by a hash of entry and host and gives each its even share; what
 /// does not divide goes to the first in rank, so that over many hosts no entry is favoured.
 pub fn deal(total: u16, host: &HostName, me: &DaemonName, entries: &[DaemonName]) -> u16 {
+    deal_by_key(total, host.as_str(), me, entries)
+}
+
+/// The same for whatever is shared under a key, such as a team's quota.
+pub fn deal_by_key(total: u16, key: &str, me: &DaemonName, entries: &[DaemonName]) -> u16 {
     let count = entries.len() as u16;
     if count == 0 || !entries.contains(me) {
         return 0;
     }
     let (share, left) = (total / count, total % count);
-    let mine = score(host, me);
-    let before = entries.iter().filter(|e| (score(host, e), *e) < (mine, me)).count();
+    let mine = score(key, me);
+    let before = entries.iter().filter(|e| (score(key, e), *e) < (mine, me)).count();
     share + u16::from(before < usize::from(left))
 }
 
-fn score(host: &HostName, entry: &DaemonName) -> u64 {
+fn score(key: &str, entry: &DaemonName) -> u64 {
     let mut hasher = FxHasher::default();
-    host.hash(&mut hasher);
+    key.hash(&mut hasher);
     entry.hash(&mut hasher);
     hasher.finish()
 }
