Measure what a daemon adds to a request

Cause: the issue asks for added median <= 0.2 ms, 99th percentile <= 1 ms at half load, 30,000 small requests a second and flat memory. Change: a benchmark whose callers and targets are blocking threads.

--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -4,6 +4,7 @@
 //! Each gives its figures as a table and, with `--json FILE`, as JSON. Figures that are compared
 //! come from one run, as ratios against our own baselines.
 
+mod latency;
 mod load;
 mod report;
 mod slots;
@@ -21,6 +22,11 @@
 
 /// Every benchmark, in the order of a full run.
 const BENCHMARKS: &[Benchmark] = &[
+    Benchmark {
+        name: "latency",
+        about: "what a daemon adds to a request, and how many pass through one",
+        run: latency::run,
+    },
     Benchmark {
         name: "load",
         about: "decisions under load beside a first-come baseline, in a model without network",
