Place jobs as tasks under leases, and measure waves

Cause: jobs of teams had no place, and the planner's claims no measurement. Change: placement is a reducer of its own: quotas and turns of teams, urgent work by a reserve and by jobs that give way after a checkpoint, sizes and run times learned, hosts that fail everything set aside, jobs that can never run refused with what they lack, cancellations in bulk, leases renewed once a host, and for a job that must not run twice an intent recorded before its one start. A benchmark runs waves of both sites against the baselines and times planning steps.

--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -8,6 +8,7 @@
 mod load;
 mod report;
 mod slots;
+mod waves;
 
 use std::{collections::BTreeMap, fs, path::PathBuf, process::ExitCode};
 
@@ -37,6 +38,11 @@
         about: "waiting time and messages of slots shared among entries, in a model",
         run: slots::run,
     },
+    Benchmark {
+        name: "waves",
+        about: "waves against simpler ways, and the cost of a planning step",
+        run: waves::run,
+    },
 ];
 
 fn main() -> ExitCode {
--- a/crates/borageswitch_planner/src/explain.rs
+++ b/crates/borageswitch_planner/src/explain.rs
@@ -121,7 +121,7 @@
 }
 
 /// The host that a change is about.
-fn subject(change: &FleetChange) -> Option<&HostName> {
+pub(crate) fn subject(change: &FleetChange) -> Option<&HostName> {
     match change {
         FleetChange::AddHost { host, .. }
         | FleetChange::RemoveHost { host }
--- /dev/null
+++ b/crates/borageswitch_planner/src/placement/mod.rs
@@ -0,0 +1,431 @@
+//! Places jobs as tasks under leases on the hosts' agents.
+//!
+//! [`Placement`] is a reducer of its own: an [`Event`] goes in with the time, [`Effect`]s come out,
+//! and its whole state is one value that can be stored. It knows no network, clock or store.
+//!
+//! - [`job`]: jobs and how they stand.
+//! - [`learned`]: what jobs of a kind really take.
+//! - [`leases`]: when the tasks of a silent host have stopped for certain.
+//! - [`hosts`]: room and trust.
+//! - [`queue`]: whose turn it is.
+//! - [`pass`]: where a job goes, and who gives way.
+//! - [`events`]: what each event makes of a job.
+//!
+//! # At most once
+//!
+//! A job that is not idempotent, such as a payroll run, is started at most once. The intent, with
+//! host and operation id, is recorded ([`Effect::Record`]) before the start leaves
+//! ([`Effect::Start`]). From then on the job goes back to the queue only if the agent says that it
+//! did not and will not start it ([`Event::NotStarted`]); if the host is gone before it has said
+//! so, the job ends as [`Outcome::Unknown`](job::Outcome::Unknown) and people decide. A holder that
+//! takes over cannot know whether the start of a recorded intent has left, so
+//! [`Placement::recover`] asks the agent and starts nothing.
+//!
+//! # Urgent work
+//!
+//! Urgent work starts within [`URGENT_START`] because a share of each host is kept from all other
+//! work, and where that is not enough, jobs that may run again give way, the least urgent first,
+//! after a checkpoint that may take [`CHECKPOINT_LIMIT`] at the most.
+
+pub mod events;
+pub mod hosts;
+pub mod job;
+pub mod learned;
+pub mod leases;
+pub mod pass;
+pub mod queue;
+
+#[cfg(test)]
+mod tests;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use borageswitch_types::{
+    Time,
+    fleet::Reason,
+    names::{HostName, JobName, OperationId, TeamName},
+};
+
+use crate::placement::{
+    hosts::{HostRoom, Hosts},
+    job::{Job, JobRecord, JobState, Outcome, Size},
+    learned::Learned,
+    leases::Lease,
+    queue::Queue,
+};
+
+/// Within this time urgent work has to start.
+pub const URGENT_START: Duration = Duration::from_millis(2_400);
+/// How long a job that gives way may write its checkpoint. What is left of [`URGENT_START`] is for
+/// the stop, for recording the intent and for the start.
+pub const CHECKPOINT_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// What a team may use at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct TeamQuota {
+    /// Weight against the other teams that wait.
+    pub weight: u32,
+    /// The most that its jobs hold at once, over all pools.
+    pub limit: Size,
+}
+
+/// What happens to jobs and hosts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A team submits a job; a known name changes nothing.
+    Submit {
+        /// Its name.
+        name: JobName,
+        /// The job.
+        job: Job,
+    },
+    /// A job is no longer wanted.
+    Cancel {
+        /// Its name.
+        name: JobName,
+    },
+    /// All jobs of a team are no longer wanted.
+    CancelTeam {
+        /// The team.
+        team: TeamName,
+    },
+    /// The intent to start a job is recorded.
+    Recorded {
+        /// The job.
+        name: JobName,
+        /// The start.
+        operation: OperationId,
+    },
+    /// The intent to start a job is certainly not recorded and will not be.
+    NotRecorded {
+        /// The job.
+        name: JobName,
+        /// The start.
+        operation: OperationId,
+    },
+    /// An agent has started a job.
+    Started {
+        /// The job.
+        name: JobName,
+        /// The start.
+        operation: OperationId,
+    },
+    /// An agent has not started a job and never will under this operation.
+    NotStarted {
+        /// The job.
+        name: JobName,
+        /// The start.
+        operation: OperationId,
+    },
+    /// An agent reports what a job uses, with a lag.
+    Usage {
+        /// The job.
+        name: JobName,
+        /// The start.
+        operation: OperationId,
+        /// The most that it has used so far.
+        peak: Size,
+    },
+    /// A job has written its checkpoint.
+    Checkpointed {
+        /// The job.
+        name: JobName,
+        /// The start.
+        operation: OperationId,
+    },
+    /// A job was stopped before its end.
+    Stopped {
+        /// The job.
+        name: JobName,
+        /// The start.
+        operation: OperationId,
+    },
+    /// A job has ended by itself.
+    Finished {
+        /// The job.
+        name: JobName,
+        /// The start.
+        operation: OperationId,
+        /// What went wrong, if anything.
+        failure: Option<Reason>,
+    },
+    /// A host joins or has changed; one that leaves has its jobs end, or checkpointed and moved.
+    HostSet {
+        /// The host.
+        name: HostName,
+        /// What it has.
+        host: HostRoom,
+    },
+    /// An agent has renewed the leases of its host's tasks.
+    KeptAlive {
+        /// The host.
+        name: HostName,
+        /// When it was asked to, as [`Effect::KeepAlive`] told.
+        asked: Time,
+    },
+    /// A host is switched off or rebooted for certain: none of its tasks runs any more.
+    HostGone {
+        /// The host.
+        name: HostName,
+    },
+    /// A team's quota is set.
+    QuotaSet {
+        /// The team.
+        team: TeamName,
+        /// The quota.
+        quota: TeamQuota,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Record the intent to start a job, so that it lasts.
+    Record {
+        /// The job.
+        name: JobName,
+        /// The host.
+        host: HostName,
+        /// The start.
+        operation: OperationId,
+    },
+    /// Tell an agent to start a job.
+    Start {
+        /// The job.
+        name: JobName,
+        /// The host.
+        host: HostName,
+        /// The start.
+        operation: OperationId,
+        /// What the agent lets it have.
+        size: Size,
+    },
+    /// Ask an agent to renew the leases of its host's tasks.
+    KeepAlive {
+        /// The host.
+        host: HostName,
+        /// Now; the answer carries it back.
+        asked: Time,
+    },
+    /// Ask an agent what has become of a start.
+    Ask {
+        /// The job.
+        name: JobName,
+        /// The host.
+        host: HostName,
+        /// The start.
+        operation: OperationId,
+    },
+    /// Tell an agent to have a job write its checkpoint.
+    Checkpoint {
+        /// The job.
+        name: JobName,
+        /// The host.
+        host: HostName,
+        /// The start.
+        operation: OperationId,
+    },
+    /// Tell an agent to stop a job.
+    Stop {
+        /// The job.
+        name: JobName,
+        /// The host.
+        host: HostName,
+        /// The start.
+        operation: OperationId,
+    },
+    /// Tell whoever submitted a job how it has ended.
+    Answer {
+        /// The job.
+        name: JobName,
+        /// How.
+        outcome: Outcome,
+    },
+}
+
+/// Every job, host and quota of a region.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Placement {
+    jobs: BTreeMap<JobName, JobRecord>,
+    hosts: Hosts,
+    quotas: BTreeMap<TeamName, TeamQuota>,
+    learned: Learned,
+    leases: BTreeMap<HostName, Lease>,
+    queue: Queue,
+    /// What is reserved on each host and by each team, kept beside the jobs so that a placement
+    /// need not count them.
+    held: Held,
+    sequence: u64,
+    operations: u64,
+}
+
+/// What is reserved.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+struct Held {
+    jobs: BTreeMap<HostName, BTreeMap<JobName, Size>>,
+    hosts: BTreeMap<HostName, Size>,
+    teams: BTreeMap<TeamName, Size>,
+}
+
+impl Held {
+    fn hold(&mut self, name: &JobName, record: &JobRecord) {
+        let Some(host) = record.state.host() else { return };
+        self.jobs.entry(host.clone()).or_default().insert(name.clone(), record.size);
+        let by_host = self.hosts.entry(host.clone()).or_default();
+        *by_host = by_host.plus(&record.size);
+        let by_team = self.teams.entry(record.job.team.clone()).or_default();
+        *by_team = by_team.plus(&record.size);
+    }
+
+    fn let_go(&mut self, name: &JobName, record: &JobRecord) {
+        let Some(host) = record.state.host() else { return };
+        if let Some(by_host) = self.hosts.get_mut(host) {
+            *by_host = by_host.minus(&record.size);
+        }
+        if let Some(by_team) = self.teams.get_mut(&record.job.team) {
+            *by_team = by_team.minus(&record.size);
+        }
+        let Some(jobs) = self.jobs.get_mut(host) else { return };
+        jobs.remove(name);
+        if jobs.is_empty() {
+            self.jobs.remove(host);
+            self.hosts.remove(host);
+        }
+    }
+}
+
+impl Placement {
+    /// A placement without jobs and hosts.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Handles one event at `now` and gives what is to be done because of it.
+    ///
+    /// # Panics
+    ///
+    /// If a job that is not idempotent would be started twice.
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        // What only follows a start frees no room, and a pass over the queue is not free.
+        let follows_start = matches!(
+            event,
+            Event::Recorded { .. }
+                | Event::Started { .. }
+                | Event::Usage { .. }
+                | Event::Checkpointed { .. }
+                | Event::KeptAlive { .. }
+        );
+        self.take_event(now, event, &mut effects);
+        if !follows_start {
+            self.place(now, &mut effects);
+        }
+        #[cfg(debug_assertions)]
+        self.check();
+        effects
+    }
+
+    /// What a holder that takes over does first: it knows only what was recorded.
+    ///
+    /// A start whose intent was recorded may have left or not. The agent is asked; nothing is
+    /// started before it has answered.
+    pub fn recover(&mut self, now: Time) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        // The clock is another one, and the last holder may have renewed leases a moment ago.
+        self.leases = self.held.jobs.keys().map(|host| (host.clone(), Lease::new(now))).collect();
+        let names: Vec<JobName> = self.jobs.keys().cloned().collect();
+        for name in names {
+            let Some(record) = self.jobs.get_mut(&name) else { continue };
+            if let JobState::Intended { host, operation } = record.state.clone() {
+                record.state = JobState::Starting { host, operation, since: now };
+                // It counts as started: a second start must not leave before the agent has said
+                // that the first has not happened.
+                record.starts += 1;
+            }
+            let (Some(host), Some(operation)) = (record.state.host(), record.state.operation())
+            else {
+                continue;
+            };
+            let (host, operation) = (host.clone(), operation.clone());
+            effects.push(Effect::Ask { name, host, operation });
+        }
+        effects
+    }
+
+    /// How a job stands.
+    pub fn job(&self, name: &JobName) -> Option<&JobRecord> {
+        self.jobs.get(name)
+    }
+
+    /// Forgets a job that has ended, once whoever submitted it knows.
+    pub fn forget(&mut self, name: &JobName) {
+        if self.jobs.get(name).is_some_and(|record| matches!(record.state, JobState::Ended(_))) {
+            self.jobs.remove(name);
+        }
+    }
+
+    /// How many jobs wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// What jobs hold of a host.
+    pub fn held_on(&self, host: &HostName) -> Size {
+        self.held.hosts.get(host).copied().unwrap_or_default()
+    }
+
+    fn held_by(&self, team: &TeamName) -> Size {
+        self.held.teams.get(team).copied().unwrap_or_default()
+    }
+
+    fn jobs_on(&self, host: &HostName) -> impl Iterator<Item = &JobName> {
+        self.held.jobs.get(host).into_iter().flat_map(BTreeMap::keys)
+    }
+
+    /// Brings a job to a new state, and what is reserved for it and its place in the queue along.
+    fn set_state(&mut self, name: &JobName, state: JobState) {
+        let Some(record) = self.jobs.get_mut(name) else { return };
+        self.held.let_go(name, record);
+        record.state = state;
+        self.held.hold(name, record);
+        self.queue.remove(&record.job, record.sequence);
+        if matches!(record.state, JobState::Waiting { .. }) {
+            record.peak = None;
+            self.queue.insert(&record.job, record.sequence, name);
+        }
+    }
+
+    /// Reserves another size for a job.
+    fn set_size(&mut self, name: &JobName, size: Size) {
+        let Some(record) = self.jobs.get_mut(name) else { return };
+        self.held.let_go(name, record);
+        record.size = size;
+        self.held.hold(name, record);
+    }
+
+    fn new_operation(&mut self, name: &JobName) -> OperationId {
+        self.operations += 1;
+        OperationId::from(format!("{name}-{}", self.operations))
+    }
+
+    /// Checks the tallies against the jobs; a tally that drifts would overfill a host or starve a
+    /// team without any error to show for it.
+    #[cfg(debug_assertions)]
+    fn check(&self) {
+        let mut held = Held::default();
+        for (name, record) in &self.jobs {
+            held.hold(name, record);
+        }
+        let teams = &mut self.held.teams.clone();
+        teams.retain(|_, size| *size != Size::default());
+        held.teams.retain(|_, size| *size != Size::default());
+        assert_eq!(held.jobs, self.held.jobs, "the jobs of hosts have drifted");
+        assert_eq!(held.hosts, self.held.hosts, "what hosts hold has drifted");
+        assert_eq!(held.teams, *teams, "what teams hold has drifted");
+        let waiting =
+            self.jobs.values().filter(|r| matches!(r.state, JobState::Waiting { .. })).count();
+        assert_eq!(waiting, self.queue.len(), "the queue has drifted");
+    }
+}
