Replace silent connections, keep waits for the store out of the slots

Cause: a path that forgets its open connections swallows every request sent on them until its deadline, and during an outage of the store each non-idempotent request held a slot for the time of its claim. Change: kernel probes on connections to targets; a rule that breaks a connection off only when its request has waited far beyond its kind and a newer connection has answered, with a probe when all slots are silent; after a claim without an outcome, such requests wait before they queue.

--- a/crates/borageswitch_edge/src/traffic/mod.rs
+++ b/crates/borageswitch_edge/src/traffic/mod.rs
@@ -9,10 +9,11 @@
 //!    large one streams and is sent once.
 //! 4. [`queue`] puts the request before the dispatcher of its service, which decides when and
 //!    where it starts, or that it is refused.
-//! 5. [`exchange`] carries the decisions out: claims the id of a non-idempotent request, sends,
-//!    waits, and tells the dispatcher how each try ended.
+//! 5. [`exchange`] carries the decisions out and tells the dispatcher how each try ended; one try
+//!    is an [`attempt`]: it claims the id of a non-idempotent request, sends and waits.
 //! 6. [`pool`] and [`target_conn`] keep connections to targets. A connection belongs to one
-//!    exchange at a time, and is closed when that exchange is given up.
+//!    exchange at a time, and is closed when that exchange is given up. [`silence`] decides when
+//!    one counts as lost.
 //! 7. [`answer_body`] streams a target's answer back; [`answer`] makes the answers of our own.
 //!
 //! [`Traffic`] is the handle by which the daemon starts all this, hands in new views of the fleet
@@ -20,6 +21,7 @@
 
 mod answer;
 mod answer_body;
+mod attempt;
 mod claims;
 mod config;
 mod core;
@@ -31,6 +33,7 @@
 mod report;
 mod request_body;
 mod shutdown;
+mod silence;
 mod stats;
 mod target_conn;
 
--- a/crates/borageswitch_edge/src/traffic/stats.rs
+++ b/crates/borageswitch_edge/src/traffic/stats.rs
@@ -39,6 +39,8 @@
     pub retries: u64,
     /// Connections to targets that were opened.
     pub target_connections_opened: u64,
+    /// Connections to targets that were given up as silent.
+    pub target_connections_silent: u64,
     /// Time from head to the end of the answer, in microseconds.
     pub latency_micros: Histogram<u64>,
     /// Time from the offer to the first start on a target, in microseconds.
@@ -60,6 +62,7 @@
     answered: AtomicU64,
     retries: AtomicU64,
     opened: AtomicU64,
+    silent: AtomicU64,
     errors: [AtomicU64; ErrorKind::ALL.len()],
     shards: Vec<Mutex<Shard>>,
 }
@@ -82,6 +85,7 @@
             answered: AtomicU64::new(0),
             retries: AtomicU64::new(0),
             opened: AtomicU64::new(0),
+            silent: AtomicU64::new(0),
             errors: std::array::from_fn(|_| AtomicU64::new(0)),
             shards: (0..SHARDS).map(|_| shard()).collect(),
         }
@@ -141,6 +145,10 @@
         self.opened.fetch_add(1, Ordering::Relaxed);
     }
 
+    pub(super) fn target_connections_silent(&self, count: u32) {
+        self.silent.fetch_add(u64::from(count), Ordering::Relaxed);
+    }
+
     pub(super) fn snapshot(&self) -> TrafficStats {
         let mut latency_micros = histogram();
         let mut wait_micros = histogram();
@@ -163,6 +171,7 @@
             errors,
             retries: self.retries.load(Ordering::Relaxed),
             target_connections_opened: self.opened.load(Ordering::Relaxed),
+            target_connections_silent: self.silent.load(Ordering::Relaxed),
             latency_micros,
             wait_micros,
         }
--- a/crates/borageswitch_edge/src/traffic/target_conn.rs
+++ b/crates/borageswitch_edge/src/traffic/target_conn.rs
@@ -7,36 +7,46 @@
 use std::{
     future::poll_fn,
     io,
-    net::{SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr, TcpStream},
     pin::{Pin, pin},
+    sync::Arc,
     task::{Context, Poll},
     time::{Duration, Instant},
 };
 
 use async_io::Async;
+use futures_lite::io::{AsyncRead, AsyncWrite};
 use http::{Request, Response};
 use hyper::{
     body::Incoming,
     client::conn::http1::{self, Connection, SendRequest},
 };
+use rustix::net::sockopt;
 use smol_hyper::rt::FuturesIo;
 
 use super::request_body::{RequestBody, before};
 
 /// Boxed, for connections move between pool and exchanges and it is large.
-type Driver = Box<Connection<FuturesIo<Async<TcpStream>>, RequestBody>>;
+type Driver = Box<Connection<FuturesIo<SharedStream>, RequestBody>>;
 
 /// The most bytes of an answer's head or of one chunk that are buffered.
 const MAX_BUF: usize = 64 << 10;
+/// When the path has lost a connection, the kernel's probes stay unanswered and end it after
+/// about eleven seconds; a target that merely takes long answers them without noticing.
+const PROBE_AFTER: Duration = Duration::from_secs(5);
+const PROBE_EVERY: Duration = Duration::from_secs(2);
+const PROBES: u32 = 3;
+/// The same for bytes that were sent and not acknowledged.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(11);
 
 /// A connection to a target.
 pub(super) struct TargetConn {
     sender: SendRequest<RequestBody>,
     /// Nothing once the connection has ended.
     driver: Option<Driver>,
+    stream: SharedStream,
     pub(super) opened: Instant,
     pub(super) idle_since: Instant,
-    pub(super) reused: bool,
 }
 
 /// Why a request has no answer.
@@ -48,6 +58,10 @@
     Lost(hyper::Error),
 }
 
+/// The socket, shared between the connection and whoever may have to break it off.
+#[derive(Clone)]
+pub(super) struct SharedStream(Arc<Async<TcpStream>>);
+
 impl TargetConn {
     /// Connects to `address` before `end`.
     ///
@@ -58,19 +72,20 @@
         let stream = before(end, Async::<TcpStream>::connect(address))
             .await
             .unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
-        stream.get_ref().set_nodelay(true)?;
+        prepare(stream.get_ref())?;
+        let stream = SharedStream(Arc::new(stream));
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_BUF)
-            .handshake(FuturesIo::new(stream))
+            .handshake(FuturesIo::new(stream.clone()))
             .await
             .map_err(io::Error::other)?;
         let now = Instant::now();
         Ok(Self {
             sender: handshake.0,
             driver: Some(Box::new(handshake.1)),
+            stream,
             opened: now,
             idle_since: now,
-            reused: false,
         })
     }
 
@@ -110,6 +125,20 @@
         now.saturating_duration_since(self.idle_since) > idle_age
             || now.saturating_duration_since(self.opened) > total_age
     }
+
+    pub(super) fn stream(&self) -> SharedStream {
+        self.stream.clone()
+    }
+}
+
+fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, PROBE_AFTER)?;
+    sockopt::set_tcp_keepintvl(stream, PROBE_EVERY)?;
+    sockopt::set_tcp_keepcnt(stream, PROBES)?;
+    sockopt::set_tcp_user_timeout(stream, UNACKNOWLEDGED.as_millis() as u32)?;
+    Ok(())
 }
 
 fn drive(driver: &mut Option<Driver>, cx: &mut Context<'_>) {
@@ -120,3 +149,47 @@
         *driver = None;
     }
 }
+
+impl SharedStream {
+    /// Ends the connection under the exchange that uses it.
+    pub(super) fn break_off(&self) {
+        // It fails only if the connection has ended already.
+        let _ = self.0.get_ref().shutdown(Shutdown::Both);
+    }
+}
+
+impl AsyncRead for SharedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for SharedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_write_vectored(cx, bufs)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.0).poll_flush(cx)
+    }
+
+    fn poll_close(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.0).poll_close(cx)
+    }
+}
--- a/crates/borageswitch_edge/tests/traffic/main.rs
+++ b/crates/borageswitch_edge/tests/traffic/main.rs
@@ -7,5 +7,7 @@
 mod claims;
 mod http2;
 mod not_run;
+mod retries;
+mod silence;
 mod stopping;
 mod support;
