End a slow reader's hold on a slot, let a payroll outlive its caller

Cause: hyper stops polling an answer's body while its caller does not read, so the deadline was not looked at and the slot stayed taken; and a caller that went away freed the slot of a payroll that its target still ran, so that a drain could reboot the host under it. Change: a task ends a streaming answer at its deadline; a try that must not be repeated runs on by itself; a daemon is idle only when such tries have ended too. Both are shown by a test.

--- a/crates/borageswitch_edge/src/traffic/answer_body.rs
+++ b/crates/borageswitch_edge/src/traffic/answer_body.rs
@@ -2,7 +2,8 @@
 
 use std::{
     pin::Pin,
-    task::{Context, Poll},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Context, Poll, ready},
     time::Instant,
 };
 
@@ -11,7 +12,7 @@
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-use smol::Timer;
+use smol::{Task, Timer};
 
 use super::{exchange::Started, pool::Lease};
 
@@ -29,9 +30,16 @@
 pub(super) struct StreamingAnswer {
     incoming: Incoming,
     status: u16,
-    deadline: Timer,
-    /// Nothing once the answer has ended.
-    exchange: Option<(Started, Lease)>,
+    phase: Arc<Mutex<Phase>>,
+    /// Ends the answer at its deadline; dropping it stops that.
+    _deadline: Task<()>,
+}
+
+/// How far a streaming answer has come.
+enum Phase {
+    Flowing(Started, Lease),
+    Whole,
+    BrokenOff(ErrorKind),
 }
 
 /// An answer ended before its end. The caller's connection or stream is broken off, which is the
@@ -50,15 +58,24 @@
     pub(super) fn streaming(
         incoming: Incoming,
         status: u16,
-        deadline: Instant,
+        end: Instant,
         started: Started,
         lease: Lease,
     ) -> Self {
+        let executor = Arc::clone(started.executor());
+        let phase = Arc::new(Mutex::new(Phase::Flowing(started, lease)));
+        // A caller that stops reading also stops the library from asking for the rest, so nobody
+        // would look at the clock, and the slot would be taken for as long as the caller likes.
+        let at_end = Arc::clone(&phase);
+        let deadline = executor.spawn(async move {
+            Timer::at(end).await;
+            break_off(&at_end, ErrorKind::TargetTimeout);
+        });
         AnswerBody::Streaming(Box::new(StreamingAnswer {
             incoming,
             status,
-            deadline: Timer::at(deadline),
-            exchange: Some((started, lease)),
+            phase,
+            _deadline: deadline,
         }))
     }
 }
@@ -68,44 +85,55 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerEndedEarly>>> {
-        let Some((_, lease)) = &mut self.exchange else { return Poll::Ready(None) };
-        lease.conn().drive(cx);
-        match Pin::new(&mut self.incoming).poll_frame(cx) {
-            Poll::Ready(Some(Ok(frame))) => {
+        match &mut *lock(&self.phase) {
+            Phase::Flowing(_, lease) => lease.conn().drive(cx),
+            Phase::Whole => return Poll::Ready(None),
+            Phase::BrokenOff(kind) => return Poll::Ready(Some(Err(AnswerEndedEarly(*kind)))),
+        }
+        match ready!(Pin::new(&mut self.incoming).poll_frame(cx)) {
+            Some(Ok(frame)) => {
                 if self.incoming.is_end_stream() {
                     self.end_whole(cx);
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(Some(Err(_))) => self.break_off(ErrorKind::TargetLost),
-            Poll::Ready(None) => {
+            Some(Err(_)) => {
+                break_off(&self.phase, ErrorKind::TargetLost);
+                Poll::Ready(Some(Err(AnswerEndedEarly(ErrorKind::TargetLost))))
+            }
+            None => {
                 self.end_whole(cx);
                 Poll::Ready(None)
             }
-            Poll::Pending if Pin::new(&mut self.deadline).poll(cx).is_ready() => {
-                self.break_off(ErrorKind::TargetTimeout)
-            }
-            Poll::Pending => Poll::Pending,
         }
     }
 
     fn end_whole(&mut self, cx: &mut Context<'_>) {
-        let Some((started, mut lease)) = self.exchange.take() else { return };
-        lease.conn().drive(cx);
-        lease.give_back();
-        started.finish(Outcome::Answered { status: self.status });
+        let ended = std::mem::replace(&mut *lock(&self.phase), Phase::Whole);
+        if let Phase::Flowing(started, mut lease) = ended {
+            lease.conn().drive(cx);
+            lease.give_back();
+            started.finish(Outcome::Answered { status: self.status });
+        }
     }
+}
 
-    fn break_off(
-        &mut self,
-        kind: ErrorKind,
-    ) -> Poll<Option<Result<Frame<Bytes>, AnswerEndedEarly>>> {
-        if let Some((started, lease)) = self.exchange.take() {
-            drop(lease);
-            started.finish(Outcome::Failed { kind, ran: Ran::Unknown, retryable: false });
-        }
-        Poll::Ready(Some(Err(AnswerEndedEarly(kind))))
+/// Closes the connection of an answer that still flows, and frees its slot.
+fn break_off(phase: &Mutex<Phase>, kind: ErrorKind) {
+    let mut phase = lock(phase);
+    if !matches!(*phase, Phase::Flowing(..)) {
+        return;
     }
+    let broken = std::mem::replace(&mut *phase, Phase::BrokenOff(kind));
+    drop(phase);
+    if let Phase::Flowing(started, lease) = broken {
+        drop(lease);
+        started.finish(Outcome::Failed { kind, ran: Ran::Unknown, retryable: false });
+    }
+}
+
+fn lock(phase: &Mutex<Phase>) -> MutexGuard<'_, Phase> {
+    phase.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Body for AnswerBody {
@@ -126,7 +154,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             AnswerBody::Whole(bytes) => bytes.is_empty(),
-            AnswerBody::Streaming(body) => body.exchange.is_none(),
+            AnswerBody::Streaming(body) => matches!(*lock(&body.phase), Phase::Whole),
         }
     }
 
--- a/crates/borageswitch_edge/src/traffic/config.rs
+++ b/crates/borageswitch_edge/src/traffic/config.rs
@@ -40,7 +40,7 @@
             clock_start: Instant::now(),
             max_connections: 10_000,
             max_head: 32 << 10,
-            head_timeout: Duration::from_secs(10),
+            head_timeout: Duration::from_secs(75),
             body_timeout: Duration::from_secs(10),
             connect_timeout: Duration::from_secs(1),
             claim_hold: Duration::from_millis(500),
@@ -82,7 +82,9 @@
         max_connections: usize,
         /// The largest head of a request, in bytes; at least 8,192.
         max_head: usize,
-        /// How long a caller may take over one head, the time between requests included.
+        /// How long a caller may take over one head, the time between requests included. Whoever
+        /// keeps connections to the entry must drop idle ones sooner, or a request may meet the
+        /// close.
         head_timeout: Duration,
         /// How long a caller may let its body stall.
         body_timeout: Duration,
--- a/crates/borageswitch_edge/src/traffic/exchange.rs
+++ b/crates/borageswitch_edge/src/traffic/exchange.rs
@@ -1,7 +1,10 @@
 //! One request from its head to its answer.
 
 use std::{
+    net::SocketAddr,
+    pin::Pin,
     sync::Arc,
+    task::{Context, Poll, ready},
     time::{Duration, Instant},
 };
 
@@ -15,6 +18,7 @@
 use bytes::Bytes;
 use http::{HeaderName, Method, Request, Response, Version, header, request::Parts, response};
 use hyper::body::Incoming;
+use smol::{Executor, Task};
 
 use super::{
     answer::{self, Refusal},
@@ -67,6 +71,9 @@
     ended: bool,
 }
 
+/// A task that runs on when nobody waits for it any more.
+struct Outliving<T>(Option<Task<T>>);
+
 /// Answers one request.
 pub(super) async fn serve(core: Arc<Core>, req: Request<Incoming>) -> Response<AnswerBody> {
     let h1 = req.version() < Version::HTTP_2;
@@ -163,7 +170,9 @@
                 _ => self.core.stats.retried(),
             }
             tries += 1;
-            let failure = match self.attempt(address, body).await {
+            let (exchange, started, result) = self.attempt_with(started, address, body).await;
+            self = exchange;
+            let failure = match result {
                 Ok(Answer::Whole(res)) => return Ok(self.pass_on(res, started)),
                 Ok(Answer::Streaming(res, lease)) => return Ok(self.stream(res, started, lease)),
                 Err(failure) => failure,
@@ -185,6 +194,28 @@
         }
     }
 
+    /// Makes one try.
+    ///
+    /// A try that must not be repeated goes on to its end although the caller may go away: the
+    /// target goes on with it too, and were its slot free, a drain would reboot the host under it.
+    async fn attempt_with(
+        mut self,
+        started: Started,
+        address: SocketAddr,
+        body: RequestBody,
+    ) -> (Exchange, Started, Result<Answer, Failure>) {
+        let harmless = self.idempotent;
+        let executor = Arc::clone(&self.core.executor);
+        let attempt = async move {
+            let result = self.attempt(address, body).await;
+            (self, started, result)
+        };
+        if harmless {
+            return attempt.await;
+        }
+        Outliving(Some(executor.spawn(attempt))).await
+    }
+
     async fn decision(&self, input: DispatchInput) -> Result<Decision, Refusal> {
         let decision = match self.queue.ask(self.core.now(), self.ticket, input) {
             Pending::Now(decision) => return Ok(decision),
@@ -244,6 +275,10 @@
 }
 
 impl Started {
+    pub(super) fn executor(&self) -> &Arc<Executor<'static>> {
+        &self.core.executor
+    }
+
     /// Tells how the try ended; nothing more is decided about the request.
     pub(super) fn finish(mut self, outcome: Outcome) {
         self.end(outcome);
@@ -267,6 +302,25 @@
     }
 }
 
+impl<T> Future for Outliving<T> {
+    type Output = T;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<T> {
+        let task = self.0.as_mut().expect("polled after its end");
+        let output = ready!(Pin::new(task).poll(cx));
+        self.0 = None;
+        Poll::Ready(output)
+    }
+}
+
+impl<T> Drop for Outliving<T> {
+    fn drop(&mut self) {
+        if let Some(task) = self.0.take() {
+            task.detach();
+        }
+    }
+}
+
 impl Drop for Started {
     fn drop(&mut self) {
         if !self.ended {
--- a/crates/borageswitch_edge/src/traffic/listener.rs
+++ b/crates/borageswitch_edge/src/traffic/listener.rs
@@ -16,6 +16,7 @@
     server::conn::{http1, http2},
     service::service_fn,
 };
+use rustix::net::sockopt;
 use smol::Timer;
 use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
 
@@ -35,6 +36,8 @@
 /// A connection over HTTP/2 that answers no ping for this long has gone.
 const PING_EVERY: Duration = Duration::from_secs(10);
 const PING_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a caller may leave an answer unread.
+const READ_TIMEOUT: Duration = Duration::from_secs(60);
 /// Fewer bytes than this no HTTP/1.1 parser of ours may be given.
 const MIN_HEAD: usize = 8 << 10;
 
@@ -82,7 +85,8 @@
     drop(socket);
     Timer::after(core.cfg.linger).await;
     core.shutdown.close_idle();
-    while core.stats.open_connections() > 0 {
+    // A request may outlive its connection, see `exchange`.
+    while core.stats.open_connections() > 0 || core.stats.unfinished() > 0 {
         Timer::after(ACCEPT_AGAIN).await;
     }
     core.end_threads();
@@ -121,7 +125,7 @@
 }
 
 async fn serve_connection(core: &Arc<Core>, stream: Async<TcpStream>) -> io::Result<()> {
-    stream.get_ref().set_nodelay(true)?;
+    prepare(stream.get_ref())?;
     let end = Instant::now() + core.cfg.head_timeout;
     let protocol = before(end, peek_protocol(&stream)).await;
     let protocol = protocol.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
@@ -157,6 +161,15 @@
     ended.map_err(io::Error::other)
 }
 
+/// A caller that reads nothing, or that has vanished, is cut off by the kernel.
+fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, PING_EVERY)?;
+    sockopt::set_tcp_user_timeout(stream, READ_TIMEOUT.as_millis() as u32)?;
+    Ok(())
+}
+
 async fn peek_protocol(stream: &Async<TcpStream>) -> io::Result<Protocol> {
     let mut buf = [0; HTTP2_BEGINS.len()];
     loop {
--- a/crates/borageswitch_edge/src/traffic/mod.rs
+++ b/crates/borageswitch_edge/src/traffic/mod.rs
@@ -139,8 +139,10 @@
         self.core.shutdown.begin();
     }
 
-    /// Whether every caller's connection has ended after [`Traffic::shutdown`].
+    /// Whether every request and every caller's connection has ended after [`Traffic::shutdown`].
     pub fn is_idle(&self) -> bool {
-        self.core.shutdown.has_begun() && self.core.stats.open_connections() == 0
+        let stats = &self.core.stats;
+        let ended = stats.open_connections() == 0 && stats.unfinished() == 0;
+        self.core.shutdown.has_begun() && ended
     }
 }
--- a/crates/borageswitch_edge/tests/traffic/bodies.rs
+++ b/crates/borageswitch_edge/tests/traffic/bodies.rs
@@ -14,7 +14,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 
-use crate::support::{Entry, LIVENESS, ask, get, raw_target, read_head, target, with_header};
+use crate::support::{
+    Entry, LIVENESS, ask, eventually, get, raw_target, read_head, target, with_header,
+};
 
 /// A body whose bytes tell their place.
 fn pattern(len: usize) -> Bytes {
@@ -146,3 +148,28 @@
     assert!(first.starts_with("HTTP/1.1 200"), "{first}");
     assert_eq!(second.text(), "early");
 }
+
+/// A caller asks for a large answer and stops reading. At the deadline the target gets its slot
+/// back all the same, or a few such callers would take a service's slots for as long as they like.
+#[test]
+fn a_caller_that_does_not_read_holds_its_slot_until_the_deadline_only() {
+    let address = raw_target(|_, mut stream| {
+        read_head(&mut stream);
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 1000000000\r\n\r\n");
+        while stream.write_all(&[b'x'; 64 << 10]).is_ok() {}
+    });
+    let entry = Entry::serving(&[address]);
+    let mut stream = TcpStream::connect(entry.address()).expect("the entry listens");
+    stream
+        .write_all(
+            b"GET / HTTP/1.1\r\nhost: x\r\nborageswitch-service: pricing\r\n\
+              borageswitch-deadline-ms: 300\r\n\r\n",
+        )
+        .expect("the entry reads");
+
+    eventually(&entry, || entry.traffic.counters().answered == 1);
+    eventually(&entry, || entry.traffic.counters().unfinished == 0);
+
+    let in_flight = &entry.traffic.stats()["services"]["pricing"]["in_flight"];
+    assert!(in_flight.as_object().is_some_and(serde_json::Map::is_empty), "{in_flight}");
+}
--- a/crates/borageswitch_edge/tests/traffic/cancelling.rs
+++ b/crates/borageswitch_edge/tests/traffic/cancelling.rs
@@ -9,6 +9,8 @@
     },
 };
 
+use borageswitch_types::claim::ClaimOutcome;
+
 use crate::support::{Entry, ask, eventually, get, ok, raw_target, read_head, target};
 
 const REQUEST: &[u8] = b"GET /slow HTTP/1.1\r\nhost: x\r\nborageswitch-service: pricing\r\n\r\n";
@@ -84,3 +86,38 @@
         in_flight == wanted
     });
 }
+
+/// A clerk sends a payroll and goes away. The target works on, and a host that counted as free now
+/// would be rebooted in the middle of it; so the try keeps its slot until the target has answered.
+#[test]
+fn a_sent_request_that_is_not_idempotent_outlives_its_caller() {
+    let (release, released) = async_channel::unbounded::<()>();
+    let started = Arc::new(AtomicU32::new(0));
+    let seen = Arc::clone(&started);
+    let address = target(move |_| {
+        seen.fetch_add(1, Ordering::SeqCst);
+        let released = released.clone();
+        async move {
+            let _ = released.recv().await;
+            ok("paid")
+        }
+    });
+    let entry = Entry::serving(&[address]);
+    entry.answer_claims(|_| ClaimOutcome::Granted);
+    let mut caller = TcpStream::connect(entry.address()).expect("the entry listens");
+    let payroll = "POST /run HTTP/1.1\r\nhost: x\r\nborageswitch-service: pricing\r\n\
+                   borageswitch-request-id: r1\r\ncontent-length: 0\r\n\r\n";
+    caller.write_all(payroll.as_bytes()).expect("the entry reads");
+    eventually(&entry, || started.load(Ordering::SeqCst) == 1);
+
+    drop(caller);
+    eventually(&entry, || entry.traffic.counters().open_connections == 0);
+    let unfinished = entry.traffic.counters().unfinished;
+    wait_for_in_flight(&entry, 1);
+    entry.traffic.shutdown();
+    let idle = entry.traffic.is_idle();
+    release.send_blocking(()).expect("the target waits");
+
+    assert_eq!((unfinished, idle), (1, false));
+    eventually(&entry, || entry.traffic.is_idle());
+}
