--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -4,10 +4,13 @@
 //! Each gives its figures as a table and, with `--json FILE`, as JSON. Figures that are compared
 //! come from one run, as ratios against our own baselines.
 
+mod capacity;
 mod latency;
 mod load;
 mod peers;
+mod process;
 mod report;
+mod sites;
 mod slots;
 mod waves;
 
@@ -24,6 +27,11 @@
 
 /// Every benchmark, in the order of a full run.
 const BENCHMARKS: &[Benchmark] = &[
+    Benchmark {
+        name: "capacity",
+        about: "state, messages, time and memory of control by size of a region",
+        run: capacity::run,
+    },
     Benchmark {
         name: "latency",
         about: "what a daemon adds to a request, and how many pass through one",
--- a/crates/borageswitch_local_site/src/site.rs
+++ b/crates/borageswitch_local_site/src/site.rs
@@ -174,6 +174,11 @@
         Err(SiteError::TimedOut("a revision's way to every daemon"))
     }
 
+    /// Calls that the store has carried out, by kind.
+    pub fn store_calls(&self) -> std::collections::BTreeMap<&'static str, u64> {
+        self.standin.store.calls()
+    }
+
     /// The fleet document as a daemon knows it.
     pub fn fleet(&self) -> Option<borageswitch_types::Fleet> {
         for operator in self.operators() {
