--- a/crates/borageswitch_edge/src/traffic/report.rs
+++ b/crates/borageswitch_edge/src/traffic/report.rs
@@ -20,6 +20,10 @@
 const TICK: Duration = Duration::from_millis(10);
 /// How often a report goes out while there is something to tell.
 const REPORT_EVERY: Duration = Duration::from_millis(200);
+/// How often a report goes out that says the same as the last one. The reducer counts reports that
+/// came after it decided something; with none coming, a daemon that is asked to stop while nothing
+/// is in flight would wait for its whole stop timeout.
+const REPEAT_EVERY: Duration = Duration::from_secs(1);
 /// Over how long the share of failed requests is measured.
 const FAILING_EVERY: Duration = Duration::from_secs(5);
 
@@ -86,6 +90,7 @@
 
 async fn report_all(core: std::sync::Weak<Core>, soon: async_channel::Receiver<()>) {
     let mut last: Option<TrafficReport> = None;
+    let mut last_sent = Instant::now();
     let mut failing = BTreeMap::new();
     let mut failing_measured = Instant::now();
     loop {
@@ -96,12 +101,14 @@
             failing = take_failing(&core);
         }
         let Some(report) = core.report(&failing) else { continue };
-        if report.draining.is_empty() && last.as_ref() == Some(&report) {
+        let says_the_same = report.draining.is_empty() && last.as_ref() == Some(&report);
+        if says_the_same && last_sent.elapsed() < REPEAT_EVERY {
             continue;
         }
         // A report that does not fit is replaced by the next one.
         if core.events.try_send(Event::Traffic(report.clone())).is_ok() {
             last = Some(report);
+            last_sent = Instant::now();
         }
     }
 }
--- a/crates/borageswitch_local_site/src/callers.rs
+++ b/crates/borageswitch_local_site/src/callers.rs
@@ -89,6 +89,11 @@
         lock(&self.entries).retain(|known| *known != entry);
     }
 
+    /// Puts an entry into the balancer.
+    pub fn add_entry(&self, entry: SocketAddr) {
+        lock(&self.entries).push(entry);
+    }
+
     /// Asks callers to stop after their requests.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::SeqCst);
--- a/crates/borageswitch_local_site/src/report.rs
+++ b/crates/borageswitch_local_site/src/report.rs
@@ -39,6 +39,8 @@
     pub wave_failed: usize,
     /// How long the wave took, in seconds; nothing if it did not end.
     pub wave_seconds: Option<f64>,
+    /// Why the wave waits, if it did not end.
+    pub wave_waits: Vec<String>,
     /// Host-seconds during which hosts were out of service or idle as spares.
     pub buffer_host_seconds: f64,
     /// Hosts that changed pool.
@@ -113,6 +115,9 @@
             "wave                {} hosts, {} written off, {took}",
             self.wave_hosts, self.wave_failed
         )?;
+        for line in &self.wave_waits {
+            writeln!(f, "                    {line}")?;
+        }
         writeln!(f, "buffer cost         {:.1} host-seconds", self.buffer_host_seconds)?;
         writeln!(f, "moves               {}", self.moves)?;
         writeln!(
--- a/crates/borageswitch_local_site/src/session.rs
+++ b/crates/borageswitch_local_site/src/session.rs
@@ -13,6 +13,8 @@
     names::{HostName, PoolName, WaveName},
 };
 
+use borageswitch_wire::operator::Subject;
+
 use crate::{
     callers::{self, CallerBoard},
     faults::Fault,
@@ -64,15 +66,8 @@
     let board = Arc::new(CallerBoard::new(site.entries()));
     let tasks = start_callers(&site, &board, options);
     let wave = WaveName::from("session");
-    let mut session = Session {
-        site,
-        board,
-        options,
-        wave,
-        started: Instant::now(),
-        report: Report::default(),
-        vanished: Vec::new(),
-    };
+    let mut session =
+        Session { site, board, options, wave, started: Instant::now(), report: Report::default() };
     session.begin_wave()?;
     session.watch(&mut progress)?;
     session.board.stop();
@@ -110,7 +105,6 @@
     wave: WaveName,
     started: Instant,
     report: Report,
-    vanished: Vec<std::net::SocketAddr>,
 }
 
 impl Session<'_> {
@@ -146,7 +140,7 @@
                 && let Some(fault) = faults.next()
             {
                 next_fault += between;
-                store_back = self.inject(*fault);
+                store_back = self.inject(*fault)?;
                 progress(&format!("{:.1} s: {fault}", elapsed.as_secs_f64()));
             }
             if elapsed >= next_progress {
@@ -204,13 +198,13 @@
     }
 
     /// Lets something go wrong; for a fault of the store, says when it is over.
-    fn inject(&mut self, fault: Fault) -> Option<Instant> {
+    fn inject(&mut self, fault: Fault) -> Result<Option<Instant>, SiteError> {
         self.report.injected.push((self.started.elapsed().as_secs_f64(), fault.to_string()));
         let store = |faults: Faults| {
             self.site.standin.store.faults.set(faults);
             Some(Instant::now() + STORE_FAULT)
         };
-        match fault {
+        let store_back = match fault {
             Fault::StoreOutage => store(Faults { down: true, ..Faults::default() }),
             Fault::StoreLosesAnswers => store(Faults { lose_answers: true, ..Faults::default() }),
             Fault::StoreSlow => store(Faults { delay_ms: 200, ..Faults::default() }),
@@ -223,10 +217,11 @@
                 None
             }
             Fault::DaemonStop | Fault::DaemonVanish => {
-                self.end_daemon(fault == Fault::DaemonVanish);
+                self.replace_daemon(fault == Fault::DaemonVanish)?;
                 None
             }
-        }
+        };
+        Ok(store_back)
     }
 
     fn inject_at_host(&self, fault: Fault) {
@@ -246,20 +241,19 @@
         }
     }
 
-    fn end_daemon(&mut self, vanish: bool) {
-        if self.site.daemons.len() < 2 {
-            return;
-        }
+    /// Ends the oldest daemon and starts another one in its place, as the platform would.
+    fn replace_daemon(&mut self, vanish: bool) -> Result<(), SiteError> {
         let daemon = self.site.daemons.remove(0);
-        let entry = daemon.addresses().callers;
-        self.board.remove_entry(entry, vanish);
+        self.board.remove_entry(daemon.addresses().callers, vanish);
+        let replacement = self.site.add_daemon()?;
+        self.board.add_entry(replacement);
         if vanish {
-            self.vanished.push(entry);
             daemon.vanish();
         } else {
-            daemon.stopper().stop("the session ends a daemon");
+            daemon.stopper().stop("the session replaces a daemon");
             daemon.wait();
         }
+        Ok(())
     }
 
     fn finish(mut self) -> Result<Report, SiteError> {
@@ -272,6 +266,13 @@
             }
         }
         let mut report = std::mem::take(&mut self.report);
+        if report.wave_seconds.is_none() {
+            let lines = self.site.explain(&Subject::Wave(self.wave.clone()));
+            report.wave_waits = lines.iter().map(ToString::to_string).collect();
+            for dump in self.site.dumps() {
+                log::warn!("the wave did not finish; the state of a daemon: {dump}");
+            }
+        }
         report.site = self.options.name.clone();
         report.seconds = self.started.elapsed().as_secs_f64();
         report.daemons = self.options.daemons;
--- a/crates/borageswitch_local_site/src/site.rs
+++ b/crates/borageswitch_local_site/src/site.rs
@@ -15,7 +15,7 @@
     fleet::{Author, ChangeRequest, FleetChange, Reason, Revision, SiteConfig},
     names::{DataCentreName, OperationId, RegionName},
 };
-use borageswitch_wire::operator::{OperatorAnswer, OperatorRequest};
+use borageswitch_wire::operator::{OperatorAnswer, OperatorRequest, Subject};
 use smol::{Executor, Timer};
 
 /// How many threads serve the stand-ins and the callers.
@@ -191,6 +191,29 @@
         None
     }
 
+    /// Why something is as it is, by whichever daemon answers first.
+    pub fn explain(&self, subject: &Subject) -> Vec<Reason> {
+        for operator in self.operators() {
+            let request = OperatorRequest::Explain(subject.clone());
+            if let Some(OperatorAnswer::Explanation(lines)) =
+                smol::block_on(ask(&operator, request))
+            {
+                return lines;
+            }
+        }
+        Vec::new()
+    }
+
+    /// The whole control state of each daemon, as JSON.
+    pub fn dumps(&self) -> Vec<String> {
+        let dump =
+            |operator: LocalCalls| match smol::block_on(ask(&operator, OperatorRequest::Dump)) {
+                Some(OperatorAnswer::Json(text)) => Some(text),
+                _ => None,
+            };
+        self.operators().into_iter().filter_map(dump).collect()
+    }
+
     fn operators(&self) -> Vec<LocalCalls> {
         self.daemons.iter().map(Daemon::operator).collect()
     }
