--- a/crates/borageswitch_edge/tests/traffic/main.rs
+++ b/crates/borageswitch_edge/tests/traffic/main.rs
@@ -5,6 +5,7 @@
 mod bodies;
 mod cancelling;
 mod claims;
+mod errors_page;
 mod http2;
 mod not_run;
 mod retries;
