Show what the traffic and control threads count

Cause: the instruments for requests, known revisions and duties existed and nobody recorded into them. Change: the traffic threads' own counters are read when somebody looks; revisions, duties and store calls by purpose are noted on each tick. The unused instruments are gone.

--- a/crates/borageswitch_control/src/reducer/mod.rs
+++ b/crates/borageswitch_control/src/reducer/mod.rs
@@ -38,7 +38,7 @@
 use borageswitch_planner::steps::Observed;
 use borageswitch_types::{
     Fleet, Time,
-    fleet::Revision,
+    fleet::{Duty, Revision},
     names::{DaemonName, HostName},
     time::UnixMillis,
 };
@@ -161,6 +161,11 @@
         self.store_calls.counts()
     }
 
+    /// The duties that this daemon holds.
+    pub fn duties(&self) -> Vec<Duty> {
+        self.duties.held()
+    }
+
     /// The live daemons that do not send by a revision yet, or have not said so.
     pub fn lagging_daemons(&self, revision: Revision) -> Vec<DaemonName> {
         self.lagging(revision)
--- a/crates/borageswitch_edge/src/observe/mod.rs
+++ b/crates/borageswitch_edge/src/observe/mod.rs
@@ -11,6 +11,9 @@
 mod metrics;
 mod server;
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     io,
     net::SocketAddr,
@@ -21,7 +24,7 @@
 };
 
 pub use self::{
-    instruments::{ControlInstruments, TrafficInstruments},
+    instruments::{ControlInstruments, show_traffic},
     metrics::{Metrics, MetricsError},
 };
 use crate::operators::Operators;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -23,7 +23,7 @@
 use async_channel::{Receiver, Sender};
 use borageswitch_control::{Event, State, config::ControlConfig};
 use borageswitch_edge::{
-    observe::{ControlInstruments, Metrics, MetricsError, Observe},
+    observe::{self, ControlInstruments, Metrics, MetricsError, Observe},
     operators::Operators,
     peers::{KeyTooShort, Peers, PeersConfig, SiteKey},
     platform::{Platform, PlatformConfig},
@@ -206,6 +206,7 @@
     };
     let me = Member { address: addresses.peers, ..me };
     let instruments = ControlInstruments::new(&metrics.meter());
+    observe::show_traffic(&metrics.meter(), &traffic);
     let state = State::new(control_config(settings, me));
     let local = LocalCalls::new(events.clone());
     let edges = Edges { platform, peers, operators, observe, traffic, local: local.clone() };
@@ -332,9 +333,16 @@
         if matches!(event, Event::Stop { .. }) && stop_by.is_none() {
             stop_by = Some(Instant::now() + stop_timeout);
         }
+        if let Event::Traffic(report) = &event {
+            instruments.in_force(report.applied);
+        }
+        let is_tick = matches!(event, Event::Tick { .. });
         let began = Instant::now();
         let effects = state.handle(now(), event);
         instruments.handled(began.elapsed());
+        if is_tick {
+            instruments.note(&state);
+        }
         for effect in effects {
             if edges.carry_out(effect) {
                 return;
