--- a/crates/borageswitch_control/src/reducer/members.rs
+++ b/crates/borageswitch_control/src/reducer/members.rs
@@ -224,7 +224,11 @@
                 continue;
             }
             match serde_json::from_slice::<Member>(&kv.value) {
-                Ok(member) => self.learn(member),
+                // A daemon that was paused for long registers again under its old name.
+                Ok(member) => {
+                    self.members.gone.remove(daemon);
+                    self.learn(member);
+                }
                 Err(err) => log::error!("the member key of {daemon} cannot be read: {err}"),
             }
             let now = self.now;
--- /dev/null
+++ b/crates/borageswitch_control/tests/guards.rs
@@ -0,0 +1,92 @@
+//! Removing one guard makes a named seed fail, so the checks of the randomised runs can fail.
+//!
+//! `BORAGESWITCH_SEARCH=200` looks for the first seeds that fail without each guard.
+
+mod support;
+
+use std::panic;
+
+use borageswitch_control::config::Guards;
+
+use crate::support::run;
+
+/// What a run without a guard ends with, or nothing if no check noticed.
+fn verdict(seed: u64, guards: Guards) -> Option<String> {
+    let outcome = panic::catch_unwind(|| run(seed, guards));
+    let payload = outcome.err()?;
+    let text = payload.downcast_ref::<String>().cloned();
+    text.or_else(|| payload.downcast_ref::<&str>().map(ToString::to_string))
+}
+
+/// Asserts that some of the named seeds are caught for the expected reason, and that all of them
+/// pass with every guard on.
+fn assert_caught(seeds: &[u64], guards: Guards, expected: &str) {
+    let found = seeds.iter().filter_map(|seed| Some((seed, verdict(*seed, guards)?)));
+    let found: Vec<_> = found.collect();
+    let caught: Vec<_> = found.iter().filter(|(_, text)| text.contains(expected)).collect();
+    println!("caught: {caught:?}");
+    assert!(!caught.is_empty(), "no seed is caught by '{expected}', only {found:?}");
+    for seed in seeds {
+        assert_eq!(verdict(*seed, Guards::default()), None, "seed {seed} with all guards");
+    }
+}
+
+/// A holder is paused, its lease ends, another daemon takes over. Without the check of its own
+/// clock the first one wakes up and commands hosts as if nothing had happened.
+#[test]
+fn without_fencing_a_paused_holder_commands() {
+    let guards = Guards { fencing: false, ..Guards::default() };
+    assert_caught(&[0, 1], guards, "while the duty is with");
+}
+
+/// A host leaves and the planner itself has nothing in flight there. Without the wait for the
+/// others the host reboots under their requests, whose callers see answers break off.
+#[test]
+fn without_acknowledgements_a_reboot_cuts_requests() {
+    let guards = Guards { acknowledgements: false, ..Guards::default() };
+    assert_caught(&[2, 3], guards, "in flight");
+}
+
+/// The store's answer to a claim is lost. Without the read-back a daemon takes the claim for its
+/// own while another one has it: a payroll run runs twice.
+#[test]
+fn without_the_read_back_a_request_is_granted_twice() {
+    let guards = Guards { claim_read_back: false, ..Guards::default() };
+    assert_caught(&[0, 1], guards, "is granted to");
+}
+
+/// A message that was sent early arrives late. Without the check an old document comes back.
+#[test]
+fn without_adopting_only_higher_a_document_comes_back() {
+    let guards = Guards { adopt_only_higher: false, ..Guards::default() };
+    assert_caught(&[2, 4], guards, "go back from revision");
+}
+
+/// A daemon is paused or cut off for long and the others go on without it. Without a permission
+/// that ends by itself it wakes up and sends work to a host that is out.
+#[test]
+fn without_the_self_fence_a_lost_daemon_sends_work() {
+    let guards = Guards { self_fence: false, ..Guards::default() };
+    assert_caught(&[4, 10, 12, 31], guards, "sends");
+}
+
+#[test]
+fn search_for_seeds() {
+    let Some(count) = std::env::var("BORAGESWITCH_SEARCH").ok().and_then(|t| t.parse().ok()) else {
+        return;
+    };
+    let all = Guards::default();
+    let variants = [
+        ("fencing", Guards { fencing: false, ..all }),
+        ("acknowledgements", Guards { acknowledgements: false, ..all }),
+        ("claim_read_back", Guards { claim_read_back: false, ..all }),
+        ("adopt_only_higher", Guards { adopt_only_higher: false, ..all }),
+        ("self_fence", Guards { self_fence: false, ..all }),
+    ];
+    for (name, guards) in variants {
+        let caught = (0..count).filter_map(|seed: u64| Some((seed, verdict(seed, guards)?)));
+        for (seed, text) in caught.take(4) {
+            println!("FOUND {name} {seed}: {text}");
+        }
+    }
+}
--- a/crates/borageswitch_control/tests/randomised.rs
+++ b/crates/borageswitch_control/tests/randomised.rs
@@ -9,19 +9,14 @@
 use borageswitch_control::config::Guards;
 use borageswitch_types::Time;
 
-use crate::support::{faults::Faults, world::World};
+use crate::support::{run, world::World};
 
 const SEEDS: u64 = 60;
+/// Seeds that have shown a fault: 210, a daemon that the planner had forgotten while it was paused
+/// registered again and was not asked for its confirmation.
+const FAULTY_ONCE: [u64; 1] = [210];
 const SETTLE_STEP: Duration = Duration::from_millis(100);
 const SETTLE_STEPS: usize = 50;
-const END: Duration = Duration::from_secs(45);
-
-fn run(seed: u64, guards: Guards) -> World {
-    let entries = 3 + (seed % 7) as u16;
-    let mut world = World::new(seed, entries, Faults::many(), guards);
-    world.run_until(END);
-    world
-}
 
 /// What is not as it should be long after the last fault, if anything.
 fn unsettled(world: &World) -> Option<String> {
@@ -42,11 +37,14 @@
     None
 }
 
-fn seeds() -> std::ops::Range<u64> {
+fn seeds() -> Vec<u64> {
     let read = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
     match read("BORAGESWITCH_SEED") {
-        Some(seed) => seed..seed + 1,
-        None => 0..read("BORAGESWITCH_SEEDS").unwrap_or(SEEDS),
+        Some(seed) => vec![seed],
+        None => {
+            let count = read("BORAGESWITCH_SEEDS").unwrap_or(SEEDS);
+            (0..count).chain(FAULTY_ONCE).collect()
+        }
     }
 }
 
@@ -57,7 +55,8 @@
 #[test]
 fn no_promise_breaks_and_all_recovers() {
     let (mut reboots, mut grants, mut requests) = (0, 0, 0);
-    for seed in seeds() {
+    let seeds = seeds();
+    for seed in seeds {
         let mut world = run(seed, Guards::default());
         let settled = (0..SETTLE_STEPS).any(|_| {
             world.run_until(world.now.since(Time::ZERO) + SETTLE_STEP);
--- a/crates/borageswitch_control/tests/support/mod.rs
+++ b/crates/borageswitch_control/tests/support/mod.rs
@@ -10,6 +10,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use borageswitch_control::config::Guards;
 use borageswitch_types::{
     fleet::{
         Draw, FailureDomain, HostAddresses, HostSpec, Pool, Service, ServiceLimits, SiteConfig,
@@ -18,6 +19,33 @@
     names::{HostName, PoolName, ServiceName},
 };
 
+use self::{faults::Faults, world::World};
+
+const END: Duration = Duration::from_secs(50);
+
+/// Tells which seed to run again when a check fails.
+struct NameOnPanic(u64);
+
+impl Drop for NameOnPanic {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!(
+                "seed {} broke a promise; BORAGESWITCH_SEED={} runs it again",
+                self.0, self.0
+            );
+        }
+    }
+}
+
+/// One randomised run of three to nine daemons with every kind of fault.
+pub fn run(seed: u64, guards: Guards) -> World {
+    let _named = NameOnPanic(seed);
+    let entries = 3 + (seed % 7) as u16;
+    let mut world = World::new(seed, entries, Faults::many(), guards);
+    world.run_until(END);
+    world
+}
+
 pub const DATA_CENTRES: [&str; 3] = ["midrand", "sandton", "centurion"];
 const HOSTS: usize = 12;
 const POOLS: [&str; 2] = ["office", "payroll"];
--- a/crates/borageswitch_control/tests/support/world.rs
+++ b/crates/borageswitch_control/tests/support/world.rs
@@ -34,6 +34,8 @@
 const TICK: Duration = Duration::from_millis(50);
 const FLEET_KEY: &str = "borageswitch/gauteng/fleet";
 const PLANNER_KEY: &str = "borageswitch/gauteng/duty/planner";
+/// Far above what a run needs: a daemon that answers each event with two would fill the memory.
+const MOST_QUEUED: usize = 50_000;
 const WALL_START: u64 = 1_700_000_000_000;
 
 #[derive(Clone, Debug)]
@@ -264,6 +266,7 @@
         {
             let ((at, _), action) = entry.remove_entry();
             self.now = at;
+            assert!(self.queue.len() < MOST_QUEUED, "events breed events at {at:?}: {action:?}");
             self.act(action);
         }
         self.now = end;
@@ -597,7 +600,7 @@
         }
         self.at(wait, Action::Disturb);
         let daemon = self.any_daemon();
-        let time = self.millis(200, 7_000);
+        let time = self.millis(200, 12_000);
         match self.rng.u8(..12) {
             0..=2 => self.pause(&daemon, time),
             3 | 4 => self.cut_from_store(&daemon, time),
