--- a/crates/borageswitch_control/tests/guards.rs
+++ b/crates/borageswitch_control/tests/guards.rs
@@ -67,7 +67,7 @@
 #[test]
 fn without_the_self_fence_a_lost_daemon_sends_work() {
     let guards = Guards { self_fence: false, ..Guards::default() };
-    assert_caught(&[4, 10, 12, 31], guards, "sends");
+    assert_caught(&[19, 67, 144, 248], guards, "sends");
 }
 
 #[test]
--- a/crates/borageswitch_control/tests/randomised.rs
+++ b/crates/borageswitch_control/tests/randomised.rs
@@ -11,7 +11,9 @@
 
 use crate::support::{run, world::World};
 
-const SEEDS: u64 = 60;
+const SEEDS: u64 = 150;
+/// Seeds are shared among so many threads; each run is one thread's work.
+const THREADS: usize = 3;
 /// Seeds that have shown a fault: 210, a daemon that the planner had forgotten while it was paused
 /// registered again and was not asked for its confirmation.
 const FAULTY_ONCE: [u64; 1] = [210];
@@ -54,20 +56,33 @@
 /// the store's document again and takes work.
 #[test]
 fn no_promise_breaks_and_all_recovers() {
-    let (mut reboots, mut grants, mut requests) = (0, 0, 0);
     let seeds = seeds();
+    let part = seeds.len().div_ceil(THREADS).max(1);
+    let totals = std::thread::scope(|scope| {
+        let parts: Vec<_> =
+            seeds.chunks(part).map(|seeds| scope.spawn(|| run_seeds(seeds))).collect();
+        let totals = parts.into_iter().map(|part| part.join().expect("no seed breaks a promise"));
+        totals.fold([0; 3], |sum, part| std::array::from_fn(|i| sum[i] + part[i]))
+    });
+
+    println!("{} seeds; reboots, granted claims, requests: {totals:?}", seeds.len());
+    assert!(totals.iter().all(|total| *total > 0), "the runs must exercise what they check");
+}
+
+/// Runs seeds one after the other, and counts reboots, granted claims and requests.
+fn run_seeds(seeds: &[u64]) -> [u64; 3] {
+    let mut totals = [0; 3];
     for seed in seeds {
-        let mut world = run(seed, Guards::default());
+        let mut world = run(*seed, Guards::default());
         let settled = (0..SETTLE_STEPS).any(|_| {
             world.run_until(world.now.since(Time::ZERO) + SETTLE_STEP);
             unsettled(&world).is_none()
         });
-
         assert!(settled, "seed {seed}: {:?}", unsettled(&world));
-        reboots += world.checker.reboots;
-        grants += world.checker.grants;
-        requests += world.checker.requests;
+        let checker = &world.checker;
+        totals[0] += checker.reboots;
+        totals[1] += checker.grants;
+        totals[2] += checker.requests;
     }
-    println!("reboots {reboots}, claims granted {grants}, requests {requests}");
-    assert!(reboots > 0 && grants > 0 && requests > 0, "the runs must exercise what they check");
+    totals
 }
