Pass over a store address whose answer says nothing

Cause: a proxy that answers 503 for a store it cannot reach ended a read, though another address worked. Change: such an answer counts as a lost one: reads go on to the next address, the next call begins there.

--- a/crates/borageswitch_edge/src/platform/endpoints.rs
+++ b/crates/borageswitch_edge/src/platform/endpoints.rs
@@ -40,19 +40,27 @@
         let mut error = StoreError::NotSent;
         for turn in 0..self.addresses.len() {
             let index = (first + turn) % self.addresses.len();
-            match self.try_at(client, self.addresses[index], request, deadline).await {
-                Ok(answer) => {
-                    self.preferred.store(index, Ordering::Relaxed);
-                    return answers::store_answer(request, &answer);
-                }
-                Err(CallError::NotSent) => {}
-                Err(CallError::Lost { .. }) => {
+            let outcome = match self.try_at(client, self.addresses[index], request, deadline).await
+            {
+                Ok(answer) => answers::store_answer(request, &answer),
+                Err(CallError::NotSent) => Err(StoreError::NotSent),
+                Err(CallError::Lost { .. }) => Err(StoreError::AnswerLost),
+            };
+            match outcome {
+                Err(StoreError::NotSent) => {}
+                // An answer that says nothing, such as that of a proxy before a store that is
+                // down, is as good as none.
+                Err(StoreError::AnswerLost) => {
                     self.preferred.store(index + 1, Ordering::Relaxed);
                     error = StoreError::AnswerLost;
                     if !requests::only_reads(request) {
                         break;
                     }
                 }
+                settled => {
+                    self.preferred.store(index, Ordering::Relaxed);
+                    return settled;
+                }
             }
             if Instant::now() >= deadline {
                 break;
--- a/crates/borageswitch_edge/tests/platform.rs
+++ b/crates/borageswitch_edge/tests/platform.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use std::{
-    net::SocketAddr,
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -127,6 +128,23 @@
     AgentCommand::Reboot { operation: OperationId::from("reboot-1"), not_after }
 }
 
+/// Answers two calls with 503 and then closes.
+fn unhelpful_proxy() -> SocketAddr {
+    let listener = TcpListener::bind(support::any_port()).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut buf = [0; 1_024];
+            let _ = stream.read(&mut buf).unwrap();
+            let answer =
+                b"HTTP/1.1 503 Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+            stream.write_all(answer).unwrap();
+        }
+    });
+    address
+}
+
 fn machine(runner: &Runner) -> HostStandin {
     let options = HostOptions {
         host: host("a"),
@@ -230,6 +248,24 @@
     assert_eq!(outcome, Ok(StoreAnswer::Written { version: Version(1) }));
 }
 
+/// One of the store's addresses leads to a proxy that answers 503 for a store it cannot reach. Reads
+/// go on to the next address; a write may have passed the proxy, so it is not sent again, and the
+/// next one begins at the address that works.
+#[test]
+fn an_answer_that_says_nothing_counts_as_none() {
+    let proxy = unhelpful_proxy();
+    let f = fixture_with(|cfg| cfg, |store| vec![proxy, store]);
+
+    let lost = f.call(write("x", 0, "one"), TIMEOUT);
+    let written = f.call(write("x", 0, "two"), TIMEOUT);
+    let fresh = fixture_with(|cfg| cfg, |store| vec![proxy, store]);
+    let read = fresh.call(get("x"), TIMEOUT);
+
+    assert_eq!(lost, Err(StoreError::AnswerLost));
+    assert_eq!(written, Ok(StoreAnswer::Written { version: Version(1) }));
+    assert_eq!(read, Ok(StoreAnswer::Value(None)));
+}
+
 /// Something between daemon and store loses track of the open connections. Calls on them get no
 /// answer, for good, while new connections work: a daemon that kept them would be without the store
 /// until it is restarted.
