Count a silent daemon as lagging while its lease may stand

Cause: at a daemon that does not plan and has not listed the leases, 'wait' told that a revision was in force 2.2 s after another daemon was paused, which could still serve by the old one. Seen in a trial with three daemons, one of them stopped by a signal. Change: a lease that was never listed counts as standing until its time is over.

--- a/crates/borageswitch_control/src/reducer/operators.rs
+++ b/crates/borageswitch_control/src/reducer/operators.rs
@@ -88,12 +88,15 @@
     }
 
     /// Whether a silent daemon may still serve: its lease may stand, or it may hear a majority.
+    ///
+    /// Only the planner lists the leases often. Elsewhere a lease that was never listed may stand as
+    /// well as not: if it were taken for ended, an operator who waits at another daemon would be told
+    /// that a change is in force while a daemon that was paused for two seconds still serves by the
+    /// old revision.
     fn may_serve(&self, daemon: &DaemonName) -> bool {
         let listed = self.members.known.get(daemon).and_then(|known| known.listed.as_ref());
-        let lease_stands = listed.is_some_and(|listed| listed.live);
-        let listed_lately = self.members.list_covers.is_some();
-        self.may_be_alive(daemon)
-            || (lease_stands && listed_lately && self.heard_within_ttl(daemon))
+        let lease_may_stand = listed.is_none_or(|listed| listed.live);
+        self.may_be_alive(daemon) || (lease_may_stand && self.heard_within_ttl(daemon))
     }
 
     fn heard_within_ttl(&self, daemon: &DaemonName) -> bool {
