Look at one pool when a job may start, and repeat a lost throttle

A throttled host that reboots by itself forgets its throttle while its watts may be another host's. Change: hosts and queues are kept by pool, an event looks at its own pool, all pools once a second; claims and unsettled jobs are kept as sets. A reading above the limit repeats the throttle. Found by the tallies' check: a holder that takes over changed a job past them.

--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -8,6 +8,7 @@
 mod latency;
 mod load;
 mod peers;
+mod placement;
 mod process;
 mod reducer;
 mod report;
@@ -48,6 +49,11 @@
         about: "connections between daemons: bytes at rest, and what one carries",
         run: peers::run,
     },
+    Benchmark {
+        name: "placement",
+        about: "urgent jobs on full hosts, and the cost of an event",
+        run: placement::run,
+    },
     Benchmark {
         name: "reducer",
         about: "events, memory, processor share and peer bytes of control at four sizes",
--- a/crates/borageswitch_planner/src/placement/events.rs
+++ b/crates/borageswitch_planner/src/placement/events.rs
@@ -367,8 +367,7 @@
     /// is asked about.
     fn tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.renew_leases(now, effects);
-        let names: Vec<JobName> =
-            self.held.jobs.values().flat_map(|jobs| jobs.keys()).cloned().collect();
+        let names: Vec<JobName> = self.held.unsettled.iter().cloned().collect();
         for name in names {
             let Some(record) = self.jobs.get_mut(&name) else { continue };
             match &mut record.state {
--- a/crates/borageswitch_planner/src/placement/hosts.rs
+++ b/crates/borageswitch_planner/src/placement/hosts.rs
@@ -51,18 +51,31 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Hosts {
     hosts: BTreeMap<HostName, HostRoom>,
+    /// The names of each pool's hosts: a placement looks at one pool, not at the region.
+    pools: BTreeMap<PoolName, BTreeSet<HostName>>,
     health: BTreeMap<HostName, Health>,
 }
 
 impl Hosts {
     /// Adds a host or changes one.
     pub fn set(&mut self, name: HostName, host: HostRoom) {
+        self.leave_pool(&name);
+        self.pools.entry(host.pool.clone()).or_default().insert(name.clone());
         self.hosts.insert(name, host);
     }
 
+    fn leave_pool(&mut self, name: &HostName) {
+        let Some(host) = self.hosts.remove(name) else { return };
+        let Some(pool) = self.pools.get_mut(&host.pool) else { return };
+        pool.remove(name);
+        if pool.is_empty() {
+            self.pools.remove(&host.pool);
+        }
+    }
+
     /// Forgets a host.
     pub fn remove(&mut self, name: &HostName) {
-        self.hosts.remove(name);
+        self.leave_pool(name);
         self.health.remove(name);
     }
 
@@ -76,7 +89,8 @@
         &'a self,
         pool: &'a PoolName,
     ) -> impl Iterator<Item = (&'a HostName, &'a HostRoom)> {
-        self.hosts.iter().filter(move |(_, host)| host.pool == *pool)
+        let names = self.pools.get(pool).into_iter().flatten();
+        names.filter_map(|name| self.hosts.get_key_value(name))
     }
 
     /// Notes that a job has failed on a host, and sets the host aside if it fails everything.
--- a/crates/borageswitch_planner/src/placement/mod.rs
+++ b/crates/borageswitch_planner/src/placement/mod.rs
@@ -38,12 +38,15 @@
 #[cfg(test)]
 mod tests;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use borageswitch_types::{
     Time,
     fleet::Reason,
-    names::{HostName, JobName, OperationId, TeamName},
+    names::{HostName, JobName, OperationId, PoolName, TeamName},
 };
 
 use crate::placement::{
@@ -60,6 +63,16 @@
 /// the stop, for recording the intent and for the start.
 pub const CHECKPOINT_LIMIT: Duration = Duration::from_millis(1_000);
 
+/// How often the queues of all pools are looked through.
+const PASS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Where an event may let a job start.
+enum Scope {
+    Nothing,
+    Pool(PoolName),
+    Everything,
+}
+
 /// What a team may use at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct TeamQuota {
@@ -257,6 +270,9 @@
     /// What is reserved on each host and by each team, kept beside the jobs so that a placement
     /// need not count them.
     held: Held,
+    /// When the queues of all pools are next looked through: a quota that came free in one pool,
+    /// or a failed job's wait that is over, may let a job start in any.
+    next_pass: Time,
     sequence: u64,
     operations: u64,
 }
@@ -267,12 +283,25 @@
     jobs: BTreeMap<HostName, BTreeMap<JobName, Size>>,
     hosts: BTreeMap<HostName, Size>,
     teams: BTreeMap<TeamName, Size>,
+    /// Jobs for which room is kept.
+    claims: BTreeSet<JobName>,
+    /// Jobs that wait for an answer of an agent.
+    unsettled: BTreeSet<JobName>,
 }
 
 impl Held {
     fn hold(&mut self, name: &JobName, record: &JobRecord) {
         let Some(host) = record.state.host() else { return };
         self.jobs.entry(host.clone()).or_default().insert(name.clone(), record.size);
+        match record.state {
+            JobState::Claiming { .. } => {
+                self.claims.insert(name.clone());
+            }
+            JobState::Starting { .. } | JobState::Stopping { .. } => {
+                self.unsettled.insert(name.clone());
+            }
+            _ => {}
+        }
         let by_host = self.hosts.entry(host.clone()).or_default();
         *by_host = by_host.plus(&record.size);
         let by_team = self.teams.entry(record.job.team.clone()).or_default();
@@ -281,6 +310,8 @@
 
     fn let_go(&mut self, name: &JobName, record: &JobRecord) {
         let Some(host) = record.state.host() else { return };
+        self.claims.remove(name);
+        self.unsettled.remove(name);
         if let Some(by_host) = self.hosts.get_mut(host) {
             *by_host = by_host.minus(&record.size);
         }
@@ -309,41 +340,76 @@
     /// If a job that is not idempotent would be started twice.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
-        // What only follows a start frees no room, and a pass over the queue is not free.
-        let follows_start = matches!(
-            event,
-            Event::Recorded { .. }
-                | Event::Started { .. }
-                | Event::Usage { .. }
-                | Event::Checkpointed { .. }
-                | Event::KeptAlive { .. }
-        );
+        let scope = self.scope_of(now, &event);
         self.take_event(now, event, &mut effects);
-        if !follows_start {
-            self.place(now, &mut effects);
+        match scope {
+            Scope::Nothing => {}
+            Scope::Pool(pool) => self.place(now, &pool, &mut effects),
+            Scope::Everything => {
+                self.next_pass = now + PASS_INTERVAL;
+                let pools: Vec<PoolName> = self.queue.pools().cloned().collect();
+                for pool in pools {
+                    self.place(now, &pool, &mut effects);
+                }
+            }
         }
+        self.finish_claims(now, &mut effects);
         #[cfg(debug_assertions)]
         self.check();
         effects
     }
 
+    /// Where an event may let a job start.
+    fn scope_of(&self, now: Time, event: &Event) -> Scope {
+        let of_job = |name: &JobName| {
+            let record = self.jobs.get(name);
+            record.map_or(Scope::Nothing, |record| Scope::Pool(record.job.pool.clone()))
+        };
+        match event {
+            Event::Submit { job, .. } => Scope::Pool(job.pool.clone()),
+            Event::HostSet { host, .. } => Scope::Pool(host.pool.clone()),
+            Event::Cancel { name }
+            | Event::NotRecorded { name, .. }
+            | Event::NotStarted { name, .. }
+            | Event::Stopped { name, .. }
+            | Event::Finished { name, .. } => of_job(name),
+            Event::HostGone { name } => {
+                let host = self.hosts.get(name);
+                host.map_or(Scope::Nothing, |host| Scope::Pool(host.pool.clone()))
+            }
+            Event::CancelTeam { .. } | Event::QuotaSet { .. } => Scope::Everything,
+            Event::Tick if now >= self.next_pass => Scope::Everything,
+            // What only follows a start frees no room, and a pass over the queue is not free.
+            Event::Tick
+            | Event::Recorded { .. }
+            | Event::Started { .. }
+            | Event::Usage { .. }
+            | Event::Checkpointed { .. }
+            | Event::KeptAlive { .. } => Scope::Nothing,
+        }
+    }
+
     /// What a holder that takes over does first: it knows only what was recorded.
     ///
     /// A start whose intent was recorded may have left or not. The agent is asked; nothing is
     /// started before it has answered.
     pub fn recover(&mut self, now: Time) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.next_pass = now;
         // The clock is another one, and the last holder may have renewed leases a moment ago.
         self.leases = self.held.jobs.keys().map(|host| (host.clone(), Lease::new(now))).collect();
         let names: Vec<JobName> = self.jobs.keys().cloned().collect();
         for name in names {
-            let Some(record) = self.jobs.get_mut(&name) else { continue };
-            if let JobState::Intended { host, operation } = record.state.clone() {
-                record.state = JobState::Starting { host, operation, since: now };
+            let state = self.jobs.get(&name).map(|record| record.state.clone());
+            if let Some(JobState::Intended { host, operation }) = state {
+                self.set_state(&name, JobState::Starting { host, operation, since: now });
                 // It counts as started: a second start must not leave before the agent has said
                 // that the first has not happened.
-                record.starts += 1;
+                if let Some(record) = self.jobs.get_mut(&name) {
+                    record.starts += 1;
+                }
             }
+            let Some(record) = self.jobs.get(&name) else { continue };
             let (Some(host), Some(operation)) = (record.state.host(), record.state.operation())
             else {
                 continue;
@@ -423,6 +489,8 @@
         held.teams.retain(|_, size| *size != Size::default());
         assert_eq!(held.jobs, self.held.jobs, "the jobs of hosts have drifted");
         assert_eq!(held.hosts, self.held.hosts, "what hosts hold has drifted");
+        assert_eq!(held.claims, self.held.claims, "the claims have drifted");
+        assert_eq!(held.unsettled, self.held.unsettled, "the unsettled jobs have drifted");
         assert_eq!(held.teams, *teams, "what teams hold has drifted");
         let waiting =
             self.jobs.values().filter(|r| matches!(r.state, JobState::Waiting { .. })).count();
--- a/crates/borageswitch_planner/src/placement/pass.rs
+++ b/crates/borageswitch_planner/src/placement/pass.rs
@@ -6,11 +6,7 @@
 //! that finds no room; but once that one has waited [`STARVED_AFTER`], room is kept for it, or small
 //! jobs would pass it for ever.
 
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{cmp::Reverse, collections::BTreeSet, time::Duration};
 
 use borageswitch_types::{
     Time,
@@ -85,34 +81,40 @@
         })
     }
 
-    /// Starts what can be started.
-    pub(super) fn place(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        self.finish_claims(now, effects);
+    /// Starts what can be started in a pool.
+    pub(super) fn place(&mut self, now: Time, pool: &PoolName, effects: &mut Vec<Effect>) {
         let mut tried = Tried::default();
-        let urgent: Vec<JobName> = self.queue.urgent().take(MOST_STARTS).cloned().collect();
+        let urgent: Vec<JobName> = self.queue.urgent(pool).take(MOST_STARTS).cloned().collect();
         for name in &urgent {
             if self.is_due(now, name) && !self.place_one(now, name, &mut tried, effects) {
                 self.make_way(now, name, effects);
             }
         }
-        self.place_in_turn(now, MOST_STARTS.saturating_sub(urgent.len()), &mut tried, effects);
+        self.place_in_turn(
+            now,
+            pool,
+            MOST_STARTS.saturating_sub(urgent.len()),
+            &mut tried,
+            effects,
+        );
     }
 
     fn place_in_turn(
         &mut self,
         now: Time,
+        pool: &PoolName,
         most: usize,
         tried: &mut Tried,
         effects: &mut Vec<Effect>,
     ) {
         let mut turns: BTreeSet<(u64, TeamName)> =
-            self.queue.teams().map(|team| (self.share_of(team), team.clone())).collect();
+            self.queue.teams(pool).map(|team| (self.share_of(team), team.clone())).collect();
         let mut starts = 0;
         while let Some((_, team)) = turns.pop_first() {
             if starts == most {
                 return;
             }
-            if self.place_of_team(now, &team, tried, effects) {
+            if self.place_of_team(now, pool, &team, tried, effects) {
                 starts += 1;
                 turns.insert((self.share_of(&team), team));
             }
@@ -123,11 +125,12 @@
     fn place_of_team(
         &mut self,
         now: Time,
+        pool: &PoolName,
         team: &TeamName,
         tried: &mut Tried,
         effects: &mut Vec<Effect>,
     ) -> bool {
-        for name in self.queue.of_team(team, LOOK_AHEAD) {
+        for name in self.queue.of_team(pool, team, LOOK_AHEAD) {
             if !self.is_due(now, &name) {
                 continue;
             }
@@ -311,9 +314,11 @@
     }
 
     /// Starts jobs for which the room that was kept has come free.
-    fn finish_claims(&mut self, now: Time, effects: &mut Vec<Effect>) {
+    pub(super) fn finish_claims(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let claims: Vec<(JobName, HostName)> = self
-            .claims()
+            .held
+            .claims
+            .iter()
             .filter_map(|name| {
                 let host = self.jobs.get(name)?.state.host()?;
                 Some((name.clone(), host.clone()))
@@ -331,12 +336,4 @@
             }
         }
     }
-
-    /// The jobs for which room is kept.
-    fn claims(&self) -> impl Iterator<Item = &JobName> {
-        self.held.jobs.values().flat_map(BTreeMap::keys).filter(|name| {
-            let state = self.jobs.get(*name).map(|record| &record.state);
-            matches!(state, Some(JobState::Claiming { .. }))
-        })
-    }
 }
--- a/crates/borageswitch_planner/src/steps/hosts.rs
+++ b/crates/borageswitch_planner/src/steps/hosts.rs
@@ -240,7 +240,24 @@
             }
             plan.command(name, AgentCommand::PowerOff { operation: operation.clone() });
         }
-        HostPower::Full | HostPower::Throttled | HostPower::Surging | HostPower::Off => {}
+        HostPower::Throttled => throttle_again(plan, name, host),
+        HostPower::Full | HostPower::Surging | HostPower::Off => {}
+    }
+}
+
+/// Repeats a throttle that a host has lost, for instance by a reboot of its own.
+///
+/// A throttle counts only after a reading has shown it, so a later reading above it means that it
+/// is gone, and the site draws watts that may have been given to another host. The command lowers
+/// the draw and nothing else, so it needs no intent in the document; its id changes once a minute,
+/// or an agent that remembers the last one would do nothing.
+fn throttle_again<'a>(plan: &mut Plan<'a>, name: &'a HostName, host: &'a Host) {
+    let limit = host.spec.draw.throttled.0;
+    let lost = plan.observed.agents.get(name).is_some_and(|status| status.draw_watts > limit);
+    if lost {
+        let minute = plan.observed.wall.0 / 60_000;
+        let operation = OperationId::from(format!("throttle-{name}-{minute}"));
+        plan.command(name, AgentCommand::Throttle { operation, limit_watts: Some(limit) });
     }
 }
 
--- a/crates/borageswitch_planner/src/steps/tests.rs
+++ b/crates/borageswitch_planner/src/steps/tests.rs
@@ -5,7 +5,9 @@
 use borageswitch_types::{
     Fleet, Time,
     agent::{AgentCommand, AgentStatus},
-    fleet::{Author, ChangeRequest, FleetChange, HostPhase, Watts, WaveSettings, WaveStatus},
+    fleet::{
+        Author, ChangeRequest, FleetChange, HostPhase, HostPower, Watts, WaveSettings, WaveStatus,
+    },
     names::{HostName, OperationId, PoolName, WaveName},
     time::UnixMillis,
 };
@@ -317,6 +319,31 @@
     assert!(parked("back-office") > 0);
 }
 
+/// A throttled host reboots by itself and forgets its throttle. Its watts may belong to another
+/// host by now, so it must be throttled again as soon as a reading shows it.
+#[test]
+fn a_throttle_that_a_host_has_lost_is_repeated() {
+    let mut fleet = sites::spotless_ridge(1, 3).fleet();
+    accept(&mut fleet, vec![FleetChange::BeginThrottle { host: host(0) }]);
+    let HostPower::Throttling { operation } = fleet.hosts[&host(0)].power.clone() else {
+        panic!("{:?}", fleet.hosts[&host(0)]);
+    };
+    let confirm = FleetChange::ConfirmThrottle { host: host(0), operation };
+    let low = Watts(fleet.reserved_power().0 - 700);
+    accept(&mut fleet, vec![confirm, FleetChange::SetPowerCap { cap: low }]);
+    let mut observed = calm(&fleet);
+
+    let quiet = next_steps(&fleet, &observed);
+    observed.agents.get_mut(&host(0)).expect("it answers").draw_watts = 1_500;
+    let repeated = next_steps(&fleet, &observed);
+
+    assert_eq!(quiet, vec![]);
+    assert!(matches!(
+        &repeated[0],
+        Step::Command { command: AgentCommand::Throttle { limit_watts: Some(1_100), .. }, .. }
+    ));
+}
+
 #[test]
 fn what_was_stopped_starts_again_when_the_cap_is_back() {
     let mut region = Region::new(sites::spotless_ridge(1, 3).fleet(), Way::Planner, 3);
--- a/crates/borageswitch_types/src/fleet/pool.rs
+++ b/crates/borageswitch_types/src/fleet/pool.rs
@@ -21,7 +21,8 @@
 /// A group of hosts that serve the same services.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Pool {
-    /// How many hosts the operators want in it; more are given back, fewer are filled up.
+    /// How many hosts the operators want in it; more are given back, fewer are filled up. With 0
+    /// the pool is left as operators arrange it.
     pub wanted_hosts: u32,
     /// Whether its hosts stand by to replace failed hosts of other pools.
     pub spare: bool,
