Let a second try wait for another host for a moment only

Cause: a request that avoids the host where it failed stays at the head of its lane until another host has a free slot; with that host set aside or full of long requests it waited until its deadline, and the queue behind it too. Change: it avoids a host for a mean run, 100 ms at most, and not at all where no other healthy host has slots for this entry. Two tests that fail without it.

--- a/crates/borageswitch_policy/src/dispatch/ending.rs
+++ b/crates/borageswitch_policy/src/dispatch/ending.rs
@@ -17,6 +17,10 @@
 /// A failing host that must stay in use pauses at least so long after each failure.
 const LEAST_PAUSE: Duration = Duration::from_millis(50);
 
+/// The longest time for which a second try waits for another host. Without an end, a request that
+/// avoids the only host with free slots would hold up all those behind it in the queue.
+const MOST_AVOIDED: Duration = Duration::from_millis(100);
+
 impl Dispatcher {
     /// Forgets a waiting request; one in flight ends by its own [`Outcome`], and is not tried
     /// again.
@@ -76,7 +80,7 @@
         let is_worth_it = request.tries + 1 < MAX_TRIES && request.latest_start() > now;
         if retryable && is_harmless && is_worth_it && self.retry_budget.spend(ran) {
             request.tries += 1;
-            request.avoid = Some(on.host);
+            request.avoid = Some((on.host, now + self.run_times.mean().min(MOST_AVOIDED)));
             self.queue.push(request);
             return;
         }
--- a/crates/borageswitch_policy/src/dispatch/starting.rs
+++ b/crates/borageswitch_policy/src/dispatch/starting.rs
@@ -69,7 +69,7 @@
             expected: request.expected,
             wait: self.wait_estimate(),
             left: request.latest_start().since(now),
-            avoid: request.avoid.as_ref(),
+            avoid: request.avoid.as_ref().filter(|(_, until)| now < *until).map(|(host, _)| host),
             can_try_again: request.offer.retryable,
         };
         let (host, address) = self.targets.choose(now, &choice)?;
--- a/crates/borageswitch_policy/src/dispatch/tests.rs
+++ b/crates/borageswitch_policy/src/dispatch/tests.rs
@@ -180,6 +180,44 @@
     assert_eq!(kinds, [ErrorKind::TargetLost]);
 }
 
+/// One of two hosts is set aside, and a try on the other is refused. A request that waited for the
+/// host set aside would wait until its deadline, and everything behind it too.
+#[test]
+fn second_try_does_not_wait_for_a_host_that_is_set_aside() {
+    let mut fixture = fixture(2);
+    for ticket in 0..40 {
+        let out = fixture.offer(ticket, "desk", false);
+        let status = if started_on(&out) == ["host-0"] { 500 } else { 200 };
+        fixture.now += Duration::from_millis(10);
+        fixture.input(DispatchInput::Finished(Ticket(ticket), Outcome::Answered { status }));
+    }
+    assert_eq!(fixture.dispatcher.trouble(&HostName::from("host-0")), Some(Trouble::Failing));
+    assert_eq!(started_on(&fixture.offer(100, "desk", false)), ["host-1"]);
+
+    let out = fixture.fail(100, ErrorKind::TargetRefused, Ran::No);
+
+    assert_eq!(started_on(&out), ["host-1"]);
+}
+
+/// A try on the host with free slots is refused, and the only other host is full for long. The
+/// request may wait for it for a moment, but must not hold up the queue.
+#[test]
+fn second_try_waits_for_another_host_for_a_moment_only() {
+    let mut fixture = fixture(2);
+    for ticket in 1..=4 {
+        fixture.offer(ticket, "desk", true);
+    }
+    fixture.offer(5, "desk", true);
+    let first = fixture.fail(1, ErrorKind::TargetRefused, Ran::No);
+    fixture.now += Duration::from_millis(150);
+
+    let later = fixture.input(DispatchInput::Tick);
+
+    let started = started_on(&first).len() + started_on(&later).len();
+    assert_eq!(started, 1, "{first:?} {later:?}");
+    assert_eq!(fixture.dispatcher.waiting(), 1);
+}
+
 #[test]
 fn leaving_target_gets_nothing_new_and_waiting_requests_go_on_elsewhere() {
     let mut fixture = fixture(2);
--- a/crates/borageswitch_policy/src/fair_queue/mod.rs
+++ b/crates/borageswitch_policy/src/fair_queue/mod.rs
@@ -50,8 +50,8 @@
     pub length: Length,
     /// How often it was started before.
     pub tries: u8,
-    /// Where it failed last: another try goes elsewhere.
-    pub avoid: Option<HostName>,
+    /// Where it failed last, and until when another try goes only elsewhere.
+    pub avoid: Option<(HostName, Time)>,
     /// The error of an earlier try that may have run. Whatever becomes of the request later, its
     /// caller must not be told that it did not run.
     pub may_have_run: Option<ErrorKind>,
--- a/crates/borageswitch_policy/src/targets/mod.rs
+++ b/crates/borageswitch_policy/src/targets/mod.rs
@@ -140,29 +140,29 @@
     /// Where a request that is `expected` to run so long is best sent, given how long it would
     /// wait for a target without trouble.
     pub fn choose(&self, now: Time, ask: &Choice<'_>) -> Option<(HostName, SocketAddr)> {
-        let avoids = |host: &HostName| ask.avoid == Some(host);
+        let avoid = ask.avoid.filter(|host| self.is_any_other_healthy(host));
         let free = || {
             let free = self.targets.iter().filter(|(_, target)| target.free() > 0);
-            free.filter(|(_, target)| now >= target.paused_until)
+            free.filter(|(host, target)| now >= target.paused_until && avoid != Some(*host))
         };
-        let probe = free().find(|(host, target)| {
-            !avoids(host) && target.health.wants_probe(now, ask.can_try_again)
-        });
+        let probe = free().find(|(_, target)| target.health.wants_probe(now, ask.can_try_again));
         let healthy = || {
             let healthy = free().filter(|(_, target)| target.health.trouble().is_none());
             healthy.min_by(|(_, a), (_, b)| a.compare(b))
         };
-        let elsewhere = || {
-            let healthy = free().filter(|(_, target)| target.health.trouble().is_none());
-            healthy.filter(|(host, _)| !avoids(host)).min_by(|(_, a), (_, b)| a.compare(b))
-        };
-        let slow = || free().find(|(host, target)| !avoids(host) && self.saves_time(target, ask));
-        let alone = self.targets.values().filter(|target| target.takes_new()).count() == 1;
-        let usual = || if alone { healthy() } else { elsewhere() };
-        let (host, target) = probe.or_else(usual).or_else(slow)?;
+        let slow = || free().find(|(_, target)| self.saves_time(target, ask));
+        let (host, target) = probe.or_else(healthy).or_else(slow)?;
         Some((host.clone(), target.address))
     }
 
+    /// Whether a request that avoids `host` has anywhere else to go. Without this a request would
+    /// wait for a host that is set aside until its deadline passed, and the queue behind it.
+    fn is_any_other_healthy(&self, host: &HostName) -> bool {
+        self.targets.iter().any(|(other, target)| {
+            other != host && target.usable() > 0 && target.health.trouble().is_none()
+        })
+    }
+
     /// Binds a slot to a request that is sent now.
     ///
     /// # Panics
