--- a/crates/borageswitch_planner/src/placement/pass.rs
+++ b/crates/borageswitch_planner/src/placement/pass.rs
@@ -53,6 +53,14 @@
     }
 }
 
+/// What a job may use of a host: not the part that is kept for urgent work, unless it needs more
+/// than the rest of an empty host, or it could never run.
+fn room_for(record: &JobRecord, room: &Size) -> Size {
+    let shared = room.percent(SHARED_PERCENT);
+    let whole = record.job.urgency == Urgency::Urgent || !record.size.fits(&shared);
+    if whole { *room } else { shared }
+}
+
 impl Placement {
     /// Says why a job can never run, if that is so.
     pub(super) fn never(&self, name: &JobName) -> Option<Reason> {
@@ -66,8 +74,7 @@
                 format!("it needs more {lacking} than team '{}' may hold", job.team).into(),
             );
         }
-        let share = if job.urgency == Urgency::Urgent { 100 } else { SHARED_PERCENT };
-        let rooms = || self.hosts.of_pool(&job.pool).map(|(_, host)| host.room.percent(share));
+        let rooms = || self.hosts.of_pool(&job.pool).map(|(_, host)| host.room);
         if rooms().any(|room| size.fits(&room)) {
             return None;
         }
@@ -223,10 +230,8 @@
 
     fn best_host(&self, now: Time, name: &JobName) -> Option<HostName> {
         let record = self.jobs.get(name)?;
-        let urgent = record.job.urgency == Urgency::Urgent;
-        let share = if urgent { 100 } else { SHARED_PERCENT };
         let fitting = self.open_hosts(now, name).filter_map(|(host, room)| {
-            let free = room.room.percent(share).minus(&self.held_on(host));
+            let free = room_for(record, &room.room).minus(&self.held_on(host));
             record.size.fits(&free).then_some((host, free))
         });
         let best = fitting.min_by_key(|(host, free)| {
@@ -303,7 +308,7 @@
         };
         let host = self
             .open_hosts(now, name)
-            .filter(|(host, room)| size.fits(&room.room.percent(SHARED_PERCENT)) && !claimed(host))
+            .filter(|(host, room)| size.fits(&room.room) && !claimed(host))
             .max_by_key(|(host, room)| {
                 (room.room.minus(&self.held_on(host)).millicores, Reverse(*host))
             })
--- a/crates/borageswitch_planner/src/placement/tests.rs
+++ b/crates/borageswitch_planner/src/placement/tests.rs
@@ -310,6 +310,18 @@
     ");
 }
 
+/// A part of each host is kept for urgent work. A job that needs a whole host must run all the same.
+#[test]
+fn a_job_as_large_as_a_host_runs_on_an_empty_one() {
+    let mut world = World::new(1, 12);
+    world.submit("small", job("sales", 2, Urgency::Normal));
+    world.submit("whole", Job { kind: "whole".into(), ..job("grades", 16, Urgency::Normal) });
+
+    world.run_for(Duration::from_secs(200));
+
+    assert_eq!(world.outcome("whole"), Some(&Outcome::Done));
+}
+
 /// One host fails each job within a second and is always free. Without a guard it would draw and
 /// fail all the work there is.
 #[test]
