Read a socket only when there may be something to read

Cause: the HTTP library tries to read whenever its connection runs; of 22,754 calls of recv traced on one traffic thread 18,661 were in vain, nine a request. Change: after a read that found the socket empty or did not fill its buffer, the reactor is asked before the next one; a connection out of the pool looks at its socket itself once, so that its end is still noticed before a request is written.

--- a/crates/borageswitch_edge/src/traffic/listener.rs
+++ b/crates/borageswitch_edge/src/traffic/listener.rs
@@ -20,7 +20,7 @@
 use smol::Timer;
 use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
 
-use super::{core::Core, exchange, request_body::before};
+use super::{core::Core, exchange, request_body::before, stream::SharedStream};
 
 /// What a client of HTTP/2 sends first; three bytes tell it from every method of HTTP/1.1.
 const HTTP2_BEGINS: &[u8] = b"PRI";
@@ -134,7 +134,7 @@
         let core = Arc::clone(&service_core);
         async move { Ok::<_, std::convert::Infallible>(exchange::serve(core, req).await) }
     });
-    let io = FuturesIo::new(stream);
+    let io = FuturesIo::new(SharedStream::new(stream));
     let ended = match protocol {
         Protocol::Http1 => {
             let connection = http1::Builder::new()
--- a/crates/borageswitch_edge/src/traffic/mod.rs
+++ b/crates/borageswitch_edge/src/traffic/mod.rs
@@ -35,6 +35,7 @@
 mod shutdown;
 mod silence;
 mod stats;
+mod stream;
 mod target_conn;
 
 use std::{
--- a/crates/borageswitch_edge/src/traffic/pool.rs
+++ b/crates/borageswitch_edge/src/traffic/pool.rs
@@ -18,11 +18,8 @@
 use borageswitch_types::view::TrafficView;
 
 use super::{
-    config::TrafficConfig,
-    request_body::before,
-    silence::InFlight,
-    stats::Stats,
-    target_conn::{SharedStream, TargetConn},
+    config::TrafficConfig, request_body::before, silence::InFlight, stats::Stats,
+    stream::SharedStream, target_conn::TargetConn,
 };
 
 use self::target_pool::{Claimed, TargetPool};
--- a/crates/borageswitch_edge/src/traffic/pool/target_pool.rs
+++ b/crates/borageswitch_edge/src/traffic/pool/target_pool.rs
@@ -11,7 +11,8 @@
 
 use crate::traffic::{
     silence::{InFlight, Silence},
-    target_conn::{SharedStream, TargetConn},
+    stream::SharedStream,
+    target_conn::TargetConn,
 };
 
 /// The connections to one target.
--- a/crates/borageswitch_edge/src/traffic/target_conn.rs
+++ b/crates/borageswitch_edge/src/traffic/target_conn.rs
@@ -7,15 +7,13 @@
 use std::{
     future::poll_fn,
     io,
-    net::{Shutdown, SocketAddr, TcpStream},
+    net::{SocketAddr, TcpStream},
     pin::{Pin, pin},
-    sync::Arc,
     task::{Context, Poll},
     time::{Duration, Instant},
 };
 
 use async_io::Async;
-use futures_lite::io::{AsyncRead, AsyncWrite};
 use http::{Request, Response};
 use hyper::{
     body::Incoming,
@@ -24,7 +22,10 @@
 use rustix::net::sockopt;
 use smol_hyper::rt::FuturesIo;
 
-use super::request_body::{RequestBody, before};
+use super::{
+    request_body::{RequestBody, before},
+    stream::SharedStream,
+};
 
 /// Boxed, for connections move between pool and exchanges and it is large.
 type Driver = Box<Connection<FuturesIo<SharedStream>, RequestBody>>;
@@ -58,10 +59,6 @@
     Lost(hyper::Error),
 }
 
-/// The socket, shared between the connection and whoever may have to break it off.
-#[derive(Clone)]
-pub(super) struct SharedStream(Arc<Async<TcpStream>>);
-
 impl TargetConn {
     /// Connects to `address` before `end`.
     ///
@@ -73,7 +70,7 @@
             .await
             .unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
         prepare(stream.get_ref())?;
-        let stream = SharedStream(Arc::new(stream));
+        let stream = SharedStream::new(stream);
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_BUF)
             .handshake(FuturesIo::new(stream.clone()))
@@ -98,6 +95,7 @@
         &mut self,
         req: Request<RequestBody>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.stream.look_again();
         let mut answer = pin!(self.sender.try_send_request(req));
         let driver = &mut self.driver;
         let sent = poll_fn(|cx| {
@@ -149,47 +147,3 @@
         *driver = None;
     }
 }
-
-impl SharedStream {
-    /// Ends the connection under the exchange that uses it.
-    pub(super) fn break_off(&self) {
-        // It fails only if the connection has ended already.
-        let _ = self.0.get_ref().shutdown(Shutdown::Both);
-    }
-}
-
-impl AsyncRead for SharedStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.0).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for SharedStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.0).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.0).poll_write_vectored(cx, bufs)
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut &*self.0).poll_flush(cx)
-    }
-
-    fn poll_close(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut &*self.0).poll_close(cx)
-    }
-}
