--- a/crates/borageswitch_control/tests/support/world.rs
+++ b/crates/borageswitch_control/tests/support/world.rs
@@ -96,11 +96,23 @@
     waves: u32,
     pub auto: bool,
     pub lose_next_append: bool,
+    is_fast: bool,
 }
 
 impl World {
     /// A region with `entries` daemons that have just started; operators apply the site at once.
     pub fn new(seed: u64, entries: u16, faults: Faults, guards: Guards) -> Self {
+        Self::with_pace(seed, entries, faults, guards, true)
+    }
+
+    /// The same with a daemon's usual times, or shorter ones that fit more into a run.
+    pub fn with_pace(
+        seed: u64,
+        entries: u16,
+        faults: Faults,
+        guards: Guards,
+        is_fast: bool,
+    ) -> Self {
         let mut world = Self {
             now: Time::from_millis(1),
             rng: fastrand::Rng::with_seed(seed),
@@ -123,6 +135,7 @@
             waves: 0,
             auto: faults.disturbance.is_some(),
             lose_next_append: false,
+            is_fast,
         };
         for _ in 0..entries {
             world.start_daemon();
@@ -175,10 +188,12 @@
         let member = Member { daemon: daemon.clone(), data_centre, address };
         let seed = self.rng.u64(..);
         let mut cfg = ControlConfig::new(member.clone(), "gauteng".into(), seed);
-        cfg.store_timeout = Duration::from_millis(500);
-        cfg.duty_ttl = Duration::from_secs(3);
-        cfg.heartbeat = Duration::from_millis(300);
-        cfg.silence = Duration::from_millis(2_400);
+        if self.is_fast {
+            cfg.store_timeout = Duration::from_millis(500);
+            cfg.duty_ttl = Duration::from_secs(3);
+            cfg.heartbeat = Duration::from_millis(300);
+            cfg.silence = Duration::from_millis(2_400);
+        }
         cfg.guards = self.guards;
         cfg.seeds = self.daemons.values().map(|daemon| daemon.member.address).collect();
         let fake = FakeDaemon {
