Use a set-aside host when no healthy one is left

Cause: the healthy hosts of a service leave for maintenance while another is set aside; its next probe may be half a minute away, and until then nothing starts. Change: without any healthy target that takes new work, a set-aside one is used. A test causes it.

--- a/crates/borageswitch_policy/src/dispatch/tests.rs
+++ b/crates/borageswitch_policy/src/dispatch/tests.rs
@@ -199,6 +199,26 @@
     assert_eq!(started_on(&out), ["host-1"]);
 }
 
+/// One of two hosts is set aside, and the other leaves for maintenance. Requests would wait for the
+/// next probe, up to half a minute, though the host may long be well.
+#[test]
+fn host_set_aside_is_used_when_no_other_is_left() {
+    let mut fixture = fixture(2);
+    for ticket in 0..40 {
+        let out = fixture.offer(ticket, "desk", false);
+        let status = if started_on(&out) == ["host-0"] { 500 } else { 200 };
+        fixture.now += Duration::from_millis(10);
+        fixture.input(DispatchInput::Finished(Ticket(ticket), Outcome::Answered { status }));
+    }
+    let other = HostName::from("host-1");
+    fixture.service().targets.get_mut(&other).expect("it is there").state = TargetState::Leaving;
+    fixture.publish();
+
+    let out = fixture.offer(100, "desk", false);
+
+    assert_eq!(started_on(&out), ["host-0"]);
+}
+
 /// A try on the host with free slots is refused, and the only other host is full for long. The
 /// request may wait for it for a moment, but must not hold up the queue.
 #[test]
--- a/crates/borageswitch_policy/src/targets/mod.rs
+++ b/crates/borageswitch_policy/src/targets/mod.rs
@@ -6,9 +6,10 @@
 //! how slow it has been.
 //!
 //! A target in trouble (see `health`) is used otherwise only
-//! - for a probe, one request at a time; or
+//! - for a probe, one request at a time;
 //! - where it is slow and the wait that it saves exceeds the time that it adds: a slow target is
-//!   capacity in an overload, and a nuisance otherwise.
+//!   capacity in an overload, and a nuisance otherwise; or
+//! - when no target without trouble is left.
 //!
 //! How many failing targets are set aside at once is bounded by the availability budget, so that
 //! a false alarm cannot take more capacity than a failure that the budget foresees. A failing
@@ -151,10 +152,17 @@
             healthy.min_by(|(_, a), (_, b)| a.compare(b))
         };
         let slow = || free().find(|(_, target)| self.saves_time(target, ask));
-        let (host, target) = probe.or_else(healthy).or_else(slow)?;
+        let last = || if self.is_any_healthy() { None } else { free().next() };
+        let (host, target) = probe.or_else(healthy).or_else(slow).or_else(last)?;
         Some((host.clone(), target.address))
     }
 
+    /// Whether any target takes new requests and is in no trouble. When the healthy ones leave, what
+    /// was set aside is all there is: better tried than left until its next probe.
+    fn is_any_healthy(&self) -> bool {
+        self.targets.values().any(|target| target.takes_new() && target.health.trouble().is_none())
+    }
+
     /// Whether a request that avoids `host` has anywhere else to go. Without this a request would
     /// wait for a host that is set aside until its deadline passed, and the queue behind it.
     fn is_any_other_healthy(&self, host: &HostName) -> bool {
