--- a/crates/borageswitch_control/src/reducer/claims/chain.rs
+++ b/crates/borageswitch_control/src/reducer/claims/chain.rs
@@ -29,7 +29,7 @@
     store::{KeyValue, StoreAnswer, StoreError, StoreRequest, Version},
 };
 
-/// A segment is sealed at this length: about 16 KB, so that an append stays a small write.
+/// A segment is sealed at this length, 20 KB of text, so that an append stays a small write.
 const SEGMENT_CLAIMS: usize = 256;
 /// Writes of one shard keep this distance. Eight shards make at most 100 writes a second at any
 /// rate of requests; a claim waits 40 ms longer on average while its shard is busy.
