--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -9,6 +9,7 @@
 mod load;
 mod peers;
 mod placement;
+mod plots;
 mod process;
 mod reducer;
 mod report;
@@ -18,7 +19,7 @@
 
 use std::{collections::BTreeMap, fs, path::PathBuf, process::ExitCode};
 
-use clap::{Arg, ArgAction, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 /// A benchmark: its name, what it measures, and what runs it and gives its figures.
 struct Benchmark {
@@ -84,9 +85,23 @@
         report::print(&result);
         figures.insert(benchmark.name, result);
     }
-    match matches.get_one::<PathBuf>("json") {
-        Some(path) => write_json(path, &figures),
-        None => ExitCode::SUCCESS,
+    let figures = serde_json::json!(figures);
+    match write_out(&matches, &figures) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("borageswitch_benches: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn write_out(matches: &ArgMatches, figures: &serde_json::Value) -> Result<(), String> {
+    if let Some(path) = matches.get_one::<PathBuf>("json") {
+        fs::write(path, format!("{figures:#}\n")).map_err(|err| format!("--json: {err}"))?;
+    }
+    match matches.get_one::<PathBuf>("plots") {
+        Some(dir) => plots::draw_all(dir, figures).map_err(|err| format!("--plots: {err}")),
+        None => Ok(()),
     }
 }
 
@@ -98,16 +113,12 @@
         .value_name("FILE")
         .value_parser(value_parser!(PathBuf))
         .help("Also write the figures as JSON");
-    Command::new("borageswitch_benches").about("Benchmarks of borageswitch").args([names, json])
-}
-
-fn write_json(path: &PathBuf, figures: &BTreeMap<&str, serde_json::Value>) -> ExitCode {
-    let text = format!("{:#}\n", serde_json::json!(figures));
-    match fs::write(path, text) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(err) => {
-            eprintln!("--json: {err}");
-            ExitCode::FAILURE
-        }
-    }
+    let plots = Arg::new("plots")
+        .long("plots")
+        .value_name("DIR")
+        .value_parser(value_parser!(PathBuf))
+        .help("Also draw the figures as SVG files into a directory that exists");
+    Command::new("borageswitch_benches")
+        .about("Benchmarks of borageswitch")
+        .args([names, json, plots])
 }
