Count a target's own failure as such, and wait for a new daemon's readiness

Conclusion: the checker was wrong, not the daemons; a wrong body with any other status still counts as mixed up.

--- a/crates/borageswitch_local_site/src/callers.rs
+++ b/crates/borageswitch_local_site/src/callers.rs
@@ -19,7 +19,7 @@
 };
 use bytes::Bytes;
 use hdrhistogram::Histogram;
-use http::{Method, Request, Response};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use smol::{Executor, Timer};
 
@@ -43,6 +43,8 @@
 pub struct CallerCounts {
     /// Right answers.
     pub answered: u64,
+    /// Answers in which a target said that it had failed.
+    pub failed: u64,
     /// Answers of our own instead of a target's, by error kind.
     pub refused: BTreeMap<String, u64>,
     /// Answers that were not the one to the request, or not whole.
@@ -233,6 +235,10 @@
         lock(&board.latency).saturating_record(took.as_micros() as u64);
         return false;
     }
+    if res.status() == StatusCode::INTERNAL_SERVER_ERROR {
+        counts.failed += 1;
+        return false;
+    }
     log::warn!("request {} got a wrong answer with status {}", sent.id, res.status());
     counts.mixed_up += 1;
     false
--- a/crates/borageswitch_local_site/src/report.rs
+++ b/crates/borageswitch_local_site/src/report.rs
@@ -13,6 +13,8 @@
     pub daemons: usize,
     /// Right answers.
     pub answered: u64,
+    /// Answers in which a target said that it had failed.
+    pub failed: u64,
     /// Answers of our own, by error kind.
     pub refused: BTreeMap<String, u64>,
     /// Requests whose exchange ended without a whole answer, at an entry that did not vanish.
@@ -94,6 +96,7 @@
             self.site, self.daemons, self.seconds
         )?;
         writeln!(f, "answered            {}", self.answered)?;
+        writeln!(f, "failed by a target  {}", self.failed)?;
         writeln!(f, "refused             {:?}", self.refused)?;
         writeln!(f, "cut                 {}", self.cut)?;
         writeln!(f, "lost with an entry  {}", self.lost_with_entry)?;
--- a/crates/borageswitch_local_site/src/session.rs
+++ b/crates/borageswitch_local_site/src/session.rs
@@ -277,6 +277,7 @@
         report.seconds = self.started.elapsed().as_secs_f64();
         report.daemons = self.options.daemons;
         report.answered = counts.answered;
+        report.failed = counts.failed;
         report.refused = counts.refused;
         report.cut = counts.cut;
         report.lost_with_entry = counts.lost_with_entry;
--- a/crates/borageswitch_local_site/src/site.rs
+++ b/crates/borageswitch_local_site/src/site.rs
@@ -16,8 +16,13 @@
     names::{DataCentreName, OperationId, RegionName},
 };
 use borageswitch_wire::operator::{OperatorAnswer, OperatorRequest, Subject};
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
 use smol::{Executor, Timer};
 
+use crate::client::Client;
+
 /// How many threads serve the stand-ins and the callers.
 const STANDIN_THREADS: usize = 3;
 /// How long a change may take to be accepted before a session gives up.
@@ -106,19 +111,38 @@
         self.daemons.iter().map(|daemon| daemon.addresses().callers).collect()
     }
 
-    /// Starts one more daemon, as a replacement.
+    /// Starts one more daemon, as a replacement, and waits until it says that it is ready, as the
+    /// balancer would before it sends callers there.
     ///
     /// # Errors
     ///
-    /// When it could not start.
+    /// When it could not start or is not ready in time.
     pub fn add_daemon(&mut self) -> Result<SocketAddr, SiteError> {
         let settings = self.daemon_settings(self.daemons.len());
         let daemon = daemon::start(&settings).map_err(SiteError::Daemon)?;
         let address = daemon.addresses().callers;
+        let observe = daemon.addresses().observe;
         self.daemons.push(daemon);
+        self.wait_ready(observe)?;
         Ok(address)
     }
 
+    fn wait_ready(&self, observe: SocketAddr) -> Result<(), SiteError> {
+        let mut client = Client::new(self.ex.clone());
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            let probe =
+                Request::get("/ready").header("host", "daemon").body(Full::new(Bytes::new()));
+            let Ok(probe) = probe else { break };
+            let answered = smol::block_on(client.exchange(observe, probe));
+            if answered.is_ok_and(|res| res.status() == StatusCode::OK) {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        Err(SiteError::TimedOut("a new daemon's readiness"))
+    }
+
     /// Makes a change through whichever daemon answers, repeating it under one operation id.
     ///
     /// # Errors
