--- a/benches/src/waves.rs
+++ b/benches/src/waves.rs
@@ -32,7 +32,7 @@
 /// Hosts and pools of the regions on which a planning step is timed.
 const SIZES: [(usize, usize); 5] = [(106, 19), (213, 38), (425, 75), (850, 151), (1_700, 301)];
 /// Steps timed at each size, from the start of a wave on.
-const TIMED_STEPS: usize = 240;
+const TIMED_STEPS: usize = 600;
 
 /// One wave on one seed.
 struct Run {
