Count the hosts that can be lent once a planning step

Cause: a step in a wave's batches counted them for each pool: at 1700 hosts and 301 pools it took 29.8 ms in the mean and 80.5 ms at worst, above the 50 ms that are wanted. Change: they are counted once; nothing is looked through when nothing can be lent or given back.

--- a/crates/borageswitch_planner/src/steps/moves.rs
+++ b/crates/borageswitch_planner/src/steps/moves.rs
@@ -207,12 +207,17 @@
             if canaries && can_begin {
                 continue;
             }
-            while let Some(need) = needs.iter_mut().max_by_key(|need| (need.rounds(), need.pool)) {
-                let available = need.lent + self.lendable(plan);
-                let best = loan(need.pending, need.own, available, wave.settings.weights);
+            let mut lendable = self.lendable(plan);
+            // Nothing is gained by going through the pools when there is nothing to lend.
+            while let Some(need) =
+                needs.iter_mut().filter(|_| lendable > 0).max_by_key(|n| (n.rounds(), n.pool))
+            {
+                let best =
+                    loan(need.pending, need.own, need.lent + lendable, wave.settings.weights);
                 let why = "a wave has few hosts to choose from there";
                 if need.lent < best && self.send_one(plan, need.pool, Use::Loan, why) {
                     need.lent += 1;
+                    lendable -= 1;
                     continue;
                 }
                 let served = need.pool;
--- a/crates/borageswitch_planner/src/steps/power.rs
+++ b/crates/borageswitch_planner/src/steps/power.rs
@@ -229,7 +229,9 @@
 /// The next boot surge of a running wave is kept free, or each reboot would find its watts spent
 /// and throttle the same hosts again.
 pub(crate) fn give_back(plan: &mut Plan<'_>) {
-    if plan.power.excess() > 0 {
+    let limited =
+        |host: &Host| host.power == HostPower::Throttled || host.phase == HostPhase::Parked;
+    if plan.power.excess() > 0 || !plan.fleet.hosts.values().any(limited) {
         return;
     }
     let kept = next_surge(plan.fleet);
