Hash documents with the fnv crate and remove the unused hello message

Cause: the digest of a document was a home-made FNV-1a, where the house rule is a well-kept library; and nothing has sent PeerMessage::Hello since the handshake took its place. The message and the reducer's arm for it are gone. The kinds after it are numbered anew on the wire, so PEER_VERSION rises to 2: a peer of the old numbering is told so instead of being misread.

--- a/crates/borageswitch_control/src/reducer/mod.rs
+++ b/crates/borageswitch_control/src/reducer/mod.rs
@@ -218,10 +218,6 @@
 
     fn peer_says(&mut self, from: &DaemonName, message: PeerMessage) {
         match message {
-            PeerMessage::Hello { member, revision, .. } => {
-                self.peer_up(member);
-                self.compare_revision(from, revision);
-            }
             PeerMessage::Heartbeat(heartbeat) => self.heartbeat_received(from, heartbeat),
             PeerMessage::Roster(members) => members.into_iter().for_each(|m| self.learn(m)),
             PeerMessage::Changes(delta) => self.changes_received(from, &delta),
--- a/crates/borageswitch_wire/src/peer.rs
+++ b/crates/borageswitch_wire/src/peer.rs
@@ -1,6 +1,6 @@
 //! Messages between daemons, encoded by `bincode` in frames on `h2` streams.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, hash::Hasher, net::SocketAddr, time::Duration};
 
 use borageswitch_types::{
     Fleet, Time,
@@ -9,9 +9,10 @@
     names::{DaemonName, DataCentreName, HostName},
     slots::SlotMessage,
 };
+use fnv::FnvHasher;
 
 /// The version of the messages; a peer of another version is told so and not listened to.
-pub const PEER_VERSION: u16 = 1;
+pub const PEER_VERSION: u16 = 2;
 
 /// The largest frame that is read, in bytes: a fleet document with room to spare.
 pub const MAX_FRAME: usize = 2 << 20;
@@ -107,15 +108,6 @@
 /// A message between two daemons.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum PeerMessage {
-    /// The first message on a connection, both ways.
-    Hello {
-        /// [`PEER_VERSION`] of the sender.
-        version: u16,
-        /// The sender.
-        member: Member,
-        /// The sender's revision.
-        revision: Revision,
-    },
     /// The sender lives.
     Heartbeat(Heartbeat),
     /// The members that the sender knows, for whoever cannot ask the store.
@@ -187,21 +179,17 @@
 ///
 /// When the document cannot be encoded.
 pub fn fleet_digest(fleet: &Fleet) -> Result<u64, CodecError> {
-    let mut digest = Digest(FNV_OFFSET);
-    bincode::serde::encode_into_writer(fleet, &mut digest, codec())?;
-    Ok(digest.0)
+    let mut writer = HashWriter(FnvHasher::default());
+    bincode::serde::encode_into_writer(fleet, &mut writer, codec())?;
+    Ok(writer.0.finish())
 }
 
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
-
-struct Digest(u64);
+/// Hashes what is encoded, so that no copy of a whole document is made for its digest.
+struct HashWriter(FnvHasher);
 
-impl bincode::enc::write::Writer for Digest {
+impl bincode::enc::write::Writer for HashWriter {
     fn write(&mut self, bytes: &[u8]) -> Result<(), bincode::error::EncodeError> {
-        for byte in bytes {
-            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
-        }
+        self.0.write(bytes);
         Ok(())
     }
 }
