Start no waiting request after the permission to serve has ended

Change: the permission is checked once more when a request starts; a daemon that stops keeps its permission, so that its waiting requests still start. Conclusion: the gap is closed but for the microseconds between check and write.

--- a/crates/borageswitch_control/src/reducer/admission.rs
+++ b/crates/borageswitch_control/src/reducer/admission.rs
@@ -8,6 +8,9 @@
 //!
 //! The permission is a time on the monotonic clock and not a flag: when the whole process was
 //! paused, the traffic threads wake up with a permission that has ended.
+//!
+//! A daemon that is asked to stop lets nothing new in, but keeps its permission while it lasts:
+//! requests that wait already still start.
 
 use borageswitch_types::{Time, fleet::Revision};
 
@@ -32,7 +35,7 @@
             self.admission.until = until;
             self.effects.push(Effect::AdmitUntil(until));
         }
-        let is_admitting = self.now < until;
+        let is_admitting = self.now < until && !self.stopping;
         if is_admitting != self.admission.is_admitting {
             self.admission.is_admitting = is_admitting;
             self.note_admission(is_admitting);
@@ -55,7 +58,7 @@
     }
 
     fn admitted_until(&self) -> Time {
-        let Some(fleet) = self.sync.fleet().filter(|_| !self.stopping) else { return Time::ZERO };
+        let Some(fleet) = self.sync.fleet() else { return Time::ZERO };
         if !self.cfg.guards.self_fence {
             return Time::MAX;
         }
--- a/crates/borageswitch_edge/src/traffic/exchange.rs
+++ b/crates/borageswitch_edge/src/traffic/exchange.rs
@@ -159,12 +159,20 @@
         let mut body = body;
         let mut input = DispatchInput::Offered(offer);
         let mut tries = 0_u32;
+        // Why the last try ended that may have run; "not run" would be false after it.
+        let mut may_have_run = None;
         loop {
             let (host, address) = match self.decision(input).await? {
                 Decision::Start { host, address } => (host, address),
                 Decision::Refuse(refusal) => return Err(refusal),
             };
             let started = self.started(host, counted.take());
+            // The request may have waited through a pause of the whole process. Its host may have
+            // left meanwhile, and by this daemon's old view it would get new work all the same.
+            if !self.core.may_admit() {
+                started.finish(Outcome::Abandoned);
+                return Err(may_have_run.unwrap_or(ErrorKind::NotAdmitting).into());
+            }
             match tries {
                 0 => self.core.stats.started(offered.elapsed()),
                 _ => self.core.stats.retried(),
@@ -186,6 +194,9 @@
                 return Err(kind.into());
             };
             body = same;
+            if ran == Ran::Unknown {
+                may_have_run = Some(kind);
+            }
             counted = started.hand_over(ran);
             input = DispatchInput::Finished(
                 self.ticket,
--- a/crates/borageswitch_edge/tests/traffic/stopping.rs
+++ b/crates/borageswitch_edge/tests/traffic/stopping.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use borageswitch_types::{fleet::Revision, view::TargetState};
+use borageswitch_types::{Time, fleet::Revision, view::TargetState};
 
 use crate::support::{Entry, LIVENESS, ask, eventually, get, host, ok, target, view, with_state};
 
@@ -149,6 +149,33 @@
     assert_eq!(running.join().expect("the call ends").text(), "done");
 }
 
+/// A request waits for the only slot when the daemon's permission to serve ends, as after a pause of
+/// the whole process. By then the host may be rebooting or serve another pool; the request is told
+/// that it did not run, and never starts there.
+#[test]
+fn a_waiting_request_does_not_start_after_the_permission_has_ended() {
+    let (address, release, started) = holding_target();
+    let mut narrow = view(1, &[address]);
+    for target in narrow.services.values_mut().flat_map(|service| service.targets.values_mut()) {
+        (target.slots, target.dealt_slots) = (1, 1);
+    }
+    let entry = Entry::start(crate::support::config().build());
+    entry.traffic.publish_view(Arc::new(narrow));
+    let entry_address = entry.address();
+    let running = thread::spawn(move || ask(entry_address, get("/")));
+    wait_for(&entry, &started, 1);
+    let waiting = thread::spawn(move || ask(entry_address, get("/")));
+    entry.wait_for_report(|report| report.unfinished == 2);
+
+    entry.traffic.admit_until(Time::ZERO);
+    release.send_blocking(()).expect("the target waits");
+    let refused = waiting.join().expect("the call ends");
+
+    assert_eq!((refused.status, refused.header("borageswitch-ran")), (503, "no"));
+    assert_eq!(running.join().expect("the call ends").text(), "done");
+    assert_eq!(started.load(Ordering::SeqCst), 1);
+}
+
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: x\r\nborageswitch-service: pricing\r\n\r\n";
 
 fn keep_alive_call(entry: &Entry) -> TcpStream {
