Split the targets of a service by job

Cause: the module had 438 lines with three jobs: choosing, lending, and what one target may take. Change: one target's state and the loans of slots have modules of their own; no statement is changed. Conclusion: the crate's tests pass unchanged.

--- a/crates/borageswitch_policy/src/targets/mod.rs
+++ b/crates/borageswitch_policy/src/targets/mod.rs
@@ -5,7 +5,7 @@
 //! one with the shortest expected time comes first: the least part of its slots in use, weighed by
 //! how slow it has been.
 //!
-//! A target in trouble (see `health`) is used otherwise only
+//! A target in trouble (see [`health`]) is used otherwise only
 //! - for a probe, one request at a time;
 //! - where it is slow and the wait that it saves exceeds the time that it adds: a slow target is
 //!   capacity in an overload, and a nuisance otherwise; or
@@ -17,42 +17,22 @@
 //! failure, as long as a run takes, so that failing fast does not draw work.
 
 mod health;
+mod lending;
+mod target;
 mod warm_up;
 
-use std::{cmp::Ordering, collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use borageswitch_types::{
     Time,
     names::{DaemonName, HostName},
-    view::{ServiceView, TargetState, TargetView},
+    view::ServiceView,
 };
 
-use self::health::Health;
 pub use self::health::{Trouble, Verdict};
+use self::target::Target;
 use crate::dealing;
 
-/// One target's state at this entry.
-#[derive(Debug)]
-struct Target {
-    address: SocketAddr,
-    epoch: u64,
-    state: TargetState,
-    /// False once the target is no longer in the view; it is forgotten when nothing is in flight.
-    listed: bool,
-    slots: u16,
-    dealt: u16,
-    /// Of `dealt`, what may be used while the target warms up.
-    open: u16,
-    warming_since: Option<Time>,
-    lent: u16,
-    borrowed: u16,
-    in_flight: u32,
-    paused_until: Time,
-    last_start: Time,
-    health: Health,
-    slowness: f64,
-}
-
 /// A try in flight, for [`Targets::finish`].
 #[derive(Clone, Debug)]
 pub struct Try {
@@ -299,140 +279,3 @@
     /// Whether a failure could be tried again elsewhere.
     pub can_try_again: bool,
 }
-
-/// How entries lend each other slots of the targets.
-impl Targets {
-    /// Whether a share of this host and epoch still means anything.
-    pub fn is_current(&self, host: &HostName, epoch: u64) -> bool {
-        self.targets.get(host).is_some_and(|target| target.listed && target.epoch == epoch)
-    }
-
-    /// The epoch of a host in the view.
-    pub fn epoch(&self, host: &HostName) -> Option<u64> {
-        self.targets.get(host).map(|target| target.epoch)
-    }
-
-    /// The host with most free slots among the targets without trouble, if it has any.
-    pub fn freest(&self) -> Option<HostName> {
-        let healthy = |(_, target): &(&HostName, &Target)| {
-            target.free() > 0 && target.health.trouble().is_none()
-        };
-        let free = self.targets.iter().filter(healthy);
-        free.max_by_key(|(_, target)| target.free()).map(|(host, _)| host.clone())
-    }
-
-    /// Whether a slot of the host is free.
-    pub fn has_free(&self, host: &HostName) -> bool {
-        self.targets.get(host).is_some_and(|target| target.free() > 0)
-    }
-
-    /// Whether more is in flight than may be, by which a slot given up is still in use.
-    pub fn excess(&self, host: &HostName) -> u32 {
-        self.targets.get(host).map_or(0, |t| t.in_flight.saturating_sub(t.usable()))
-    }
-
-    /// Takes note that one own slot of a host was lent.
-    pub fn lend(&mut self, host: &HostName) {
-        if let Some(target) = self.targets.get_mut(host) {
-            assert!(target.lent < target.dealt, "more slots of {host} lent than dealt");
-            target.lent += 1;
-        }
-    }
-
-    /// Takes note that one own slot has come back.
-    pub fn take_back(&mut self, host: &HostName) {
-        if let Some(target) = self.targets.get_mut(host) {
-            target.lent = target.lent.saturating_sub(1);
-        }
-    }
-
-    /// Takes note that one slot was borrowed.
-    pub fn borrow(&mut self, host: &HostName) {
-        if let Some(target) = self.targets.get_mut(host) {
-            target.borrowed += 1;
-        }
-    }
-
-    /// Takes note that one borrowed slot must no longer be used for new requests.
-    pub fn give_up(&mut self, host: &HostName) {
-        if let Some(target) = self.targets.get_mut(host) {
-            target.borrowed = target.borrowed.saturating_sub(1);
-        }
-    }
-
-    /// Whether own slots of the host are left to lend.
-    pub fn owns_unlent(&self, host: &HostName) -> bool {
-        self.targets.get(host).is_some_and(|target| target.lent < target.open)
-    }
-}
-
-impl Target {
-    fn new(now: Time, seen: &TargetView) -> Self {
-        let mut target = Self {
-            address: seen.address,
-            epoch: seen.epoch,
-            state: seen.state,
-            listed: true,
-            slots: seen.slots,
-            dealt: seen.dealt_slots,
-            open: seen.dealt_slots,
-            warming_since: None,
-            lent: 0,
-            borrowed: 0,
-            in_flight: 0,
-            paused_until: Time::ZERO,
-            last_start: Time::ZERO,
-            health: Health::default(),
-            slowness: 1.0,
-        };
-        target.update(now, seen);
-        target
-    }
-
-    fn update(&mut self, now: Time, seen: &TargetView) {
-        if self.epoch != seen.epoch {
-            // What is known belongs to the host's last assignment, and every loan of it is void.
-            (self.lent, self.borrowed) = (0, 0);
-            let in_flight = self.in_flight;
-            if in_flight == 0 {
-                self.health = Health::default();
-            }
-            self.warming_since = None;
-        }
-        self.warming_since = match seen.state {
-            TargetState::Warming => Some(self.warming_since.unwrap_or(now)),
-            TargetState::Open | TargetState::Leaving => None,
-        };
-        self.address = seen.address;
-        self.epoch = seen.epoch;
-        self.state = seen.state;
-        self.listed = true;
-        self.slots = seen.slots;
-        self.dealt = seen.dealt_slots;
-    }
-
-    fn takes_new(&self) -> bool {
-        self.listed && self.state != TargetState::Leaving
-    }
-
-    /// How many requests this entry may have in flight on the target.
-    fn usable(&self) -> u32 {
-        if !self.takes_new() {
-            return 0;
-        }
-        u32::from(self.open.saturating_sub(self.lent) + self.borrowed)
-    }
-
-    fn free(&self) -> u32 {
-        self.usable().saturating_sub(self.in_flight)
-    }
-
-    /// Orders by cost; among equals the one that has waited longest for a request comes first.
-    fn compare(&self, other: &Target) -> Ordering {
-        self.cost().total_cmp(&other.cost()).then(self.last_start.cmp(&other.last_start))
-    }
-
-    fn cost(&self) -> f64 {
-        f64::from(self.in_flight + 1) / f64::from(self.usable().max(1)) * self.slowness.max(1.0)
-    }
-}
