--- a/crates/borageswitch_control/src/event.rs
+++ b/crates/borageswitch_control/src/event.rs
@@ -4,7 +4,7 @@
 
 use borageswitch_types::{
     agent::{AgentError, AgentStatus},
-    claim::ClaimRequest,
+    claim::{ClaimRequest, ClaimTicket},
     fleet::Revision,
     names::{DaemonName, HostName},
     time::UnixMillis,
@@ -108,6 +108,8 @@
     Traffic(TrafficReport),
     /// A traffic thread asks for the claim of a non-idempotent request.
     Claim(ClaimRequest),
+    /// A traffic thread was granted this claim, has sent nothing under it and never will.
+    ReleaseClaim(ClaimTicket),
     /// The process is asked to end.
     Stop {
         /// Why, for the log.
--- a/crates/borageswitch_control/src/reducer/claims/chain.rs
+++ b/crates/borageswitch_control/src/reducer/claims/chain.rs
@@ -7,26 +7,34 @@
 //!
 //! A full segment is sealed by the write that fills it, and the next one is created only by a
 //! writer that has seen the seal, so the chain has one end. An open segment is never deleted.
+//!
+//! A claim under which nothing was sent can be given back by a further line. A nonce that was
+//! given back is never granted again: an ask of it that arrives late would otherwise bring back a
+//! claim that nobody releases.
+
+mod reading;
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
 
 use borageswitch_types::{
     Time,
-    claim::{ClaimKey, ClaimNonce, ClaimOutcome, ClaimTicket},
-    names::DaemonName,
+    claim::{ClaimKey, ClaimNonce, ClaimOutcome},
     time::UnixMillis,
 };
 
 use crate::{
     reducer::{
-        claims::segment::{Claim, Segment},
+        claims::{
+            ask::{Ask, Release, Verdict},
+            segment::{Claim, Kind, Segment},
+        },
         store_calls::Backoff,
     },
-    store::{KeyValue, StoreAnswer, StoreError, StoreRequest, Version},
+    store::{StoreAnswer, StoreError, StoreRequest, Version},
 };
 
 /// A segment is sealed at this length, 20 KB of text, so that an append stays a small write.
@@ -36,7 +44,9 @@
 const WRITE_INTERVAL: Duration = Duration::from_millis(80);
 /// The most claims in one write.
 const BATCH: usize = 64;
-/// The most claims that wait for one shard; more are refused at once.
+/// The most releases in one write, so that claims have room in each.
+const RELEASES: usize = BATCH / 2;
+/// The most claims that wait for one shard, and the most releases; more are refused at once.
 const WAITING: usize = 4_096;
 /// Wall clocks of daemons differ by less than this.
 const CLOCK_SKEW: Duration = Duration::from_secs(60);
@@ -46,31 +56,6 @@
 const ABSENCE_BELIEVED: Duration = Duration::from_secs(20);
 const RETRY_BASE: Duration = Duration::from_millis(60);
 
-/// Who asked for a claim.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum Asker {
-    Here(ClaimTicket),
-    Peer(DaemonName),
-}
-
-/// A claim that waits for the store.
-#[derive(Clone, Debug)]
-pub(super) struct Ask {
-    pub(super) key: ClaimKey,
-    pub(super) nonce: ClaimNonce,
-    pub(super) window: Duration,
-    pub(super) deadline: Time,
-    pub(super) asker: Asker,
-}
-
-/// What came of an ask.
-#[derive(Clone, Debug)]
-pub(super) struct Verdict {
-    pub(super) nonce: ClaimNonce,
-    pub(super) asker: Asker,
-    pub(super) outcome: ClaimOutcome,
-}
-
 /// A call on behalf of a chain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::reducer) enum Step {
@@ -106,12 +91,17 @@
     stage: Stage,
     is_calling: bool,
     claimed: BTreeMap<ClaimKey, Claim>,
+    released: BTreeSet<ClaimNonce>,
     sealed: BTreeMap<u64, Sealed>,
     head: u64,
     head_version: Version,
     head_segment: Segment,
     absent_at: Time,
+    /// When the call was made that last showed the end of the chain.
+    seen_at: Time,
     waiting: VecDeque<Ask>,
+    /// Releases not yet seen in the chain.
+    releases: BTreeMap<ClaimNonce, Release>,
     batch: Vec<Ask>,
     written: Segment,
     verdicts: Vec<Verdict>,
@@ -129,12 +119,15 @@
             stage: Stage::Unloaded,
             is_calling: false,
             claimed: BTreeMap::new(),
+            released: BTreeSet::new(),
             sealed: BTreeMap::new(),
             head: 1,
             head_version: Version::ABSENT,
             head_segment: Segment::default(),
             absent_at: Time::ZERO,
+            seen_at: Time::ZERO,
             waiting: VecDeque::new(),
+            releases: BTreeMap::new(),
             batch: Vec::new(),
             written: Segment::default(),
             verdicts: Vec::new(),
@@ -154,8 +147,16 @@
         self.waiting.push_back(ask);
     }
 
+    /// Takes a release of a claim that was granted and under which nothing can be sent any more.
+    pub(super) fn release(&mut self, now: Time, release: Release) {
+        self.last_used = now;
+        if self.releases.len() < WAITING {
+            self.releases.insert(release.nonce, release);
+        }
+    }
+
     pub(super) fn is_idle(&self) -> bool {
-        self.waiting.is_empty() && self.batch.is_empty() && !self.is_calling
+        !self.has_work() && self.batch.is_empty() && !self.is_calling
     }
 
     pub(super) fn claims(&self) -> usize {
@@ -182,17 +183,35 @@
         }
         self.settle_known(now);
         let call = match self.stage {
-            _ if self.waiting.is_empty() => self.forget_call(wall, is_owner)?,
+            _ if !self.has_work() => self.forget_call(wall, is_owner)?,
             Stage::Unloaded => (Step::Load, StoreRequest::List { prefix: self.prefix.clone() }),
-            Stage::Ready if self.is_believed(now) => self.append_call(now, wall),
-            Stage::HeadUnknown | Stage::Ready => {
-                (Step::ReadHead, StoreRequest::Get { key: self.key(self.head) })
+            Stage::Ready if self.is_believed(now) && self.can_append() => {
+                self.append_call(now, wall)
             }
+            Stage::HeadUnknown | Stage::Ready => self.read_call(now),
         };
         self.is_calling = true;
         Some(call)
     }
 
+    fn read_call(&mut self, now: Time) -> (Step, StoreRequest) {
+        if self.stage == Stage::Ready {
+            // Callers that repeat what was claimed cause reads no faster than others cause writes.
+            self.next_write = now + WRITE_INTERVAL;
+        }
+        (Step::ReadHead, StoreRequest::Get { key: self.key(self.head) })
+    }
+
+    fn has_work(&self) -> bool {
+        !self.waiting.is_empty() || !self.releases.is_empty()
+    }
+
+    /// Whether a write would add anything. Asks whose key is claimed wait for a look at the chain.
+    fn can_append(&self) -> bool {
+        !self.releases.is_empty()
+            || self.waiting.iter().any(|ask| !self.claimed.contains_key(&ask.key))
+    }
+
     fn key(&self, number: u64) -> Arc<str> {
         format!("{}{number:012}", self.prefix).into()
     }
@@ -201,13 +220,24 @@
         self.head_version != Version::ABSENT || now.since(self.absent_at) < ABSENCE_BELIEVED
     }
 
-    /// Ends the asks that are late, and those whose key is known to be claimed.
+    /// Ends the asks that are late, and those whose key is claimed. A claim that was known before the
+    /// ask came may have been given back through another daemon, so the end of the chain must have
+    /// been seen since; and one that is just being given back is waited for.
+    /// Ends the releases that are late or seen in the chain.
     fn settle_known(&mut self, now: Time) {
+        let released = &self.released;
+        self.releases.retain(|nonce, release| release.deadline > now && !released.contains(nonce));
         for ask in std::mem::take(&mut self.waiting) {
             let known = self.claimed.get(&ask.key).map(|claim| claim.nonce);
             match known {
-                _ if ask.deadline <= now => self.conclude(ask, ClaimOutcome::Unavailable),
+                // However late: whoever asked gives back what comes too late for it.
                 Some(nonce) if nonce == ask.nonce => self.conclude(ask, ClaimOutcome::Granted),
+                _ if ask.deadline <= now || self.released.contains(&ask.nonce) => {
+                    self.conclude(ask, ClaimOutcome::Unavailable);
+                }
+                Some(nonce) if self.seen_at < ask.since || self.releases.contains_key(&nonce) => {
+                    self.waiting.push_back(ask);
+                }
                 Some(_) => self.conclude(ask, ClaimOutcome::AlreadyClaimed),
                 None => self.waiting.push_back(ask),
             }
@@ -222,14 +252,20 @@
     fn append_call(&mut self, now: Time, wall: UnixMillis) -> (Step, StoreRequest) {
         self.next_write = now + WRITE_INTERVAL;
         let mut next = self.head_segment.clone();
+        for release in self.releases.values().take(RELEASES) {
+            let Release { key, nonce, window, .. } = *release;
+            next.claims.push(entry(key, nonce, wall, window, Kind::Released));
+        }
+        let room = BATCH - self.releases.len().min(RELEASES);
         for ask in std::mem::take(&mut self.waiting) {
             let taken = self.batch.iter().any(|other| other.key == ask.key);
-            if taken || self.batch.len() >= BATCH {
+            // A key that is known to be claimed waits for its release to be in the chain.
+            let claimed = self.claimed.contains_key(&ask.key);
+            if taken || claimed || self.batch.len() >= room {
                 self.waiting.push_back(ask);
                 continue;
             }
-            let until = UnixMillis(wall.0 + ask.window.as_millis() as u64);
-            next.claims.push(Claim { key: ask.key, nonce: ask.nonce, made: wall, until });
+            next.claims.push(entry(ask.key, ask.nonce, wall, ask.window, Kind::Made));
             self.batch.push(ask);
         }
         next.sealed = next.claims.len() >= SEGMENT_CLAIMS;
@@ -268,7 +304,7 @@
             }
             (Step::ReadHead, Ok(StoreAnswer::Value(kv))) => self.read_head(asked_at, kv),
             (Step::Append, Ok(StoreAnswer::Written { version })) => {
-                self.appended(asked_at, now, version);
+                self.appended(asked_at, version);
             }
             (Step::Append, Err(StoreError::AnswerLost)) if !self.reads_back => {
                 // Without the read-back a lost answer would pass for success.
@@ -292,82 +328,9 @@
         }
     }
 
-    /// Takes the whole chain, and tells whether the list showed a whole one.
-    fn load(&mut self, asked_at: Time, values: &[KeyValue]) -> bool {
-        self.claimed.clear();
-        self.sealed.clear();
-        self.head = 1;
-        self.head_version = Version::ABSENT;
-        self.head_segment = Segment::default();
-        self.absent_at = asked_at;
-        let last = values.len().saturating_sub(1);
-        for (index, kv) in values.iter().enumerate() {
-            let number = kv.key.strip_prefix(&*self.prefix).and_then(|text| text.parse().ok());
-            let (Some(number), Some(segment)) = (number, Segment::from_bytes(&kv.value)) else {
-                log::error!("the claims under {} cannot be read", kv.key);
-                return false;
-            };
-            if !segment.sealed && index != last {
-                // The list was read while the chain grew; it is read again.
-                return false;
-            }
-            self.take_segment(number, kv.version, segment);
-        }
-        let has_open_end = values.is_empty() || self.head_version != Version::ABSENT;
-        self.stage = if has_open_end { Stage::Ready } else { Stage::HeadUnknown };
-        true
-    }
-
-    fn take_segment(&mut self, number: u64, version: Version, segment: Segment) {
-        for claim in &segment.claims {
-            self.note_claim(*claim);
-        }
-        self.head = number;
-        self.head_version = version;
-        self.head_segment = segment;
-        if self.head_segment.sealed {
-            self.go_on();
-        }
-    }
-
-    /// Goes on to the segment after one that was seen sealed.
-    fn go_on(&mut self) {
-        let segment = std::mem::take(&mut self.head_segment);
-        let newest_until = segment.newest_until();
-        let sealed = Sealed { version: self.head_version, newest_until, claims: segment.claims };
-        self.sealed.insert(self.head, sealed);
-        self.head += 1;
-        self.head_version = Version::ABSENT;
-    }
-
-    /// # Panics
-    ///
-    /// When the chain holds two claims of one key and the window of the first had not passed when
-    /// the second was made: a request could have run twice.
-    fn note_claim(&mut self, claim: Claim) {
-        let before = self.claimed.insert(claim.key, claim);
-        let is_once = |before: Claim| before.nonce == claim.nonce || before.until <= claim.made;
-        assert!(before.is_none_or(is_once), "the key {} is claimed twice", claim.key);
-    }
-
-    fn read_head(&mut self, asked_at: Time, kv: Option<KeyValue>) {
-        let Some(kv) = kv else {
-            let vanished = self.head_version != Version::ABSENT;
-            self.absent_at = asked_at;
-            self.stage = if vanished { Stage::Unloaded } else { Stage::Ready };
-            return;
-        };
-        let Some(segment) = Segment::from_bytes(&kv.value) else {
-            log::error!("the claims under {} cannot be read", kv.key);
-            return;
-        };
-        let sealed = segment.sealed;
-        self.take_segment(self.head, kv.version, segment);
-        self.stage = if sealed { Stage::HeadUnknown } else { Stage::Ready };
-    }
-
-    fn appended(&mut self, asked_at: Time, now: Time, version: Version) {
+    fn appended(&mut self, asked_at: Time, version: Version) {
         let written = std::mem::take(&mut self.written);
+        self.seen_at = asked_at;
         let sealed = written.sealed;
         self.take_segment(self.head, version, written);
         if sealed {
@@ -375,9 +338,8 @@
             self.absent_at = asked_at;
         }
         for ask in std::mem::take(&mut self.batch) {
-            let in_time = now < ask.deadline;
-            let outcome = if in_time { ClaimOutcome::Granted } else { ClaimOutcome::Unavailable };
-            self.conclude(ask, outcome);
+            // However late: whoever asked gives back what comes too late for it.
+            self.conclude(ask, ClaimOutcome::Granted);
         }
     }
 
@@ -392,13 +354,15 @@
             self.stage = Stage::HeadUnknown;
         }
     }
+}
 
-    fn forget(&mut self, number: u64) {
-        let Some(sealed) = self.sealed.remove(&number) else { return };
-        for claim in sealed.claims {
-            if self.claimed.get(&claim.key) == Some(&claim) {
-                self.claimed.remove(&claim.key);
-            }
-        }
-    }
+fn entry(
+    key: ClaimKey,
+    nonce: ClaimNonce,
+    made: UnixMillis,
+    window: Duration,
+    kind: Kind,
+) -> Claim {
+    let until = UnixMillis(made.0 + window.as_millis() as u64);
+    Claim { key, nonce, made, until, kind }
 }
--- /dev/null
+++ b/crates/borageswitch_control/src/reducer/claims/chain/reading.rs
@@ -0,0 +1,130 @@
+//! What the store's answers tell of a chain: its claims, its releases and its open end.
+
+use borageswitch_types::Time;
+
+use super::{Chain, Sealed, Stage};
+use crate::{
+    reducer::claims::segment::{Claim, Kind, Segment},
+    store::{KeyValue, Version},
+};
+
+impl Chain {
+    /// Takes the whole chain, and tells whether the list showed a whole one.
+    pub(super) fn load(&mut self, asked_at: Time, values: &[KeyValue]) -> bool {
+        self.claimed.clear();
+        self.released.clear();
+        self.sealed.clear();
+        self.head = 1;
+        self.head_version = Version::ABSENT;
+        self.head_segment = Segment::default();
+        self.absent_at = asked_at;
+        let last = values.len().saturating_sub(1);
+        for (index, kv) in values.iter().enumerate() {
+            let number = kv.key.strip_prefix(&*self.prefix).and_then(|text| text.parse().ok());
+            let (Some(number), Some(segment)) = (number, Segment::from_bytes(&kv.value)) else {
+                log::error!("the claims under {} cannot be read", kv.key);
+                return false;
+            };
+            if !segment.sealed && index != last {
+                // The list was read while the chain grew; it is read again.
+                return false;
+            }
+            self.take_segment(number, kv.version, segment);
+        }
+        let has_open_end = values.is_empty() || self.head_version != Version::ABSENT;
+        if has_open_end {
+            self.seen_at = asked_at;
+        }
+        self.stage = if has_open_end { Stage::Ready } else { Stage::HeadUnknown };
+        true
+    }
+
+    /// Takes a segment, of which the lines that are known already count once: a claim that was
+    /// released and followed by another one of its key would seem to be claimed twice otherwise.
+    pub(super) fn take_segment(&mut self, number: u64, version: Version, segment: Segment) {
+        let known = if number == self.head { self.head_segment.claims.len() } else { 0 };
+        for claim in &segment.claims[known..] {
+            match claim.kind {
+                Kind::Made => self.note_claim(*claim),
+                Kind::Released => self.note_release(*claim),
+            }
+        }
+        self.head = number;
+        self.head_version = version;
+        self.head_segment = segment;
+        if self.head_segment.sealed {
+            self.go_on();
+        }
+    }
+
+    /// Goes on to the segment after one that was seen sealed.
+    fn go_on(&mut self) {
+        let segment = std::mem::take(&mut self.head_segment);
+        let newest_until = segment.newest_until();
+        let sealed = Sealed { version: self.head_version, newest_until, claims: segment.claims };
+        self.sealed.insert(self.head, sealed);
+        self.head += 1;
+        self.head_version = Version::ABSENT;
+    }
+
+    /// # Panics
+    ///
+    /// When the chain holds two claims of one key, and the first was neither released before the
+    /// second was made nor had its window passed by then: a request could have run twice.
+    /// When a nonce is claimed after its release.
+    fn note_claim(&mut self, claim: Claim) {
+        let before = self.claimed.insert(claim.key, claim);
+        let is_kept_out = self.released.contains(&claim.nonce);
+        assert!(!is_kept_out, "the claim {} was made again after its release", claim.nonce);
+        let is_once = |before: Claim| before.nonce == claim.nonce || before.until <= claim.made;
+        assert!(before.is_none_or(is_once), "the key {} is claimed twice", claim.key);
+    }
+
+    /// A release of a nonce whose claim is not in the chain changes nothing but that this nonce
+    /// is never granted.
+    fn note_release(&mut self, release: Claim) {
+        self.released.insert(release.nonce);
+        self.releases.remove(&release.nonce);
+        if self.claimed.get(&release.key).is_some_and(|claim| claim.nonce == release.nonce) {
+            self.claimed.remove(&release.key);
+        }
+    }
+
+    pub(super) fn read_head(&mut self, asked_at: Time, kv: Option<KeyValue>) {
+        let Some(kv) = kv else {
+            let vanished = self.head_version != Version::ABSENT;
+            self.absent_at = asked_at;
+            if !vanished {
+                self.seen_at = asked_at;
+            }
+            self.stage = if vanished { Stage::Unloaded } else { Stage::Ready };
+            return;
+        };
+        let Some(segment) = Segment::from_bytes(&kv.value) else {
+            log::error!("the claims under {} cannot be read", kv.key);
+            return;
+        };
+        if !segment.goes_on_from(&self.head_segment) {
+            self.stage = Stage::Unloaded;
+            return;
+        }
+        let sealed = segment.sealed;
+        self.take_segment(self.head, kv.version, segment);
+        if !sealed {
+            self.seen_at = asked_at;
+        }
+        self.stage = if sealed { Stage::HeadUnknown } else { Stage::Ready };
+    }
+
+    pub(super) fn forget(&mut self, number: u64) {
+        let Some(sealed) = self.sealed.remove(&number) else { return };
+        for claim in sealed.claims {
+            if claim.kind == Kind::Released {
+                self.released.remove(&claim.nonce);
+            }
+            if self.claimed.get(&claim.key) == Some(&claim) {
+                self.claimed.remove(&claim.key);
+            }
+        }
+    }
+}
--- a/crates/borageswitch_control/src/reducer/claims/mod.rs
+++ b/crates/borageswitch_control/src/reducer/claims/mod.rs
@@ -4,7 +4,13 @@
 //! hashing over the live members names, and written together; so the rate of writes follows the
 //! number of shards and not the rate of requests. Who gathers is a hint alone: see [`chain`] for
 //! what safety rests on, and [`segment`] for what the store keeps.
+//!
+//! A claim under which nothing was sent is given back, or the caller, told that its request did not
+//! run, could not send it again under its id. Only the daemon that was granted the claim gives it
+//! back, once, and only when it can no longer send: when its traffic threads say so, or when the
+//! grant came too late for them and they were told that there is none.
 
+mod ask;
 mod chain;
 mod segment;
 #[cfg(test)]
@@ -22,11 +28,17 @@
     claim::{ClaimKey, ClaimNonce, ClaimOutcome, ClaimRequest, ClaimTicket},
     names::DaemonName,
 };
-use borageswitch_wire::{PeerMessage, peer::ClaimAsk};
+use borageswitch_wire::{
+    PeerMessage,
+    peer::{ClaimAsk, ClaimRelease},
+};
 use rustc_hash::FxHasher;
 use sha2::Digest;
 
-use self::chain::{Ask, Asker, Chain, Verdict};
+use self::{
+    ask::{Ask, Asker, Release, Verdict},
+    chain::Chain,
+};
 use crate::{
     effect::Effect,
     reducer::{State, store_calls::Purpose},
@@ -41,13 +53,19 @@
 const OWNER_PATIENCE: Duration = Duration::from_millis(400);
 /// A chain that was not used for this time is forgotten by everyone but its owner.
 const CHAIN_IDLE: Duration = Duration::from_secs(60);
-/// The most claims that one entry waits for.
+/// The most claims that one entry waits for, and the most grants that it remembers in order to
+/// give them back: 22 a second for 600 s are 13,200. What is forgotten can not be given back.
 const MOST_PENDING: usize = 16_384;
+/// For how long after its deadline a claim that is granted after all is given back.
+const LATE_GRANTS: Duration = Duration::from_secs(10);
+/// For how long the shard's writer tries to write a release.
+const RELEASE_PATIENCE: Duration = Duration::from_secs(60);
 
 /// A claim that a traffic thread of this daemon waits for.
 #[derive(Debug)]
 struct Pending {
-    ticket: ClaimTicket,
+    /// Whom to answer; nothing once it was told that there is no claim.
+    ticket: Option<ClaimTicket>,
     key: ClaimKey,
     window: Duration,
     deadline: Time,
@@ -55,10 +73,20 @@
     take_over_at: Option<Time>,
 }
 
+/// A claim that was granted to a traffic thread of this daemon.
+#[derive(Debug)]
+struct Granted {
+    key: ClaimKey,
+    nonce: ClaimNonce,
+    window: Duration,
+    until: Time,
+}
+
 /// The claims in hand.
 #[derive(Debug, Default)]
 pub(super) struct Claims {
     pending: BTreeMap<ClaimNonce, Pending>,
+    granted: BTreeMap<ClaimTicket, Granted>,
     chains: BTreeMap<u8, Chain>,
 }
 
@@ -106,7 +134,7 @@
         let owner = self.shard_owner(shard_of(key));
         let here = owner == *self.me();
         let take_over_at = (!here).then(|| self.now + OWNER_PATIENCE);
-        let pending = Pending { ticket, key, window, deadline, take_over_at };
+        let pending = Pending { ticket: Some(ticket), key, window, deadline, take_over_at };
         self.claims.pending.insert(nonce, pending);
         if here {
             self.claim_here(nonce);
@@ -134,8 +162,9 @@
     fn claim_here(&mut self, nonce: ClaimNonce) {
         let Some(pending) = self.claims.pending.get_mut(&nonce) else { return };
         pending.take_over_at = None;
-        let Pending { ticket, key, window, deadline, .. } = *pending;
-        self.gather(Ask { key, nonce, window, deadline, asker: Asker::Here(ticket) });
+        let Pending { key, window, deadline, .. } = *pending;
+        let since = self.now;
+        self.gather(Ask { key, nonce, window, since, deadline, asker: Asker::Here });
     }
 
     fn gather(&mut self, ask: Ask) {
@@ -183,7 +212,7 @@
         let mut answers: BTreeMap<DaemonName, Vec<(ClaimNonce, ClaimOutcome)>> = BTreeMap::new();
         for Verdict { nonce, asker, outcome } in verdicts {
             match asker {
-                Asker::Here(_) => self.claim_concluded(nonce, outcome),
+                Asker::Here => self.claim_concluded(nonce, outcome),
                 Asker::Peer(daemon) => answers.entry(daemon).or_default().push((nonce, outcome)),
             }
         }
@@ -196,16 +225,74 @@
         for ClaimAsk { key, nonce, window, wait } in asks {
             let deadline = self.now + wait;
             let asker = Asker::Peer(from.clone());
-            self.gather(Ask { key, nonce, window, deadline, asker });
+            let since = self.now;
+            self.gather(Ask { key, nonce, window, since, deadline, asker });
         }
     }
 
     /// Each ticket is answered once: whoever comes second finds it gone.
     pub(super) fn claim_concluded(&mut self, nonce: ClaimNonce, outcome: ClaimOutcome) {
-        let Some(pending) = self.claims.pending.remove(&nonce) else { return };
-        let in_time = self.now < pending.deadline;
-        let outcome = if in_time { outcome } else { ClaimOutcome::Unavailable };
-        self.answer_claim(pending.ticket, outcome);
+        let now = self.now;
+        let Some(pending) = self.claims.pending.get_mut(&nonce) else { return };
+        let ticket = pending.ticket.take();
+        let Pending { key, window, deadline, .. } = *pending;
+        let in_time = now < deadline;
+        pending.take_over_at = None;
+        if outcome != ClaimOutcome::Unavailable {
+            self.claims.pending.remove(&nonce);
+        }
+        if let Some(ticket) = ticket {
+            self.answer_claim(ticket, if in_time { outcome } else { ClaimOutcome::Unavailable });
+        }
+        match (outcome, ticket.filter(|_| in_time)) {
+            (ClaimOutcome::Granted, Some(ticket)) => {
+                let until = now + window;
+                self.claims.granted.insert(ticket, Granted { key, nonce, window, until });
+            }
+            // Nobody was told of this claim, so nothing can be sent under it.
+            (ClaimOutcome::Granted, None) => self.give_back(key, nonce, window),
+            _ => {}
+        }
+    }
+
+    /// A traffic thread was granted a claim, has sent nothing under it and never will.
+    pub(super) fn release_claim(&mut self, ticket: ClaimTicket) {
+        // A ticket that was never granted, or is given back already, is not among them.
+        let Some(granted) = self.claims.granted.remove(&ticket) else { return };
+        self.give_back(granted.key, granted.nonce, granted.window);
+    }
+
+    fn give_back(&mut self, key: ClaimKey, nonce: ClaimNonce, window: Duration) {
+        let owner = self.shard_owner(shard_of(key));
+        let release = ClaimRelease { key, nonce, window };
+        match owner == *self.me() {
+            true => self.claims_released(vec![release]),
+            false => self.send(&owner, PeerMessage::ClaimReleases(vec![release])),
+        }
+    }
+
+    pub(super) fn claims_released(&mut self, releases: Vec<ClaimRelease>) {
+        let now = self.now;
+        let deadline = now + RELEASE_PATIENCE;
+        for ClaimRelease { key, nonce, window } in releases {
+            let shard = shard_of(key);
+            self.chain(shard).release(now, Release { key, nonce, window, deadline });
+            self.drive_chain(shard);
+        }
+    }
+
+    /// Forgets the oldest grants, which are no longer given back: their claims stand.
+    fn forget_grants(&mut self) {
+        let now = self.now;
+        let granted = &mut self.claims.granted;
+        while let Some(oldest) = granted.first_entry()
+            && oldest.get().until <= now
+        {
+            oldest.remove();
+        }
+        while granted.len() > MOST_PENDING {
+            granted.pop_first();
+        }
     }
 
     fn answer_claim(&mut self, ticket: ClaimTicket, outcome: ClaimOutcome) {
@@ -214,7 +301,9 @@
 
     pub(super) fn claims_tick(&mut self) {
         let now = self.now;
-        let due = self.claims.pending.iter();
+        self.forget_grants();
+        self.claims.pending.retain(|_, p| p.ticket.is_some() || now < p.deadline + LATE_GRANTS);
+        let due = self.claims.pending.iter().filter(|(_, p)| p.ticket.is_some());
         let due =
             due.filter(|(_, p)| p.deadline <= now || p.take_over_at.is_some_and(|t| t <= now));
         let due: Vec<(ClaimNonce, bool)> = due.map(|(n, p)| (*n, p.deadline <= now)).collect();
--- a/crates/borageswitch_control/src/reducer/claims/segment.rs
+++ b/crates/borageswitch_control/src/reducer/claims/segment.rs
@@ -1,7 +1,9 @@
 //! One value of a shard's chain, as text in the store.
 //!
 //! The first line says whether the segment is open or sealed; each further line is a claim: key,
-//! nonce, when it was made, and end of the window. A sealed segment never changes again; claims go on in the next.
+//! nonce, when it was made, and end of the window. A claim that is given back stays where it is; a
+//! later line with the same nonce and the word `released` takes it back. A sealed segment never
+//! changes again; claims go on in the next.
 
 use borageswitch_types::{
     claim::{ClaimKey, ClaimNonce},
@@ -10,8 +12,18 @@
 
 const OPEN: &str = "open";
 const SEALED: &str = "sealed";
+const RELEASED: &str = "released";
 
-/// A claim as the store keeps it.
+/// What a line says of a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Kind {
+    /// The claim was made.
+    Made,
+    /// The claim was given back: nothing was sent under it, and nothing will be.
+    Released,
+}
+
+/// A claim, or its release, as the store keeps it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Claim {
     pub(super) key: ClaimKey,
@@ -20,6 +32,7 @@
     pub(super) made: UnixMillis,
     /// When the claim may be forgotten, by the same clock.
     pub(super) until: UnixMillis,
+    pub(super) kind: Kind,
 }
 
 /// One value of a shard's chain.
@@ -32,8 +45,12 @@
 impl Segment {
     pub(super) fn to_text(&self) -> String {
         let mut text = String::from(if self.sealed { SEALED } else { OPEN });
-        for Claim { key, nonce, made, until } in &self.claims {
+        for Claim { key, nonce, made, until, kind } in &self.claims {
             text.push_str(&format!("\n{key} {nonce} {made} {until}"));
+            if *kind == Kind::Released {
+                text.push(' ');
+                text.push_str(RELEASED);
+            }
         }
         text
     }
@@ -50,6 +67,11 @@
         Some(Segment { claims, sealed })
     }
 
+    /// Whether this is `before` with nothing or more lines after it, as all later values must be.
+    pub(super) fn goes_on_from(&self, before: &Segment) -> bool {
+        self.claims.starts_with(&before.claims)
+    }
+
     /// When the last of the claims may be forgotten.
     pub(super) fn newest_until(&self) -> UnixMillis {
         self.claims.iter().map(|claim| claim.until).max().unwrap_or_default()
@@ -62,10 +84,16 @@
     let nonce = u64::from_str_radix(words.next()?, 16).ok()?;
     let made = words.next()?.parse().ok()?;
     let until = words.next()?.parse().ok()?;
+    let kind = match words.next() {
+        None => Kind::Made,
+        Some(RELEASED) => Kind::Released,
+        Some(_) => return None,
+    };
     words.next().is_none().then_some(Claim {
         key: ClaimKey(key),
         nonce: ClaimNonce(nonce),
         made: UnixMillis(made),
         until: UnixMillis(until),
+        kind,
     })
 }
--- a/crates/borageswitch_control/src/reducer/claims/tests.rs
+++ b/crates/borageswitch_control/src/reducer/claims/tests.rs
@@ -1,13 +1,14 @@
 use borageswitch_types::{
     Time,
-    claim::{ClaimKey, ClaimNonce, ClaimOutcome, ClaimTicket},
+    claim::{ClaimKey, ClaimNonce, ClaimOutcome},
     time::UnixMillis,
 };
 use std::time::Duration;
 
 use super::{
-    chain::{Ask, Asker, Chain, Step},
-    segment::{Claim, Segment},
+    ask::{Ask, Asker, Release},
+    chain::{Chain, Step},
+    segment::{Claim, Kind, Segment},
 };
 use crate::store::{KeyValue, StoreAnswer, StoreError, StoreRequest, Version};
 
@@ -18,8 +19,9 @@
         key: ClaimKey(key),
         nonce: ClaimNonce(nonce),
         window: Duration::from_secs(600),
+        since: Time::ZERO,
         deadline: Time::from_millis(10_000),
-        asker: Asker::Here(ClaimTicket(nonce)),
+        asker: Asker::Here,
     }
 }
 
@@ -39,8 +41,10 @@
 
 #[test]
 fn a_segment_survives_its_text() {
-    let claim = Claim { key: ClaimKey(7), nonce: ClaimNonce(8), made: WALL, until: WALL };
-    let segment = Segment { claims: vec![claim], sealed: true };
+    let claim =
+        Claim { key: ClaimKey(7), nonce: ClaimNonce(8), made: WALL, until: WALL, kind: Kind::Made };
+    let segment =
+        Segment { claims: vec![claim, Claim { kind: Kind::Released, ..claim }], sealed: true };
 
     let read = Segment::from_bytes(segment.to_text().as_bytes());
 
@@ -78,7 +82,13 @@
     let now = Time::from_millis(10);
     let (step, request) = chain.next_call(now, WALL, true).expect("an append");
     let StoreRequest::CompareAndSwap { key, .. } = request else { panic!("{request:?}") };
-    let winner = Claim { key: ClaimKey(99), nonce: ClaimNonce(1), made: WALL, until: WALL };
+    let winner = Claim {
+        key: ClaimKey(99),
+        nonce: ClaimNonce(1),
+        made: WALL,
+        until: WALL,
+        kind: Kind::Made,
+    };
     let segment = Segment { claims: vec![winner], sealed: false };
 
     chain.answered(step, now, now, Ok(StoreAnswer::Conflict));
@@ -130,3 +140,119 @@
     assert_eq!(keys.first().map(String::as_str), Some("claims/0/000000000001"));
     assert_eq!(keys.last().map(String::as_str), Some("claims/0/000000000002"));
 }
+
+/// Carries out appends until the chain has no call to make, and returns the last value written.
+fn write_all(chain: &mut Chain, now: &mut Time) -> Option<Segment> {
+    let mut last = None;
+    for version in 10.. {
+        *now += Duration::from_millis(100);
+        let Some((step, request)) = chain.next_call(*now, WALL, false) else { break };
+        let StoreRequest::CompareAndSwap { value, .. } = request else { panic!("{request:?}") };
+        last = Segment::from_bytes(&value);
+        let written = Ok(StoreAnswer::Written { version: Version(version) });
+        chain.answered(step, *now, *now, written);
+    }
+    last
+}
+
+fn release(key: u128, nonce: u64) -> Release {
+    let window = Duration::from_secs(600);
+    let deadline = Time::from_millis(60_000);
+    Release { key: ClaimKey(key), nonce: ClaimNonce(nonce), window, deadline }
+}
+
+/// A payroll was granted, every target refused it, and its clerk sends it again under its id. The
+/// resend comes while the release is still unwritten: it waits for that and is granted. A late copy
+/// of the first ask must not claim the key again, and neither does the first claim return when the
+/// chain is read anew.
+#[test]
+fn a_released_claim_no_longer_blocks_its_key() {
+    let mut chain = loaded_chain();
+    let mut now = Time::from_millis(10);
+    write_all(&mut chain, &mut now);
+    chain.release(now, release(99, 99));
+    chain.ask(now, ask(99, 100));
+
+    let written = write_all(&mut chain, &mut now).expect("writes");
+    chain.ask(now, Ask { since: now, ..ask(99, 99) });
+    write_all(&mut chain, &mut now);
+    let granted = outcomes(&mut chain);
+    let mut other = Chain::new("claims/0/".into(), true);
+    other.ask(now, Ask { since: now, ..ask(99, 101) });
+    let (step, _) = other.next_call(now, WALL, true).expect("a load");
+    let value = written.to_text().into_bytes().into();
+    let kv = KeyValue { key: "claims/0/000000000001".into(), version: Version(12), value };
+    other.answered(step, now, now, Ok(StoreAnswer::Values(vec![kv])));
+    other.next_call(now, WALL, true);
+
+    assert_eq!(
+        granted,
+        [
+            (99, ClaimOutcome::Granted),
+            (100, ClaimOutcome::Granted),
+            (99, ClaimOutcome::Unavailable)
+        ]
+    );
+    assert_eq!(outcomes(&mut other), [(101, ClaimOutcome::AlreadyClaimed)]);
+}
+
+/// A release comes of a nonce that does not hold the key. The claim that does must stand, or the
+/// request would run twice.
+#[test]
+fn a_release_of_another_nonce_changes_nothing() {
+    let mut chain = loaded_chain();
+    let mut now = Time::from_millis(10);
+    write_all(&mut chain, &mut now);
+    chain.release(now, release(99, 7));
+
+    let written = write_all(&mut chain, &mut now).expect("the release is written");
+    chain.release(now, release(99, 7));
+    chain.ask(now, ask(99, 100));
+    let again = write_all(&mut chain, &mut now);
+
+    assert_eq!(written.claims.len(), 2);
+    assert_eq!(again, None);
+    let expected = [(99, ClaimOutcome::Granted), (100, ClaimOutcome::AlreadyClaimed)];
+    assert_eq!(outcomes(&mut chain), expected);
+}
+
+/// The chain holds two claims of a key, and the first was released only after the second was made.
+/// Two daemons may have sent the request: the daemon that reads this must stop.
+#[test]
+#[should_panic(expected = "is claimed twice")]
+fn a_release_after_the_second_claim_excuses_nothing() {
+    let until = UnixMillis(WALL.0 + 600_000);
+    let first =
+        Claim { key: ClaimKey(5), nonce: ClaimNonce(1), made: WALL, until, kind: Kind::Made };
+    let second = Claim { nonce: ClaimNonce(2), ..first };
+    let late = Claim { kind: Kind::Released, ..first };
+    let segment = Segment { claims: vec![first, second, late], sealed: false };
+    let mut chain = Chain::new("claims/0/".into(), true);
+    chain.ask(Time::ZERO, ask(6, 6));
+    let (step, _) = chain.next_call(Time::ZERO, WALL, true).expect("a load");
+
+    let value = segment.to_text().into_bytes().into();
+    let kv = KeyValue { key: "claims/0/000000000001".into(), version: Version(5), value };
+    chain.answered(step, Time::ZERO, Time::ZERO, Ok(StoreAnswer::Values(vec![kv])));
+}
+
+/// Another daemon has written a release that this one has not read. A resend must not be refused
+/// for what was true earlier: the end of the chain is read first.
+#[test]
+fn a_claim_known_earlier_is_looked_at_again_before_it_refuses() {
+    let mut chain = loaded_chain();
+    let mut now = Time::from_millis(10);
+    let mut segment = write_all(&mut chain, &mut now).expect("a write");
+    let first = segment.claims[0];
+    segment.claims.push(Claim { kind: Kind::Released, ..first });
+    chain.ask(now, Ask { since: now, ..ask(99, 100) });
+
+    let (step, _) = chain.next_call(now, WALL, true).expect("a read");
+    assert_eq!(step, Step::ReadHead);
+    let value = segment.to_text().into_bytes().into();
+    let kv = KeyValue { key: "claims/0/000000000001".into(), version: Version(11), value };
+    chain.answered(step, now, now, Ok(StoreAnswer::Value(Some(kv))));
+    write_all(&mut chain, &mut now);
+
+    assert_eq!(outcomes(&mut chain), [(99, ClaimOutcome::Granted), (100, ClaimOutcome::Granted)]);
+}
--- a/crates/borageswitch_control/src/reducer/mod.rs
+++ b/crates/borageswitch_control/src/reducer/mod.rs
@@ -146,6 +146,7 @@
             Event::Operator { call, request } => self.operator_asks(call, request),
             Event::Traffic(report) => self.traffic_reported(report),
             Event::Claim(claim) => self.claim(&claim),
+            Event::ReleaseClaim(ticket) => self.release_claim(ticket),
             Event::Stop { reason } => self.stop(&reason),
         }
         std::mem::take(&mut self.effects)
@@ -226,6 +227,7 @@
             }
             PeerMessage::AskFleet { have } => self.fleet_asked(from, have),
             PeerMessage::ClaimAsks(asks) => self.claims_asked(from, asks),
+            PeerMessage::ClaimReleases(releases) => self.claims_released(releases),
             PeerMessage::ClaimAnswers(answers) => {
                 for (nonce, outcome) in answers {
                     self.claim_concluded(nonce, outcome);
--- a/crates/borageswitch_control/tests/randomised.rs
+++ b/crates/borageswitch_control/tests/randomised.rs
@@ -9,9 +9,10 @@
 use borageswitch_control::config::Guards;
 use borageswitch_types::Time;
 
-use crate::support::{run, world::World};
+use crate::support::{faults::Faults, run, run_with_releases, world::World};
 
 const SEEDS: u64 = 150;
+const RELEASE_SEEDS: u64 = 40;
 /// Seeds are shared among so many threads; each run is one thread's work.
 const THREADS: usize = 3;
 /// Seeds that have shown a fault: 210, a daemon that the planner had forgotten while it was paused
@@ -39,12 +40,12 @@
     None
 }
 
-fn seeds() -> Vec<u64> {
+fn seeds(usual: u64) -> Vec<u64> {
     let read = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
     match read("BORAGESWITCH_SEED") {
         Some(seed) => vec![seed],
         None => {
-            let count = read("BORAGESWITCH_SEEDS").unwrap_or(SEEDS);
+            let count = read("BORAGESWITCH_SEEDS").unwrap_or(usual);
             (0..count).chain(FAULTY_ONCE).collect()
         }
     }
@@ -56,7 +57,7 @@
 /// the store's document again and takes work.
 #[test]
 fn no_promise_breaks_and_all_recovers() {
-    let seeds = seeds();
+    let seeds = seeds(SEEDS);
     let part = seeds.len().div_ceil(THREADS).max(1);
     let totals = std::thread::scope(|scope| {
         let parts: Vec<_> =
@@ -86,3 +87,52 @@
     }
     totals
 }
+
+/// Granted requests are not sent, their claims are given back, some twice and some never, and their
+/// callers send them again through any daemon, under every kind of fault. A clerk would notice a
+/// broken promise as a payroll that runs twice, or as one that can not run at all.
+#[test]
+fn a_claim_that_is_given_back_is_granted_once_more() {
+    let seeds = seeds(RELEASE_SEEDS);
+    let part = seeds.len().div_ceil(THREADS).max(1);
+    let totals = std::thread::scope(|scope| {
+        let count = |seeds: &[u64]| {
+            let counts = seeds.iter().map(|seed| {
+                let checker = run_with_releases(*seed, Guards::default()).checker;
+                [checker.grants, checker.releases, checker.grants_after_release]
+            });
+            counts.fold([0; 3], |sum, one| std::array::from_fn(|i| sum[i] + one[i]))
+        };
+        let parts: Vec<_> =
+            seeds.chunks(part).map(|part| scope.spawn(move || count(part))).collect();
+        let totals = parts.into_iter().map(|part| part.join().expect("no seed breaks a promise"));
+        totals.fold([0; 3], |sum, part| std::array::from_fn(|i| sum[i] + part[i]))
+    });
+
+    println!("{} seeds; grants, releases, grants after a release: {totals:?}", seeds.len());
+    let [_, releases, again] = totals;
+    assert!(again * 2 > releases, "{again} of {releases} released requests were granted again");
+}
+
+/// Two hundred payrolls are refused at seven daemons on a quiet site, and each clerk comes back after
+/// the shortest time that callers are told, through another daemon. All are granted once more.
+#[test]
+fn who_comes_back_when_told_finds_the_id_free() {
+    let mut world = World::new(11, 7, Faults::none(), Guards::default());
+    world.run_until(Duration::from_secs(3));
+    let names = world.names();
+    for id in 0..200 {
+        world.claim(&names[id as usize % names.len()], id);
+    }
+    world.run_until(Duration::from_secs(5));
+
+    (0..200).for_each(|id| world.give_back_granted(id));
+    world.run_until(Duration::from_millis(5_200));
+    for id in 0..200 {
+        world.claim(&names[(id as usize + 1) % names.len()], id);
+    }
+    world.run_until(Duration::from_secs(8));
+
+    let checker = &world.checker;
+    assert_eq!([checker.grants, checker.releases, checker.grants_after_release], [400, 200, 200]);
+}
--- a/crates/borageswitch_control/tests/support/checker.rs
+++ b/crates/borageswitch_control/tests/support/checker.rs
@@ -4,7 +4,7 @@
 
 use borageswitch_types::{
     Fleet, Time,
-    claim::ClaimOutcome,
+    claim::{ClaimOutcome, ClaimTicket},
     fleet::{Author, Fence, HostPhase, Revision},
     names::{DaemonName, HostName, OperationId, ServiceName},
 };
@@ -15,10 +15,14 @@
     pub truth: Option<Fleet>,
     published: BTreeMap<DaemonName, Revision>,
     operations: BTreeSet<OperationId>,
-    granted: BTreeMap<u64, DaemonName>,
+    granted: BTreeMap<u64, (DaemonName, ClaimTicket)>,
+    released: BTreeSet<u64>,
     highest_fence: Fence,
     pub outcomes: Vec<(u64, DaemonName, ClaimOutcome)>,
     pub grants: u64,
+    pub releases: u64,
+    /// Grants of an id whose claim was given back before.
+    pub grants_after_release: u64,
     pub reboots: u64,
     pub requests: u64,
 }
@@ -69,13 +73,37 @@
         assert!(is_holder, "{daemon} commands at {now:?} while the duty is with {holder:?}");
     }
 
-    pub fn claim_answered(&mut self, id: u64, daemon: &DaemonName, outcome: ClaimOutcome) {
+    pub fn claim_answered(
+        &mut self,
+        id: u64,
+        daemon: &DaemonName,
+        ticket: ClaimTicket,
+        outcome: ClaimOutcome,
+    ) {
         self.outcomes.push((id, daemon.clone(), outcome));
         if outcome != ClaimOutcome::Granted {
             return;
         }
         self.grants += 1;
-        let before = self.granted.insert(id, daemon.clone());
+        self.grants_after_release += u64::from(self.released.contains(&id));
+        let before = self.granted.insert(id, (daemon.clone(), ticket));
         assert!(before.is_none(), "request {id} is granted to {before:?} and {daemon}");
     }
+
+    /// Who was granted a request, unless the claim was given back since.
+    pub fn holder(&self, id: u64) -> Option<(DaemonName, ClaimTicket)> {
+        self.granted.get(&id).cloned()
+    }
+
+    /// A daemon gives a claim back under which it has sent nothing: from now on, and not before,
+    /// the request may be granted once more.
+    ///
+    /// A release of what is not granted, or was given back already, permits nothing.
+    pub fn claim_released(&mut self, id: u64, daemon: &DaemonName, ticket: ClaimTicket) {
+        if self.granted.get(&id) == Some(&(daemon.clone(), ticket)) {
+            self.releases += 1;
+            self.released.insert(id);
+            self.granted.remove(&id);
+        }
+    }
 }
--- a/crates/borageswitch_control/tests/support/mod.rs
+++ b/crates/borageswitch_control/tests/support/mod.rs
@@ -46,6 +46,16 @@
     world
 }
 
+/// The same with requests that are granted, not sent, and sent again by their callers.
+pub fn run_with_releases(seed: u64, guards: Guards) -> World {
+    let _named = NameOnPanic(seed);
+    let entries = 3 + (seed % 7) as u16;
+    let mut world = World::new(seed, entries, Faults::many(), guards);
+    world.unsent = Some(fastrand::Rng::with_seed(seed));
+    world.run_until(END);
+    world
+}
+
 pub const DATA_CENTRES: [&str; 3] = ["midrand", "sandton", "centurion"];
 const HOSTS: usize = 12;
 const POOLS: [&str; 2] = ["office", "payroll"];
--- a/crates/borageswitch_control/tests/support/world.rs
+++ b/crates/borageswitch_control/tests/support/world.rs
@@ -15,7 +15,7 @@
 use borageswitch_types::{
     Time,
     agent::{AgentCommand, AgentError, AgentStatus},
-    claim::{ClaimRequest, ClaimTicket},
+    claim::{ClaimOutcome, ClaimRequest, ClaimTicket},
     fleet::{Author, ChangeRequest, FleetChange, WaveSettings},
     names::{DaemonName, HostName, OperationId},
     time::UnixMillis,
@@ -50,6 +50,8 @@
     Command(DaemonName, HostName, AgentCommand),
     Operate,
     Claim,
+    Resend(u64),
+    ReleaseClaim(DaemonName, ClaimTicket, u64),
     Disturb,
     Wake(DaemonName),
     HealStore(DaemonName),
@@ -96,6 +98,9 @@
     waves: u32,
     pub auto: bool,
     pub lose_next_append: bool,
+    /// Draws which granted requests are not sent and what becomes of their claims; nothing else
+    /// draws from it, so that runs without it keep their course.
+    pub unsent: Option<fastrand::Rng>,
     is_fast: bool,
 }
 
@@ -135,6 +140,7 @@
             waves: 0,
             auto: faults.disturbance.is_some(),
             lose_next_append: false,
+            unsent: None,
             is_fast,
         };
         for _ in 0..entries {
@@ -315,6 +321,8 @@
             Action::Command(daemon, host, command) => self.agent(daemon, host, command),
             Action::Operate => self.operate(),
             Action::Claim => self.race_claims(),
+            Action::Resend(id) => self.resend(id),
+            Action::ReleaseClaim(daemon, ticket, id) => self.release_claim(daemon, ticket, id),
             Action::Disturb => self.disturb(),
             Action::Wake(_) => {}
             Action::HealStore(daemon) => {
@@ -389,7 +397,8 @@
             Effect::AnswerClaim { ticket, outcome } => {
                 let id = self.daemons.get_mut(daemon).and_then(|fake| fake.tickets.remove(&ticket));
                 let id = id.expect("each ticket is answered once");
-                self.checker.claim_answered(id, daemon, outcome);
+                self.checker.claim_answered(id, daemon, ticket, outcome);
+                self.give_back(daemon, ticket, id, outcome);
             }
             Effect::PublishView(view) => {
                 let delay = self.millis(0, 10);
@@ -612,6 +621,52 @@
         }
     }
 
+    /// Half of the granted requests are not sent. Most of them give their claim back, some twice,
+    /// and their callers send them again. Some that were refused give back what they never had.
+    fn give_back(&mut self, daemon: &DaemonName, ticket: ClaimTicket, id: u64, got: ClaimOutcome) {
+        let Some(rng) = &mut self.unsent else { return };
+        let granted = got == ClaimOutcome::Granted;
+        let share = if granted { 0.5 } else { 0.1 };
+        if rng.f64() >= share {
+            return;
+        }
+        let (is_lost, is_twice) = (rng.u8(..10) == 0, rng.u8(..5) == 0);
+        let wait = Duration::from_millis(rng.u64(0..300));
+        let resend = wait + Duration::from_millis(rng.u64(0..600));
+        if !is_lost {
+            self.at(wait, Action::ReleaseClaim(daemon.clone(), ticket, id));
+        }
+        if is_twice && !is_lost {
+            self.at(wait * 2, Action::ReleaseClaim(daemon.clone(), ticket, id));
+        }
+        self.at(resend, Action::Resend(id));
+    }
+
+    fn release_claim(&mut self, daemon: DaemonName, ticket: ClaimTicket, id: u64) {
+        if self.is_paused(&daemon) {
+            self.at(Duration::from_millis(50), Action::ReleaseClaim(daemon, ticket, id));
+            return;
+        }
+        if self.daemons.contains_key(&daemon) {
+            self.checker.claim_released(id, &daemon, ticket);
+        }
+        self.deliver(&daemon, Event::ReleaseClaim(ticket));
+    }
+
+    /// The daemon that was granted a request gives its claim back.
+    pub fn give_back_granted(&mut self, id: u64) {
+        if let Some((daemon, ticket)) = self.checker.holder(id) {
+            self.at(Duration::ZERO, Action::ReleaseClaim(daemon, ticket, id));
+        }
+    }
+
+    fn resend(&mut self, id: u64) {
+        let names = self.names();
+        let Some(rng) = &mut self.unsent else { return };
+        let daemon = names[rng.usize(..names.len())].clone();
+        self.claim(&daemon, id);
+    }
+
     fn disturb(&mut self) {
         let mean = self.faults.disturbance.unwrap_or_default().as_millis() as u64;
         let wait = self.millis(mean / 4, mean * 2);
--- a/crates/borageswitch_edge/src/traffic/attempt.rs
+++ b/crates/borageswitch_edge/src/traffic/attempt.rs
@@ -22,6 +22,7 @@
 use hyper::body::Incoming;
 
 use super::{
+    claims::HeldClaim,
     exchange::Exchange,
     head,
     pool::Lease,
@@ -55,6 +56,22 @@
         if let Err(kind) = self.claim_id().await {
             return Err(Failure { kind, ran: Ran::No, body: None });
         }
+        let result = self.send_and_judge(address, body).await;
+        if let (Some(held), Err(Failure { ran: Ran::No, .. })) = (&mut self.held, &result) {
+            held.not_run();
+        }
+        result
+    }
+
+    async fn send_and_judge(
+        &mut self,
+        address: SocketAddr,
+        body: RequestBody,
+    ) -> Result<Answer, Failure> {
+        assert!(self.idempotent || self.held.is_some(), "a request is sent without its claim");
+        if let Some(held) = &mut self.held {
+            held.sending();
+        }
         let again = body.again();
         let (res, lease) = match before(self.end, self.send(address, body)).await {
             Some(Ok(sent)) => sent,
@@ -70,7 +87,7 @@
     /// the queue refuses later would make the caller's next try look like a second one.
     async fn claim_id(&mut self) -> Result<(), ErrorKind> {
         let Some(request_id) = &self.claim else { return Ok(()) };
-        let pending = self.core.claims.ask();
+        let pending = self.core.ask_for_claim();
         let end = self.end.min(Instant::now() + self.core.cfg.claim_hold);
         let request = ClaimRequest {
             ticket: pending.ticket,
@@ -87,6 +104,7 @@
             ClaimOutcome::Granted => {
                 // The id is this request's from now on: a second try needs no second claim.
                 self.claim = None;
+                self.held = Some(HeldClaim::new(Arc::clone(&self.core), pending.ticket));
                 Ok(())
             }
             ClaimOutcome::AlreadyClaimed => Err(ErrorKind::AlreadyClaimed),
--- a/crates/borageswitch_edge/src/traffic/exchange.rs
+++ b/crates/borageswitch_edge/src/traffic/exchange.rs
@@ -24,6 +24,7 @@
     answer::{self, Refusal},
     answer_body::AnswerBody,
     attempt::{Answer, Failure},
+    claims::HeldClaim,
     core::Core,
     head::{self, RequestHead},
     pool::Lease,
@@ -51,6 +52,8 @@
     pub(super) idempotent: bool,
     /// The claim that a request which is not idempotent needs before it is sent.
     pub(super) claim: Option<Arc<str>>,
+    /// That claim once it is granted.
+    pub(super) held: Option<HeldClaim>,
     pub(super) end: Instant,
 }
 
@@ -127,7 +130,9 @@
     };
     let core = Arc::clone(core);
     let ticket = offer.ticket;
-    let exchange = Exchange { core, queue, ticket, parts, kind: head.kind, idempotent, claim, end };
+    let held = None;
+    let kind = head.kind;
+    let exchange = Exchange { core, queue, ticket, parts, kind, idempotent, claim, held, end };
     exchange.run(offer, body, counted).await
 }
 
--- a/crates/borageswitch_edge/src/traffic/mod.rs
+++ b/crates/borageswitch_edge/src/traffic/mod.rs
@@ -119,7 +119,7 @@
 
     /// Tells the request that asked for a claim what came of it.
     pub fn answer_claim(&self, ticket: ClaimTicket, outcome: ClaimOutcome) {
-        self.core.claims.answer(ticket, outcome);
+        self.core.answer_claim(ticket, outcome);
     }
 
     /// What is waiting and in flight, for the dump of the process's state.
--- a/crates/borageswitch_edge/tests/traffic/claims.rs
+++ b/crates/borageswitch_edge/tests/traffic/claims.rs
@@ -1,6 +1,7 @@
 //! A request that is not idempotent is sent at most once, and only under a claim.
 
 use std::{
+    collections::BTreeMap,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU32, Ordering},
@@ -9,9 +10,12 @@
     time::Duration,
 };
 
-use borageswitch_types::claim::ClaimOutcome;
+use borageswitch_control::Event;
+use borageswitch_types::claim::{ClaimOutcome, ClaimTicket};
 
-use crate::support::{Entry, ask, config, eventually, get, ok, post, target, view, with_header};
+use crate::support::{
+    Entry, ask, config, eventually, get, ok, post, refusing_address, target, view, with_header,
+};
 
 fn payroll() -> http::Request<http_body_util::Full<bytes::Bytes>> {
     let req = with_header(post("/run", b"december"), "borageswitch-caller", "clerk");
@@ -125,3 +129,127 @@
     assert_eq!(after.text(), "paid");
     assert_eq!(runs.load(Ordering::SeqCst), 2);
 }
+
+/// Stands in for the store's claims: an id stays claimed until its ticket is given back.
+fn keep_claims(entry: &Entry) -> Arc<Mutex<BTreeMap<String, ClaimTicket>>> {
+    let claimed = Arc::new(Mutex::new(BTreeMap::<String, ClaimTicket>::new()));
+    let kept = Arc::clone(&claimed);
+    let (traffic, events) = (entry.traffic.clone(), entry.events.clone());
+    thread::spawn(move || {
+        while let Ok(event) = events.recv_blocking() {
+            let mut kept = kept.lock().expect("no panic");
+            match event {
+                Event::Claim(claim) => {
+                    let id = claim.request_id.to_string();
+                    let is_free = !kept.contains_key(&id);
+                    kept.entry(id).or_insert(claim.ticket);
+                    let outcome =
+                        if is_free { ClaimOutcome::Granted } else { ClaimOutcome::AlreadyClaimed };
+                    traffic.answer_claim(claim.ticket, outcome);
+                }
+                Event::ReleaseClaim(ticket) => kept.retain(|_, holder| *holder != ticket),
+                _ => {}
+            }
+        }
+    });
+    claimed
+}
+
+/// A target that refuses in the documented way until it is told to pay.
+fn target_that_refuses_at_first() -> (std::net::SocketAddr, Arc<AtomicU32>, Arc<AtomicU32>) {
+    let runs = Arc::new(AtomicU32::new(0));
+    let paying = Arc::new(AtomicU32::new(0));
+    let (seen, may_pay) = (Arc::clone(&runs), Arc::clone(&paying));
+    let address = target(move |_| {
+        let pays = may_pay.load(Ordering::SeqCst) > 0;
+        if pays {
+            seen.fetch_add(1, Ordering::SeqCst);
+        }
+        async move {
+            let mut res = ok(if pays { "paid" } else { "" });
+            if !pays {
+                *res.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
+                let yes = http::HeaderValue::from_static("yes");
+                res.headers_mut().insert("target-refused", yes);
+            }
+            res
+        }
+    });
+    (address, runs, paying)
+}
+
+/// Every target refuses a payroll in the documented way, and its clerk, told "not run", sends it
+/// again under its id. Were the claim to stand, that payroll could not run for the whole window.
+/// Once it ran, a further resend is refused.
+#[test]
+fn a_payroll_that_every_target_refused_runs_once_when_sent_again() {
+    let (address, runs, paying) = target_that_refuses_at_first();
+    let entry = Entry::serving(&[address]);
+    let claimed = keep_claims(&entry);
+
+    let refused = ask(entry.address(), with_header(payroll(), "borageswitch-deadline-ms", "300"));
+    eventually(&entry, || claimed.lock().expect("no panic").is_empty());
+    paying.store(1, Ordering::SeqCst);
+    let paid = ask(entry.address(), payroll());
+    let again = ask(entry.address(), payroll());
+
+    assert_eq!(refused.header("borageswitch-ran"), "no");
+    assert_eq!(paid.text(), "paid");
+    assert_eq!(again.header("borageswitch-error"), "already-claimed");
+    assert_eq!(runs.load(Ordering::SeqCst), 1);
+}
+
+/// Nothing listens at the target's address. Its clerk is told "not run" and the claim is free.
+#[test]
+fn a_refused_connection_gives_the_claim_back() {
+    let entry = Entry::serving(&[refusing_address()]);
+    let claimed = keep_claims(&entry);
+
+    let refused = ask(entry.address(), with_header(payroll(), "borageswitch-deadline-ms", "300"));
+
+    assert_eq!(refused.header("borageswitch-ran"), "no");
+    eventually(&entry, || claimed.lock().expect("no panic").is_empty());
+}
+
+/// A target breaks the connection after it has read the request. It may have paid, so the claim
+/// must stand and the resend be refused.
+#[test]
+fn a_request_that_may_have_run_keeps_its_claim() {
+    let address = crate::support::raw_target(|_, mut stream| {
+        crate::support::read_head(&mut stream);
+    });
+    let entry = Entry::serving(&[address]);
+    keep_claims(&entry);
+
+    let lost = ask(entry.address(), payroll());
+    let again = ask(entry.address(), payroll());
+
+    assert_eq!(lost.header("borageswitch-ran"), "unknown");
+    assert_eq!(again.header("borageswitch-error"), "already-claimed");
+}
+
+/// The claim is granted after the request was given up and answered "not run". It comes back.
+#[test]
+fn a_claim_granted_too_late_is_given_back() {
+    let (address, runs) = counting_target();
+    let entry = Entry::start(config().claim_hold(Duration::from_millis(50)).build());
+    entry.traffic.publish_view(Arc::new(view(1, &[address])));
+
+    let given_up = ask(entry.address(), with_header(payroll(), "borageswitch-deadline-ms", "300"));
+    let mut asked = None;
+    let mut released = None;
+    while released.is_none() {
+        match crate::support::within(entry.events.recv()).expect("the traffic part runs") {
+            Event::Claim(claim) => {
+                entry.traffic.answer_claim(claim.ticket, ClaimOutcome::Granted);
+                asked = Some(claim.ticket);
+            }
+            Event::ReleaseClaim(ticket) => released = Some(ticket),
+            _ => {}
+        }
+    }
+
+    assert_eq!(given_up.header("borageswitch-error"), "claim-unavailable");
+    assert_eq!(released, asked);
+    assert_eq!(runs.load(Ordering::SeqCst), 0);
+}
--- a/crates/borageswitch_wire/src/peer.rs
+++ b/crates/borageswitch_wire/src/peer.rs
@@ -105,6 +105,17 @@
     pub wait: Duration,
 }
 
+/// Asks the receiver to write into the store that a claim is given back.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct ClaimRelease {
+    /// The request's key.
+    pub key: ClaimKey,
+    /// The nonce of the claim that was granted.
+    pub nonce: ClaimNonce,
+    /// How long the claim would have lasted.
+    pub window: Duration,
+}
+
 /// A message between two daemons.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum PeerMessage {
@@ -132,6 +143,8 @@
     ClaimAnswers(Vec<(ClaimNonce, ClaimOutcome)>),
     /// About the slots of a service; goes straight to the traffic threads.
     Slots(SlotMessage),
+    /// Gives claims back under which nothing was sent.
+    ClaimReleases(Vec<ClaimRelease>),
 }
 
 /// Why a frame cannot be encoded or decoded.
--- a/crates/borageswitch_wire/tests/peer.rs
+++ b/crates/borageswitch_wire/tests/peer.rs
@@ -10,7 +10,7 @@
 };
 use borageswitch_wire::{
     PeerMessage,
-    peer::{self, ClaimAsk, Delta, Heard, Heartbeat, MAX_FRAME, Member, Progress},
+    peer::{self, ClaimAsk, ClaimRelease, Delta, Heard, Heartbeat, MAX_FRAME, Member, Progress},
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 
@@ -63,6 +63,11 @@
         PeerMessage::Snapshot { fleet: Box::new(Fleet::empty("gauteng".into())), store_version: 8 },
         PeerMessage::AskFleet { have: Revision(3) },
         PeerMessage::ClaimAsks(vec![ask]),
+        PeerMessage::ClaimReleases(vec![ClaimRelease {
+            key: ClaimKey(7),
+            nonce: ClaimNonce(9),
+            window: Duration::from_secs(600),
+        }]),
         PeerMessage::ClaimAnswers(vec![(ClaimNonce(9), ClaimOutcome::Granted)]),
         PeerMessage::Slots(SlotMessage::Hold { service: "billing".into(), loans: vec![1, 300] }),
     ]
