--- /dev/null
+++ b/crates/borageswitch_control/tests/support/world/asks.rs
@@ -0,0 +1,36 @@
+//! What operators ask of a daemon.
+
+use std::time::Duration;
+
+use borageswitch_control::{Event, event::OperatorCall};
+use borageswitch_types::{
+    fleet::{Author, ChangeRequest, FleetChange},
+    names::DaemonName,
+};
+use borageswitch_wire::operator::OperatorRequest;
+
+use super::{Action, World};
+
+impl World {
+    pub fn ask(&mut self, daemon: &DaemonName, call: u64, request: OperatorRequest) {
+        let event = Event::Operator { call: OperatorCall(call), request };
+        self.at(Duration::from_millis(1), Action::Deliver(daemon.clone(), event));
+    }
+
+    pub fn change(&mut self, daemon: &DaemonName, call: u64, operation: &str, change: FleetChange) {
+        let event = change_event(call, operation, change);
+        self.at(Duration::from_millis(1), Action::Deliver(daemon.clone(), event));
+    }
+}
+
+pub(super) fn change_event(call: u64, operation: &str, change: FleetChange) -> Event {
+    let req = ChangeRequest {
+        operation: operation.into(),
+        expected: None,
+        author: Author::Operator { name: "test".into() },
+        reason: operation.into(),
+        change,
+    };
+    let request = OperatorRequest::Change(Box::new(req));
+    Event::Operator { call: OperatorCall(call), request }
+}
--- /dev/null
+++ b/crates/borageswitch_control/tests/support/world/claims.rs
@@ -0,0 +1,90 @@
+//! Claims of callers' requests, and claims given back because the request was not sent.
+
+use std::time::Duration;
+
+use borageswitch_control::Event;
+use borageswitch_types::{
+    claim::{ClaimOutcome, ClaimRequest, ClaimTicket},
+    names::DaemonName,
+};
+
+use super::{Action, World};
+
+impl World {
+    pub fn claim(&mut self, daemon: &DaemonName, id: u64) {
+        let ticket = ClaimTicket(self.last + 1);
+        let Some(fake) = self.daemons.get_mut(daemon) else { return };
+        fake.tickets.insert(ticket, id);
+        let claim = ClaimRequest {
+            ticket,
+            service: "payroll".into(),
+            request_id: format!("caller/{id}").into(),
+            deadline: self.now + Duration::from_millis(1_500),
+        };
+        self.at(Duration::ZERO, Action::Deliver(daemon.clone(), Event::Claim(claim)));
+    }
+
+    pub(super) fn race_claims(&mut self) {
+        let wait = self.millis(5, 100);
+        if self.is_disturbed() {
+            self.at(wait, Action::Claim);
+        }
+        let id = self.last;
+        for _ in 0..self.rng.usize(1..=3) {
+            let daemon = self.any_daemon();
+            self.claim(&daemon, id);
+        }
+    }
+
+    /// Half of the granted requests are not sent. Most of them give their claim back, some twice,
+    /// and their callers send them again. Some that were refused give back what they never had.
+    pub(super) fn give_back(
+        &mut self,
+        daemon: &DaemonName,
+        ticket: ClaimTicket,
+        id: u64,
+        got: ClaimOutcome,
+    ) {
+        let Some(rng) = &mut self.unsent else { return };
+        let granted = got == ClaimOutcome::Granted;
+        let share = if granted { 0.5 } else { 0.1 };
+        if rng.f64() >= share {
+            return;
+        }
+        let (is_lost, is_twice) = (rng.u8(..10) == 0, rng.u8(..5) == 0);
+        let wait = Duration::from_millis(rng.u64(0..300));
+        let resend = wait + Duration::from_millis(rng.u64(0..600));
+        if !is_lost {
+            self.at(wait, Action::ReleaseClaim(daemon.clone(), ticket, id));
+        }
+        if is_twice && !is_lost {
+            self.at(wait * 2, Action::ReleaseClaim(daemon.clone(), ticket, id));
+        }
+        self.at(resend, Action::Resend(id));
+    }
+
+    pub(super) fn release_claim(&mut self, daemon: DaemonName, ticket: ClaimTicket, id: u64) {
+        if self.is_paused(&daemon) {
+            self.at(Duration::from_millis(50), Action::ReleaseClaim(daemon, ticket, id));
+            return;
+        }
+        if self.daemons.contains_key(&daemon) {
+            self.checker.claim_released(id, &daemon, ticket);
+        }
+        self.deliver(&daemon, Event::ReleaseClaim(ticket));
+    }
+
+    /// The daemon that was granted a request gives its claim back.
+    pub fn give_back_granted(&mut self, id: u64) {
+        if let Some((daemon, ticket)) = self.checker.holder(id) {
+            self.at(Duration::ZERO, Action::ReleaseClaim(daemon, ticket, id));
+        }
+    }
+
+    pub(super) fn resend(&mut self, id: u64) {
+        let names = self.names();
+        let Some(rng) = &mut self.unsent else { return };
+        let daemon = names[rng.usize(..names.len())].clone();
+        self.claim(&daemon, id);
+    }
+}
--- /dev/null
+++ b/crates/borageswitch_control/tests/support/world/store_calls.rs
@@ -0,0 +1,88 @@
+//! Calls of the store: slow ones, lost answers, watches, and daemons that do not reach it.
+
+use std::time::Duration;
+
+use borageswitch_control::{
+    Event,
+    store::{CallId, StoreAnswer, StoreError, StoreRequest},
+};
+use borageswitch_types::{Time, names::DaemonName};
+
+use super::{Action, FLEET_KEY, World};
+
+impl World {
+    pub fn cut_from_store(&mut self, daemon: &DaemonName, time: Duration) {
+        if let Some(fake) = self.daemons.get_mut(daemon) {
+            fake.is_cut_from_store = true;
+        }
+        self.at(time, Action::HealStore(daemon.clone()));
+    }
+
+    pub(super) fn call_store(
+        &mut self,
+        daemon: &DaemonName,
+        call: CallId,
+        request: StoreRequest,
+        timeout: Duration,
+    ) {
+        let lost_at = self.now + timeout;
+        let delay = if self.chance(0.02) { self.millis(100, 700) } else { self.millis(1, 4) };
+        self.at(delay, Action::Execute(daemon.clone(), call, request, lost_at));
+    }
+
+    pub(super) fn execute(
+        &mut self,
+        daemon: DaemonName,
+        call: CallId,
+        request: StoreRequest,
+        lost_at: Time,
+    ) {
+        let Some(fake) = self.daemons.get(&daemon) else { return };
+        if fake.is_cut_from_store {
+            let lost = self.rng.bool();
+            let wait = if lost { lost_at.since(self.now) } else { Duration::from_millis(2) };
+            let err = if lost { StoreError::AnswerLost } else { StoreError::NotSent };
+            self.at(wait, Action::Deliver(daemon, Event::Store { call, outcome: Err(err) }));
+            return;
+        }
+        if let StoreRequest::Watch { key, after, wait } = &request
+            && self.store.version(key) <= *after
+        {
+            let until = self.now + *wait;
+            self.watches.push((daemon, call, request, until));
+            return;
+        }
+        let answer = self.store.execute(self.now, &request);
+        let is_fleet_write = matches!(&request, StoreRequest::CompareAndSwap { key, .. }
+            if &**key == FLEET_KEY && matches!(answer, StoreAnswer::Written { .. }));
+        if let (true, StoreRequest::CompareAndSwap { value, .. }) = (is_fleet_write, &request) {
+            self.checker.committed(value);
+            self.wake_watches();
+        }
+        let is_append = matches!(&request, StoreRequest::CompareAndSwap { key, .. }
+            if key.contains("/claims/"));
+        let planned_loss = is_append && std::mem::take(&mut self.lose_next_append);
+        let lost = planned_loss || self.chance(self.faults.lost_answer) || self.now >= lost_at;
+        let delay = self.millis(1, 4);
+        let (wait, outcome) = match lost {
+            true => (lost_at.since(self.now), Err(StoreError::AnswerLost)),
+            false => (delay, Ok(answer)),
+        };
+        self.at(wait, Action::Deliver(daemon, Event::Store { call, outcome }));
+    }
+
+    fn wake_watches(&mut self) {
+        for (daemon, call, request, until) in std::mem::take(&mut self.watches) {
+            let answer = match until > self.now {
+                true => self.store.execute(self.now, &request),
+                false => StoreAnswer::Value(None),
+            };
+            // A watch can go silent for good; the daemon's own timeout must end it.
+            if !self.chance(0.1) {
+                let delay = self.millis(1, 4);
+                let event = Event::Store { call, outcome: Ok(answer) };
+                self.at(delay, Action::Deliver(daemon, event));
+            }
+        }
+    }
+}
