Hold hosts that the platform's list shows as leaving; prove a dead daemon gone with short leases

Cause: the reducer ignored the platform's list, so a host that the platform was about to take away kept getting work. And after a daemon died a wave waited for ever when duty_ttl was 2 s: a dead daemon is proved gone only by lists that follow each other within half a lease, and the planner listed once a second. Ruled out: the patience of max_deadline (12 s in the test, 91 s had passed) and a lease that stood (the dump showed none). Lists come four times within a lease while a host leaves.

--- /dev/null
+++ b/crates/borageswitch_control/src/reducer/host_list.rs
@@ -0,0 +1,40 @@
+//! Reads the platform's list of hosts for the planner.
+//!
+//! Only the holder of the planner's duty reads it: one call in [`READ_INTERVAL`] for the region,
+//! whatever the number of daemons and hosts.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use borageswitch_types::{Time, fleet::Duty, names::HostName};
+
+use crate::{effect::Effect, event::ListedHost, reducer::State};
+
+/// How often the list is read: a leaving host is to get no new work after a few seconds.
+const READ_INTERVAL: Duration = Duration::from_secs(2);
+
+/// When the list is read next.
+#[derive(Debug, Default)]
+pub(super) struct HostListing {
+    next_read: Time,
+}
+
+impl State {
+    pub(super) fn host_list_tick(&mut self) {
+        if self.host_listing.next_read > self.now || !self.may_act(&Duty::Planner) {
+            return;
+        }
+        self.host_listing.next_read = self.now + READ_INTERVAL;
+        self.effects.push(Effect::ReadHostList);
+    }
+
+    /// Takes a list in; while none can be read, the last one stands.
+    pub(super) fn hosts_listed(&mut self, hosts: Option<Vec<ListedHost>>) {
+        let Some(hosts) = hosts else { return };
+        let leaving = hosts.into_iter().filter(|listed| listed.leaving).map(|listed| listed.host);
+        let leaving: BTreeSet<HostName> = leaving.collect();
+        if self.observed.listed_leaving.as_ref() != Some(&leaving) {
+            self.observed.listed_leaving = Some(leaving);
+            self.plan_soon();
+        }
+    }
+}
--- a/crates/borageswitch_control/src/reducer/members.rs
+++ b/crates/borageswitch_control/src/reducer/members.rs
@@ -21,6 +21,8 @@
 
 /// A planner lists the members this often while a host leaves; a drain waits for a list.
 const LIST_WHILE_LEAVING: Duration = Duration::from_secs(1);
+/// And at least so many times within a lease.
+const LISTS_A_LEASE: u32 = 4;
 /// A planner lists the members this often otherwise.
 const LIST_AS_PLANNER: Duration = Duration::from_secs(15);
 /// Everybody else learns from rosters and lists seldom.
@@ -187,7 +189,10 @@
         let any_leaves = self.sync.fleet().is_some_and(leaving);
         let mut listed = self.members.known.values().filter_map(|known| known.listed.as_ref());
         let any_gone = listed.any(|listed| !listed.live);
-        if any_leaves || any_gone { LIST_WHILE_LEAVING } else { LIST_AS_PLANNER }
+        // Lists that follow each other no faster than half a lease prove nothing about a silent
+        // daemon: with short leases a fixed interval would hold a drain back for ever.
+        let while_leaving = LIST_WHILE_LEAVING.min(self.cfg.duty_ttl / LISTS_A_LEASE);
+        if any_leaves || any_gone { while_leaving } else { LIST_AS_PLANNER }
     }
 
     /// Asks for a list soon: a host has begun to leave, and its drain waits for a list.
--- a/crates/borageswitch_control/src/reducer/mod.rs
+++ b/crates/borageswitch_control/src/reducer/mod.rs
@@ -3,6 +3,7 @@
 //! - [`session`] keeps the daemon's lease and its place in the store; [`duties`] stand under it.
 //! - [`members`] knows who belongs to the region; [`tree`] carries heartbeats between them.
 //! - [`fleet_sync`] reads, watches and adopts the document; [`spreading`] passes changes on.
+//! - [`host_list`] reads which hosts the platform is about to take away.
 //! - [`writing`] turns changes into compare-and-swaps and settles answers that were lost.
 //! - [`admission`] says until when the daemon may take new work by itself.
 //! - [`drains`] tells which leaving hosts are drained; [`planning`] sends the planner's steps.
@@ -18,6 +19,7 @@
 mod duties;
 mod explaining;
 mod fleet_sync;
+mod host_list;
 mod members;
 mod observing;
 mod operators;
@@ -76,6 +78,7 @@
     admission: admission::Admission,
     planning: planning::Planning,
     observing: observing::Observing,
+    host_listing: host_list::HostListing,
     claims: claims::Claims,
     decisions: explaining::Decisions,
     traffic: TrafficReport,
@@ -111,6 +114,7 @@
             admission: admission::Admission::default(),
             planning: planning::Planning::default(),
             observing: observing::Observing::default(),
+            host_listing: host_list::HostListing::default(),
             claims: claims::Claims::default(),
             decisions: explaining::Decisions::default(),
             traffic: TrafficReport::default(),
@@ -141,7 +145,7 @@
             Event::PeerUp { member } => self.peer_up(member),
             Event::PeerDown { daemon } => self.peer_down(&daemon),
             Event::Peer { from, message } => self.peer_says(&from, message),
-            Event::HostList { .. } => {}
+            Event::HostList { hosts } => self.hosts_listed(hosts),
             Event::Agent { host, outcome } => self.agent_answered(host, outcome),
             Event::Operator { call, request } => self.operator_asks(call, request),
             Event::Traffic(report) => self.traffic_reported(report),
@@ -211,6 +215,7 @@
         self.tree_tick();
         self.plan_tick();
         self.observing_tick();
+        self.host_list_tick();
         self.writer_tick();
         self.claims_tick();
         self.answer_waits();
--- a/crates/borageswitch_planner/src/changes/hosts.rs
+++ b/crates/borageswitch_planner/src/changes/hosts.rs
@@ -2,7 +2,7 @@
 
 use borageswitch_types::{
     Fleet,
-    fleet::{Host, HostPhase, HostPower, LeaveReason, Reason, Refusal},
+    fleet::{Author, Host, HostPhase, HostPower, LeaveReason, Reason, Refusal},
     names::{HostName, OperationId, PoolName},
     time::UnixMillis,
 };
@@ -61,12 +61,23 @@
     }
 }
 
-pub(super) fn hold(fleet: &mut Fleet, name: &HostName, why: &Reason) -> Result<(), Refusal> {
+/// Takes a host out of use.
+///
+/// An operator may not break a promise by it. The planner holds a host that the platform is about
+/// to take away: the capacity goes either way, and a hold saves the requests in flight.
+pub(super) fn hold(
+    fleet: &mut Fleet,
+    name: &HostName,
+    why: &Reason,
+    author: &Author,
+) -> Result<(), Refusal> {
     let host = find_host(fleet, name)?;
     match host.phase {
         HostPhase::Serving => {
             let pool = host.pool.clone();
-            capacity::check_budgets(fleet, &pool, &[name])?;
+            if matches!(author, Author::Operator { .. }) {
+                capacity::check_budgets(fleet, &pool, &[name])?;
+            }
         }
         HostPhase::Leaving { .. } | HostPhase::Trial { .. } => {}
         HostPhase::Parked | HostPhase::Failed { .. } => {
--- a/crates/borageswitch_planner/src/changes/mod.rs
+++ b/crates/borageswitch_planner/src/changes/mod.rs
@@ -117,7 +117,7 @@
             objects::set_entries_expected(fleet, *entries)
         }
         FleetChange::MoveHost { host, to } => hosts::move_host(fleet, host, to),
-        FleetChange::HoldHost { host, reason } => hosts::hold(fleet, host, reason),
+        FleetChange::HoldHost { host, reason } => hosts::hold(fleet, host, reason, &req.author),
         FleetChange::ReleaseHost { host } => hosts::release(fleet, host, operation),
         FleetChange::StartWave { wave, hosts, settings } => {
             waves::start(fleet, wave, hosts, settings)
--- a/crates/borageswitch_planner/src/model/mod.rs
+++ b/crates/borageswitch_planner/src/model/mod.rs
@@ -138,6 +138,7 @@
     /// What the holder of the planner's duty sees now.
     pub fn observed(&self) -> Observed {
         Observed {
+            listed_leaving: None,
             now: self.now,
             wall: UnixMillis(WALL_START + self.now.as_micros() / 1_000),
             drained: self.agents.drained(self.now, &self.fleet),
--- a/crates/borageswitch_planner/src/steps/mod.rs
+++ b/crates/borageswitch_planner/src/steps/mod.rs
@@ -14,6 +14,7 @@
 //! reckons with those before it.
 
 pub(crate) mod hosts;
+mod listing;
 pub(crate) mod moves;
 pub(crate) mod power;
 pub(crate) mod waves;
@@ -58,6 +59,8 @@
     pub done_since: BTreeMap<HostName, (OperationId, Time)>,
     /// Hosts of which neither target nor agent can be reached, and since when.
     pub unreachable_since: BTreeMap<HostName, Time>,
+    /// Hosts that the platform's list shows as leaving; nothing until a list was read.
+    pub listed_leaving: Option<BTreeSet<HostName>>,
     /// Hosts that fail nearly everything they are given, with what was seen.
     pub failing: BTreeMap<HostName, Reason>,
 }
@@ -175,6 +178,7 @@
 pub fn next_steps(fleet: &Fleet, observed: &Observed) -> Vec<Step> {
     let mut plan = Plan::new(fleet, observed);
     hosts::plan(&mut plan);
+    listing::plan(&mut plan);
     power::shed(&mut plan);
     waves::plan_endings(&mut plan);
     moves::plan(&mut plan);
--- a/crates/borageswitch_planner/src/steps/tests.rs
+++ b/crates/borageswitch_planner/src/steps/tests.rs
@@ -1,12 +1,13 @@
 //! Single decisions of the planner: the document and what was seen go in, steps come out.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use borageswitch_types::{
     Fleet, Time,
     agent::{AgentCommand, AgentStatus},
     fleet::{
-        Author, ChangeRequest, FleetChange, HostPhase, HostPower, Watts, WaveSettings, WaveStatus,
+        Author, ChangeRequest, FleetChange, HostPhase, HostPower, PLATFORM_LEAVES, Watts,
+        WaveSettings, WaveStatus,
     },
     names::{HostName, OperationId, PoolName, WaveName},
     time::UnixMillis,
@@ -388,3 +389,52 @@
     assert!(explain::pool(&fleet, &observed, &PoolName::from("nothing")).is_empty());
     assert!(explain::wave(&fleet, &observed, &wave()).is_empty());
 }
+
+/// The platform is about to take three hosts of one pool away, more than its promise spares. Were
+/// they left in service their requests would be cut; were the list believed whatever it shows, a
+/// wrong one would empty the fleet.
+#[test]
+fn hosts_that_the_platform_takes_away_are_held_within_limits() {
+    let fleet = sites::association(1, 3).fleet();
+    let mut observed = calm(&fleet);
+    observed.listed_leaving = Some([host(0)].into());
+    let one = holds(next_steps(&fleet, &observed));
+    observed.phase_since.insert(host(0), observed.now);
+    let just_back = holds(next_steps(&fleet, &observed));
+    observed = calm(&fleet);
+    observed.listed_leaving = Some(fleet.hosts.keys().cloned().collect());
+    let wrong_list = holds(next_steps(&fleet, &observed));
+
+    assert_eq!((one, just_back), (vec![host(0)], vec![]));
+    assert!(!wrong_list.is_empty() && wrong_list.len() < fleet.hosts.len(), "{wrong_list:?}");
+}
+
+/// A host that the list no longer shows as leaving serves again; one that an operator holds stays.
+#[test]
+fn a_host_that_stays_after_all_is_released() {
+    let mut fleet = sites::association(1, 3).fleet();
+    let observed = calm(&fleet);
+    for (at, reason) in [(0, PLATFORM_LEAVES), (1, "a fan is loud")] {
+        let held = HostPhase::Held { reason: reason.into() };
+        fleet.hosts.get_mut(&host(at)).expect("it exists").phase = held;
+    }
+    let observed = Observed { listed_leaving: Some(BTreeSet::new()), ..observed };
+
+    let released: Vec<HostName> = changes_of(next_steps(&fleet, &observed))
+        .into_iter()
+        .filter_map(|change| match change {
+            FleetChange::ReleaseHost { host } => Some(host),
+            _ => None,
+        })
+        .collect();
+
+    assert_eq!(released, vec![host(0)]);
+}
+
+fn holds(steps: Vec<Step>) -> Vec<HostName> {
+    let hold = |change| match change {
+        FleetChange::HoldHost { host, .. } => Some(host),
+        _ => None,
+    };
+    changes_of(steps).into_iter().filter_map(hold).collect()
+}
--- a/crates/borageswitch_types/src/fleet/mod.rs
+++ b/crates/borageswitch_types/src/fleet/mod.rs
@@ -176,5 +176,8 @@
     pub agent: SocketAddr,
 }
 
+/// Why a host is held that the platform is about to take away.
+pub const PLATFORM_LEAVES: &str = "the platform's list shows that it leaves";
+
 /// A short explanation that people read.
 pub type Reason = Arc<str>;
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -11,7 +11,10 @@
     session::{self, SessionOptions},
     site::LocalSite,
 };
-use borageswitch_types::{fleet::SiteConfig, names::HostName};
+use borageswitch_types::{
+    fleet::{HostPhase, SiteConfig},
+    names::HostName,
+};
 
 fn read_site(name: &str) -> SiteConfig {
     let path = format!("{}/examples/sites/{name}.jsonc", env!("CARGO_MANIFEST_DIR"));
@@ -110,3 +113,27 @@
     assert!(began.elapsed() < Duration::from_secs(25), "it waited for its stop timeout");
     drop(operator);
 }
+
+/// The platform is about to take a host away and shows it as leaving. Nobody has asked borageswitch to
+/// do anything; without it looking at the list, requests would be cut when the host goes.
+#[test]
+fn a_host_that_the_platform_takes_away_is_held() {
+    let mut site = LocalSite::start(read_site("spotless_ridge"), 1, Duration::from_millis(300))
+        .unwrap_or_else(|err| panic!("{err}"));
+    let host = site.config.hosts.keys().next().cloned().expect("the site has hosts");
+    site.standin.host_list.set(host.clone(), Some(true));
+
+    let is_held = || {
+        let fleet = site.fleet()?;
+        Some(matches!(fleet.hosts.get(&host)?.phase, HostPhase::Held { .. }))
+    };
+    let until = std::time::Instant::now() + Duration::from_secs(90);
+    while is_held() != Some(true) && std::time::Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(100));
+    }
+
+    assert_eq!(is_held(), Some(true));
+    let daemon = site.daemons.remove(0);
+    daemon.stopper().stop("the test is over");
+    daemon.wait();
+}
