--- a/crates/borageswitch_scheduler/src/policy/mod.rs
+++ b/crates/borageswitch_scheduler/src/policy/mod.rs
@@ -6,10 +6,12 @@
 //! - [`order`]: which job's tasks go first when there is not room for all.
 //! - [`placing`]: which host a task goes to.
 //! - [`learned`]: what tasks really take, since declared run times are far off.
+//! - [`lending`]: which hosts change their pool.
 //! - [`trust`]: which executors get work although some of theirs failed.
 //! - [`pacing`]: how fast work that fills gaps may run beside work that serves.
 
 pub mod learned;
+pub mod lending;
 pub mod order;
 pub mod pacing;
 pub mod placing;
--- a/crates/borageswitch_scheduler/src/policy/placing.rs
+++ b/crates/borageswitch_scheduler/src/policy/placing.rs
@@ -2,38 +2,46 @@
 //!
 //! The load: wide and narrow tasks of many jobs on hosts of a few dozen cores. Spreading them
 //! evenly leaves a little room everywhere and nowhere enough for the largest tasks, so the largest
-//! tenth of jobs would wait the longest; and every host would be in use, so none could be lent or
-//! maintained. Tasks therefore go where the least is left over. Lasting tasks are spread instead:
-//! packed, one lost host would take most of a job away from its users.
+//! tenth of jobs would wait the longest; and every host would be in use, so none could be switched
+//! off, lent or maintained. Tasks therefore go to hosts that are in use, and there to where the
+//! least is left over.
+//!
+//! Tasks that fill gaps slow down tasks that serve users on the same host, by amounts that differ
+//! by program and change within seconds, so the two are kept apart as long as there is room.
 
 use crate::job::Size;
 
-/// A host that has room.
+/// A host that may run a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Candidate<T> {
     /// Which.
     pub id: T,
     /// What it has left.
     pub free: Size,
+    /// The task would disturb what serves there, or be disturbed.
+    pub disturbs: bool,
     /// It stands where the task is fastest.
     pub near: bool,
-    /// Tasks of the same step that it has.
+    /// Something runs on it.
+    pub in_use: bool,
+    /// Tasks of the same step that it has; counted for tasks that fill gaps only. Each of them
+    /// takes its time to move away when the host is to be emptied.
     pub siblings: usize,
-    /// Tasks of the same step in its rack.
+    /// Tasks of the same step in its rack; counted for lasting tasks only.
     pub rack_siblings: usize,
 }
 
 /// The best host for a task of `size`, if any has room.
-pub fn choose<T, I>(size: &Size, lasting: bool, candidates: I) -> Option<T>
+pub fn choose<T, I>(size: &Size, candidates: I) -> Option<T>
 where
     T: Copy,
     I: IntoIterator<Item = Candidate<T>>,
 {
     let fitting = candidates.into_iter().filter(|candidate| candidate.free.holds(size));
-    let left = |candidate: &Candidate<T>| candidate.free.less(size).cpu_milli;
     let best = fitting.min_by_key(|candidate| {
-        let spread = if lasting { (candidate.siblings, candidate.rack_siblings) } else { (0, 0) };
-        (!candidate.near, spread, left(candidate))
+        let left = candidate.free.less(size).cpu_milli;
+        let Candidate { disturbs, near, in_use, siblings, rack_siblings, .. } = *candidate;
+        (disturbs, !near, !in_use, siblings, rack_siblings, left)
     })?;
     Some(best.id)
 }
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -21,6 +21,8 @@
 
 /// How often the hosts are listed while something is going on with them.
 const LIST_INTERVAL: Duration = Duration::from_millis(700);
+/// How often they are listed otherwise.
+const QUIET_LIST_INTERVAL: Duration = Duration::from_millis(1_500);
 /// A list that has not come after this time is asked for again.
 const LIST_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long after an order without an answer, or one that was refused for the moment, it is given
@@ -92,6 +94,7 @@
             return;
         }
         self.step_waves(now);
+        self.step_lending(now);
         let hosts: Vec<HostName> = self.fleet.details.keys().cloned().collect();
         for host in hosts {
             self.step_host(now, &host);
@@ -99,11 +102,9 @@
     }
 
     fn list_hosts(&mut self, now: Now) {
-        let wanted = self.waves.is_open() || !self.fleet.details.is_empty();
-        if !wanted {
-            return;
-        }
-        let fresh = self.fleet.listed.is_some_and(|at| now.time.since(at) < LIST_INTERVAL);
+        let busy = self.waves.is_open() || !self.fleet.details.is_empty();
+        let interval = if busy { LIST_INTERVAL } else { QUIET_LIST_INTERVAL };
+        let fresh = self.fleet.listed.is_some_and(|at| now.time.since(at) < interval);
         let asked = self.fleet.asked.is_some_and(|at| now.time.since(at) < LIST_TIMEOUT);
         if !fresh && !asked {
             self.fleet.asked = Some(now.time);
@@ -140,7 +141,11 @@
 
     /// Begins to empty a host.
     pub(super) fn detail(&mut self, now: Now, host: &HostName, purpose: Purpose) {
-        self.log("host-emptied", host, || format!("for={purpose:?}"));
+        let executor = self.fleet.hosts.get(host).and_then(|entry| entry.executor.clone());
+        self.log("host-emptied", host, || {
+            let executor = executor.as_ref().map_or("none", |executor| executor.as_str());
+            format!("for={purpose:?} executor={executor}")
+        });
         let detail = Detail { purpose, stage: Stage::Emptying, since: now.time };
         self.fleet.details.insert(host.clone(), detail);
         self.step_host(now, host);
@@ -166,6 +171,8 @@
                         self.give_order(now, host);
                     }
                 }
+                // A host that is off has nothing to be emptied of.
+                None if entry.state == HostState::Up => self.give_order(now, host),
                 _ => {}
             },
         }
@@ -237,9 +244,15 @@
                 detail.stage = Stage::Ordered { at: now.time, answered: true };
             }
             HostAnswer::Busy => detail.stage = Stage::Emptying,
-            HostAnswer::NotOfWave | HostAnswer::Impossible | HostAnswer::Fenced => {
+            HostAnswer::Impossible => {
+                if let (Purpose::Move(pool), Some(entry)) =
+                    (&purpose, self.fleet.hosts.get(host))
+                {
+                    self.lending.note_unfit(entry, pool);
+                }
                 self.give_back(host);
             }
+            HostAnswer::NotOfWave | HostAnswer::Fenced => self.give_back(host),
         }
         self.log("host-order", host, || format!("purpose={purpose:?} answer={answer}"));
     }
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -72,7 +72,10 @@
             return;
         }
         self.note_times(now, &submission);
-        self.stir_pool_of(&job);
+        if let Some(pool) = self.pool_of(&job).cloned() {
+            self.note_arrival(now, &pool, &submission);
+            self.stirred.insert(pool);
+        }
         self.log("job-known", &job, || {
             let age = now.wall.0.saturating_sub(submission.accepted.0);
             format!("queue={} steps={} age_ms={age}", submission.queue.name, submission.spec.steps.len())
--- a/crates/borageswitch_scheduler/src/reducer/looks.rs
+++ b/crates/borageswitch_scheduler/src/reducer/looks.rs
@@ -124,11 +124,8 @@
             self.ended(now, executor, ended);
         }
         let highest = report.ended.iter().map(|ended| ended.number).max().unwrap_or(0);
-        let Some(known) = self.executors.get_mut(executor) else { return };
-        known.taken_end = known.taken_end.max(highest);
-        // Ends that an earlier leader had stored are only acknowledged.
-        if known.stored_end < seen && known.taken_end <= seen {
-            known.stored_end = highest;
+        if let Some(known) = self.executors.get_mut(executor) {
+            known.taken_end = known.taken_end.max(highest);
         }
     }
 
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -27,6 +27,7 @@
 pub mod hosts;
 pub mod jobs;
 pub mod lapses;
+pub mod lending;
 
 pub mod looks;
 pub mod outbox;
@@ -57,7 +58,7 @@
     ledger::{Ledger, record::Record},
     policy::learned::Learned,
     reducer::{
-        advice::Advice, executors::Executor, hosts::Fleet, jobs::JobTimes,
+        advice::Advice, executors::Executor, hosts::Fleet, jobs::JobTimes, lending::Lending,
         outbox::Outbox, waves::Waves,
     },
     task::TaskKey,
@@ -118,6 +119,7 @@
     advice: Advice,
     fleet: Fleet,
     waves: Waves,
+    lending: Lending,
 
     /// Pools in which a waiting task may find a host since the last pass.
     stirred: BTreeSet<PoolName>,
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -134,12 +134,14 @@
             candidates.push(Candidate {
                 id: executor,
                 free: *free,
+                disturbs: disturbs(step, known),
                 near: is_near(step, known) && avoid.as_ref() != Some(executor),
-                siblings: siblings(known, &key),
+                in_use: !known.runs.is_empty(),
+                siblings: if step.fills { siblings(known, &key) } else { 0 },
                 rack_siblings: self.rack_siblings(known, &key, step),
             });
         }
-        placing::choose(&reserved(step), step.lasting, candidates).cloned()
+        placing::choose(&reserved(step), candidates).cloned()
     }
 
     /// Tasks of the same step in the rack of an executor; counted only where it matters.
@@ -189,10 +191,36 @@
     step.label.as_ref().is_none_or(|label| known.registration.has_label(label))
 }
 
+/// Whether a task that fills gaps would come beside one that serves users, or the other way round.
+fn disturbs(step: &Step, known: &Executor) -> bool {
+    let serves = step.target_tail.is_some() && !step.fills;
+    let mut others = known.runs.values();
+    if step.fills {
+        others.any(|held| held.target_tail.is_some() && !held.fills)
+    } else {
+        serves && others.any(|held| held.fills)
+    }
+}
+
 fn is_near(step: &Step, known: &Executor) -> bool {
     step.data_rack.as_ref().is_none_or(|rack| known.registration.is_in_rack(rack))
 }
 
+/// The steps of a job that can run, with how many of their tasks wait.
+pub(super) fn unblocked_steps(job: &Job) -> Vec<(&Step, usize)> {
+    let steps = &job.submission.spec.steps;
+    let mut found = Vec::new();
+    for open in job.progress.open.values() {
+        for (step, state) in steps.iter().zip(&open.steps) {
+            if !state.is_done() && job.is_unblocked(open, step) {
+                let waiting = state.tasks.iter().filter(|task| task.is_waiting()).count();
+                found.push((step, waiting));
+            }
+        }
+    }
+    found
+}
+
 fn waiting_of(name: &JobName, job: &Job, occurrence: u32) -> Vec<(StepKey, Vec<u32>)> {
     let Some(open) = job.progress.open.get(&occurrence) else { return Vec::new() };
     let mut waiting = Vec::new();
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -24,6 +24,7 @@
         advice::Advice,
         executors::{Executor, Held, Phase},
         hosts::Fleet,
+        lending::Lending,
         outbox::Outbox,
         waves::Waves,
     },
@@ -55,18 +56,29 @@
             advice: Advice::default(),
             fleet: Fleet::default(),
             waves: Waves::default(),
+            lending: Lending::default(),
             stirred: Default::default(),
             touched: Default::default(),
             ending: Default::default(),
             last_sweep: Time::ZERO,
             effects: Vec::new(),
         };
+        scheduler.inherit_ends();
         scheduler.renew_times(now);
         scheduler.inherit_runs(now);
         scheduler.touched = scheduler.ledger.jobs.keys().cloned().collect();
         scheduler
     }
 
+    /// Whatever the ledger holds now is stored, so it may be acknowledged.
+    fn inherit_ends(&mut self) {
+        for (executor, known) in &mut self.executors {
+            let stored = self.ledger.seen.get(executor).copied().unwrap_or(0);
+            known.taken_end = stored;
+            known.stored_end = stored;
+        }
+    }
+
     fn inherit_runs(&mut self, now: Now) {
         let until = now.time + self.limits.inherited_lease;
         let mut inherited = Vec::new();
@@ -80,8 +92,11 @@
                 Some(known) => known,
                 None => {
                     let Some(pool) = self.pool_of(&task.job).cloned() else { continue };
+                    let stored = self.ledger.seen.get(&executor).copied().unwrap_or(0);
                     let unregistered = Executor {
                         present: false,
+                        taken_end: stored,
+                        stored_end: stored,
                         ..Executor::new(unknown_registration(&executor, pool), now.time)
                     };
                     self.executors.entry(executor.clone()).or_insert(unregistered)
--- a/crates/borageswitch_scheduler/src/reducer/waves.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waves.rs
@@ -72,7 +72,7 @@
 
     fn step_wave(&mut self, now: Now, wave: &WaveRequest) {
         let due = self.due_hosts(wave);
-        if due.is_empty() && self.is_settled(wave) {
+        if due.is_empty() {
             self.complete(wave.wave);
             return;
         }
@@ -101,11 +101,6 @@
         due.filter(|host| self.fleet.hosts.contains_key(*host)).cloned().collect()
     }
 
-    /// Whether no host of the wave is on its way to or from maintenance.
-    fn is_settled(&self, wave: &WaveRequest) -> bool {
-        !wave.hosts.iter().any(|host| self.fleet.details.contains_key(host))
-    }
-
     /// How many hosts count as away for the wave: those that are, and those that are about to be.
     fn taken_by(&self, wave: &WaveRequest) -> usize {
         let counts = |host: &&HostName| {
