--- a/crates/borageswitch_runtime/src/appends.rs
+++ b/crates/borageswitch_runtime/src/appends.rs
@@ -14,7 +14,7 @@
     codec,
     daemon::Shared,
     keys,
-    ports::{Committed, Platform, Transaction},
+    ports::{Committed, Platform, StoreError, Transaction},
 };
 
 /// The pause before a call that failed is made again.
@@ -44,7 +44,7 @@
     P: Platform,
 {
     let key = keys::append(append);
-    let tx = Transaction {
+    let mut tx = Transaction {
         expect: vec![(keys::LEADER.into(), token), (key.clone(), 0)],
         write: vec![(key.clone(), codec::encode(&records), None)],
         remove: forget.iter().map(keys::job).chain(cancels.iter().map(keys::cancel)).collect(),
@@ -64,6 +64,13 @@
                 log::error!(append = append; "a conflict without a cause; the append is repeated");
             }
             Ok(Committed::NoLease) => return Stored::Deposed,
+            // The records must be stored whatever happens; keys that stay are removed by the next
+            // leader.
+            Err(StoreError::Malformed) if !tx.remove.is_empty() => {
+                log::error!(append = append, keys = tx.remove.len(); "removal-refused");
+                tx.remove.clear();
+                continue;
+            }
             Err(err) => log::debug!(append = append; "an append is repeated: {err}"),
         }
         Timer::after(RETRY_PAUSE).await;
--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -246,7 +246,18 @@
             Event::Appended { append } => Some(*append),
             _ => None,
         };
+        // The cancelling of a job can be heard of before the job is, when both are read anew after
+        // a watch was cut; without this the job would run although its caller has cancelled it.
+        let cancelled = match &event {
+            Event::Submitted(submission) if leading.stored_cancels.contains(&submission.job) => {
+                Some(submission.job.clone())
+            }
+            _ => None,
+        };
         leading.scheduler.handle(clock::now(), event);
+        if let Some(job) = cancelled {
+            leading.scheduler.handle(clock::now(), Event::Cancelled(job));
+        }
         if let Some(append) = appended {
             answer_cancels(leading);
             store_snapshot(leading, append, &self.work);
@@ -265,9 +276,7 @@
             Question::Pending { queue } => Answer::Pending(scheduler.pending(&queue)),
             Question::Cancel { queue, job } => match scheduler.status(&queue, &job) {
                 None => Answer::Status(None),
-                Some(JobStatus::Ended(outcome)) => {
-                    Answer::Status(Some(JobStatus::Ended(outcome)))
-                }
+                Some(JobStatus::Ended(outcome)) => Answer::Status(Some(JobStatus::Ended(outcome))),
                 Some(_) => {
                     scheduler.handle(clock::now(), Event::Cancelled(job.clone()));
                     leading.cancelling.entry(job).or_default().push(answer);
@@ -334,4 +343,3 @@
     let Effect::Append { forget, .. } = effect else { return Vec::new() };
     forget.iter().filter(|job| stored.remove(*job)).cloned().collect()
 }
-
--- a/crates/borageswitch_runtime/src/daemon.rs
+++ b/crates/borageswitch_runtime/src/daemon.rs
@@ -101,9 +101,9 @@
     /// Whether this daemon is in the term with this token.
     pub(crate) fn leads(&self, token: Revision) -> bool {
         let known = self.leader.lock().unwrap_or_else(PoisonError::into_inner);
-        let ours = known.as_ref().is_some_and(|(record, at)| {
-            *at == token && record.address == self.cfg.peer_address
-        });
+        let ours = known
+            .as_ref()
+            .is_some_and(|(record, at)| *at == token && record.address == self.cfg.peer_address);
         ours && !self.is_stopping()
     }
 
--- a/crates/borageswitch_runtime/src/election.rs
+++ b/crates/borageswitch_runtime/src/election.rs
@@ -236,11 +236,7 @@
 }
 
 /// Rebuilds the ledger, hands it to the control thread and follows what others write.
-async fn work<P>(
-    shared: &Arc<Shared<P>>,
-    term: Term,
-    ended: Sender<&'static str>,
-) -> &'static str
+async fn work<P>(shared: &Arc<Shared<P>>, term: Term, ended: Sender<&'static str>) -> &'static str
 where
     P: Platform,
 {
--- a/crates/borageswitch_runtime/src/intake.rs
+++ b/crates/borageswitch_runtime/src/intake.rs
@@ -81,11 +81,7 @@
 /// # Errors
 ///
 /// [`Failure::NoJob`] if there is none, [`Failure::NoLeader`] if nobody can tell.
-pub async fn status<P>(
-    shared: &Arc<Shared<P>>,
-    queue: &Queue,
-    job: &JobName,
-) -> Served<JobStatus>
+pub async fn status<P>(shared: &Arc<Shared<P>>, queue: &Queue, job: &JobName) -> Served<JobStatus>
 where
     P: Platform,
 {
--- a/crates/borageswitch_runtime/src/peers/server.rs
+++ b/crates/borageswitch_runtime/src/peers/server.rs
@@ -76,8 +76,7 @@
     let ask = Message::Ask { question, answer: tx };
     control.send(ask).await.map_err(io::Error::other)?;
     let answer = rx.recv().await.unwrap_or(Answer::NotLeading);
-    let mut stream =
-        respond.send_response(Response::new(()), false).map_err(io::Error::other)?;
+    let mut stream = respond.send_response(Response::new(()), false).map_err(io::Error::other)?;
     stream.send_data(Bytes::from(codec::encode(&answer)), true).map_err(io::Error::other)
 }
 
--- a/crates/borageswitch_runtime/src/ports.rs
+++ b/crates/borageswitch_runtime/src/ports.rs
@@ -107,6 +107,9 @@
     /// What was named is not there.
     #[display("not found")]
     NotFound,
+    /// The store finds the call malformed; made again, it will again.
+    #[display("malformed")]
+    Malformed,
     /// The answer cannot be read.
     #[display("unreadable answer")]
     Unreadable,
@@ -164,7 +167,8 @@
     fn commit(&self, tx: &Transaction) -> impl Future<Output = StoreResult<Committed>> + Send;
 
     /// Asks for a lease. Gives the time for which it holds.
-    fn grant(&self, ttl: Duration) -> impl Future<Output = StoreResult<(LeaseId, Duration)>> + Send;
+    fn grant(&self, ttl: Duration)
+    -> impl Future<Output = StoreResult<(LeaseId, Duration)>> + Send;
 
     /// Prolongs a lease. [`StoreError::NotFound`] says that it has ended.
     fn renew(&self, lease: LeaseId) -> impl Future<Output = StoreResult<Duration>> + Send;
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -105,6 +105,8 @@
     pub registration: Registration,
     /// It is registered now.
     pub present: bool,
+    /// Since when it is known.
+    pub known_since: Time,
     /// It has answered a look under this leader's fencing token, so every older order that is
     /// still on its way will be refused and what it runs is known.
     pub fenced: bool,
@@ -140,6 +142,7 @@
         Self {
             registration,
             present: true,
+            known_since: now,
             fenced: false,
             clock: None,
             lease_ms: 0,
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -3,7 +3,10 @@
 //! An order ends everything that runs on its host, so a host is emptied first: nothing new is
 //! placed on it, short runs end by themselves, lasting ones move one after the other.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use borageswitch_types::{
     Time,
@@ -29,6 +32,13 @@
 /// again.
 const REPEAT_ORDER: Duration = Duration::from_millis(500);
 
+/// An executor that has said nothing for so long may have ended: what it runs is not counted on
+/// when another task of the same step is to be interrupted. Looks are answered within a second.
+const LAST_WORD: Duration = Duration::from_millis(2_500);
+/// An executor that the platform's list does not name has ended, if it was known for so long
+/// before the list was asked for: a new one appears there a moment after it has registered.
+const LIST_LAG: Duration = Duration::from_millis(1_500);
+
 /// What a host is emptied for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Purpose {
@@ -121,6 +131,25 @@
         self.fleet.listed = Some(asked);
         self.fleet.hosts = hosts.into_iter().map(|entry| (entry.host.clone(), entry)).collect();
         self.take_back(asked);
+        self.end_unlisted(asked);
+    }
+
+    /// Executors that no host has any more have ended: what they ran need not wait for their lease.
+    fn end_unlisted(&mut self, asked: Time) {
+        let up = self.fleet.hosts.values().filter(|entry| entry.state == HostState::Up);
+        let listed: BTreeSet<&ExecutorName> =
+            up.filter_map(|entry| entry.executor.as_ref()).collect();
+        let over: Vec<ExecutorName> = self
+            .executors
+            .iter()
+            .filter(|(executor, known)| {
+                asked.since(known.known_since) > LIST_LAG && !listed.contains(executor)
+            })
+            .map(|(executor, _)| executor.clone())
+            .collect();
+        for executor in over {
+            self.life_over(&executor, "no host has it");
+        }
     }
 
     /// Hosts that were away and are listed as up again are in service.
@@ -191,28 +220,33 @@
         let lasting: Vec<TaskKey> =
             known.runs.iter().filter(|(_, h)| h.lasting).map(|(task, _)| task.clone()).collect();
         for task in lasting {
-            if self.may_interrupt(&task) {
+            if self.may_interrupt(now.time, &task) {
                 self.order_stop(now, executor, &task);
             }
         }
     }
 
     /// Whether a lasting task may be away for a moment: so many of its step may be at once.
-    fn may_interrupt(&self, task: &TaskKey) -> bool {
+    fn may_interrupt(&self, now: Time, task: &TaskKey) -> bool {
         let Some(job) = self.ledger.jobs.get(&task.job) else { return true };
         let Some(step) = job.step(task.step) else { return true };
         let Some(most) = step.max_unavailable else { return true };
         let away = (0..step.count).filter(|&index| index != task.index).filter(|&index| {
             let other = task.step_key().task(index);
-            !self.is_at_work(&other)
+            !self.is_at_work(now, &other)
         });
         away.count() < most as usize
     }
 
-    fn is_at_work(&self, task: &TaskKey) -> bool {
+    /// Whether a task is known to do its work: its executor has said so not long ago.
+    fn is_at_work(&self, now: Time, task: &TaskKey) -> bool {
         let assigned = self.ledger.task(task).and_then(|state| state.assigned.as_ref());
         let executor = assigned.and_then(|assigned| self.executors.get(&assigned.executor));
-        let held = executor.and_then(|known: &Executor| known.runs.get(task));
+        let answers = |known: &&Executor| {
+            let heard = known.clock.is_some_and(|clock| now.since(clock.received) < LAST_WORD);
+            heard && known.looking.failures == 0
+        };
+        let held = executor.filter(answers).and_then(|known| known.runs.get(task));
         held.is_some_and(|held| held.is_at_work())
     }
 
--- a/crates/borageswitch_scheduler/src/reducer/outbox.rs
+++ b/crates/borageswitch_scheduler/src/reducer/outbox.rs
@@ -44,9 +44,10 @@
 
 /// The most records of one append: at some hundred bytes each, well under the store's largest value.
 const MAX_RECORDS: usize = 2_000;
-/// The most submissions that one append removes: the store takes 32 entries a call, three of which
-/// are the leader's key, the records' key and a reserve.
-const MAX_FORGET: usize = 28;
+/// The most jobs whose keys one append removes. The store takes 32 entries a call and refuses more
+/// whole, for ever: nothing would be stored any more. Three entries are taken, and a job has up to
+/// two keys.
+const MAX_FORGET: usize = 14;
 
 impl Outbox {
     /// An outbox whose first append has number `next_append`.
@@ -75,7 +76,7 @@
     }
 
     pub(super) fn then_show_end(&mut self, job: JobName) {
-        self.forget.push(job.clone());
+        self.forget(job.clone());
         self.waiting.push(Deferred::ShowEnd(job));
     }
 
@@ -85,7 +86,9 @@
 
     /// A submission that is stored although its job has ended.
     pub(super) fn forget(&mut self, job: JobName) {
-        self.forget.push(job);
+        if !self.forget.contains(&job) {
+            self.forget.push(job);
+        }
     }
 
     /// The number of the append that will carry what is added now.
