--- a/crates/borageswitch_scheduler/src/ledger/job.rs
+++ b/crates/borageswitch_scheduler/src/ledger/job.rs
@@ -128,8 +128,7 @@
 
     /// Whether every occurrence has begun and is done.
     pub fn is_done(&self) -> bool {
-        self.progress.open.is_empty()
-            && self.progress.begun >= self.submission.spec.occurrences()
+        self.progress.open.is_empty() && self.progress.begun >= self.submission.spec.occurrences()
     }
 
     /// The description of a step.
--- /dev/null
+++ b/crates/borageswitch_scheduler/src/ledger/tests.rs
@@ -0,0 +1,181 @@
+//! The ledger is the same after a restart, whatever was stored twice or not at all.
+
+use std::{sync::Arc, time::Duration};
+
+use borageswitch_types::{
+    names::{ExecutorName, JobName, PoolName, QueueName},
+    time::UnixMillis,
+};
+
+use super::*;
+use crate::{
+    config::Queue,
+    job::{JobSpec, Size, Step},
+    ledger::snapshot::Snapshot,
+};
+
+fn queue() -> Queue {
+    Queue {
+        name: QueueName::from("payroll-runs"),
+        authority: "payroll.example".into(),
+        prefix: "/runs/".into(),
+        pool: PoolName::from("payroll"),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 1.6,
+        allowance: Duration::from_millis(600),
+        timeout: Duration::from_secs(3),
+        advisor: None,
+    }
+}
+
+fn submission(job: &str, steps: Vec<Step>) -> Arc<Submission> {
+    Arc::new(Submission {
+        job: JobName::from(job),
+        queue: queue(),
+        accepted: UnixMillis(1_000),
+        spec: JobSpec { text: "text".into(), steps, schedule: None },
+    })
+}
+
+fn step(count: u32) -> Step {
+    let size = Size { cpu_milli: 1_000, memory_mb: 100, accelerators: 0 };
+    Step { count, size, estimate: Duration::from_secs(1), ..Step::default() }
+}
+
+fn key(job: &str, index: u32) -> TaskKey {
+    TaskKey { job: JobName::from(job), occurrence: 0, step: 0, index }
+}
+
+fn assigned(job: &str, index: u32, run: u32) -> Record {
+    Record::Assigned { task: key(job, index), run, executor: ExecutorName::from("e1") }
+}
+
+fn ended(job: &str, index: u32, run: u32, number: u64, how: EndKind) -> Record {
+    Record::Ended {
+        executor: ExecutorName::from("e1"),
+        number,
+        task: key(job, index),
+        run,
+        how,
+        checkpoint: None,
+    }
+}
+
+#[test]
+fn an_end_that_is_listed_twice_counts_once() {
+    // A leader stores an end and dies before it acknowledges it, so the next one is told of it
+    // again. Counted twice, one failure would use up both attempts of a task, and its caller would
+    // be shown a job as failed that could be done.
+    let mut ledger = Ledger::default();
+    ledger.submit(submission("j", vec![step(1)]));
+    ledger.apply(&assigned("j", 0, 1));
+
+    ledger.apply(&ended("j", 0, 1, 7, EndKind::Failed));
+    ledger.apply(&ended("j", 0, 1, 7, EndKind::Failed));
+
+    assert_eq!(ledger.task(&key("j", 0)).unwrap().failures, 1);
+}
+
+#[test]
+fn a_restored_ledger_equals_the_one_that_was_stored() {
+    // All daemons lose power; whoever starts first reads the snapshot, the appends after it and
+    // the accepted jobs. What it does not find again is run twice or never.
+    let jobs = [submission("a", vec![step(2)]), submission("b", vec![step(1)])];
+    let mut ledger = Ledger::default();
+    for job in &jobs {
+        ledger.submit(job.clone());
+    }
+    ledger.apply(&assigned("a", 0, 1));
+    let snapshot = Snapshot::of(&ledger, 1);
+    let after = [ended("a", 0, 1, 1, EndKind::Done), assigned("a", 1, 1), assigned("b", 0, 1)];
+
+    let mut restored = snapshot.restore(jobs.iter().cloned());
+    for record in &after {
+        ledger.apply(record);
+        restored.apply(record);
+    }
+
+    assert_eq!(restored, ledger);
+}
+
+#[test]
+fn records_that_a_snapshot_holds_already_change_nothing() {
+    // A snapshot is taken from memory, where records may already be that are stored only after it.
+    // Read again after a restart they must not move a task backwards.
+    let job = submission("a", vec![step(1)]);
+    let mut ledger = Ledger::default();
+    ledger.submit(job.clone());
+    let records = [
+        assigned("a", 0, 1),
+        ended("a", 0, 1, 1, EndKind::Stopped),
+        assigned("a", 0, 2),
+        ended("a", 0, 2, 2, EndKind::Failed),
+    ];
+    for record in &records {
+        ledger.apply(record);
+    }
+
+    let mut restored = Snapshot::of(&ledger, 0).restore([job]);
+    for record in &records[1..] {
+        restored.apply(record);
+    }
+
+    let task = restored.task(&key("a", 0)).unwrap();
+    assert_eq!((task.failures, task.last_run), (1, 2));
+}
+
+#[test]
+fn a_job_sent_again_after_its_end_stays_one_job() {
+    // A caller that got no answer sends its job once more, seconds after it was accepted and done.
+    // Taken as new, a payroll would run twice.
+    let job = submission("a", vec![step(1)]);
+    let mut ledger = Ledger::default();
+    ledger.submit(job.clone());
+    let queue = QueueName::from("payroll-runs");
+    let finished = Record::Finished {
+        job: JobName::from("a"),
+        queue,
+        outcome: Outcome::Completed,
+        at: UnixMillis(5),
+    };
+    ledger.apply(&finished);
+
+    let taken = ledger.submit(job);
+
+    assert!(!taken);
+    assert!(ledger.jobs.is_empty());
+}
+
+#[test]
+fn a_gang_fails_once_however_many_members_say_so() {
+    // The members of a gang end together, each with an end of its own. Counted for each, a single
+    // failure would end the job.
+    let gang = Step { gang: true, ..step(3) };
+    let mut ledger = Ledger::default();
+    ledger.submit(submission("g", vec![gang]));
+    for index in 0..3 {
+        ledger.apply(&assigned("g", index, 1));
+    }
+
+    ledger.apply(&ended("g", 0, 1, 1, EndKind::Failed));
+    ledger.apply(&ended("g", 1, 1, 2, EndKind::Broken));
+    ledger.apply(&ended("g", 2, 1, 3, EndKind::Broken));
+
+    let failures: Vec<u16> =
+        (0..3).map(|index| ledger.task(&key("g", index)).unwrap().failures).collect();
+    assert_eq!(failures, [1, 1, 1]);
+}
+
+#[test]
+fn one_member_that_is_done_stands_for_the_gang() {
+    let gang = Step { gang: true, ..step(2) };
+    let mut ledger = Ledger::default();
+    ledger.submit(submission("g", vec![gang]));
+    ledger.apply(&assigned("g", 0, 1));
+    ledger.apply(&assigned("g", 1, 1));
+
+    ledger.apply(&ended("g", 0, 1, 1, EndKind::Done));
+
+    assert!(ledger.jobs[&JobName::from("g")].is_done());
+}
--- a/crates/borageswitch_scheduler/src/policy/lending.rs
+++ b/crates/borageswitch_scheduler/src/policy/lending.rs
@@ -121,16 +121,17 @@
     short.sort_by_key(|(missing, _)| *missing);
     for (missing, pool) in short {
         for _ in 0..missing {
-            let found = spare.iter().position(|s| s.from != &pool.pool && may_move(&s.host, &pool.pool));
+            let found =
+                spare.iter().position(|s| s.from != &pool.pool && may_move(&s.host, &pool.pool));
             let Some(found) = found else { break };
             let host = spare.remove(found).host;
             moves.push(Move { host, to: pool.pool.clone() });
         }
     }
     if let Some(standby) = pools.iter().find(|pool| pool.standby) {
-        let off = spare.into_iter().filter(|s| {
-            !s.is_off && s.idle >= IDLE_BEFORE_OFF && may_move(&s.host, &standby.pool)
-        });
+        let off = spare
+            .into_iter()
+            .filter(|s| !s.is_off && s.idle >= IDLE_BEFORE_OFF && may_move(&s.host, &standby.pool));
         moves.extend(off.map(|s| Move { host: s.host, to: standby.pool.clone() }));
     }
     moves
--- /dev/null
+++ b/crates/borageswitch_scheduler/src/policy/tests.rs
@@ -0,0 +1,230 @@
+//! Each decision under the load that it answers.
+
+use std::time::Duration;
+
+use borageswitch_types::{Time, names::PoolName};
+
+use super::{
+    lending::{self, ArrivalRate, PoolLoad},
+    order::{Class, JobView, Urgency},
+    pacing,
+    placing::{self, Candidate},
+    trust::Trust,
+};
+use crate::job::Size;
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn cores(cores: u64) -> Size {
+    Size { cpu_milli: cores * 1_000, memory_mb: cores * 1_000, accelerators: 0 }
+}
+
+fn job(accepted: u64, deadline: u64, remaining: u64) -> JobView {
+    JobView {
+        lasting: false,
+        priority: 0,
+        accepted: at(accepted),
+        deadline: at(deadline),
+        useful_until: at(accepted + 3 * (deadline - accepted)),
+        remaining: Duration::from_millis(remaining),
+    }
+}
+
+/// How many of `jobs` (arrival, objective, length, all in milliseconds) are on time when a single
+/// slot serves them, the next always being the one with the least `rank`.
+fn served_on_time<K, F>(jobs: &[(u64, u64, u64)], rank: F) -> usize
+where
+    K: Ord,
+    F: Fn(&JobView, Time) -> K,
+{
+    let mut waiting: Vec<JobView> = jobs.iter().map(|&(a, o, l)| job(a, a + o, l)).collect();
+    let mut now = at(0);
+    let mut on_time = 0;
+    while !waiting.is_empty() {
+        let arrived = waiting.iter().filter(|job| job.accepted <= now);
+        let Some(next) = arrived.min_by_key(|job| rank(job, now)).copied() else {
+            now = waiting.iter().map(|job| job.accepted).min().unwrap();
+            continue;
+        };
+        waiting.retain(|job| *job != next);
+        now += next.remaining;
+        on_time += usize::from(now <= next.deadline);
+    }
+    on_time
+}
+
+#[test]
+fn overload_serves_those_that_can_be_on_time() {
+    // A queue asks for four times what its pool holds. Served by the earliest deadline alone, the
+    // pool spends itself on jobs that are just about to be late; callers see nearly all of them
+    // late although the pool was busy all the time.
+    let rush: Vec<(u64, u64, u64)> = (0..400).map(|n| (n * 25 + n % 7, 1_000, 100)).collect();
+
+    let by_urgency = served_on_time(&rush, |job, now| Urgency::of(job, now));
+    let by_deadline = served_on_time(&rush, |job, _| job.deadline);
+    let by_arrival = served_on_time(&rush, |job, _| job.accepted);
+
+    assert!(by_urgency > 80, "{by_urgency}");
+    assert!(by_urgency > 4 * by_deadline, "{by_urgency} against {by_deadline}");
+    assert!(by_urgency > 4 * by_arrival, "{by_urgency} against {by_arrival}");
+}
+
+#[test]
+fn a_lasting_task_goes_before_a_rush_of_short_ones() {
+    // The users of a lasting task are without service until it runs again.
+    let lasting = JobView { lasting: true, ..job(0, 10, 10_000) };
+
+    let urgency = Urgency::of(&lasting, at(5_000));
+
+    assert_eq!(urgency.class(), Class::Lasting);
+    assert!(urgency < Urgency::of(&job(4_000, 6_000, 10), at(5_000)));
+}
+
+#[test]
+fn tasks_are_packed_so_that_a_wide_one_still_fits() {
+    // Many small tasks arrive before a large one. Spread evenly they would leave a little room on
+    // every host, and the largest jobs would wait for as long as small ones keep coming.
+    let mut hosts = [cores(16); 4];
+    for _ in 0..20 {
+        let candidates = hosts.iter().enumerate().map(|(id, free)| Candidate {
+            id,
+            free: *free,
+            disturbs: false,
+            near: true,
+            in_use: *free != cores(16),
+            siblings: 0,
+            rack_siblings: 0,
+        });
+        let chosen = placing::choose(&cores(1), candidates).unwrap();
+        hosts[chosen] = hosts[chosen].less(&cores(1));
+    }
+
+    let untouched = hosts.iter().filter(|free| **free == cores(16)).count();
+
+    assert_eq!(untouched, 2);
+}
+
+#[test]
+fn a_task_that_fills_gaps_stays_away_from_one_that_serves() {
+    // Beside work that fills gaps, a task that serves users answers late, and its users notice.
+    let candidate = |id, disturbs, in_use| Candidate {
+        id,
+        free: cores(8),
+        disturbs,
+        near: true,
+        in_use,
+        siblings: 0,
+        rack_siblings: 0,
+    };
+    let candidates = [candidate(0, true, true), candidate(1, false, false)];
+
+    let chosen = placing::choose(&cores(1), candidates);
+
+    assert_eq!(chosen, Some(1));
+}
+
+#[test]
+fn an_executor_that_fails_everything_gets_little() {
+    // A host fails whatever it starts within a moment, so it is always the emptiest. Trusted, it
+    // would draw all work and use up the attempts of jobs that could be done.
+    let mut trust = Trust::default();
+    let mut starts = 0;
+    for millis in (0..10_000).step_by(10) {
+        if trust.allows(at(millis), 0) {
+            starts += 1;
+            trust.failed(at(millis));
+        }
+    }
+
+    assert!(starts <= 6, "{starts}");
+}
+
+#[test]
+fn an_executor_that_recovers_gets_work_again() {
+    let mut trust = Trust::default();
+    trust.failed(at(0));
+    trust.failed(at(10));
+    assert!(!trust.allows(at(100), 0));
+
+    trust.succeeded();
+
+    assert!(trust.allows(at(101), 5));
+}
+
+#[test]
+fn fillers_give_way_at_once_and_come_back_slowly() {
+    // The tail of a serving task grows beyond its target within a second. Slowed in small steps,
+    // its neighbours would keep its users waiting for the length of the whole descent.
+    let mut pace = 100;
+    for tail_percent in [130, 130, 130] {
+        pace = pacing::next_pace(pace, tail_percent);
+    }
+    assert_eq!(pace, 0);
+
+    let back = pacing::next_pace(pace, 30);
+
+    assert!(back > 0 && back < 50, "{back}");
+}
+
+fn load(pool: &str, hosts: usize, idle: &[(&'static str, u64)]) -> PoolLoad<&'static str> {
+    PoolLoad {
+        pool: PoolName::from(pool),
+        standby: false,
+        hosts,
+        idle: idle.iter().map(|(host, ms)| (*host, Duration::from_millis(*ms))).collect(),
+        demand: Size::default(),
+        arriving_cores: 0.0,
+        apart: 0,
+        host: cores(64),
+        has_short_work: true,
+    }
+}
+
+#[test]
+fn a_pool_in_its_turn_gets_hosts_that_are_off_and_then_idle_ones() {
+    // One queue's turn begins while the others rest: its pool holds a quarter of what it asks for.
+    let busy = PoolLoad { demand: cores(4 * 64), ..load("roster", 2, &[]) };
+    let idle = load("tender", 5, &[("t1", 100), ("t2", 90), ("t3", 80), ("t4", 70)]);
+    let off = PoolLoad { standby: true, ..load("spare", 1, &[("s1", 0)]) };
+
+    let moves = lending::decide(&[busy, idle, off], |_, _| true);
+
+    let hosts: Vec<&str> = moves.iter().map(|m| m.host).collect();
+    assert_eq!(hosts, ["s1", "t1", "t2"]);
+    assert!(moves.iter().all(|m| m.to.as_str() == "roster"));
+}
+
+#[test]
+fn an_idle_host_is_switched_off_but_a_few_stay_for_the_next_turn() {
+    let idle = load("tender", 4, &[("t1", 5_000), ("t2", 5_000), ("t3", 5_000), ("t4", 5_000)]);
+    let off = PoolLoad { standby: true, ..load("spare", 0, &[]) };
+
+    let moves = lending::decide(&[idle, off], |_, _| true);
+
+    assert_eq!(moves.len(), 2);
+    assert!(moves.iter().all(|m| m.to.as_str() == "spare"));
+}
+
+#[test]
+fn a_host_that_cannot_be_in_a_pool_is_not_sent_there() {
+    let busy = PoolLoad { demand: cores(64), ..load("roster", 0, &[]) };
+    let off = PoolLoad { standby: true, ..load("spare", 1, &[("s1", 0)]) };
+
+    let moves = lending::decide(&[busy, off], |_, _| false);
+
+    assert!(moves.is_empty());
+}
+
+#[test]
+fn arrivals_are_forgotten_after_their_turn() {
+    // A turn has ended. Believed to go on, it would keep hosts in a pool that has nothing to do.
+    let mut rate = ArrivalRate::default();
+    for n in 0..100 {
+        rate.arrived(at(n * 50), 5.0);
+    }
+    assert!((80.0..120.0).contains(&rate.cores(at(5_000))), "{}", rate.cores(at(5_000)));
+
+    assert!(rate.cores(at(13_000)) < 1.0);
+}
--- a/crates/borageswitch_scheduler/src/reducer/evict.rs
+++ b/crates/borageswitch_scheduler/src/reducer/evict.rs
@@ -69,9 +69,8 @@
 /// The short runs to stop for `size`, with the core-milliseconds that each has worked, the least
 /// first; nothing if not enough of them are there.
 fn victims(known: &Executor, size: &Size, now: Time) -> Option<Vec<(TaskKey, u64)>> {
-    let loss = |held: &Held| {
-        held.size.cpu_milli * now.since(held.started).as_millis() as u64 / 1_000
-    };
+    let loss =
+        |held: &Held| held.size.cpu_milli * now.since(held.started).as_millis() as u64 / 1_000;
     let short = known.runs.iter().filter(|(_, h)| !h.lasting && h.phase == Phase::Active);
     let mut short: Vec<(&TaskKey, &Held)> = short.collect();
     short.sort_by_key(|(_, held)| loss(held));
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -5,12 +5,8 @@
 use borageswitch_types::Time;
 
 use crate::{
-    effect::Recipient,
-    executor::Registration,
-    job::Size,
-    policy::trust::Trust,
-    reducer::clock::ClockReading,
-    task::TaskKey,
+    effect::Recipient, executor::Registration, job::Size, policy::trust::Trust,
+    reducer::clock::ClockReading, task::TaskKey,
 };
 
 /// What is known of a run on an executor.
--- a/crates/borageswitch_scheduler/src/reducer/gangs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/gangs.rs
@@ -105,8 +105,7 @@
             free.holds(&size)
                 && fits_labels(step, known)
                 && step.max_per_host.is_none_or(|most| here < most as usize)
-                && (!ticketed
-                    || self.advice.ticket(&waiting.key, executor, now.time).is_some())
+                && (!ticketed || self.advice.ticket(&waiting.key, executor, now.time).is_some())
         });
         let best = fitting.min_by_key(|(_, free)| free.less(&size).cpu_milli);
         best.map(|(executor, _)| executor.clone())
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -208,9 +208,9 @@
     }
 
     fn is_empty(&self, executor: &ExecutorName) -> bool {
-        self.executors.get(executor).is_none_or(|known| {
-            known.runs.is_empty() && known.acknowledged >= known.taken_end
-        })
+        self.executors
+            .get(executor)
+            .is_none_or(|known| known.runs.is_empty() && known.acknowledged >= known.taken_end)
     }
 
     /// Closes an executor and moves its lasting runs away as their steps allow.
@@ -279,9 +279,7 @@
             }
             HostAnswer::Busy => detail.stage = Stage::Emptying,
             HostAnswer::Impossible => {
-                if let (Purpose::Move(pool), Some(entry)) =
-                    (&purpose, self.fleet.hosts.get(host))
-                {
+                if let (Purpose::Move(pool), Some(entry)) = (&purpose, self.fleet.hosts.get(host)) {
                     self.lending.note_unfit(entry, pool);
                 }
                 self.give_back(host);
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -78,16 +78,19 @@
         }
         self.log("job-known", &job, || {
             let age = now.wall.0.saturating_sub(submission.accepted.0);
-            format!("queue={} steps={} age_ms={age}", submission.queue.name, submission.spec.steps.len())
+            format!(
+                "queue={} steps={} age_ms={age}",
+                submission.queue.name,
+                submission.spec.steps.len()
+            )
         });
     }
 
     /// Works out when a job is due, from its queue as it stands now.
     pub(super) fn note_times(&mut self, now: Now, submission: &Submission) {
         let age = Duration::from_millis(now.wall.0.saturating_sub(submission.accepted.0));
-        let accepted = Time::from_micros(
-            now.time.as_micros().saturating_sub(age.as_micros() as u64),
-        );
+        let accepted =
+            Time::from_micros(now.time.as_micros().saturating_sub(age.as_micros() as u64));
         let configured =
             self.config.as_ref().and_then(|config| config.queues.get(&submission.queue.name));
         let queue = configured.unwrap_or(&submission.queue);
@@ -137,16 +140,13 @@
         }
     }
 
-    fn finish(
-        &mut self,
-        now: Now,
-        job: &JobName,
-        queue: QueueName,
-        outcome: Outcome,
-    ) {
+    fn finish(&mut self, now: Now, job: &JobName, queue: QueueName, outcome: Outcome) {
         let took = self.times.get(job).map(|times| now.time.since(times.accepted));
         self.log("job-ended", job, || {
-            format!("queue={queue} outcome={outcome} took_ms={}", took.unwrap_or_default().as_millis())
+            format!(
+                "queue={queue} outcome={outcome} took_ms={}",
+                took.unwrap_or_default().as_millis()
+            )
         });
         self.stir_pool_of(job);
         self.ending.insert(job.clone(), self.outbox.next_append());
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -222,7 +222,9 @@
         let Some(held) = known.runs.remove(task) else { return };
         let pool = known.registration.pool.clone();
         self.stirred.insert(pool);
-        self.log("run-released", task, || format!("run={} executor={executor} why={why}", held.run));
+        self.log("run-released", task, || {
+            format!("run={} executor={executor} why={why}", held.run)
+        });
         let assigned = self.ledger.task(task).and_then(|state| state.assigned.as_ref());
         if assigned.is_some_and(|a| a.run == held.run && a.executor == *executor) {
             self.record(Record::Released { task: task.clone(), run: held.run });
@@ -269,9 +271,10 @@
     /// the task itself is the likelier cause.
     fn note_failure(&mut self, now: Now, executor: &ExecutorName, task: &TaskKey) {
         let failed_before = self.ledger.task(task).is_some_and(|state| state.failures > 0);
-        let job_doubted = self.times.get(&task.job).is_some_and(|times| {
-            times.failed_on.as_ref().is_some_and(|other| other != executor)
-        });
+        let job_doubted = self
+            .times
+            .get(&task.job)
+            .is_some_and(|times| times.failed_on.as_ref().is_some_and(|other| other != executor));
         if let Some(times) = self.times.get_mut(&task.job) {
             times.failed_on.get_or_insert_with(|| executor.clone());
         }
--- a/crates/borageswitch_scheduler/src/reducer/outbox.rs
+++ b/crates/borageswitch_scheduler/src/reducer/outbox.rs
@@ -10,11 +10,7 @@
 };
 
 use crate::{
-    effect::Effect,
-    event::Now,
-    ledger::record::Record,
-    reducer::Scheduler,
-    task::TaskKey,
+    effect::Effect, event::Now, ledger::record::Record, reducer::Scheduler, task::TaskKey,
 };
 
 /// What is done once records are stored.
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -64,9 +64,11 @@
                     continue;
                 }
                 let urgency = Urgency::of(&self.view_of(job, times, occurrence), now.time);
-                steps.extend(
-                    waiting.into_iter().map(|(key, waiting)| WaitingStep { urgency, key, waiting }),
-                );
+                steps.extend(waiting.into_iter().map(|(key, waiting)| WaitingStep {
+                    urgency,
+                    key,
+                    waiting,
+                }));
             }
         }
         steps.sort_by(|a, b| (a.urgency, &a.key).cmp(&(b.urgency, &b.key)));
@@ -75,9 +77,10 @@
 
     /// What the open executors of a pool have left.
     fn room_of(&self, now: Now, pool: &PoolName) -> Room {
-        let open = self.executors.iter().filter(|(_, known)| {
-            known.registration.pool == *pool && known.is_open(now.time)
-        });
+        let open = self
+            .executors
+            .iter()
+            .filter(|(_, known)| known.registration.pool == *pool && known.is_open(now.time));
         open.map(|(name, known)| (name.clone(), known.free())).collect()
     }
 
--- a/crates/borageswitch_scheduler/src/reducer/view.rs
+++ b/crates/borageswitch_scheduler/src/reducer/view.rs
@@ -2,10 +2,7 @@
 
 use borageswitch_types::names::{JobName, QueueName};
 
-use crate::{
-    ledger::record::Outcome,
-    reducer::Scheduler,
-};
+use crate::{ledger::record::Outcome, reducer::Scheduler};
 
 /// How a job stands, as its caller sees it.
 #[derive(
@@ -38,7 +35,8 @@
                 JobStatus::Ended(finished.outcome)
             });
         }
-        let known = self.ledger.jobs.get(job).filter(|known| known.submission.queue.name == *queue)?;
+        let known =
+            self.ledger.jobs.get(job).filter(|known| known.submission.queue.name == *queue)?;
         Some(if known.progress.started { JobStatus::Running } else { JobStatus::Queued })
     }
 
--- a/crates/borageswitch_scheduler/src/reducer/waves.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waves.rs
@@ -53,7 +53,11 @@
         }
         self.log("wave-heard", wave, || {
             let hosts = request.hosts.len();
-            format!("hosts={hosts} at_once={} allowed_ms={}", request.max_down, request.allowed.as_millis())
+            format!(
+                "hosts={hosts} at_once={} allowed_ms={}",
+                request.max_down,
+                request.allowed.as_millis()
+            )
         });
         self.effects.push(Effect::ReportWave { wave, completed: false });
         self.waves.open.insert(wave, Wave { request, heard: now.time });
--- /dev/null
+++ b/crates/borageswitch_scheduler/tests/support/world.rs
@@ -0,0 +1,583 @@
+//! Carries effects out with delays and faults, and checks what must hold.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use borageswitch_scheduler::{
+    config::{Config, Pool, Queue, RequestLimits},
+    effect::{Effect, Recipient},
+    event::{Event, LookAnswer, Now, OrderAnswer, StartAnswer},
+    executor::Registration,
+    job::{JobSpec, Size, Step, Submission},
+    ledger::{
+        Ledger,
+        record::{Outcome, Record},
+        snapshot::Snapshot,
+    },
+    reducer::{Limits, Scheduler},
+    task::TaskKey,
+};
+use borageswitch_types::{
+    Time,
+    names::{DataCentreName, ExecutorName, JobName, PoolName, QueueName},
+    time::UnixMillis,
+};
+use fastrand::Rng;
+
+use super::executor::{Behaviour, SimExecutor};
+
+/// One step of the world, in milliseconds.
+const STEP: u64 = 5;
+/// The wall clock at the world's start.
+const WALL: u64 = 1_700_000_000_000;
+/// How long a call without an answer takes.
+const CALL_TIMEOUT: u64 = 450;
+
+/// Which faults happen, each with its chance a thousand calls or steps.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    pub lost_answer: u32,
+    pub lost_order: u32,
+    pub late_order: u32,
+    pub leader_dies: u32,
+    pub executor_dies: u32,
+    pub executor_cut: u32,
+    pub store_away: u32,
+    pub cancel: u32,
+}
+
+enum Due {
+    Order { token: u64, effect: Effect, answered: bool },
+    Event { token: u64, event: Event },
+}
+
+/// The world: executors, a store and whoever leads.
+pub struct World {
+    pub rng: Rng,
+    pub now: u64,
+    pub faults: Faults,
+    pub executors: BTreeMap<ExecutorName, SimExecutor>,
+    cut: BTreeMap<ExecutorName, u64>,
+    dead: BTreeSet<ExecutorName>,
+    submissions: BTreeMap<JobName, Arc<Submission>>,
+    stored_jobs: BTreeSet<JobName>,
+    cancelled: BTreeMap<JobName, u64>,
+    appends: BTreeMap<u64, Vec<Record>>,
+    snapshot: Snapshot,
+    store_away_until: u64,
+    waiting_appends: Vec<(u64, u64, Vec<Record>, Vec<JobName>)>,
+    leader: Option<Scheduler>,
+    token: u64,
+    leader_back_at: u64,
+    due: Vec<(u64, Due)>,
+    next_executor: u32,
+    pub shown: BTreeMap<JobName, Outcome>,
+    pub broken: Vec<String>,
+}
+
+pub fn queue() -> Queue {
+    Queue {
+        name: QueueName::from("runs"),
+        authority: "site.example".into(),
+        prefix: "/runs/".into(),
+        pool: PoolName::from("payroll"),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 1.6,
+        allowance: Duration::from_millis(600),
+        timeout: Duration::from_secs(3),
+        advisor: None,
+    }
+}
+
+fn config(guards: bool) -> Arc<Config> {
+    let pool = Pool { name: queue().pool, guards_capacity: guards, standby: false };
+    Arc::new(Config {
+        version: 1,
+        queues: BTreeMap::from([(queue().name, queue())]),
+        pools: BTreeMap::from([(pool.name.clone(), pool)]),
+        limits: RequestLimits {
+            head_bytes: 1 << 14,
+            body_bytes: 1 << 18,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+    })
+}
+
+pub fn cores(cores: u64) -> Size {
+    Size { cpu_milli: cores * 1_000, memory_mb: cores * 1_000, accelerators: 0 }
+}
+
+impl World {
+    pub fn new(seed: u64, hosts: usize, guards: bool, faults: Faults) -> Self {
+        let mut world = Self {
+            rng: Rng::with_seed(seed),
+            now: 1_000,
+            faults,
+            executors: BTreeMap::new(),
+            cut: BTreeMap::new(),
+            dead: BTreeSet::new(),
+            submissions: BTreeMap::new(),
+            stored_jobs: BTreeSet::new(),
+            cancelled: BTreeMap::new(),
+            appends: BTreeMap::new(),
+            snapshot: Snapshot::default(),
+            store_away_until: 0,
+            waiting_appends: Vec::new(),
+            leader: None,
+            token: 0,
+            leader_back_at: 0,
+            due: Vec::new(),
+            next_executor: 0,
+            shown: BTreeMap::new(),
+            broken: Vec::new(),
+        };
+        for _ in 0..hosts {
+            world.add_executor(guards);
+        }
+        world
+    }
+
+    fn add_executor(&mut self, guards: bool) {
+        self.next_executor += 1;
+        let name = ExecutorName::from(format!("e{}", self.next_executor));
+        let ahead = self.rng.u64(..1_000_000);
+        let slow = self.rng.bool();
+        self.executors.insert(name, SimExecutor::new(cores(16), guards, ahead, slow));
+    }
+
+    fn moment(&self) -> Now {
+        Now { time: Time::from_millis(self.now), wall: UnixMillis(WALL + self.now) }
+    }
+
+    fn registrations(&self) -> Vec<Registration> {
+        let alive = self.executors.keys().filter(|name| !self.dead.contains(*name));
+        alive
+            .map(|name| Registration {
+                executor: name.clone(),
+                pool: queue().pool,
+                address: SocketAddr::from(([127, 0, 0, 1], 1)),
+                data_centre: DataCentreName::from("dc"),
+                draining: false,
+                remaining: None,
+                capacity: cores(16),
+                labels: vec!["a".into(), "r1".into()],
+            })
+            .collect()
+    }
+
+    /// A caller hands in a job.
+    pub fn submit(&mut self, steps: Vec<Step>) -> JobName {
+        let name = JobName::from(format!("{:016x}", self.rng.u64(..)));
+        let submission = Arc::new(Submission {
+            job: name.clone(),
+            queue: queue(),
+            accepted: UnixMillis(WALL + self.now),
+            spec: JobSpec { text: "text".into(), steps, schedule: None },
+        });
+        self.submissions.insert(name.clone(), submission.clone());
+        self.stored_jobs.insert(name.clone());
+        let moment = self.moment();
+        if let Some(leader) = &mut self.leader {
+            leader.handle(moment, Event::Submitted(submission));
+        }
+        name
+    }
+
+    fn cancel_one(&mut self) {
+        let open: Vec<JobName> = self
+            .submissions
+            .keys()
+            .filter(|job| !self.cancelled.contains_key(*job) && !self.shown.contains_key(*job))
+            .cloned()
+            .collect();
+        if open.is_empty() {
+            return;
+        }
+        let job = open[self.rng.usize(..open.len())].clone();
+        self.cancelled.insert(job.clone(), self.now);
+        let moment = self.moment();
+        if let Some(leader) = &mut self.leader {
+            leader.handle(moment, Event::Cancelled(job));
+        }
+    }
+
+    /// Lets the world go on for so many milliseconds.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += STEP;
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.strike();
+        self.lead();
+        self.deliver();
+        for (name, executor) in &mut self.executors {
+            if !self.dead.contains(name) {
+                executor.advance(self.now);
+            }
+        }
+        self.store();
+        self.decide();
+        self.check();
+    }
+
+    fn chance(&mut self, per_mille: u32) -> bool {
+        per_mille > 0 && self.rng.u32(..1_000) < per_mille
+    }
+
+    fn strike(&mut self) {
+        if self.chance(self.faults.leader_dies) && self.leader.is_some() {
+            self.leader = None;
+            self.leader_back_at = self.now + self.rng.u64(50..3_000);
+        }
+        if self.chance(self.faults.executor_dies) {
+            self.kill_executor();
+        }
+        if self.chance(self.faults.executor_cut) {
+            let alive: Vec<_> = self.executors.keys().cloned().collect();
+            let victim = alive[self.rng.usize(..alive.len())].clone();
+            self.cut.insert(victim, self.now + self.rng.u64(500..9_000));
+        }
+        if self.chance(self.faults.store_away) {
+            self.store_away_until = self.now + self.rng.u64(200..6_000);
+        }
+        if self.chance(self.faults.cancel) {
+            self.cancel_one();
+        }
+    }
+
+    fn kill_executor(&mut self) {
+        let alive: Vec<_> =
+            self.executors.keys().filter(|name| !self.dead.contains(*name)).cloned().collect();
+        let victim = alive[self.rng.usize(..alive.len())].clone();
+        let guards = self.executors[&victim].guards;
+        self.executors.get_mut(&victim).unwrap().active.clear();
+        self.dead.insert(victim);
+        self.add_executor(guards);
+        self.tell_registrations();
+    }
+
+    fn tell_registrations(&mut self) {
+        let all = self.registrations();
+        let moment = self.moment();
+        if let Some(leader) = &mut self.leader {
+            leader.handle(moment, Event::Executors(all));
+        }
+    }
+
+    /// Whoever leads next rebuilds the ledger from what is stored.
+    fn lead(&mut self) {
+        if self.leader.is_some() || self.now < self.leader_back_at {
+            return;
+        }
+        if self.now < self.store_away_until {
+            return;
+        }
+        self.token += 1;
+        self.waiting_appends.clear();
+        let jobs: Vec<Arc<Submission>> =
+            self.stored_jobs.iter().map(|job| self.submissions[job].clone()).collect();
+        let mut ledger: Ledger = self.snapshot.clone().restore(jobs.iter().cloned());
+        let mut next = self.snapshot.through + 1;
+        for (number, records) in &self.appends {
+            if *number > self.snapshot.through {
+                records.iter().for_each(|record| ledger.apply(record));
+                next = number + 1;
+            }
+        }
+        let limits = Limits { append_interval: Duration::from_millis(10), ..Limits::default() };
+        let moment = self.moment();
+        let mut leader = Scheduler::recover(
+            limits,
+            moment,
+            ledger,
+            next,
+            config(self.executors.values().all(|e| e.guards)),
+            self.registrations(),
+        );
+        for job in self.cancelled.keys() {
+            leader.handle(moment, Event::Cancelled(job.clone()));
+        }
+        self.leader = Some(leader);
+    }
+
+    fn deliver(&mut self) {
+        let (now, later) =
+            std::mem::take(&mut self.due).into_iter().partition(|(at, _)| *at <= self.now);
+        self.due = later;
+        let now: Vec<(u64, Due)> = now;
+        for (_, due) in now {
+            match due {
+                Due::Event { token, event } => {
+                    let moment = self.moment();
+                    if let Some(leader) = self.leader.as_mut().filter(|_| token == self.token) {
+                        leader.handle(moment, event);
+                    }
+                }
+                Due::Order { token, effect, answered } => self.execute(token, effect, answered),
+            }
+        }
+    }
+
+    fn answer_later(&mut self, token: u64, event: Event) {
+        let at = self.now + self.rng.u64(1..8);
+        self.due.push((at, Due::Event { token, event }));
+    }
+
+    fn is_reachable(&self, executor: &ExecutorName) -> bool {
+        !self.dead.contains(executor) && self.cut.get(executor).is_none_or(|end| *end <= self.now)
+    }
+
+    /// An order arrives.
+    fn execute(&mut self, token: u64, effect: Effect, answered: bool) {
+        let sent = Time::from_millis(self.now.saturating_sub(8));
+        match effect {
+            Effect::Start(to, order) => {
+                if !self.is_reachable(&to.executor) {
+                    return;
+                }
+                let behaviour = self.behaviour(&order.task);
+                let executor = self.executors.get_mut(&to.executor).unwrap();
+                let answer = executor.start(self.now, token, &order, behaviour);
+                let clock_ms = Some(executor.clock(self.now));
+                if answer == StartAnswer::Started {
+                    self.check_started(&to.executor, &order.task);
+                }
+                if answered {
+                    let (task, run, executor) = (order.task, order.run, to.executor);
+                    let event =
+                        Event::StartAnswered { executor, task, run, sent, clock_ms, answer };
+                    self.answer_later(token, event);
+                }
+            }
+            Effect::Stop(to, task, run) => {
+                if !self.is_reachable(&to.executor) {
+                    return;
+                }
+                let executor = self.executors.get_mut(&to.executor).unwrap();
+                let answer = executor.stop(self.now, token, &task, run);
+                if answered {
+                    let event = Event::StopAnswered { executor: to.executor, task, run, answer };
+                    self.answer_later(token, event);
+                }
+            }
+            Effect::Look(to, order) => {
+                if !self.is_reachable(&to.executor) {
+                    return;
+                }
+                let executor = self.executors.get_mut(&to.executor).unwrap();
+                let answer = executor.look(self.now, token, &order);
+                if answered {
+                    let event = Event::Looked { executor: to.executor, sent, order, answer };
+                    self.answer_later(token, event);
+                }
+            }
+            other => panic!("not an order to an executor: {other:?}"),
+        }
+    }
+
+    fn behaviour(&self, task: &TaskKey) -> Behaviour {
+        let step = &self.submissions[&task.job].spec.steps[usize::from(task.step)];
+        // One job in sixteen has a task that always fails.
+        let fails = task.index == 0 && task.job.as_str().ends_with('0');
+        Behaviour {
+            size: step.size,
+            lasting: step.lasting,
+            length: step.estimate.as_millis() as u64,
+            fails: fails && !step.lasting,
+        }
+    }
+
+    fn store(&mut self) {
+        if self.now < self.store_away_until {
+            return;
+        }
+        for (token, append, records, forget) in std::mem::take(&mut self.waiting_appends) {
+            if token != self.token || self.leader.is_none() {
+                continue;
+            }
+            self.appends.insert(append, records);
+            for job in forget {
+                self.stored_jobs.remove(&job);
+            }
+            let moment = self.moment();
+            let leader = self.leader.as_mut().unwrap();
+            leader.handle(moment, Event::Appended { append });
+            if append % 20 == 0 {
+                self.snapshot = Snapshot::of(leader.ledger(), append);
+                self.appends.retain(|number, _| *number > append);
+            }
+        }
+    }
+
+    fn decide(&mut self) {
+        let moment = self.moment();
+        let token = self.token;
+        let Some(leader) = &mut self.leader else { return };
+        let effects = leader.settle(moment);
+        for job in self.submissions.keys() {
+            use borageswitch_scheduler::reducer::view::JobStatus;
+            if let Some(JobStatus::Ended(outcome)) = leader.status(&queue().name, job) {
+                self.shown.entry(job.clone()).or_insert(outcome);
+            }
+        }
+        for effect in effects {
+            match effect {
+                Effect::Append { append, records, forget } => {
+                    self.waiting_appends.push((token, append, records, forget));
+                }
+                Effect::Start(..) | Effect::Stop(..) | Effect::Look(..) => self.send(token, effect),
+                Effect::ListHosts => {
+                    self.due.push((self.now + 10, Due::Event { token, event: Event::Hosts(None) }));
+                }
+                Effect::StepDown => self.broken.push("stepped down without a rival".to_owned()),
+                Effect::Log(_) => {}
+                other => panic!("unexpected effect {other:?}"),
+            }
+        }
+    }
+
+    fn send(&mut self, token: u64, effect: Effect) {
+        self.check_sent(&effect);
+        let lost = self.chance(self.faults.lost_order);
+        let late = self.chance(self.faults.late_order);
+        let silent = self.chance(self.faults.lost_answer) || lost || late;
+        let silent = silent || !self.is_reachable(&recipient(&effect).executor);
+        // A look waits on the executor's side until something ends.
+        let wait = match &effect {
+            Effect::Look(_, order) if !order.wait.is_zero() => 100,
+            _ => 0,
+        };
+        let delay = if late { self.rng.u64(2_000..12_000) } else { self.rng.u64(1..8) + wait };
+        if silent {
+            let event = no_answer(&effect, Time::from_millis(self.now));
+            self.due.push((self.now + CALL_TIMEOUT, Due::Event { token, event }));
+        }
+        if !lost {
+            let at = self.now + delay;
+            self.due.push((at, Due::Order { token, effect, answered: !silent }));
+        }
+    }
+
+    /// A leader that was told of a cancelling sends no start of that job any more.
+    fn check_sent(&mut self, effect: &Effect) {
+        if let Effect::Start(to, order) = effect
+            && self.cancelled.contains_key(&order.task.job)
+        {
+            self.broken.push(format!("{} sent to {} though cancelled", order.task, to.executor));
+        }
+    }
+
+    fn check_started(&mut self, executor: &ExecutorName, task: &TaskKey) {
+        for (other, known) in &self.executors {
+            if other != executor && !self.dead.contains(other) && known.active.contains_key(task) {
+                self.broken.push(format!("{}: {task} runs on {other} and {executor}", self.now));
+            }
+            if known.done.contains(task) {
+                self.broken.push(format!("{}: {task} started again after it was done", self.now));
+            }
+        }
+        let step = &self.submissions[&task.job].spec.steps[usize::from(task.step)];
+        for &before in &step.after {
+            let all = self.submissions[&task.job].spec.steps[usize::from(before)].count;
+            for index in 0..all {
+                let earlier = TaskKey { step: before, index, ..task.clone() };
+                let ended = |known: &SimExecutor| {
+                    known.done.contains(&earlier) || known.ended.iter().any(|e| e.task == earlier)
+                };
+                if !self.executors.values().any(ended) {
+                    self.broken.push(format!("{task} started before {earlier} was done"));
+                }
+            }
+        }
+        let known = &self.executors[executor];
+        if !known.capacity.holds(&known.taken()) {
+            self.broken.push(format!("{executor} is over its capacity"));
+        }
+    }
+
+    fn check(&mut self) {
+        if let Some((job, outcome)) = self.shown.iter().find(|(job, outcome)| {
+            **outcome == Outcome::Cancelled && !self.cancelled.contains_key(*job)
+        }) {
+            self.broken.push(format!("{job} is shown as {outcome} though nobody cancelled it"));
+        }
+    }
+
+    /// Ends all faults.
+    pub fn calm_down(&mut self) {
+        self.faults = Faults::default();
+        self.cut.clear();
+        self.store_away_until = 0;
+    }
+
+    /// Jobs that were neither cancelled nor have ended.
+    pub fn open_jobs(&self) -> Vec<&JobName> {
+        let open = |job: &&JobName| !self.shown.contains_key(*job);
+        let lasts = |job: &&JobName| self.submissions[*job].spec.is_lasting();
+        self.submissions.keys().filter(open).filter(|job| !lasts(job)).collect()
+    }
+
+    /// Runs of jobs that were cancelled or have ended.
+    pub fn leftovers(&self) -> Vec<&TaskKey> {
+        let alive = self.executors.iter().filter(|(name, _)| !self.dead.contains(*name));
+        let tasks = alive.flat_map(|(_, known)| known.active.keys());
+        let over = |task: &&TaskKey| {
+            self.cancelled.contains_key(&task.job) || self.shown.contains_key(&task.job)
+        };
+        tasks.filter(over).collect()
+    }
+
+    /// Lasting tasks of jobs that are not cancelled, and how many of them run.
+    pub fn lasting(&self) -> (usize, usize) {
+        let mut wanted = 0;
+        let mut running = 0;
+        for (name, submission) in &self.submissions {
+            if !submission.spec.is_lasting() || self.cancelled.contains_key(name) {
+                continue;
+            }
+            wanted += submission.spec.steps[0].count as usize;
+            let runs =
+                |known: &SimExecutor| known.active.keys().filter(|task| task.job == *name).count();
+            let alive = self.executors.iter().filter(|(e, _)| !self.dead.contains(*e));
+            running += alive.map(|(_, known)| runs(known)).sum::<usize>();
+        }
+        (wanted, running)
+    }
+}
+
+fn recipient(effect: &Effect) -> &Recipient {
+    match effect {
+        Effect::Start(to, _) | Effect::Stop(to, _, _) | Effect::Look(to, _) => to,
+        other => panic!("not an order to an executor: {other:?}"),
+    }
+}
+
+fn no_answer(effect: &Effect, sent: Time) -> Event {
+    match effect.clone() {
+        Effect::Start(to, order) => Event::StartAnswered {
+            executor: to.executor,
+            task: order.task,
+            run: order.run,
+            sent,
+            clock_ms: None,
+            answer: StartAnswer::Lost,
+        },
+        Effect::Stop(to, task, run) => {
+            Event::StopAnswered { executor: to.executor, task, run, answer: OrderAnswer::Lost }
+        }
+        Effect::Look(to, order) => {
+            Event::Looked { executor: to.executor, sent, order, answer: LookAnswer::Lost }
+        }
+        other => panic!("not an order to an executor: {other:?}"),
+    }
+}
