--- a/crates/borageswitch_scheduler/tests/randomised.rs
+++ b/crates/borageswitch_scheduler/tests/randomised.rs
@@ -1,7 +1,7 @@
 //! Long runs of the scheduler under random faults. Each prints the seed that broke a promise;
 //! `BORAGESWITCH_SEED=N` runs that seed alone, `BORAGESWITCH_SEEDS=N` runs so many.
 
-#[expect(unreachable_pub, dead_code, reason = "shared by the test programs of this crate")]
+#[expect(unreachable_pub, reason = "a module of tests has no other user")]
 mod support;
 
 use std::time::Duration;
--- a/crates/borageswitch_scheduler/tests/support/world.rs
+++ b/crates/borageswitch_scheduler/tests/support/world.rs
@@ -340,11 +340,16 @@
     /// An order arrives.
     fn execute(&mut self, token: u64, effect: Effect, answered: bool) {
         let sent = Time::from_millis(self.now.saturating_sub(8));
+        if !self.is_reachable(&recipient(&effect).executor) {
+            if answered {
+                // Cut off while the order was on its way: the call runs out of time.
+                let event = no_answer(&effect, sent);
+                self.due.push((self.now + CALL_TIMEOUT, Due::Event { token, event }));
+            }
+            return;
+        }
         match effect {
             Effect::Start(to, order) => {
-                if !self.is_reachable(&to.executor) {
-                    return;
-                }
                 let behaviour = self.behaviour(&order.task);
                 let executor = self.executors.get_mut(&to.executor).unwrap();
                 let answer = executor.start(self.now, token, &order, behaviour);
@@ -360,9 +365,6 @@
                 }
             }
             Effect::Stop(to, task, run) => {
-                if !self.is_reachable(&to.executor) {
-                    return;
-                }
                 let executor = self.executors.get_mut(&to.executor).unwrap();
                 let answer = executor.stop(self.now, token, &task, run);
                 if answered {
@@ -371,9 +373,6 @@
                 }
             }
             Effect::Look(to, order) => {
-                if !self.is_reachable(&to.executor) {
-                    return;
-                }
                 let executor = self.executors.get_mut(&to.executor).unwrap();
                 let answer = executor.look(self.now, token, &order);
                 if answered {
@@ -440,7 +439,11 @@
                     self.due.push((self.now + 10, Due::Event { token, event: Event::Hosts(None) }));
                 }
                 Effect::StepDown => self.broken.push("stepped down without a rival".to_owned()),
-                Effect::Log(_) => {}
+                Effect::Log(line) => {
+                    if std::env::var_os("BORAGESWITCH_LOG").is_some() {
+                        println!("{} {} {} {}", self.now, line.kind, line.subject, line.detail);
+                    }
+                }
                 other => panic!("unexpected effect {other:?}"),
             }
         }
