Lend hosts by label and rack, and leave scarce kinds to those who need them

Ruled out: placing, which had no host to choose. Left: what waits for a kind of which 4 of 49 hosts are.

--- a/crates/borageswitch_scheduler/src/policy/lending.rs
+++ b/crates/borageswitch_scheduler/src/policy/lending.rs
@@ -10,7 +10,7 @@
 //! few idle hosts for the first jobs of its next turn, and asks for as many as the rate of its
 //! arrivals will need, not only for what waits already.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use borageswitch_types::{Time, names::PoolName};
 
@@ -48,6 +48,55 @@
     }
 }
 
+/// What a pool's tasks ask for, in all or of hosts with one label.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Need {
+    /// What runs and what waits.
+    pub demand: Size,
+    /// The hosts that tasks need which may not share one.
+    pub apart: usize,
+}
+
+impl Need {
+    /// How many hosts like `host` that takes.
+    fn hosts(&self, host: &Size) -> usize {
+        let by_cpu = share(self.demand.cpu_milli, host.cpu_milli);
+        let by_memory = share(self.demand.memory_mb, host.memory_mb);
+        let by_accelerators = share(self.demand.accelerators, host.accelerators);
+        by_cpu.max(by_memory).max(by_accelerators).max(self.apart)
+    }
+}
+
+/// Tasks that need a label, and the hosts that have it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LabelNeed {
+    /// The label.
+    pub label: Arc<str>,
+    /// What these tasks ask for.
+    pub need: Need,
+    /// The pool's hosts that have it, and those on their way.
+    pub hosts: usize,
+}
+
+/// A host with nothing to run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct IdleHost<T> {
+    /// Which.
+    pub host: T,
+    /// For how long it has been idle.
+    pub idle: Duration,
+    /// What it is labelled with.
+    pub labels: Vec<Arc<str>>,
+    /// Few hosts are of its kind: tasks that can do without leave it to those that cannot.
+    pub scarce: bool,
+}
+
+impl<T> IdleHost<T> {
+    fn has(&self, label: &str) -> bool {
+        self.labels.iter().any(|own| &**own == label)
+    }
+}
+
 /// How a pool stands.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PoolLoad<T> {
@@ -57,14 +106,16 @@
     pub standby: bool,
     /// Hosts that it has, and hosts that are on their way to it.
     pub hosts: usize,
-    /// Its hosts with nothing to run, those idle longest first, with how long they have been.
-    pub idle: Vec<(T, Duration)>,
-    /// What runs and what waits.
-    pub demand: Size,
+    /// Its hosts with nothing to run.
+    pub idle: Vec<IdleHost<T>>,
+    /// What its running tasks ask for, and waiting ones that need no label.
+    pub need: Need,
+    /// What its waiting tasks ask for that need a label.
+    pub labelled: Vec<LabelNeed>,
+    /// Racks that hold data of tasks that wait.
+    pub data_racks: BTreeSet<Arc<str>>,
     /// How many cores arrivals keep busy.
     pub arriving_cores: f64,
-    /// The hosts that tasks need which may not share one.
-    pub apart: usize,
     /// What one of its hosts has.
     pub host: Size,
     /// Short work has been seen here.
@@ -74,18 +125,24 @@
 impl<T> PoolLoad<T> {
     /// How many hosts the pool needs.
     pub fn needed(&self) -> usize {
-        let by_cpu = share(self.demand.cpu_milli, self.host.cpu_milli);
-        let by_memory = share(self.demand.memory_mb, self.host.memory_mb);
-        let by_accelerators = share(self.demand.accelerators, self.host.accelerators);
         let arriving = (self.arriving_cores * 1_000.0) as u64;
-        let by_rate = share(arriving, self.host.cpu_milli);
-        by_cpu.max(by_memory).max(by_accelerators).max(by_rate).max(self.apart)
+        self.need.hosts(&self.host).max(share(arriving, self.host.cpu_milli))
     }
 
-    fn kept(&self) -> usize {
+    /// How many hosts with a label the pool lacks.
+    fn lacks(&self, label: &LabelNeed) -> usize {
+        label.need.hosts(&self.host).saturating_sub(label.hosts)
+    }
+
+    /// How many idle hosts the pool can give away.
+    fn to_give(&self) -> usize {
+        if self.standby {
+            return self.idle.len();
+        }
         let busy = self.hosts.saturating_sub(self.idle.len());
         let warm = if self.has_short_work { KEEP_WARM } else { 0 };
-        self.needed().max(busy + warm)
+        let kept = self.needed().max(busy + warm);
+        self.hosts.saturating_sub(kept).min(self.idle.len())
     }
 }
 
@@ -109,61 +166,85 @@
     T: Clone + PartialEq,
     F: Fn(&T, &PoolName) -> bool,
 {
-    let mut moves: Vec<Move<T>> = Vec::new();
     let mut spare = spare_hosts(pools);
-    let mut short: Vec<(usize, &PoolLoad<T>)> = pools
-        .iter()
-        .filter(|pool| !pool.standby)
-        .map(|pool| (pool.needed().saturating_sub(pool.hosts), pool))
-        .filter(|(missing, _)| *missing > 0)
-        .collect();
-    // The pool that lacks least is served first: it can be helped whole.
-    short.sort_by_key(|(missing, _)| *missing);
-    for (missing, pool) in short {
-        for _ in 0..missing {
-            let found =
-                spare.iter().position(|s| s.from != &pool.pool && may_move(&s.host, &pool.pool));
-            let Some(found) = found else { break };
-            let host = spare.remove(found).host;
-            moves.push(Move { host, to: pool.pool.clone() });
-        }
+    let mut moves = Vec::new();
+    for want in wants(pools) {
+        let suits = |s: &&Spare<'_, T>| {
+            s.from.pool != want.pool.pool
+                && want.label.is_none_or(|label| s.host.has(label))
+                && may_move(&s.host.host, &want.pool.pool)
+        };
+        let near =
+            |s: &Spare<'_, T>| s.host.labels.iter().any(|l| want.pool.data_racks.contains(l));
+        let candidates = spare.iter().enumerate().filter(|(_, s)| suits(s));
+        let wasted = |s: &Spare<'_, T>| s.host.scarce && want.label.is_none();
+        let best = candidates.min_by_key(|(position, s)| (wasted(s), !near(s), *position));
+        let Some((position, _)) = best else { continue };
+        let given = spare.remove(position);
+        moves.push(Move { host: given.host.host.clone(), to: want.pool.pool.clone() });
     }
     if let Some(standby) = pools.iter().find(|pool| pool.standby) {
-        let off = spare
-            .into_iter()
-            .filter(|s| !s.is_off && s.idle >= IDLE_BEFORE_OFF && may_move(&s.host, &standby.pool));
-        moves.extend(off.map(|s| Move { host: s.host, to: standby.pool.clone() }));
+        let off = spare.into_iter().filter(|s| {
+            !s.from.standby
+                && s.host.idle >= IDLE_BEFORE_OFF
+                && may_move(&s.host.host, &standby.pool)
+        });
+        moves.extend(off.map(|s| Move { host: s.host.host.clone(), to: standby.pool.clone() }));
     }
     moves
 }
 
+/// One host that a pool lacks.
+struct Want<'a, T> {
+    pool: &'a PoolLoad<T>,
+    label: Option<&'a str>,
+}
+
+/// The hosts that pools lack. Labels come first, as few hosts have them; then the pool that lacks
+/// least, as it can be helped whole.
+fn wants<T>(pools: &[PoolLoad<T>]) -> Vec<Want<'_, T>> {
+    let mut wants = Vec::new();
+    let mut short: Vec<(usize, &PoolLoad<T>)> = Vec::new();
+    for pool in pools.iter().filter(|pool| !pool.standby) {
+        for label in &pool.labelled {
+            let lacks = pool.lacks(label);
+            let one = |_| Want { pool, label: Some(&*label.label) };
+            wants.extend((0..lacks).map(one));
+        }
+        let missing = pool.needed().saturating_sub(pool.hosts);
+        short.push((missing, pool));
+    }
+    short.sort_by_key(|(missing, _)| *missing);
+    for (missing, pool) in short {
+        wants.extend((0..missing).map(|_| Want { pool, label: None }));
+    }
+    wants
+}
+
 struct Spare<'a, T> {
-    host: T,
-    from: &'a PoolName,
-    is_off: bool,
-    idle: Duration,
+    host: &'a IdleHost<T>,
+    from: &'a PoolLoad<T>,
 }
 
 /// Hosts that can be given away: those that are off first, then those idle longest.
-fn spare_hosts<T>(pools: &[PoolLoad<T>]) -> Vec<Spare<'_, T>>
-where
-    T: Clone,
-{
+fn spare_hosts<T>(pools: &[PoolLoad<T>]) -> Vec<Spare<'_, T>> {
     let mut spare = Vec::new();
     for pool in pools {
-        let to_give = if pool.standby {
-            pool.idle.len()
-        } else {
-            pool.hosts.saturating_sub(pool.kept()).min(pool.idle.len())
-        };
-        let given = pool.idle.iter().take(to_give);
-        spare.extend(given.map(|(host, idle)| Spare {
-            host: host.clone(),
-            from: &pool.pool,
-            is_off: pool.standby,
-            idle: *idle,
-        }));
+        let mut labelled = pool.labelled.clone();
+        let mut left = pool.to_give();
+        let mut idle: Vec<&IdleHost<T>> = pool.idle.iter().collect();
+        idle.sort_by_key(|host| std::cmp::Reverse(host.idle));
+        for host in idle {
+            let mut own = labelled.iter_mut().filter(|label| host.has(&label.label));
+            let needed = own.any(|l| l.hosts <= l.need.hosts(&pool.host));
+            if left == 0 || needed {
+                continue;
+            }
+            labelled.iter_mut().filter(|l| host.has(&l.label)).for_each(|l| l.hosts -= 1);
+            left -= 1;
+            spare.push(Spare { host, from: pool });
+        }
     }
-    spare.sort_by_key(|s| (!s.is_off, std::cmp::Reverse(s.idle)));
+    spare.sort_by_key(|s| (!s.from.standby, std::cmp::Reverse(s.host.idle)));
     spare
 }
--- a/crates/borageswitch_scheduler/src/policy/placing.rs
+++ b/crates/borageswitch_scheduler/src/policy/placing.rs
@@ -20,6 +20,8 @@
     pub free: Size,
     /// The task would disturb what serves there, or be disturbed.
     pub disturbs: bool,
+    /// It is of a scarce kind that the task can do without.
+    pub wasted: bool,
     /// It stands where the task is fastest.
     pub near: bool,
     /// Something runs on it.
@@ -40,8 +42,8 @@
     let fitting = candidates.into_iter().filter(|candidate| candidate.free.holds(size));
     let best = fitting.min_by_key(|candidate| {
         let left = candidate.free.less(size).cpu_milli;
-        let Candidate { disturbs, near, in_use, siblings, rack_siblings, .. } = *candidate;
-        (disturbs, !near, !in_use, siblings, rack_siblings, left)
+        let Candidate { disturbs, wasted, near, in_use, siblings, rack_siblings, .. } = *candidate;
+        (disturbs, wasted, !near, !in_use, siblings, rack_siblings, left)
     })?;
     Some(best.id)
 }
--- a/crates/borageswitch_scheduler/src/policy/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/tests.rs
@@ -1,11 +1,11 @@
 //! Each decision under the load that it answers.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use borageswitch_types::{Time, names::PoolName};
 
 use super::{
-    lending::{self, ArrivalRate, PoolLoad},
+    lending::{self, ArrivalRate, IdleHost, LabelNeed, Move, Need, PoolLoad},
     order::{Class, JobView, Urgency},
     pacing,
     placing::{self, Candidate},
@@ -92,6 +92,7 @@
             id,
             free: *free,
             disturbs: false,
+            wasted: false,
             near: true,
             in_use: *free != cores(16),
             siblings: 0,
@@ -113,6 +114,7 @@
         id,
         free: cores(8),
         disturbs,
+        wasted: false,
         near: true,
         in_use,
         siblings: 0,
@@ -168,26 +170,46 @@
     assert!(back > 0 && back < 50, "{back}");
 }
 
-fn load(pool: &str, hosts: usize, idle: &[(&'static str, u64)]) -> PoolLoad<&'static str> {
+fn idle(hosts: &[(&'static str, u64, &str)]) -> Vec<IdleHost<&'static str>> {
+    let each = hosts.iter().map(|(host, ms, label)| IdleHost {
+        host: *host,
+        idle: Duration::from_millis(*ms),
+        labels: vec![Arc::from(*label)],
+        scarce: *label == "b",
+    });
+    each.collect()
+}
+
+fn load(
+    pool: &str,
+    hosts: usize,
+    idle_hosts: &[(&'static str, u64, &str)],
+) -> PoolLoad<&'static str> {
     PoolLoad {
         pool: PoolName::from(pool),
         standby: false,
         hosts,
-        idle: idle.iter().map(|(host, ms)| (*host, Duration::from_millis(*ms))).collect(),
-        demand: Size::default(),
+        idle: idle(idle_hosts),
+        need: Need::default(),
+        labelled: Vec::new(),
+        data_racks: BTreeSet::new(),
         arriving_cores: 0.0,
-        apart: 0,
         host: cores(64),
         has_short_work: true,
     }
 }
 
+fn wanting(hosts: u64) -> Need {
+    Need { demand: cores(hosts * 54), apart: 0 }
+}
+
 #[test]
 fn a_pool_in_its_turn_gets_hosts_that_are_off_and_then_idle_ones() {
     // One queue's turn begins while the others rest: its pool holds a quarter of what it asks for.
-    let busy = PoolLoad { demand: cores(4 * 64), ..load("roster", 2, &[]) };
-    let idle = load("tender", 5, &[("t1", 100), ("t2", 90), ("t3", 80), ("t4", 70)]);
-    let off = PoolLoad { standby: true, ..load("spare", 1, &[("s1", 0)]) };
+    let busy = PoolLoad { need: wanting(5), ..load("roster", 2, &[]) };
+    let hosts = [("t1", 100, "a"), ("t2", 90, "a"), ("t3", 80, "a"), ("t4", 70, "a")];
+    let idle = load("tender", 5, &hosts);
+    let off = PoolLoad { standby: true, ..load("spare", 1, &[("s1", 0, "a")]) };
 
     let moves = lending::decide(&[busy, idle, off], |_, _| true);
 
@@ -198,7 +220,8 @@
 
 #[test]
 fn an_idle_host_is_switched_off_but_a_few_stay_for_the_next_turn() {
-    let idle = load("tender", 4, &[("t1", 5_000), ("t2", 5_000), ("t3", 5_000), ("t4", 5_000)]);
+    let hosts = [("t1", 5_000, "a"), ("t2", 5_000, "a"), ("t3", 5_000, "a"), ("t4", 5_000, "a")];
+    let idle = load("tender", 4, &hosts);
     let off = PoolLoad { standby: true, ..load("spare", 0, &[]) };
 
     let moves = lending::decide(&[idle, off], |_, _| true);
@@ -209,14 +232,54 @@
 
 #[test]
 fn a_host_that_cannot_be_in_a_pool_is_not_sent_there() {
-    let busy = PoolLoad { demand: cores(64), ..load("roster", 0, &[]) };
-    let off = PoolLoad { standby: true, ..load("spare", 1, &[("s1", 0)]) };
+    let busy = PoolLoad { need: wanting(1), ..load("roster", 0, &[]) };
+    let off = PoolLoad { standby: true, ..load("spare", 1, &[("s1", 0, "a")]) };
 
     let moves = lending::decide(&[busy, off], |_, _| false);
 
     assert!(moves.is_empty());
 }
 
+#[test]
+fn a_task_that_needs_a_label_gets_a_host_that_has_it() {
+    // Only some hosts have what a task needs. Were they switched off like any other, or lent to a
+    // pool that can do without, the task would wait for ever beside idle hosts.
+    let need = Need { demand: cores(1), apart: 1 };
+    let label = LabelNeed { label: "b".into(), need, hosts: 0 };
+    let wants = PoolLoad { need, labelled: vec![label], ..load("roster", 3, &[]) };
+    let off = PoolLoad { standby: true, ..load("spare", 2, &[("s1", 0, "a"), ("s2", 0, "b")]) };
+
+    let moves = lending::decide(&[wants, off], |_, _| true);
+
+    assert_eq!(moves, [Move { host: "s2", to: PoolName::from("roster") }]);
+}
+
+#[test]
+fn a_scarce_host_is_left_to_those_who_need_it() {
+    // A pool whose tasks can run anywhere takes the only host of a kind; a job that needs the kind
+    // waits until the rush is over.
+    let busy = PoolLoad { need: wanting(1), ..load("roster", 0, &[]) };
+    let off = PoolLoad { standby: true, ..load("spare", 2, &[("s1", 0, "b"), ("s2", 0, "a")]) };
+
+    let moves = lending::decide(&[busy, off], |_, _| true);
+
+    assert_eq!(moves, [Move { host: "s2", to: PoolName::from("roster") }]);
+}
+
+#[test]
+fn the_last_host_with_a_label_in_demand_stays() {
+    let need = Need { demand: cores(1), apart: 1 };
+    let label = LabelNeed { label: "b".into(), need, hosts: 1 };
+    let idle = [("t1", 9_000, "b"), ("t2", 9_000, "a"), ("t3", 9_000, "a"), ("t4", 9_000, "a")];
+    let rests = PoolLoad { labelled: vec![label], ..load("tender", 4, &idle) };
+    let off = PoolLoad { standby: true, ..load("spare", 0, &[]) };
+
+    let moves = lending::decide(&[rests, off], |_, _| true);
+
+    assert!(!moves.is_empty());
+    assert!(moves.iter().all(|m| m.host != "t1"), "{moves:?}");
+}
+
 #[test]
 fn arrivals_are_forgotten_after_their_turn() {
     // A turn has ended. Believed to go on, it would keep hosts in a pool that has nothing to do.
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    sync::Arc,
     time::Duration,
 };
 
@@ -88,9 +89,27 @@
     /// The hosts that are taken out of service.
     pub details: BTreeMap<HostName, Detail>,
     asked: Option<Time>,
+    /// Kinds of which there are few.
+    scarce: BTreeSet<Arc<str>>,
 }
 
 impl Fleet {
+    /// Whether hosts with these labels are of a kind of which there are few.
+    pub(super) fn is_scarce(&self, labels: &[Arc<str>]) -> bool {
+        labels.first().is_some_and(|kind| self.scarce.contains(kind))
+    }
+
+    /// A kind is scarce with less than half of its even share of the hosts.
+    fn find_scarce(&mut self) {
+        let mut kinds: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
+        for kind in self.hosts.values().filter_map(|entry| entry.labels.first()) {
+            *kinds.entry(kind).or_default() += 1;
+        }
+        let even = self.hosts.len() / kinds.len().max(1);
+        let scarce = kinds.into_iter().filter(|(_, count)| count * 2 < even);
+        self.scarce = scarce.map(|(kind, _)| kind.clone()).collect();
+    }
+
     /// The host of an executor.
     pub fn host_of(&self, executor: &ExecutorName) -> Option<&HostEntry> {
         self.hosts.values().find(|entry| entry.executor.as_ref() == Some(executor))
@@ -130,6 +149,7 @@
         };
         self.fleet.listed = Some(asked);
         self.fleet.hosts = hosts.into_iter().map(|entry| (entry.host.clone(), entry)).collect();
+        self.fleet.find_scarce();
         self.take_back(asked);
         self.end_unlisted(asked);
     }
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -78,10 +78,13 @@
         }
         self.log("job-known", &job, || {
             let age = now.wall.0.saturating_sub(submission.accepted.0);
+            let steps = &submission.spec.steps;
+            let tasks: u32 = steps.iter().map(|step| step.count).sum();
+            let labels: Vec<&str> = steps.iter().filter_map(|s| s.label.as_deref()).collect();
             format!(
-                "queue={} steps={} age_ms={age}",
+                "queue={} steps={} tasks={tasks} labels={labels:?} age_ms={age}",
                 submission.queue.name,
-                submission.spec.steps.len()
+                steps.len()
             )
         });
     }
--- a/crates/borageswitch_scheduler/src/reducer/lending.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lending.rs
@@ -14,8 +14,8 @@
 use crate::{
     event::Now,
     fleet::{HostEntry, HostState},
-    job::{Size, Submission},
-    policy::lending::{self, ArrivalRate, PoolLoad},
+    job::{Size, Step, Submission},
+    policy::lending::{self, ArrivalRate, IdleHost, LabelNeed, Need, PoolLoad},
     reducer::{
         Scheduler,
         hosts::Purpose,
@@ -31,6 +31,45 @@
     unfit: BTreeSet<(Arc<str>, PoolName)>,
 }
 
+/// What the tasks of a pool ask for.
+#[derive(Debug, Default)]
+struct PoolNeeds {
+    whole: Need,
+    labelled: BTreeMap<Arc<str>, Need>,
+    data_racks: BTreeSet<Arc<str>>,
+    fills: bool,
+    serves: bool,
+}
+
+impl PoolNeeds {
+    fn add(&mut self, step: &Step, waiting: u64) {
+        let size = reserved(step);
+        let waits = Size {
+            cpu_milli: size.cpu_milli * waiting,
+            memory_mb: size.memory_mb * waiting,
+            accelerators: size.accelerators * waiting,
+        };
+        let apart = step.max_per_host.map_or(0, |most| step.count.div_ceil(most) as usize);
+        let need = match &step.label {
+            // Hosts without the label are of no use to what waits for it; what runs counts as any
+            // other.
+            Some(label) => {
+                let need = self.labelled.entry(label.clone()).or_default();
+                need.apart = need.apart.max(1);
+                need
+            }
+            None => &mut self.whole,
+        };
+        need.demand += waits;
+        need.apart = need.apart.max(apart);
+        if let Some(rack) = step.data_rack.as_ref().filter(|_| waiting > 0) {
+            self.data_racks.insert(Arc::from(rack.as_str()));
+        }
+        self.fills |= step.fills;
+        self.serves |= step.target_tail.is_some() && !step.fills;
+    }
+}
+
 impl Lending {
     /// The platform refused to have a host of this kind in a pool.
     pub(super) fn note_unfit(&mut self, entry: &HostEntry, pool: &PoolName) {
@@ -79,7 +118,7 @@
 
     fn pool_loads(&self, now: Now) -> Vec<PoolLoad<HostName>> {
         let Some(config) = &self.config else { return Vec::new() };
-        let demands = self.demands();
+        let mut needs = self.needs();
         config
             .pools
             .values()
@@ -87,13 +126,20 @@
                 let arrivals = self.lending.arrivals.get(&pool.name);
                 let in_pool: Vec<&HostEntry> =
                     self.fleet.hosts.values().filter(|entry| entry.pool == pool.name).collect();
+                let members = self.members_of(&pool.name, &in_pool);
+                let needs = needs.remove(&pool.name).unwrap_or_default();
+                let labelled = needs.labelled.into_iter().map(|(label, need)| {
+                    let hosts = members.iter().filter(|e| e.labels.contains(&label)).count();
+                    LabelNeed { label, need, hosts }
+                });
                 PoolLoad {
                     pool: pool.name.clone(),
                     standby: pool.standby,
-                    hosts: self.hosts_of(&pool.name, &in_pool),
+                    hosts: members.len(),
                     idle: self.idle_hosts(now.time, pool.standby, &in_pool),
-                    demand: demands.get(&pool.name).copied().unwrap_or_default(),
-                    apart: self.hosts_apart(&pool.name),
+                    need: needs.whole,
+                    labelled: labelled.collect(),
+                    data_racks: needs.data_racks,
                     arriving_cores: arrivals.map_or(0.0, |rate| rate.cores(now.time)),
                     host: self.typical_host(&in_pool),
                     has_short_work: arrivals.is_some(),
@@ -103,83 +149,63 @@
     }
 
     /// What runs and what waits, by pool.
-    fn demands(&self) -> BTreeMap<PoolName, Size> {
-        let mut demands: BTreeMap<PoolName, Size> = BTreeMap::new();
+    fn needs(&self) -> BTreeMap<PoolName, PoolNeeds> {
+        let mut needs: BTreeMap<PoolName, PoolNeeds> = BTreeMap::new();
         for known in self.executors.values() {
-            let demand = demands.entry(known.registration.pool.clone()).or_default();
-            *demand += known.taken();
+            needs.entry(known.registration.pool.clone()).or_default().whole.demand += known.taken();
         }
         for (name, job) in &self.ledger.jobs {
             let Some(times) = self.times.get(name) else { continue };
+            let pool = needs.entry(times.pool.clone()).or_default();
             for (step, waiting) in unblocked_steps(job) {
-                let size = reserved(step);
-                let waiting = waiting as u64;
-                let demand = demands.entry(times.pool.clone()).or_default();
-                *demand += Size {
-                    cpu_milli: size.cpu_milli * waiting,
-                    memory_mb: size.memory_mb * waiting,
-                    accelerators: size.accelerators * waiting,
-                };
+                pool.add(step, waiting as u64);
             }
         }
-        demands
-    }
-
-    /// How many hosts a pool needs because tasks may not share one: so many that each step has
-    /// enough, and one more where tasks that fill gaps are to be kept away from tasks that serve.
-    fn hosts_apart(&self, pool: &PoolName) -> usize {
-        let mut most = 0;
-        let mut fills = false;
-        let mut serves = false;
-        for (name, job) in &self.ledger.jobs {
-            if self.times.get(name).is_none_or(|times| times.pool != *pool) {
-                continue;
-            }
-            for (step, _) in unblocked_steps(job) {
-                let each = step.max_per_host.unwrap_or(u32::MAX);
-                most = most.max(step.count.div_ceil(each) as usize);
-                fills |= step.fills;
-                serves |= step.target_tail.is_some() && !step.fills;
-            }
+        for pool in needs.values_mut() {
+            // One host more keeps tasks that fill gaps away from tasks that serve.
+            pool.whole.apart += usize::from(pool.fills && pool.serves);
         }
-        most + usize::from(fills && serves)
+        needs
     }
 
     /// Hosts that serve a pool, or are on their way to it.
-    fn hosts_of(&self, pool: &PoolName, in_pool: &[&HostEntry]) -> usize {
-        let serving = in_pool.iter().filter(|entry| {
+    fn members_of<'a>(&'a self, pool: &PoolName, in_pool: &[&'a HostEntry]) -> Vec<&'a HostEntry> {
+        let serving = in_pool.iter().copied().filter(|entry| {
             entry.state == HostState::Up && !self.fleet.details.contains_key(&entry.host)
         });
-        let coming = self
-            .fleet
-            .details
-            .values()
-            .filter(|detail| detail.purpose == Purpose::Move(pool.clone()));
-        serving.count() + coming.count()
+        let to_pool = Purpose::Move(pool.clone());
+        let coming = self.fleet.details.iter().filter(|(_, detail)| detail.purpose == to_pool);
+        serving.chain(coming.filter_map(|(host, _)| self.fleet.hosts.get(host))).collect()
     }
 
-    /// Hosts with nothing to run, those idle longest first.
+    /// Hosts with nothing to run.
     fn idle_hosts(
         &self,
         now: Time,
         standby: bool,
         in_pool: &[&HostEntry],
-    ) -> Vec<(HostName, Duration)> {
+    ) -> Vec<IdleHost<HostName>> {
         let free = in_pool.iter().filter(|entry| {
             entry.state == HostState::Up && !self.fleet.details.contains_key(&entry.host)
         });
-        let mut idle: Vec<(HostName, Duration)> = free
-            .filter_map(|entry| {
-                if standby {
-                    return Some((entry.host.clone(), Duration::ZERO));
-                }
+        let idle = free.filter_map(|entry| {
+            let idle = if standby {
+                Duration::ZERO
+            } else {
                 let known = self.executors.get(entry.executor.as_ref()?)?;
-                let unused = known.present && known.fenced && known.runs.is_empty();
-                unused.then(|| (entry.host.clone(), now.since(known.idle_since)))
+                if !known.present || !known.fenced || !known.runs.is_empty() {
+                    return None;
+                }
+                now.since(known.idle_since)
+            };
+            Some(IdleHost {
+                host: entry.host.clone(),
+                idle,
+                labels: entry.labels.clone(),
+                scarce: self.fleet.is_scarce(&entry.labels),
             })
-            .collect();
-        idle.sort_by_key(|(_, idle)| std::cmp::Reverse(*idle));
-        idle
+        });
+        idle.collect()
     }
 
     /// What a host of a pool has: that of its smallest one, or of the smallest of all.
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -138,6 +138,7 @@
                 id: executor,
                 free: *free,
                 disturbs: disturbs(step, known),
+                wasted: step.label.is_none() && self.fleet.is_scarce(&known.registration.labels),
                 near: is_near(step, known) && avoid.as_ref() != Some(executor),
                 in_use: !known.runs.is_empty(),
                 siblings: if step.fills { siblings(known, &key) } else { 0 },
