--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -122,6 +122,9 @@
     pub looking: Looking,
     /// What it has or may have.
     pub runs: BTreeMap<TaskKey, Held>,
+    /// It runs something that nobody wants and whose size is not known: until that has ended,
+    /// there may be less room than it seems, and an executor that guards nothing would be overfilled.
+    pub strays: bool,
     /// Whether it deserves work.
     pub trust: Trust,
     /// It refused something for want of room: nothing new before this time.
@@ -148,6 +151,7 @@
             inherited_until: None,
             looking: Looking::default(),
             runs: BTreeMap::new(),
+            strays: false,
             trust: Trust::default(),
             full_until: Time::ZERO,
             emptying: false,
@@ -183,6 +187,7 @@
             && self.fenced
             && !self.registration.draining
             && !self.emptying
+            && !self.strays
             && now >= self.full_until
             && self.looking.failures == 0
             && self.trust.allows(now, self.runs.len())
--- a/crates/borageswitch_scheduler/src/reducer/looks.rs
+++ b/crates/borageswitch_scheduler/src/reducer/looks.rs
@@ -142,6 +142,7 @@
                 None => strays.push(active),
             }
         }
+        known.strays = !strays.is_empty();
         let absent = |task: &TaskKey, held: &Held| {
             !listed.contains(&(task, held.run)) && !ended.contains(task)
         };
@@ -198,7 +199,7 @@
     let in_doubt = !known.fenced || looking.failures > 0;
     let unknown = in_doubt && (known.present || !known.runs.is_empty());
     let at_once = unknown || unsettled;
-    let running = known.runs.values().any(|held| held.phase != Phase::Recorded);
+    let running = known.strays || known.runs.values().any(|held| held.phase != Phase::Recorded);
     if !at_once && (looking.waiting || !wants_look(known, now, running, limits)) {
         return None;
     }
