--- a/crates/borageswitch_scheduler/src/policy/mod.rs
+++ b/crates/borageswitch_scheduler/src/policy/mod.rs
@@ -8,6 +8,7 @@
 //! - [`learned`]: what tasks really take, since declared run times are far off.
 //! - [`lending`]: which hosts change their pool.
 //! - [`trust`]: which executors get work although some of theirs failed.
+//! - [`stragglers`]: which runs are given up for a new one elsewhere.
 //! - [`pacing`]: how fast work that fills gaps may run beside work that serves.
 
 pub mod learned;
@@ -15,6 +16,7 @@
 pub mod order;
 pub mod pacing;
 pub mod placing;
+pub mod stragglers;
 pub mod trust;
 
 #[cfg(test)]
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -190,7 +190,7 @@
             && !self.strays
             && now >= self.full_until
             && self.looking.failures == 0
-            && self.trust.allows(now, self.runs.len())
+            && self.trust.allows(now)
     }
 
     /// When the last lease that it may have has ended for certain.
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -19,7 +19,7 @@
     event::{HostAnswer, Now},
     fleet::{HostEntry, HostState},
     ledger::record::Record,
-    reducer::{Scheduler, executors::Executor},
+    reducer::{Scheduler, executors::Executor, pass::Room},
     task::TaskKey,
 };
 
@@ -234,11 +234,31 @@
     }
 
     /// Closes an executor and moves its lasting runs away as their steps allow.
+    ///
+    /// A run that has nowhere else to go stays until all others have ended, and is then away only
+    /// for as long as the order takes: stopped first, its users would wait for the slowest of its
+    /// neighbours as well.
     fn empty(&mut self, now: Now, executor: &ExecutorName) {
         let Some(known) = self.executors.get_mut(executor) else { return };
         known.emptying = true;
+        let pool = known.registration.pool.clone();
         let lasting: Vec<TaskKey> =
             known.runs.iter().filter(|(_, h)| h.lasting).map(|(task, _)| task.clone()).collect();
+        if lasting.is_empty() {
+            return;
+        }
+        let only_lasting = lasting.len() == known.runs.len();
+        let room = self.room_of(now, &pool);
+        let mut moved = false;
+        for task in &lasting {
+            if self.may_interrupt(now.time, task) && self.has_place(now, task, &room) {
+                self.order_stop(now, executor, task);
+                moved = true;
+            }
+        }
+        if moved || !only_lasting {
+            return;
+        }
         for task in lasting {
             if self.may_interrupt(now.time, &task) {
                 self.order_stop(now, executor, &task);
@@ -246,6 +266,11 @@
         }
     }
 
+    fn has_place(&self, now: Now, task: &TaskKey, room: &Room) -> bool {
+        let step = self.ledger.jobs.get(&task.job).and_then(|job| job.step(task.step));
+        step.is_none_or(|step| self.find_host(now, task, step, room).is_some())
+    }
+
     /// Whether a lasting task may be away for a moment: so many of its step may be at once.
     fn may_interrupt(&self, now: Time, task: &TaskKey) -> bool {
         let Some(job) = self.ledger.jobs.get(&task.job) else { return true };
--- a/crates/borageswitch_scheduler/src/reducer/looks.rs
+++ b/crates/borageswitch_scheduler/src/reducer/looks.rs
@@ -138,7 +138,13 @@
         let mut strays = Vec::new();
         for active in &report.active {
             match known.runs.get_mut(&active.task).filter(|held| held.run == active.run) {
-                Some(held) => take_active(held, active, now.time),
+                Some(held) => {
+                    let was_at_work = held.is_at_work();
+                    take_active(held, active, now.time);
+                    if held.lasting && held.is_at_work() && !was_at_work {
+                        known.trust.succeeded();
+                    }
+                }
                 None => strays.push(active),
             }
         }
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -10,6 +10,7 @@
 //! - [`jobs`]: jobs come, are cancelled, come due and end.
 //! - [`looks`]: executors are looked at, and what they say is compared with what is believed.
 //! - [`starts`]: answers to starts and stops.
+//! - [`stragglers`]: runs that fall far behind are given up.
 //! - [`lapses`]: runs on executors that cannot be reached.
 //! - [`pass`]: waiting tasks find hosts; [`gangs`] find them together; [`advice`] asks where a
 //!   step may run; [`evict`] makes room for lasting tasks.
@@ -36,6 +37,7 @@
 pub mod recovery;
 pub mod registrations;
 pub mod starts;
+pub mod stragglers;
 pub mod view;
 pub mod waves;
 
@@ -183,6 +185,7 @@
     fn sweep(&mut self, now: Now) {
         self.release_lapsed(now);
         self.repeat_stops(now);
+        self.give_up_stragglers(now);
         self.begin_due(now);
         self.step_fleet(now);
         self.stirred.extend(self.executors.values().map(|e| e.registration.pool.clone()));
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -76,7 +76,7 @@
     }
 
     /// What the open executors of a pool have left.
-    fn room_of(&self, now: Now, pool: &PoolName) -> Room {
+    pub(super) fn room_of(&self, now: Now, pool: &PoolName) -> Room {
         let open = self
             .executors
             .iter()
@@ -171,6 +171,7 @@
         let Some(held) = self.held_for(now.time, task, run, Phase::Recorded) else { return };
         let Some(known) = self.executors.get_mut(executor) else { return };
         known.runs.insert(task.clone(), held);
+        known.trust.placed(now.time);
         self.record(Record::Assigned { task: task.clone(), run, executor: executor.clone() });
         self.outbox.then_start(executor.clone(), task.clone(), run);
     }
