Tell callers at once while the store is away, store jobs through the leader, pause by host

Orders for hosts are recorded before they leave, and only those hosts are paused. Ruled out: a fixed holder's name, which would only hide the change of holder.

--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -251,6 +251,8 @@
         let reply = match question {
             Question::Status { queue, job } => Answer::Status(scheduler.status(&queue, &job)),
             Question::Pending { queue } => Answer::Pending(scheduler.pending(&queue)),
+            // Stored by the traffic thread, whoever leads.
+            Question::Submit(_) => Answer::NotAccepted,
             Question::Cancel { queue, job } => match scheduler.status(&queue, &job) {
                 None => Answer::Status(None),
                 Some(JobStatus::Ended(outcome)) => Answer::Status(Some(JobStatus::Ended(outcome))),
--- a/crates/borageswitch_runtime/src/daemon.rs
+++ b/crates/borageswitch_runtime/src/daemon.rs
@@ -24,6 +24,7 @@
     orders::{self, Lanes},
     peers::{self, Answer, Client, Question},
     ports::{Platform, Revision},
+    store_health::StoreHealth,
     watching,
 };
 
@@ -54,6 +55,7 @@
     /// Whether it may give orders.
     pub authority: Authority,
     pub(crate) control: Sender<Message>,
+    pub(crate) store_health: StoreHealth,
     pub(crate) lanes: Lanes,
     client: Client,
     config: Mutex<Option<Arc<Config>>>,
@@ -116,17 +118,32 @@
 
     /// Asks whoever leads; nothing if nobody is known to, or cannot be reached.
     pub(crate) async fn ask(&self, question: &Question) -> Option<Answer> {
-        let leader = self.leader.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        let (record, _) = leader?;
-        if record.address != self.cfg.peer_address {
-            return self.client.ask(record.address, question).await;
+        if self.leader_elsewhere().is_some() {
+            return self.ask_other(question).await;
         }
+        self.leader.lock().unwrap_or_else(PoisonError::into_inner).as_ref()?;
+        self.ask_own(question.clone()).await
+    }
+
+    /// Asks the leader if it is another daemon.
+    pub(crate) async fn ask_other(&self, question: &Question) -> Option<Answer> {
+        let address = self.leader_elsewhere()?;
+        self.client.ask(address, question).await
+    }
+
+    /// Asks this daemon's control thread.
+    pub(crate) async fn ask_own(&self, question: Question) -> Option<Answer> {
         let (answer, answered) = async_channel::bounded(1);
-        let ask = Message::Ask { question: question.clone(), answer };
-        self.control.send(ask).await.ok()?;
+        self.control.send(Message::Ask { question, answer }).await.ok()?;
         answered.recv().await.ok()
     }
 
+    fn leader_elsewhere(&self) -> Option<SocketAddr> {
+        let known = self.leader.lock().unwrap_or_else(PoisonError::into_inner);
+        let (record, _) = known.as_ref()?;
+        (record.address != self.cfg.peer_address).then_some(record.address)
+    }
+
     /// Whether the daemon is about to end.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
@@ -172,7 +189,8 @@
         cfg,
         platform,
         authority: Authority::default(),
-        control: control.clone(),
+        control,
+        store_health: StoreHealth::default(),
         lanes: Lanes::default(),
         client: Client::new(ex.clone()),
         config: Mutex::default(),
@@ -181,7 +199,7 @@
         stop: async_channel::bounded(1),
         ex: ex.clone(),
     });
-    ex.spawn(peers::serve(listener.into(), control, ex.clone())).detach();
+    ex.spawn(peers::serve(listener.into(), shared.clone())).detach();
     ex.spawn(watching::config(shared.clone())).detach();
     ex.spawn(election::run(shared.clone())).detach();
     ex.spawn(orders::run(shared.clone(), work)).detach();
--- a/crates/borageswitch_runtime/src/intake.rs
+++ b/crates/borageswitch_runtime/src/intake.rs
@@ -24,10 +24,10 @@
 };
 
 /// How long a job is tried to be stored before the caller is told to come back. An ordinary write
-/// takes some 10 ms; a caller whose daemon is cut off from the store does better at another one.
-const STORE_PATIENCE: Duration = Duration::from_millis(600);
+/// takes some 10 ms; a caller whose daemon is turned away does better at another one.
+const STORE_PATIENCE: Duration = Duration::from_millis(100);
 /// The pause before a call that failed is made again.
-const RETRY_PAUSE: Duration = Duration::from_millis(60);
+const RETRY_PAUSE: Duration = Duration::from_millis(40);
 /// How long a question waits for a leader: about the time of an orderly change.
 const LEADER_PATIENCE: Duration = Duration::from_millis(900);
 
@@ -51,26 +51,60 @@
     spec.check().map_err(|err| Failure::Malformed(err.to_string()))?;
     let submission =
         Submission { job: job.clone(), queue: queue.clone(), accepted: clock::wall(), spec };
+    let stored = store_submission(shared, &submission).await;
+    let Err(failure) = stored else { return Ok(()) };
+    // The store may turn this daemon away and serve the leader.
+    let forwarded = Question::Submit(Box::new(submission));
+    if let Some(Answer::Accepted) = shared.ask_other(&forwarded).await {
+        log::info!(job = job.as_str(), own = failure.to_string().as_str(); "accepted-by-leader");
+        return Ok(());
+    }
+    log::warn!(job = job.as_str(), outcome = failure.to_string().as_str(); "not-accepted");
+    Err(failure)
+}
+
+/// Stores a job that was accepted.
+///
+/// # Errors
+///
+/// [`Failure::StoreAway`] only if it is proved that nothing was stored.
+pub(crate) async fn store_submission<P>(
+    shared: &Arc<Shared<P>>,
+    submission: &Submission,
+) -> Served<()>
+where
+    P: Platform,
+{
+    let key = keys::job(&submission.job);
     let tx = Transaction {
-        expect: vec![(keys::job(job), 0)],
-        write: vec![(keys::job(job), codec::encode(&submission), None)],
+        expect: vec![(key.clone(), 0)],
+        write: vec![(key, codec::encode(submission), None)],
         remove: Vec::new(),
     };
     let give_up = clock::time() + STORE_PATIENCE;
-    let mut lost = false;
     loop {
+        let sent = clock::time();
+        if !shared.store_health.may_try(sent) {
+            return Err(Failure::StoreAway);
+        }
         match shared.platform.commit(&tx).await {
             // A conflict says that the same request was stored before.
-            Ok(Committed::Done(_) | Committed::Conflict(_)) => return Ok(()),
-            Ok(Committed::NoLease) | Err(StoreError::Refused) => {}
+            Ok(Committed::Done(_) | Committed::Conflict(_)) => {
+                shared.store_health.answered();
+                return Ok(());
+            }
+            Ok(Committed::NoLease) | Err(StoreError::Refused) => {
+                shared.store_health.failed(sent);
+            }
             // A write without an answer may still be carried out: from now on nobody may say that
             // the job was not accepted.
-            Err(_) => lost = true,
+            Err(_) => {
+                shared.store_health.failed(sent);
+                return Err(Failure::StoreSilent);
+            }
         }
         if clock::time() >= give_up {
-            let failure = if lost { Failure::StoreSilent } else { Failure::StoreAway };
-            log::warn!(job = job.as_str(), outcome = failure.to_string().as_str(); "not-accepted");
-            return Err(failure);
+            return Err(Failure::StoreAway);
         }
         Timer::after(RETRY_PAUSE).await;
     }
--- a/crates/borageswitch_runtime/src/lib.rs
+++ b/crates/borageswitch_runtime/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`watching`] follows what others write: configuration, executors, jobs, waves.
 //! - [`orders`] carries out what the scheduler asks for.
 //! - [`intake`] serves callers' requests, [`answers`] is the closed list of how they can fail.
+//! - [`store_health`] tells whether the store is worth asking.
 //! - [`peers`] carries questions from any daemon to the one that leads.
 //! - [`settings`] and [`logging`] are the process's own.
 
@@ -30,5 +31,6 @@
 pub mod peers;
 pub mod ports;
 pub mod settings;
+pub mod store_health;
 pub mod takeover;
 pub mod watching;
--- a/crates/borageswitch_runtime/src/peers/mod.rs
+++ b/crates/borageswitch_runtime/src/peers/mod.rs
@@ -7,16 +7,16 @@
 mod io;
 mod server;
 
-use borageswitch_scheduler::reducer::view::JobStatus;
+use borageswitch_scheduler::{job::Submission, reducer::view::JobStatus};
 use borageswitch_types::names::{JobName, QueueName};
 
 pub use self::{client::Client, server::serve};
 
-/// The largest message, in bytes: names and a few words.
-const MAX_MESSAGE: usize = 16 << 10;
+/// The largest message, in bytes: a job as large as the operator's usual limit for a body.
+const MAX_MESSAGE: usize = 512 << 10;
 
 /// What a daemon asks the leader.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum Question {
     /// How a job stands.
     Status {
@@ -32,6 +32,8 @@
         /// The job.
         job: JobName,
     },
+    /// Store a job for a daemon that the store turns away.
+    Submit(Box<Submission>),
     /// How many jobs of a queue wait for their first start.
     Pending {
         /// The queue.
@@ -46,6 +48,10 @@
     Status(Option<JobStatus>),
     /// How many jobs wait.
     Pending(u64),
+    /// The job is stored.
+    Accepted,
+    /// The job may be stored or not.
+    NotAccepted,
     /// This daemon does not lead.
     NotLeading,
 }
--- a/crates/borageswitch_runtime/src/peers/server.rs
+++ b/crates/borageswitch_runtime/src/peers/server.rs
@@ -2,7 +2,6 @@
 
 use std::{io, sync::Arc, time::Duration};
 
-use async_channel::Sender;
 use bytes::Bytes;
 use h2::{RecvStream, server::SendResponse};
 use http::{Request, Response};
@@ -12,28 +11,26 @@
 };
 
 use super::{Answer, MAX_MESSAGE, Question, io::H2Stream};
-use crate::{codec, control::Message};
+use crate::{codec, daemon::Shared, intake, ports::Platform};
 
 /// How long to wait before accepting again after the process ran out of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Accepts connections of other daemons until it is dropped.
-pub async fn serve(
-    listener: TcpListener,
-    control: Sender<Message>,
-    ex: Arc<smol::Executor<'static>>,
-) {
+pub async fn serve<P>(listener: TcpListener, shared: Arc<Shared<P>>)
+where
+    P: Platform,
+{
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let own = control.clone();
-                let within = ex.clone();
+                let own = shared.clone();
                 let serving = async move {
-                    if let Err(err) = serve_connection(stream, own, within).await {
+                    if let Err(err) = serve_connection(stream, own).await {
                         log::debug!("a peer's connection ended: {err}");
                     }
                 };
-                ex.spawn(serving).detach();
+                shared.ex.spawn(serving).detach();
             }
             Err(err) => {
                 log::warn!("accepting a peer failed: {err}");
@@ -43,39 +40,44 @@
     }
 }
 
-async fn serve_connection(
-    stream: TcpStream,
-    control: Sender<Message>,
-    ex: Arc<smol::Executor<'static>>,
-) -> Result<(), h2::Error> {
+async fn serve_connection<P>(stream: TcpStream, shared: Arc<Shared<P>>) -> Result<(), h2::Error>
+where
+    P: Platform,
+{
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("a peer's connection stays slow: {err}");
     }
     let mut connection = h2::server::handshake(H2Stream(stream)).await?;
     while let Some(accepted) = connection.accept().await {
         let (req, respond) = accepted?;
-        let own = control.clone();
+        let own = shared.clone();
         let answering = async move {
-            if let Err(err) = answer(req, respond, own).await {
+            if let Err(err) = answer(req, respond, &own).await {
                 log::debug!("a peer's question is not answered: {err}");
             }
         };
-        ex.spawn(answering).detach();
+        shared.ex.spawn(answering).detach();
     }
     Ok(())
 }
 
-async fn answer(
+async fn answer<P>(
     req: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
-    control: Sender<Message>,
-) -> io::Result<()> {
+    shared: &Arc<Shared<P>>,
+) -> io::Result<()>
+where
+    P: Platform,
+{
     let bytes = read(req.into_body()).await?;
     let question: Question = codec::decode("question", &bytes).map_err(io::Error::other)?;
-    let (tx, rx) = async_channel::bounded(1);
-    let ask = Message::Ask { question, answer: tx };
-    control.send(ask).await.map_err(io::Error::other)?;
-    let answer = rx.recv().await.unwrap_or(Answer::NotLeading);
+    let answer = match question {
+        Question::Submit(submission) => match intake::store_submission(shared, &submission).await {
+            Ok(()) => Answer::Accepted,
+            Err(_) => Answer::NotAccepted,
+        },
+        question => shared.ask_own(question).await.unwrap_or(Answer::NotLeading),
+    };
     let mut stream = respond.send_response(Response::new(()), false).map_err(io::Error::other)?;
     stream.send_data(Bytes::from(codec::encode(&answer)), true).map_err(io::Error::other)
 }
--- a/crates/borageswitch_scheduler/src/ledger/record.rs
+++ b/crates/borageswitch_scheduler/src/ledger/record.rs
@@ -89,6 +89,13 @@
         /// The executor.
         executor: ExecutorName,
     },
+    /// An order for a host is about to leave.
+    HostOrdered {
+        /// The host.
+        host: HostName,
+        /// When, by the leader's wall clock.
+        at: UnixMillis,
+    },
     /// The platform has begun to maintain a host.
     Maintained {
         /// The wave.
--- a/crates/borageswitch_scheduler/src/ledger/snapshot.rs
+++ b/crates/borageswitch_scheduler/src/ledger/snapshot.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use borageswitch_types::names::{ExecutorName, HostName, JobName};
+use borageswitch_types::{
+    names::{ExecutorName, HostName, JobName},
+    time::UnixMillis,
+};
 
 use crate::{
     job::Submission,
@@ -21,6 +24,8 @@
     pub finished: BTreeMap<JobName, Finished>,
     /// For each executor the highest number of an end that was taken in.
     pub seen: BTreeMap<ExecutorName, u64>,
+    /// For each host when it was last given an order, for those of late.
+    pub ordered: BTreeMap<HostName, UnixMillis>,
     /// For each wave the hosts whose maintenance has begun.
     pub maintained: BTreeMap<u64, Vec<HostName>>,
     /// Waves that were reported as completed.
@@ -36,6 +41,7 @@
             jobs: jobs.map(|(name, job)| (name.clone(), job.progress.clone())).collect(),
             finished: ledger.finished.clone(),
             seen: ledger.seen.clone(),
+            ordered: ledger.ordered.clone(),
             maintained: ledger.maintained.clone(),
             completed_waves: ledger.completed_waves.clone(),
         }
@@ -52,6 +58,7 @@
             jobs: BTreeMap::new(),
             finished: self.finished,
             seen: self.seen,
+            ordered: self.ordered,
             maintained: self.maintained,
             completed_waves: self.completed_waves,
         };
--- a/crates/borageswitch_scheduler/src/policy/lending.rs
+++ b/crates/borageswitch_scheduler/src/policy/lending.rs
@@ -25,7 +25,7 @@
 const KEEP_WARM: usize = 2;
 /// The time over which arrivals are averaged: shorter, and a single large job would move hosts;
 /// longer, and a turn would be half over before enough are there.
-const RATE_WINDOW: Duration = Duration::from_millis(1_500);
+const RATE_WINDOW: Duration = Duration::from_millis(800);
 
 /// How much work arrives, as a moving average.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -119,9 +119,6 @@
 impl Scheduler {
     pub(super) fn step_fleet(&mut self, now: Now) {
         self.list_hosts(now);
-        if now.time.since(self.began) < self.limits.host_order_pause {
-            return;
-        }
         self.step_waves(now);
         self.step_lending(now);
         let hosts: Vec<HostName> = self.fleet.details.keys().cloned().collect();
@@ -295,7 +292,18 @@
         held.is_some_and(|held| held.is_at_work())
     }
 
+    /// Has an order stored as given; it leaves after that, so that whoever leads next knows of it.
     fn give_order(&mut self, now: Now, host: &HostName) {
+        if self.is_paused(now.time, host) {
+            return;
+        }
+        let Some(detail) = self.fleet.details.get_mut(host) else { return };
+        detail.stage = Stage::Ordered { at: now.time, answered: false };
+        self.record(Record::HostOrdered { host: host.clone(), at: now.wall });
+        self.outbox.then_order_host(host.clone());
+    }
+
+    pub(super) fn send_host_order(&mut self, now: Now, host: &HostName) {
         let Some(detail) = self.fleet.details.get_mut(host) else { return };
         let order = match &detail.purpose {
             Purpose::Maintain(wave) => HostOrder::Maintain(*wave),
@@ -305,6 +313,12 @@
         self.effects.push(Effect::Host(host.clone(), order));
     }
 
+    /// Whether an earlier leader has ordered a host about so lately that its orders may still be on
+    /// their way. Where the platform does not check tokens, an order of ours would cross them.
+    fn is_paused(&self, now: Time, host: &HostName) -> bool {
+        self.inherited_orders.contains(host) && now.since(self.began) < self.limits.host_order_pause
+    }
+
     pub(super) fn host_answered(&mut self, now: Now, host: &HostName, answer: HostAnswer) {
         let Some(detail) = self.fleet.details.get_mut(host) else { return };
         let purpose = detail.purpose.clone();
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -49,7 +49,7 @@
 
 use borageswitch_types::{
     Time,
-    names::{ExecutorName, JobName, PoolName},
+    names::{ExecutorName, HostName, JobName, PoolName},
 };
 
 use crate::{
@@ -80,7 +80,7 @@
     pub maintenance_time: Duration,
     /// How long a host takes for a move.
     pub move_time: Duration,
-    /// How long a new leader gives no order for hosts: orders of its predecessor may still arrive.
+    /// How long a new leader gives no order for a host that its predecessor has ordered about of late.
     pub host_order_pause: Duration,
     /// The shortest time between two appends.
     pub append_interval: Duration,
@@ -115,6 +115,8 @@
     ledger: Ledger,
     config: Option<Arc<Config>>,
     executors: BTreeMap<ExecutorName, Executor>,
+    /// Hosts that an earlier leader has ordered about of late.
+    inherited_orders: BTreeSet<HostName>,
     times: BTreeMap<JobName, JobTimes>,
     learned: Learned,
     outbox: Outbox,
--- a/crates/borageswitch_scheduler/src/reducer/outbox.rs
+++ b/crates/borageswitch_scheduler/src/reducer/outbox.rs
@@ -6,7 +6,7 @@
 
 use borageswitch_types::{
     Time,
-    names::{ExecutorName, JobName},
+    names::{ExecutorName, HostName, JobName},
 };
 
 use crate::{
@@ -22,6 +22,8 @@
 pub enum Deferred {
     /// Start a run whose assignment is stored.
     Start(ExecutorName, TaskKey, u32),
+    /// Give an order for a host that is stored as ordered.
+    OrderHost(HostName),
     /// Acknowledge an executor's ends up to a number.
     Acknowledge(ExecutorName, u64),
     /// Show a job as ended.
@@ -84,6 +86,10 @@
         self.waiting.push(Deferred::Acknowledge(executor, number));
     }
 
+    pub(super) fn then_order_host(&mut self, host: HostName) {
+        self.waiting.push(Deferred::OrderHost(host));
+    }
+
     pub(super) fn then_show_end(&mut self, job: JobName) {
         self.forget(job.clone());
         self.waiting.push(Deferred::ShowEnd(job));
@@ -160,6 +166,7 @@
     fn carry_out(&mut self, now: Now, deferred: Deferred) {
         match deferred {
             Deferred::Start(executor, task, run) => self.send_start(now, &executor, &task, run),
+            Deferred::OrderHost(host) => self.send_host_order(now, &host),
             Deferred::Acknowledge(executor, number) => {
                 if let Some(known) = self.executors.get_mut(&executor) {
                     known.stored_end = known.stored_end.max(number);
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -41,10 +41,12 @@
         config: Arc<Config>,
         registrations: Vec<Registration>,
     ) -> Scheduler {
+        let inherited_orders = ledger.ordered.keys().cloned().collect();
         let mut scheduler = Scheduler {
             limits,
             began: now.time,
             ledger,
+            inherited_orders,
             config: Some(config),
             executors: registrations
                 .into_iter()
