--- a/crates/borageswitch_fakes/src/lib.rs
+++ b/crates/borageswitch_fakes/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod faults;
 pub mod host;
 pub mod host_list;
+pub mod platform;
 pub mod serve;
 pub mod site;
 pub mod store;
--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -312,3 +312,6 @@
     let Effect::Append { forget, .. } = effect else { return Vec::new() };
     forget.iter().filter(|job| stored.remove(*job)).cloned().collect()
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/borageswitch_runtime/tests/daemons.rs
@@ -0,0 +1,240 @@
+//! Whole daemons on a platform in memory: jobs come in at any of them, one leads, and whatever ends
+//! it, nothing is lost or done twice.
+
+use std::{
+    collections::BTreeMap,
+    future::Future,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use borageswitch_fakes::platform::{MemoryPlatform, PlatformFaults};
+use borageswitch_runtime::{
+    answers::{Effective, Failure},
+    daemon::{self, DaemonConfig, Shared},
+    intake,
+};
+use borageswitch_scheduler::{
+    config::{Config, Pool, Queue, RequestLimits},
+    job::{JobSpec, Size, Step},
+    ledger::record::Outcome,
+    reducer::{Limits, view::JobStatus},
+};
+use borageswitch_types::names::{JobName, PoolName, QueueName};
+use smol::{Executor, Timer};
+
+/// A bound of liveness, far above what anything here takes on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+type Daemon = Arc<Shared<MemoryPlatform>>;
+
+fn queue() -> Queue {
+    Queue {
+        name: QueueName::from("runs"),
+        authority: "site.example".into(),
+        prefix: "/runs/".into(),
+        pool: PoolName::from("payroll"),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 1.6,
+        allowance: Duration::from_millis(600),
+        timeout: Duration::from_secs(3),
+        advisor: None,
+    }
+}
+
+fn config() -> Config {
+    let pool = Pool { name: queue().pool, guards_capacity: true, standby: false };
+    Config {
+        version: 1,
+        queues: BTreeMap::from([(queue().name, queue())]),
+        pools: BTreeMap::from([(pool.name.clone(), pool)]),
+        limits: RequestLimits {
+            head_bytes: 16 << 10,
+            body_bytes: 256 << 10,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+    }
+}
+
+fn cores(cores: u64) -> Size {
+    Size { cpu_milli: cores * 1_000, memory_mb: cores * 1_000, accelerators: 0 }
+}
+
+fn platform() -> MemoryPlatform {
+    let platform = MemoryPlatform::new(Duration::from_millis(30));
+    platform.configure(&config());
+    for name in ["e1", "e2", "e3"] {
+        platform.add_executor(name, "payroll", cores(8));
+    }
+    platform
+}
+
+fn start(name: &str, platform: &MemoryPlatform, ex: &Arc<Executor<'static>>) -> Daemon {
+    let cfg = DaemonConfig {
+        name: name.into(),
+        peer_address: ([127, 0, 0, 1], 0).into(),
+        weight: 1.0,
+        limits: Limits::default(),
+    };
+    daemon::start(cfg, platform.clone(), ex.clone()).unwrap()
+}
+
+fn two_steps() -> JobSpec {
+    let step =
+        Step { count: 4, size: cores(1), estimate: Duration::from_millis(30), ..Step::default() };
+    let second = Step { after: vec![0], ..step.clone() };
+    JobSpec { text: "text".into(), steps: vec![step, second], schedule: None }
+}
+
+async fn until<F, T>(mut tried: F) -> T
+where
+    F: AsyncFnMut() -> Option<T>,
+{
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = tried().await {
+            return found;
+        }
+        assert!(Instant::now() < end, "it did not happen in time");
+        Timer::after(Duration::from_millis(10)).await;
+    }
+}
+
+async fn submit(daemon: &Daemon, job: &str) {
+    let job = JobName::from(job);
+    until(async || intake::submit(daemon, &queue(), &job, two_steps()).await.ok()).await;
+}
+
+async fn outcome(daemon: &Daemon, job: &str) -> Outcome {
+    let job = JobName::from(job);
+    until(async || match intake::status(daemon, &queue(), &job).await {
+        Ok(JobStatus::Ended(outcome)) => Some(outcome),
+        _ => None,
+    })
+    .await
+}
+
+async fn ready(daemons: &[&Daemon]) {
+    for daemon in daemons {
+        until(async || daemon.is_ready().then_some(())).await;
+    }
+}
+
+fn run<F>(ex: &Arc<Executor<'static>>, test: F)
+where
+    F: Future<Output = ()>,
+{
+    smol::block_on(ex.run(test));
+}
+
+#[test]
+fn a_job_handed_in_at_any_daemon_is_completed_and_shown_by_all() {
+    let ex = Arc::new(Executor::new());
+    let platform = platform();
+    let daemons = [start("d1", &platform, &ex), start("d2", &platform, &ex)];
+    run(&ex, async {
+        ready(&[&daemons[0], &daemons[1]]).await;
+
+        submit(&daemons[0], "00000000000000aa").await;
+        submit(&daemons[1], "00000000000000bb").await;
+
+        for daemon in &daemons {
+            assert_eq!(outcome(daemon, "00000000000000aa").await, Outcome::Completed);
+            assert_eq!(outcome(daemon, "00000000000000bb").await, Outcome::Completed);
+        }
+        assert_eq!(platform.started().len(), 16);
+    });
+}
+
+#[test]
+fn a_leader_that_stops_hands_over_without_a_gap_in_the_work() {
+    // The daemon that leads is told to end while a job is under way. Its callers ask the other one
+    // from then on, and every task is done once.
+    let ex = Arc::new(Executor::new());
+    let platform = platform();
+    let first = start("d1", &platform, &ex);
+    run(&ex, async {
+        ready(&[&first]).await;
+        submit(&first, "00000000000000aa").await;
+        until(async || (!platform.started().is_empty()).then_some(())).await;
+        let second = start("d2", &platform, &ex);
+        ready(&[&second]).await;
+
+        first.begin_stop();
+
+        assert_eq!(outcome(&second, "00000000000000aa").await, Outcome::Completed);
+        assert_eq!(platform.started().len(), 8);
+    });
+}
+
+#[test]
+fn while_the_store_is_away_callers_are_told_at_once_that_nothing_ran() {
+    // The store refuses every call. Callers that were held until their patience ends would come
+    // back late; and "not accepted" has to be true.
+    let ex = Arc::new(Executor::new());
+    let platform = platform();
+    let daemon = start("d1", &platform, &ex);
+    run(&ex, async {
+        ready(&[&daemon]).await;
+        platform.set_faults(PlatformFaults { store_refuses: true, ..Default::default() });
+        let job = JobName::from("00000000000000aa");
+
+        let refused = intake::submit(&daemon, &queue(), &job, two_steps()).await;
+
+        let failure = refused.unwrap_err();
+        assert_eq!(failure, Failure::StoreAway);
+        assert_eq!(failure.verdict().effective, Effective::No);
+        assert!(failure.verdict().retry_after.is_some());
+        platform.set_faults(PlatformFaults::default());
+        let unknown = until(async || intake::status(&daemon, &queue(), &job).await.err()).await;
+        assert!(matches!(unknown, Failure::NoJob | Failure::NoLeader), "{unknown}");
+        assert!(platform.started().is_empty());
+    });
+}
+
+#[test]
+fn a_write_whose_answer_is_lost_is_neither_accepted_nor_refused() {
+    // The store carries a write out and its answer is lost. Told "not accepted", a caller would
+    // give up a job that runs; sent again, the request finds it and it stays one job.
+    let ex = Arc::new(Executor::new());
+    let platform = platform();
+    let daemon = start("d1", &platform, &ex);
+    run(&ex, async {
+        ready(&[&daemon]).await;
+        submit(&daemon, "00000000000000ff").await;
+        assert_eq!(outcome(&daemon, "00000000000000ff").await, Outcome::Completed);
+        let job = JobName::from("00000000000000aa");
+        platform.set_faults(PlatformFaults { store_loses_answers: true, ..Default::default() });
+
+        let lost = intake::submit(&daemon, &queue(), &job, two_steps()).await;
+        platform.set_faults(PlatformFaults::default());
+
+        assert_eq!(lost.unwrap_err().verdict().effective, Effective::Unknown);
+        submit(&daemon, "00000000000000aa").await;
+        assert_eq!(outcome(&daemon, "00000000000000aa").await, Outcome::Completed);
+        let of_job = |s: &&borageswitch_fakes::platform::Started| s.task.job == job;
+        assert_eq!(platform.started().iter().filter(of_job).count(), 8);
+    });
+}
+
+#[test]
+fn a_cancelled_job_is_shown_as_such_and_starts_nothing_more() {
+    let ex = Arc::new(Executor::new());
+    let platform = platform();
+    let daemon = start("d1", &platform, &ex);
+    run(&ex, async {
+        ready(&[&daemon]).await;
+        submit(&daemon, "00000000000000aa").await;
+        let job = JobName::from("00000000000000aa");
+
+        until(async || intake::cancel(&daemon, &queue(), &job).await.ok()).await;
+
+        let ended = outcome(&daemon, "00000000000000aa").await;
+        assert!(matches!(ended, Outcome::Cancelled | Outcome::Completed), "{ended}");
+        let before = platform.started().len();
+        Timer::after(Duration::from_millis(200)).await;
+        assert_eq!(platform.started().len(), before);
+    });
+}
--- a/crates/borageswitch_scheduler/src/policy/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/tests.rs
@@ -63,7 +63,7 @@
     // late although the pool was busy all the time.
     let rush: Vec<(u64, u64, u64)> = (0..400).map(|n| (n * 25 + n % 7, 1_000, 100)).collect();
 
-    let by_urgency = served_on_time(&rush, |job, now| Urgency::of(job, now));
+    let by_urgency = served_on_time(&rush, Urgency::of);
     let by_deadline = served_on_time(&rush, |job, _| job.deadline);
     let by_arrival = served_on_time(&rush, |job, _| job.accepted);
 
--- a/crates/borageswitch_scheduler/src/reducer/gangs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/gangs.rs
@@ -3,7 +3,7 @@
 //! Members of which only some have found room hold it without working and give up after a few
 //! seconds, so a gang is placed whole or not at all, and all orders leave in the same moment.
 
-use borageswitch_types::names::ExecutorName;
+use borageswitch_types::names::{ExecutorName, RackName};
 
 use crate::{
     event::Now,
@@ -52,7 +52,7 @@
             .collect();
         racks.sort();
         racks.dedup();
-        let data_rack = step.data_rack.as_ref().map(|rack| rack.as_str());
+        let data_rack = step.data_rack.as_ref().map(RackName::as_str);
         racks.sort_by_key(|rack| data_rack != Some(&**rack));
         let in_rack = |rack: &std::sync::Arc<str>| {
             let inside = room.iter().filter(|(executor, _)| {
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -19,7 +19,11 @@
     event::{HostAnswer, Now},
     fleet::{HostEntry, HostState},
     ledger::record::Record,
-    reducer::{Scheduler, executors::Executor, pass::Room},
+    reducer::{
+        Scheduler,
+        executors::{Executor, Held},
+        pass::Room,
+    },
     task::TaskKey,
 };
 
@@ -289,7 +293,7 @@
             heard && known.looking.failures == 0
         };
         let held = executor.filter(answers).and_then(|known| known.runs.get(task));
-        held.is_some_and(|held| held.is_at_work())
+        held.is_some_and(Held::is_at_work)
     }
 
     /// Has an order stored as given; it leaves after that, so that whoever leads next knows of it.
--- a/crates/borageswitch_scheduler/src/reducer/lending.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lending.rs
@@ -1,4 +1,4 @@
-//! Hosts change their pool as the load does; see [`lending`](crate::policy::lending).
+//! Hosts change their pool as the load does; the decision is in [`crate::policy::lending`].
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/borageswitch_scheduler/src/reducer/pace.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pace.rs
@@ -1,4 +1,4 @@
-//! Work that fills gaps is slowed beside work that serves; see [`pacing`](crate::policy::pacing).
+//! Work that fills gaps is slowed beside work that serves; the decision is in [`crate::policy::pacing`].
 
 use borageswitch_types::names::ExecutorName;
 
--- a/crates/borageswitch_scheduler/src/reducer/starts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/starts.rs
@@ -98,7 +98,7 @@
         if let Some(clock_ms) = clock_ms {
             known.read_clock(now.time, clock_ms);
         }
-        if !known.runs.get(task).is_some_and(|held| held.run == run) {
+        if known.runs.get(task).is_none_or(|held| held.run != run) {
             return;
         }
         if answer != StartAnswer::Started {
--- a/crates/borageswitch_scheduler/src/reducer/stragglers.rs
+++ b/crates/borageswitch_scheduler/src/reducer/stragglers.rs
@@ -1,4 +1,4 @@
-//! Runs that fall far behind are given up; see [`stragglers`](crate::policy::stragglers).
+//! Runs that fall far behind are given up; the decision is in [`crate::policy::stragglers`].
 
 use std::time::Duration;
 
--- a/crates/borageswitch_scheduler/src/reducer/waves.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waves.rs
@@ -80,7 +80,7 @@
             self.complete(wave.wave);
             return;
         }
-        let mut taken = self.taken_by(wave);
+        let taken = self.taken_by(wave);
         let mut waiting: Vec<(u64, HostName)> = due
             .into_iter()
             .filter(|host| !self.fleet.details.contains_key(host))
@@ -88,11 +88,8 @@
             .map(|host| (self.work_on(&host), host))
             .collect();
         waiting.sort();
-        for (_, host) in waiting {
-            if taken >= wave.max_down as usize {
-                return;
-            }
-            taken += 1;
+        let free = (wave.max_down as usize).saturating_sub(taken);
+        for (_, host) in waiting.into_iter().take(free) {
             self.detail(now, &host, Purpose::Maintain(wave.wave));
         }
     }
