Make two tests fail without what they test for

Seven guards were removed one by one: five tests failed as they should, the ones for acknowledging unstored ends and for silent siblings passed; both now answer the look that is on its way and report the task first, and fail without the guard.

--- a/crates/borageswitch_scheduler/tests/sessions.rs
+++ b/crates/borageswitch_scheduler/tests/sessions.rs
@@ -145,12 +145,15 @@
         self.look_answered(executor, LookAnswer::Report(report), ack);
     }
 
+    /// Answers whatever look may be on its way, one that waits and one that does not.
     fn look_answered(&mut self, executor: &str, answer: LookAnswer, ack: u64) {
         let sent = Time::from_millis(self.now - 2);
-        let wait = Duration::ZERO;
-        let order = LookOrder { until_ms: None, acknowledged: ack, wait };
         let executor = ExecutorName::from(executor);
-        self.handle(Event::Looked { executor, sent, order, answer });
+        for wait in [Duration::ZERO, Duration::from_secs(1)] {
+            let order = LookOrder { until_ms: None, acknowledged: ack, wait };
+            let (executor, answer) = (executor.clone(), answer.clone());
+            self.handle(Event::Looked { executor, sent, order, answer });
+        }
     }
 
     /// Stores the append on its way and starts whatever is then ordered.
@@ -261,6 +264,7 @@
     let (silent, due) = (started[0].0.clone(), started[1].0.clone());
     session.now += 500;
     session.report(due.as_str(), &[active(&started[1].1)], &[], 0);
+    session.report(silent.as_str(), &[active(&started[0].1)], &[], 0);
     session.look_answered(silent.as_str(), LookAnswer::Lost, 0);
     let wave = WaveRequest {
         wave: 1,
