--- a/crates/borageswitch_runtime/src/answers.rs
+++ b/crates/borageswitch_runtime/src/answers.rs
@@ -65,6 +65,22 @@
 const AFTER_OUTAGE: Duration = Duration::from_secs(2);
 
 impl Failure {
+    /// Its name in metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Failure::NoConfig => "no-config",
+            Failure::NoQueue => "no-queue",
+            Failure::NoJob => "no-job",
+            Failure::Malformed(_) => "malformed",
+            Failure::TooLarge(_) => "too-large",
+            Failure::BadMethod => "bad-method",
+            Failure::StoreAway => "store-away",
+            Failure::StoreSilent => "store-silent",
+            Failure::NoLeader => "no-leader",
+            Failure::Stopping => "stopping",
+        }
+    }
+
     /// What a caller is told.
     pub fn verdict(&self) -> Verdict {
         let verdict = |status, effective, retry_after| Verdict { status, effective, retry_after };
--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -24,6 +24,7 @@
 use crate::{
     clock,
     election::Term,
+    instruments::Instruments,
     peers::{Answer, Question},
     takeover::Inheritance,
 };
@@ -106,14 +107,20 @@
     limits: Limits,
     messages: Receiver<Message>,
     work: Sender<Work>,
+    instruments: Arc<Instruments>,
     config: Option<Arc<Config>>,
     leading: Option<Leading>,
 }
 
 impl Control {
     /// A control thread that does not lead yet.
-    pub fn new(limits: Limits, messages: Receiver<Message>, work: Sender<Work>) -> Self {
-        Self { limits, messages, work, config: None, leading: None }
+    pub fn new(
+        limits: Limits,
+        messages: Receiver<Message>,
+        work: Sender<Work>,
+        instruments: Arc<Instruments>,
+    ) -> Self {
+        Self { limits, messages, work, instruments, config: None, leading: None }
     }
 
     /// Runs until the queue of messages is closed.
@@ -159,6 +166,7 @@
             Message::EndTerm { token } => {
                 if self.leading.as_ref().is_some_and(|leading| leading.token == token) {
                     self.leading = None;
+                    self.instruments.leads(false);
                 }
             }
             Message::Deposed { token } => {
@@ -210,6 +218,7 @@
         for job in &inheritance.cancelled {
             scheduler.handle(now, Event::Cancelled(job.clone()));
         }
+        self.instruments.leads(true);
         self.leading = Some(Leading {
             token: term.token,
             scheduler,
@@ -271,6 +280,7 @@
         for effect in leading.scheduler.settle(clock::now()) {
             match effect {
                 Effect::Log(line) => {
+                    self.instruments.decided(line.kind);
                     log::info!(
                         target: "scheduler",
                         subject = &*line.subject, detail = line.detail.as_str();
--- a/crates/borageswitch_runtime/src/control/tests.rs
+++ b/crates/borageswitch_runtime/src/control/tests.rs
@@ -47,7 +47,9 @@
 fn leading() -> (Control, Receiver<Work>) {
     let (_, messages) = async_channel::unbounded();
     let (work_tx, work) = async_channel::unbounded();
-    let mut control = Control::new(Limits::default(), messages, work_tx);
+    let meter = opentelemetry::global::meter("borageswitch");
+    let instruments = Arc::new(Instruments::new(&meter));
+    let mut control = Control::new(Limits::default(), messages, work_tx, instruments);
     control.take(Message::Configured(config()));
     let (ended, _) = async_channel::bounded(1);
     let inheritance = Inheritance {
--- a/crates/borageswitch_runtime/src/daemon.rs
+++ b/crates/borageswitch_runtime/src/daemon.rs
@@ -15,11 +15,13 @@
 
 use async_channel::{Receiver, Sender};
 use borageswitch_scheduler::{config::Config, reducer::Limits};
+use opentelemetry::metrics::Meter;
 
 use crate::{
     authority::Authority,
     control::{Control, Message, Work},
     election,
+    instruments::Instruments,
     keys::LeaderRecord,
     orders::{self, Lanes},
     peers::{self, Answer, Client, Question},
@@ -42,6 +44,8 @@
     pub weight: f64,
     /// What the platform promises.
     pub limits: Limits,
+    /// Where it counts and times.
+    pub meter: Meter,
 }
 
 /// What the parts of a daemon share.
@@ -55,6 +59,8 @@
     /// Whether it may give orders.
     pub authority: Authority,
     pub(crate) control: Sender<Message>,
+    /// What it counts and times.
+    pub instruments: Arc<Instruments>,
     pub(crate) store_health: StoreHealth,
     pub(crate) lanes: Lanes,
     client: Client,
@@ -183,13 +189,15 @@
     cfg.peer_address = listener.get_ref().local_addr()?;
     let (control, messages) = async_channel::bounded(MESSAGE_QUEUE);
     let (work_tx, work) = async_channel::unbounded::<Work>();
-    let thread = Control::new(cfg.limits.clone(), messages, work_tx);
+    let instruments = Arc::new(Instruments::new(&cfg.meter));
+    let thread = Control::new(cfg.limits.clone(), messages, work_tx, instruments.clone());
     thread::Builder::new().name("control".to_owned()).spawn(|| smol::block_on(thread.run()))?;
     let shared = Arc::new(Shared {
         cfg,
         platform,
         authority: Authority::default(),
         control,
+        instruments,
         store_health: StoreHealth::default(),
         lanes: Lanes::default(),
         client: Client::new(ex.clone()),
--- /dev/null
+++ b/crates/borageswitch_runtime/src/instruments.rs
@@ -0,0 +1,71 @@
+//! What a daemon counts and times.
+//!
+//! | name | labels | meaning |
+//! |---|---|---|
+//! | `borageswitch_requests` | `kind`, `outcome` | callers' requests by how they ended |
+//! | `borageswitch_request_seconds` | `kind` | how long they took |
+//! | `borageswitch_calls` | `to`, `answer` | calls to the platform on the leader's behalf |
+//! | `borageswitch_call_seconds` | `to` | how long they took |
+//! | `borageswitch_decisions` | `kind` | the scheduler's decisions, as in the log |
+//! | `borageswitch_leading` | | 1 on the daemon that leads |
+
+use std::time::Duration;
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, Meter},
+};
+
+/// Bounds of the histograms, in seconds: from an answer of the store to a call that ran out of time.
+const BOUNDS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
+
+/// The counters, gauges and histograms of a daemon.
+#[derive(Debug)]
+pub struct Instruments {
+    requests: Counter<u64>,
+    request_seconds: Histogram<f64>,
+    calls: Counter<u64>,
+    call_seconds: Histogram<f64>,
+    decisions: Counter<u64>,
+    leading: Gauge<u64>,
+}
+
+impl Instruments {
+    /// Instruments that count from zero.
+    pub fn new(meter: &Meter) -> Self {
+        let histogram =
+            |name: &'static str| meter.f64_histogram(name).with_boundaries(BOUNDS.to_vec()).build();
+        Self {
+            requests: meter.u64_counter("borageswitch_requests").build(),
+            request_seconds: histogram("borageswitch_request_seconds"),
+            calls: meter.u64_counter("borageswitch_calls").build(),
+            call_seconds: histogram("borageswitch_call_seconds"),
+            decisions: meter.u64_counter("borageswitch_decisions").build(),
+            leading: meter.u64_gauge("borageswitch_leading").build(),
+        }
+    }
+
+    /// A caller's request has ended.
+    pub fn served(&self, kind: &'static str, outcome: &'static str, took: Duration) {
+        let kind = KeyValue::new("kind", kind);
+        self.requests.add(1, &[kind.clone(), KeyValue::new("outcome", outcome)]);
+        self.request_seconds.record(took.as_secs_f64(), &[kind]);
+    }
+
+    /// A call to the platform has ended.
+    pub fn called(&self, to: &'static str, answer: String, took: Duration) {
+        let to = KeyValue::new("to", to);
+        self.calls.add(1, &[to.clone(), KeyValue::new("answer", answer)]);
+        self.call_seconds.record(took.as_secs_f64(), &[to]);
+    }
+
+    /// The scheduler has decided something.
+    pub fn decided(&self, kind: &'static str) {
+        self.decisions.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Whether this daemon leads.
+    pub fn leads(&self, leads: bool) {
+        self.leading.record(u64::from(leads), &[]);
+    }
+}
--- a/crates/borageswitch_runtime/src/lib.rs
+++ b/crates/borageswitch_runtime/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`intake`] serves callers' requests, [`answers`] is the closed list of how they can fail.
 //! - [`store_health`] tells whether the store is worth asking.
 //! - [`peers`] carries questions from any daemon to the one that leads.
+//! - [`instruments`] counts and times.
 //! - [`settings`] and [`logging`] are the process's own.
 
 pub mod answers;
@@ -24,6 +25,7 @@
 pub mod control;
 pub mod daemon;
 pub mod election;
+pub mod instruments;
 pub mod intake;
 pub mod keys;
 pub mod logging;
--- a/crates/borageswitch_runtime/src/orders.rs
+++ b/crates/borageswitch_runtime/src/orders.rs
@@ -73,11 +73,34 @@
     P: Platform,
 {
     let Work { token, effect, cancels } = work;
-    if let Some(event) = outcome(shared, token, effect, &cancels).await {
+    let began = clock::time();
+    let event = outcome(shared, token, effect, &cancels).await;
+    if let Some((to, answer)) = event.as_ref().and_then(answer_of) {
+        shared.instruments.called(to, answer, clock::time().since(began));
+    }
+    if let Some(event) = event {
         let _ = shared.control.send(Message::Event { token, event }).await;
     }
 }
 
+/// Whom a call went to, and how it was answered. Looks are left out: most of them wait for
+/// something to happen.
+fn answer_of(event: &Event) -> Option<(&'static str, String)> {
+    match event {
+        Event::Appended { .. } => Some(("store", "stored".to_owned())),
+        Event::StartAnswered { answer, .. } => Some(("executor", answer.to_string())),
+        Event::StopAnswered { answer, .. } | Event::PaceAnswered { answer, .. } => {
+            Some(("executor", answer.to_string()))
+        }
+        Event::HostAnswered { answer, .. } => Some(("hosts", answer.to_string())),
+        Event::Advised { allowed, .. } => {
+            let answer = if allowed.is_some() { "answered" } else { "no answer" };
+            Some(("advisor", answer.to_owned()))
+        }
+        _ => None,
+    }
+}
+
 /// Carries an effect out. Gives what the scheduler hears of it.
 async fn outcome<P>(
     shared: &Arc<Shared<P>>,
--- a/crates/borageswitch_runtime/src/settings.rs
+++ b/crates/borageswitch_runtime/src/settings.rs
@@ -28,6 +28,8 @@
     pub probes: SocketAddr,
     /// For other daemons.
     pub peers: SocketAddr,
+    /// For whoever collects metrics.
+    pub metrics: SocketAddr,
 }
 
 /// Where the platform listens.
@@ -128,7 +130,8 @@
     let callers = reader.parsed("callers");
     let probes = reader.parsed("probes");
     let peers = reader.parsed("peers");
-    Some(Listen { callers: callers?, probes: probes?, peers: peers? })
+    let metrics = reader.parsed("metrics");
+    Some(Listen { callers: callers?, probes: probes?, peers: peers?, metrics: metrics? })
 }
 
 fn read_platform(reader: &mut ObjectReader) -> Option<PlatformAddresses> {
--- a/crates/borageswitch_runtime/tests/daemons.rs
+++ b/crates/borageswitch_runtime/tests/daemons.rs
@@ -77,6 +77,7 @@
         peer_address: ([127, 0, 0, 1], 0).into(),
         weight: 1.0,
         limits: Limits::default(),
+        meter: opentelemetry::global::meter("borageswitch"),
     };
     daemon::start(cfg, platform.clone(), ex.clone()).unwrap()
 }
