--- a/crates/borageswitch_runtime/src/election.rs
+++ b/crates/borageswitch_runtime/src/election.rs
@@ -24,9 +24,9 @@
 
 /// The lease of a leader. A leader that dies silently is replaced after this time at the latest;
 /// shorter, and an ordinary pause of a loaded small host or a slow store would end a sound one.
-const LEADER_TTL: Duration = Duration::from_millis(2_000);
+const LEADER_TTL: Duration = Duration::from_millis(1_600);
 /// How often it is renewed: two renewals may be lost before it ends. Renewals cost little.
-const RENEW_EVERY: Duration = Duration::from_millis(500);
+const RENEW_EVERY: Duration = Duration::from_millis(400);
 /// How long a watch for the leader's end waits on the store.
 const WATCH_WAIT: Duration = Duration::from_millis(4_000);
 /// The pause after a call that failed.
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -319,7 +319,7 @@
 
     /// Whether an earlier leader has ordered a host about so lately that its orders may still be on
     /// their way. Where the platform does not check tokens, an order of ours would cross them.
-    fn is_paused(&self, now: Time, host: &HostName) -> bool {
+    pub(super) fn is_paused(&self, now: Time, host: &HostName) -> bool {
         self.inherited_orders.contains(host) && now.since(self.began) < self.limits.host_order_pause
     }
 
--- a/crates/borageswitch_scheduler/src/reducer/lending.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lending.rs
@@ -186,7 +186,9 @@
         in_pool: &[&HostEntry],
     ) -> Vec<IdleHost<HostName>> {
         let free = in_pool.iter().filter(|entry| {
-            entry.state == HostState::Up && !self.fleet.details.contains_key(&entry.host)
+            entry.state == HostState::Up
+                && !self.fleet.details.contains_key(&entry.host)
+                && !self.is_paused(now, &entry.host)
         });
         let idle = free.filter_map(|entry| {
             let idle = if standby {
--- a/crates/borageswitch_scheduler/src/reducer/waves.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waves.rs
@@ -83,7 +83,10 @@
         let taken = self.taken_by(wave);
         let mut waiting: Vec<(u64, HostName)> = due
             .into_iter()
-            .filter(|host| !self.fleet.details.contains_key(host))
+            // Emptied before it may be ordered, a host would stand idle for the rest of the pause.
+            .filter(|host| {
+                !self.fleet.details.contains_key(host) && !self.is_paused(now.time, host)
+            })
             .filter(|host| self.fleet.hosts[host].state == HostState::Up)
             .map(|host| (self.work_on(&host), host))
             .collect();
--- a/crates/borageswitch_scheduler/tests/sessions.rs
+++ b/crates/borageswitch_scheduler/tests/sessions.rs
@@ -9,7 +9,7 @@
     executor::{ActiveRun, EndKind, EndedRun, Registration, Report},
     fleet::{HostEntry, HostState, WaveRequest},
     job::{JobSpec, Size, Step, Submission},
-    ledger::Ledger,
+    ledger::{Ledger, record::Record},
     reducer::{Limits, Scheduler},
     task::TaskKey,
 };
@@ -91,16 +91,14 @@
 
 impl Session {
     fn new(executors: &[&str]) -> Self {
+        Self::with_ledger(executors, Ledger::default())
+    }
+
+    fn with_ledger(executors: &[&str], ledger: Ledger) -> Self {
         let now = Now { time: Time::from_millis(10_000), wall: UnixMillis(1_000_000) };
         let registrations = executors.iter().map(|name| registration(name)).collect();
-        let scheduler = Scheduler::recover(
-            Limits::default(),
-            now,
-            Ledger::default(),
-            1,
-            config(),
-            registrations,
-        );
+        let scheduler =
+            Scheduler::recover(Limits::default(), now, ledger, 1, config(), registrations);
         let mut session = Self { scheduler, now: 10_000 };
         session.settle();
         for name in executors {
@@ -310,6 +308,31 @@
     assert_eq!(orders, [(HostName::from("h"), HostOrder::Maintain(7))]);
 }
 
+#[test]
+fn a_host_that_may_not_be_ordered_yet_goes_on_working() {
+    // A new leader finds that its predecessor has just ordered a host about, so it may not order it
+    // for some seconds. Emptied already, the host would stand idle all that time, in the middle of
+    // its pool's rush.
+    let mut ledger = Ledger::default();
+    let at = UnixMillis(999_000);
+    ledger.apply(&Record::HostOrdered { host: HostName::from("h"), at });
+    let mut session = Session::with_ledger(&["e1"], ledger);
+    let wave = WaveRequest {
+        wave: 1,
+        hosts: vec![HostName::from("h")],
+        allowed: Duration::from_secs(20),
+        max_down: 1,
+    };
+    session.handle(Event::Wave(wave));
+    session.pass(60);
+    session.handle(Event::Hosts(Some(vec![host("h", "e1")])));
+    session.pass(60);
+
+    session.submit("j", vec![step(1)]);
+
+    assert_eq!(session.store_and_start().len(), 1);
+}
+
 #[test]
 fn nothing_is_placed_beside_a_run_that_nobody_wants() {
     // After a change of leader an executor that guards nothing still runs a task of a job that has
