Remove the planner's placement of jobs, which the scheduler replaces

It was a whole module that nothing called: single tasks on agents, quotas of teams, no steps, gangs, checkpoints, lasting or timed jobs, no takeover from a store. borageswitch_scheduler places jobs on the platform; two ways would drift apart. Its tests, benchmark and page go with it.

--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -8,7 +8,6 @@
 mod latency;
 mod load;
 mod peers;
-mod placement;
 mod plots;
 mod process;
 mod reducer;
@@ -50,11 +49,6 @@
         about: "connections between daemons: bytes at rest, and what one carries",
         run: peers::run,
     },
-    Benchmark {
-        name: "placement",
-        about: "urgent jobs on full hosts, and the cost of an event",
-        run: placement::run,
-    },
     Benchmark {
         name: "reducer",
         about: "events, memory, processor share and peer bytes of control at four sizes",
--- a/crates/borageswitch_planner/src/lib.rs
+++ b/crates/borageswitch_planner/src/lib.rs
@@ -5,8 +5,8 @@
 //! document. [`invariants`] states what must hold of every document. [`capacity`] measures a pool
 //! against the availability budgets of its services. [`steps`] looks at the document and at what
 //! was observed, and names the steps that the holder of the planner's duty should take now;
-//! [`explain`] tells in sentences why something waits. [`placement`] places jobs as tasks on the hosts' agents. [`model`] runs whole waves in virtual time
-//! and compares them with [`baselines`].
+//! [`explain`] tells in sentences why something waits. [`model`] runs whole waves in virtual time
+//! and compares them with [`baselines`]. Jobs are placed by `borageswitch_scheduler`.
 //!
 //! All of it is pure: no I/O, no clock, no random numbers but those that the model draws from its
 //! seed.
@@ -17,5 +17,4 @@
 pub mod explain;
 pub mod invariants;
 pub mod model;
-pub mod placement;
 pub mod steps;
