--- a/crates/borageswitch_runtime/src/intake.rs
+++ b/crates/borageswitch_runtime/src/intake.rs
@@ -52,7 +52,10 @@
     let submission =
         Submission { job: job.clone(), queue: queue.clone(), accepted: clock::wall(), spec };
     let stored = store_submission(shared, &submission).await;
-    let Err(failure) = stored else { return Ok(()) };
+    let Err(failure) = stored else {
+        log::info!(job = job.as_str(), queue = queue.name.as_str(); "accepted");
+        return Ok(());
+    };
     // The store may turn this daemon away and serve the leader.
     let forwarded = Question::Submit(Box::new(submission));
     if let Some(Answer::Accepted) = shared.ask_other(&forwarded).await {
--- a/crates/borageswitch_runtime/src/logging.rs
+++ b/crates/borageswitch_runtime/src/logging.rs
@@ -104,3 +104,6 @@
     line.extend(pairs.0);
     serde_json::Value::Object(line).to_string()
 }
+
+#[cfg(test)]
+mod tests;
