--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -74,7 +74,7 @@
 
 /// A host that is taken out of service for a while.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Detail {
+pub struct Withdrawal {
     /// What for.
     pub purpose: Purpose,
     /// How far it is.
@@ -91,7 +91,7 @@
     /// When the call that brought it left.
     pub listed: Option<Time>,
     /// The hosts that are taken out of service.
-    pub details: BTreeMap<HostName, Detail>,
+    pub withdrawals: BTreeMap<HostName, Withdrawal>,
     asked: Option<Time>,
     /// Kinds of which there are few.
     scarce: BTreeSet<Arc<str>>,
@@ -125,14 +125,14 @@
         self.list_hosts(now);
         self.step_waves(now);
         self.step_lending(now);
-        let hosts: Vec<HostName> = self.fleet.details.keys().cloned().collect();
+        let hosts: Vec<HostName> = self.fleet.withdrawals.keys().cloned().collect();
         for host in hosts {
             self.step_host(now, &host);
         }
     }
 
     fn list_hosts(&mut self, now: Now) {
-        let busy = self.waves.is_open() || !self.fleet.details.is_empty();
+        let busy = self.waves.is_open() || !self.fleet.withdrawals.is_empty();
         let interval = if busy { LIST_INTERVAL } else { QUIET_LIST_INTERVAL };
         let fresh = self.fleet.listed.is_some_and(|at| now.time.since(at) < interval);
         let asked = self.fleet.asked.is_some_and(|at| now.time.since(at) < LIST_TIMEOUT);
@@ -176,38 +176,43 @@
     /// Hosts that were away and are listed as up again are in service.
     fn take_back(&mut self, listed: Time) {
         let hosts = &self.fleet.hosts;
-        let back = |host: &HostName, detail: &Detail| {
-            let Stage::Away { since } = detail.stage else { return false };
+        let back = |host: &HostName, withdrawal: &Withdrawal| {
+            let Stage::Away { since } = withdrawal.stage else { return false };
             let up = hosts.get(host).is_none_or(|entry| entry.state == HostState::Up);
             up && listed > since
         };
-        let back: Vec<HostName> =
-            self.fleet.details.iter().filter(|(h, d)| back(h, d)).map(|(h, _)| h.clone()).collect();
+        let back: Vec<HostName> = self
+            .fleet
+            .withdrawals
+            .iter()
+            .filter(|(h, d)| back(h, d))
+            .map(|(h, _)| h.clone())
+            .collect();
         for host in back {
-            self.fleet.details.remove(&host);
+            self.fleet.withdrawals.remove(&host);
             self.log("host-back", &host, String::new);
         }
     }
 
     /// Begins to empty a host.
-    pub(super) fn detail(&mut self, now: Now, host: &HostName, purpose: Purpose) {
+    pub(super) fn withdraw(&mut self, now: Now, host: &HostName, purpose: Purpose) {
         let executor = self.fleet.hosts.get(host).and_then(|entry| entry.executor.clone());
         self.log("host-emptied", host, || {
             let executor = executor.as_ref().map_or("none", |executor| executor.as_str());
             format!("for={purpose:?} executor={executor}")
         });
-        let detail = Detail { purpose, stage: Stage::Emptying, since: now.time };
-        self.fleet.details.insert(host.clone(), detail);
+        let withdrawal = Withdrawal { purpose, stage: Stage::Emptying, since: now.time };
+        self.fleet.withdrawals.insert(host.clone(), withdrawal);
         self.step_host(now, host);
     }
 
     fn step_host(&mut self, now: Now, host: &HostName) {
-        let Some(detail) = self.fleet.details.get(host) else { return };
+        let Some(withdrawal) = self.fleet.withdrawals.get(host) else { return };
         let Some(entry) = self.fleet.hosts.get(host) else {
-            self.fleet.details.remove(host);
+            self.fleet.withdrawals.remove(host);
             return;
         };
-        match detail.stage {
+        match withdrawal.stage {
             Stage::Away { .. } => {}
             Stage::Ordered { at, answered } => {
                 if answered && now.time.since(at) >= REPEAT_ORDER {
@@ -301,19 +306,19 @@
         if self.is_paused(now.time, host) {
             return;
         }
-        let Some(detail) = self.fleet.details.get_mut(host) else { return };
-        detail.stage = Stage::Ordered { at: now.time, answered: false };
+        let Some(withdrawal) = self.fleet.withdrawals.get_mut(host) else { return };
+        withdrawal.stage = Stage::Ordered { at: now.time, answered: false };
         self.record(Record::HostOrdered { host: host.clone(), at: now.wall });
         self.outbox.then_order_host(host.clone());
     }
 
     pub(super) fn send_host_order(&mut self, now: Now, host: &HostName) {
-        let Some(detail) = self.fleet.details.get_mut(host) else { return };
-        let order = match &detail.purpose {
+        let Some(withdrawal) = self.fleet.withdrawals.get_mut(host) else { return };
+        let order = match &withdrawal.purpose {
             Purpose::Maintain(wave) => HostOrder::Maintain(*wave),
             Purpose::Move(pool) => HostOrder::Move(pool.clone()),
         };
-        detail.stage = Stage::Ordered { at: now.time, answered: false };
+        withdrawal.stage = Stage::Ordered { at: now.time, answered: false };
         self.effects.push(Effect::Host(host.clone(), order));
     }
 
@@ -324,11 +329,11 @@
     }
 
     pub(super) fn host_answered(&mut self, now: Now, host: &HostName, answer: HostAnswer) {
-        let Some(detail) = self.fleet.details.get_mut(host) else { return };
-        let purpose = detail.purpose.clone();
+        let Some(withdrawal) = self.fleet.withdrawals.get_mut(host) else { return };
+        let purpose = withdrawal.purpose.clone();
         match answer {
             HostAnswer::Done => {
-                detail.stage = Stage::Away { since: now.time };
+                withdrawal.stage = Stage::Away { since: now.time };
                 if let Purpose::Maintain(wave) = purpose {
                     self.record(Record::Maintained { wave, host: host.clone() });
                 }
@@ -338,9 +343,9 @@
                 }
             }
             HostAnswer::Lost | HostAnswer::TooMany => {
-                detail.stage = Stage::Ordered { at: now.time, answered: true };
+                withdrawal.stage = Stage::Ordered { at: now.time, answered: true };
             }
-            HostAnswer::Busy => detail.stage = Stage::Emptying,
+            HostAnswer::Busy => withdrawal.stage = Stage::Emptying,
             HostAnswer::Impossible => {
                 if let (Purpose::Move(pool), Some(entry)) = (&purpose, self.fleet.hosts.get(host)) {
                     self.lending.note_unfit(entry, pool);
@@ -354,7 +359,7 @@
 
     /// A host that was chosen stays in service after all.
     fn give_back(&mut self, host: &HostName) {
-        self.fleet.details.remove(host);
+        self.fleet.withdrawals.remove(host);
         let executor = self.fleet.hosts.get(host).and_then(|entry| entry.executor.clone());
         let known = executor.and_then(|executor| self.executors.get_mut(&executor));
         if let Some(known) = known {
--- a/crates/borageswitch_scheduler/src/reducer/lending.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lending.rs
@@ -112,7 +112,7 @@
             kind.is_none_or(|kind| !unfit.contains(&(kind.clone(), pool.clone())))
         };
         for chosen in lending::decide(&loads, may_move) {
-            self.detail(now, &chosen.host, Purpose::Move(chosen.to));
+            self.withdraw(now, &chosen.host, Purpose::Move(chosen.to));
         }
     }
 
@@ -171,10 +171,11 @@
     /// Hosts that serve a pool, or are on their way to it.
     fn members_of<'a>(&'a self, pool: &PoolName, in_pool: &[&'a HostEntry]) -> Vec<&'a HostEntry> {
         let serving = in_pool.iter().copied().filter(|entry| {
-            entry.state == HostState::Up && !self.fleet.details.contains_key(&entry.host)
+            entry.state == HostState::Up && !self.fleet.withdrawals.contains_key(&entry.host)
         });
         let to_pool = Purpose::Move(pool.clone());
-        let coming = self.fleet.details.iter().filter(|(_, detail)| detail.purpose == to_pool);
+        let coming =
+            self.fleet.withdrawals.iter().filter(|(_, withdrawal)| withdrawal.purpose == to_pool);
         serving.chain(coming.filter_map(|(host, _)| self.fleet.hosts.get(host))).collect()
     }
 
@@ -187,7 +188,7 @@
     ) -> Vec<IdleHost<HostName>> {
         let free = in_pool.iter().filter(|entry| {
             entry.state == HostState::Up
-                && !self.fleet.details.contains_key(&entry.host)
+                && !self.fleet.withdrawals.contains_key(&entry.host)
                 && !self.is_paused(now, &entry.host)
         });
         let idle = free.filter_map(|entry| {
--- a/crates/borageswitch_scheduler/src/reducer/waves.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waves.rs
@@ -85,7 +85,7 @@
             .into_iter()
             // Emptied before it may be ordered, a host would stand idle for the rest of the pause.
             .filter(|host| {
-                !self.fleet.details.contains_key(host) && !self.is_paused(now.time, host)
+                !self.fleet.withdrawals.contains_key(host) && !self.is_paused(now.time, host)
             })
             .filter(|host| self.fleet.hosts[host].state == HostState::Up)
             .map(|host| (self.work_on(&host), host))
@@ -93,7 +93,7 @@
         waiting.sort();
         let free = (wave.max_down as usize).saturating_sub(taken);
         for (_, host) in waiting.into_iter().take(free) {
-            self.detail(now, &host, Purpose::Maintain(wave.wave));
+            self.withdraw(now, &host, Purpose::Maintain(wave.wave));
         }
     }
 
@@ -108,9 +108,9 @@
     /// How many hosts count as away for the wave: those that are, and those that are about to be.
     fn taken_by(&self, wave: &WaveRequest) -> usize {
         let counts = |host: &&HostName| {
-            let chosen = self.fleet.details.get(*host).is_some_and(|detail| {
-                detail.purpose == Purpose::Maintain(wave.wave)
-                    || matches!(detail.stage, Stage::Away { .. })
+            let chosen = self.fleet.withdrawals.get(*host).is_some_and(|withdrawal| {
+                withdrawal.purpose == Purpose::Maintain(wave.wave)
+                    || matches!(withdrawal.stage, Stage::Away { .. })
             });
             let away = self
                 .fleet
