Refuse a job that went to the leader only on the leader's proof

Cause, found on rereading: a daemon that the store turns away hands a job to the leader; if the leader's write had no answer, or the leader itself did not answer, the caller was told "not accepted" although the job may be stored and run. Change: the leader says Accepted, Refused (proved) or Unsettled, and only Refused lets the daemon refuse. A cancelling that no leader answered is unknown, not undone. Test: what_the_leader_may_have_stored_is_not_refused failed before (No instead of Unknown) and passes; its neighbour shows that such a daemon accepts through the leader.

--- a/crates/borageswitch_fakes/src/platform/mod.rs
+++ b/crates/borageswitch_fakes/src/platform/mod.rs
@@ -10,7 +10,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -69,6 +72,8 @@
     places: Places,
     began: Instant,
     inner: Arc<Mutex<Inner>>,
+    /// The store refuses whoever calls through this handle, and serves all others.
+    turned_away: Arc<AtomicBool>,
 }
 
 impl MemoryPlatform {
@@ -89,9 +94,20 @@
             },
             began: Instant::now(),
             inner: Arc::new(Mutex::new(inner)),
+            turned_away: Arc::default(),
         }
     }
 
+    /// Another handle to the same platform, for a daemon that can be turned away by itself.
+    pub fn another_handle(&self) -> Self {
+        Self { turned_away: Arc::default(), ..self.clone() }
+    }
+
+    /// Whether the store refuses whoever calls through this handle.
+    pub fn turn_away(&self, turned_away: bool) {
+        self.turned_away.store(turned_away, Ordering::SeqCst);
+    }
+
     /// The operator declares a configuration.
     pub fn configure(&self, config: &Config) {
         let value = serde_json::to_vec(config).expect("a configuration can be encoded");
@@ -127,7 +143,7 @@
     /// Refuses a call if the store refuses all.
     fn admit(&self) -> StoreResult<MutexGuard<'_, Inner>> {
         let mut inner = self.lock();
-        if inner.faults.store_refuses {
+        if inner.faults.store_refuses || self.turned_away.load(Ordering::SeqCst) {
             return Err(StoreError::Refused);
         }
         inner.store.expire(Instant::now());
--- a/crates/borageswitch_runtime/src/answers.rs
+++ b/crates/borageswitch_runtime/src/answers.rs
@@ -93,7 +93,8 @@
             Failure::BadMethod => verdict(405, Effective::No, None),
             Failure::StoreAway => verdict(503, Effective::No, Some(AFTER_OUTAGE)),
             Failure::StoreSilent => verdict(504, Effective::Unknown, Some(SOON)),
-            Failure::NoLeader => verdict(503, Effective::No, Some(SOON)),
+            // A cancelling that was asked for may have reached the leader.
+            Failure::NoLeader => verdict(503, Effective::Unknown, Some(SOON)),
             Failure::Stopping => verdict(503, Effective::No, Some(SOON)),
         }
     }
--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -261,7 +261,7 @@
             Question::Status { queue, job } => Answer::Status(scheduler.status(&queue, &job)),
             Question::Pending { queue } => Answer::Pending(scheduler.pending(&queue)),
             // Stored by the traffic thread, whoever leads.
-            Question::Submit(_) => Answer::NotAccepted,
+            Question::Submit(_) => Answer::Refused,
             Question::Cancel { queue, job } => match scheduler.status(&queue, &job) {
                 None => Answer::Status(None),
                 Some(JobStatus::Ended(outcome)) => Answer::Status(Some(JobStatus::Ended(outcome))),
--- a/crates/borageswitch_runtime/src/daemon.rs
+++ b/crates/borageswitch_runtime/src/daemon.rs
@@ -124,16 +124,15 @@
 
     /// Asks whoever leads; nothing if nobody is known to, or cannot be reached.
     pub(crate) async fn ask(&self, question: &Question) -> Option<Answer> {
-        if self.leader_elsewhere().is_some() {
-            return self.ask_other(question).await;
+        if let Some(address) = self.leader_elsewhere() {
+            return self.ask_at(address, question).await;
         }
         self.leader.lock().unwrap_or_else(PoisonError::into_inner).as_ref()?;
         self.ask_own(question.clone()).await
     }
 
-    /// Asks the leader if it is another daemon.
-    pub(crate) async fn ask_other(&self, question: &Question) -> Option<Answer> {
-        let address = self.leader_elsewhere()?;
+    /// Asks another daemon. Without an answer the question may have arrived all the same.
+    pub(crate) async fn ask_at(&self, address: SocketAddr, question: &Question) -> Option<Answer> {
         self.client.ask(address, question).await
     }
 
@@ -144,7 +143,8 @@
         answered.recv().await.ok()
     }
 
-    fn leader_elsewhere(&self) -> Option<SocketAddr> {
+    /// Where the leader is, if it is another daemon.
+    pub(crate) fn leader_elsewhere(&self) -> Option<SocketAddr> {
         let known = self.leader.lock().unwrap_or_else(PoisonError::into_inner);
         let (record, _) = known.as_ref()?;
         (record.address != self.cfg.peer_address).then_some(record.address)
--- a/crates/borageswitch_runtime/src/intake.rs
+++ b/crates/borageswitch_runtime/src/intake.rs
@@ -56,14 +56,35 @@
         log::info!(job = job.as_str(), queue = queue.name.as_str(); "accepted");
         return Ok(());
     };
-    // The store may turn this daemon away and serve the leader.
-    let forwarded = Question::Submit(Box::new(submission));
-    if let Some(Answer::Accepted) = shared.ask_other(&forwarded).await {
-        log::info!(job = job.as_str(), own = failure.to_string().as_str(); "accepted-by-leader");
-        return Ok(());
+    let settled = submit_through_leader(shared, submission, failure).await;
+    match &settled {
+        Ok(()) => log::info!(job = job.as_str(); "accepted-by-leader"),
+        Err(failure) => {
+            log::warn!(job = job.as_str(), outcome = failure.to_string().as_str(); "not-accepted");
+        }
+    }
+    settled
+}
+
+/// Has the leader store a job: the store may turn this daemon away and serve the leader.
+///
+/// Once the leader was asked, only its proof that nothing was stored lets this daemon say so. Taken
+/// for a refusal, a write of the leader's whose answer was lost would run although its caller was
+/// told that it never will.
+async fn submit_through_leader<P>(
+    shared: &Arc<Shared<P>>,
+    submission: Submission,
+    own: Failure,
+) -> Served<()>
+where
+    P: Platform,
+{
+    let Some(leader) = shared.leader_elsewhere() else { return Err(own) };
+    match shared.ask_at(leader, &Question::Submit(Box::new(submission))).await {
+        Some(Answer::Accepted) => Ok(()),
+        Some(Answer::Refused) => Err(own),
+        _ => Err(Failure::StoreSilent),
     }
-    log::warn!(job = job.as_str(), outcome = failure.to_string().as_str(); "not-accepted");
-    Err(failure)
 }
 
 /// Stores a job that was accepted.
--- a/crates/borageswitch_runtime/src/peers/mod.rs
+++ b/crates/borageswitch_runtime/src/peers/mod.rs
@@ -50,8 +50,10 @@
     Pending(u64),
     /// The job is stored.
     Accepted,
+    /// It is proved that the job is not stored.
+    Refused,
     /// The job may be stored or not.
-    NotAccepted,
+    Unsettled,
     /// This daemon does not lead.
     NotLeading,
 }
--- a/crates/borageswitch_runtime/src/peers/server.rs
+++ b/crates/borageswitch_runtime/src/peers/server.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{Answer, MAX_MESSAGE, Question, io::H2Stream};
-use crate::{codec, daemon::Shared, intake, ports::Platform};
+use crate::{answers::Failure, codec, daemon::Shared, intake, ports::Platform};
 
 /// How long to wait before accepting again after the process ran out of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -74,7 +74,8 @@
     let answer = match question {
         Question::Submit(submission) => match intake::store_submission(shared, &submission).await {
             Ok(()) => Answer::Accepted,
-            Err(_) => Answer::NotAccepted,
+            Err(Failure::StoreAway) => Answer::Refused,
+            Err(_) => Answer::Unsettled,
         },
         question => shared.ask_own(question).await.unwrap_or(Answer::NotLeading),
     };
--- a/crates/borageswitch_runtime/tests/daemons.rs
+++ b/crates/borageswitch_runtime/tests/daemons.rs
@@ -239,3 +239,60 @@
         assert_eq!(platform.started().len(), before);
     });
 }
+
+/// A leader, and a daemon that knows it and is then turned away by the store.
+async fn leader_and_outcast(first: &Daemon, second: &Daemon, handle: &MemoryPlatform) {
+    ready(&[first, second]).await;
+    submit(first, "00000000000000ee").await;
+    assert_eq!(outcome(second, "00000000000000ee").await, Outcome::Completed);
+    handle.turn_away(true);
+}
+
+#[test]
+fn a_daemon_that_the_store_turns_away_accepts_through_the_leader() {
+    // The store refuses one daemon and serves the others. Its callers would be refused although the
+    // site can take their jobs.
+    let ex = Arc::new(Executor::new());
+    let platform = platform();
+    let handle = platform.another_handle();
+    let first = start("d1", &platform, &ex);
+    run(&ex, async {
+        ready(&[&first]).await;
+        submit(&first, "00000000000000dd").await;
+        assert_eq!(outcome(&first, "00000000000000dd").await, Outcome::Completed);
+        let second = start("d2", &handle, &ex);
+        leader_and_outcast(&first, &second, &handle).await;
+        let job = JobName::from("00000000000000aa");
+
+        let accepted = intake::submit(&second, &queue(), &job, two_steps()).await;
+
+        assert_eq!(accepted, Ok(()));
+        assert_eq!(outcome(&first, "00000000000000aa").await, Outcome::Completed);
+    });
+}
+
+#[test]
+fn what_the_leader_may_have_stored_is_not_refused() {
+    // The store refuses one daemon, which hands the job to the leader; the leader's write is
+    // carried out and its answer lost. Told "not accepted", the caller would give up a job that
+    // runs.
+    let ex = Arc::new(Executor::new());
+    let platform = platform();
+    let handle = platform.another_handle();
+    let first = start("d1", &platform, &ex);
+    run(&ex, async {
+        ready(&[&first]).await;
+        submit(&first, "00000000000000dd").await;
+        assert_eq!(outcome(&first, "00000000000000dd").await, Outcome::Completed);
+        let second = start("d2", &handle, &ex);
+        leader_and_outcast(&first, &second, &handle).await;
+        platform.set_faults(PlatformFaults { store_loses_answers: true, ..Default::default() });
+        let job = JobName::from("00000000000000aa");
+
+        let unsettled = intake::submit(&second, &queue(), &job, two_steps()).await;
+        platform.set_faults(PlatformFaults::default());
+
+        assert_eq!(unsettled.unwrap_err().verdict().effective, Effective::Unknown);
+        assert_eq!(outcome(&first, "00000000000000aa").await, Outcome::Completed);
+    });
+}
