Prove a daemon gone by its member key, so that late lists do not restart the wait

Ruled out: new connections to the dead daemon (no peer-up line), a change of planner (the same one throughout). Change: a registration writes the live key first and then the member key anew, so an unchanged member key between two lists without the live key proves that nobody was registered in between, however far apart the lists are. A member key that is there already is read and replaced. The interval of lists no longer has to follow the lease.

--- a/crates/borageswitch_control/src/reducer/members.rs
+++ b/crates/borageswitch_control/src/reducer/members.rs
@@ -21,8 +21,6 @@
 
 /// A planner lists the members this often while a host leaves; a drain waits for a list.
 const LIST_WHILE_LEAVING: Duration = Duration::from_secs(1);
-/// And at least so many times within a lease.
-const LISTS_A_LEASE: u32 = 4;
 /// A planner lists the members this often otherwise.
 const LIST_AS_PLANNER: Duration = Duration::from_secs(15);
 /// Everybody else learns from rosters and lists seldom.
@@ -62,9 +60,7 @@
     gone: BTreeSet<DaemonName>,
     pub(super) own_version: Option<Version>,
     next_list: Time,
-    /// When the last answered list was asked for.
-    list_asked: Option<Time>,
-    /// The revision that was known then.
+    /// The revision that was known when the last answered list was asked for.
     pub(super) list_covers: Option<Revision>,
     /// Counts the changes of [`Self::known`].
     pub(super) generation: u64,
@@ -189,10 +185,7 @@
         let any_leaves = self.sync.fleet().is_some_and(leaving);
         let mut listed = self.members.known.values().filter_map(|known| known.listed.as_ref());
         let any_gone = listed.any(|listed| !listed.live);
-        // Lists that follow each other no faster than half a lease prove nothing about a silent
-        // daemon: with short leases a fixed interval would hold a drain back for ever.
-        let while_leaving = LIST_WHILE_LEAVING.min(self.cfg.duty_ttl / LISTS_A_LEASE);
-        if any_leaves || any_gone { while_leaving } else { LIST_AS_PLANNER }
+        if any_leaves || any_gone { LIST_WHILE_LEAVING } else { LIST_AS_PLANNER }
     }
 
     /// Asks for a list soon: a host has begun to leave, and its drain waits for a list.
@@ -205,7 +198,6 @@
     pub(super) fn members_listed(
         &mut self,
         known: Revision,
-        asked_at: Time,
         outcome: Result<StoreAnswer, StoreError>,
     ) {
         let Ok(StoreAnswer::Values(values)) = outcome else { return };
@@ -221,20 +213,12 @@
                 _ => {}
             }
         }
-        // A lease lasts its whole time at least: between two lists that follow each other faster
-        // none can have stood unseen. After a longer gap the absence counts from now on.
-        let gap = self.members.list_asked.replace(asked_at).map(|before| asked_at.since(before));
-        let is_close = gap.is_some_and(|gap| gap < self.cfg.duty_ttl / 2);
         self.members.list_covers = Some(known);
-        self.take_list(&listed, is_close);
+        self.take_list(&listed);
         self.forget_crashed();
     }
 
-    fn take_list(
-        &mut self,
-        listed: &BTreeMap<DaemonName, (Option<KeyValue>, bool)>,
-        is_close: bool,
-    ) {
+    fn take_list(&mut self, listed: &BTreeMap<DaemonName, (Option<KeyValue>, bool)>) {
         for (daemon, (kv, live)) in listed {
             let Some(kv) = kv else { continue };
             if daemon == self.me() {
@@ -252,9 +236,13 @@
             let now = self.now;
             let Some(known) = self.members.known.get_mut(daemon) else { continue };
             let before = known.listed.take().unwrap_or_default();
-            let gone_before = before.gone_since.filter(|_| is_close).unwrap_or(now);
-            let gone_since = (!live).then_some(gone_before);
             let member_version = kv.version;
+            // A registration between two lists writes the member key anew. Without this proof the
+            // absence would have to count from the later list, and a wave that waits for a daemon
+            // that is gone would wait anew whenever a list comes late.
+            let unchanged = before.member_version == member_version;
+            let gone_before = before.gone_since.filter(|_| unchanged).unwrap_or(now);
+            let gone_since = (!live).then_some(gone_before);
             known.listed = Some(Listed { member_version, live: *live, gone_since });
         }
         let left = self.members.known.iter().filter(|(daemon, known)| {
--- a/crates/borageswitch_control/src/reducer/session.rs
+++ b/crates/borageswitch_control/src/reducer/session.rs
@@ -4,6 +4,10 @@
 //! the daemon may still have in flight. The live key ends with the lease. While the lease is
 //! valid on the daemon's own clock, less a margin, the store's live key stands, and no planner
 //! counts the daemon as gone.
+//!
+//! The member key is written anew at each registration, after the live key. So a member key that
+//! has not changed between two lists without the live key proves that the daemon was not
+//! registered in between, however far apart the lists are.
 
 use std::{sync::Arc, time::Duration};
 
@@ -27,8 +31,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Step {
     Grant,
-    WriteMember,
     WriteLive,
+    WriteMember,
+    /// Finds the version of a member key that is there already.
+    ReadMember,
     KeepAlive,
 }
 
@@ -124,14 +130,21 @@
             (Step::Grant, Ok(StoreAnswer::Lease { lease, .. })) => {
                 self.session.lease = Some(lease);
                 self.lease_lasts(asked_at);
-                self.write_member();
+                self.write_live();
             }
+            (Step::WriteLive, Ok(StoreAnswer::Written { .. })) => self.write_member(),
             (Step::WriteMember, Ok(StoreAnswer::Written { version })) => {
                 self.members.own_version = Some(version);
-                self.write_live();
+                self.registered();
+            }
+            (Step::WriteMember, Ok(StoreAnswer::Conflict)) => {
+                let request = StoreRequest::Get { key: self.member_key() };
+                self.session_call(Step::ReadMember, request);
+            }
+            (Step::ReadMember, Ok(StoreAnswer::Value(found))) => {
+                self.members.own_version = found.map(|kv| kv.version);
+                self.write_member();
             }
-            (Step::WriteMember, Ok(StoreAnswer::Conflict)) => self.write_live(),
-            (Step::WriteLive, Ok(StoreAnswer::Written { .. })) => self.registered(),
             (Step::KeepAlive, Ok(StoreAnswer::Lease { .. })) => {
                 self.session.stage = Stage::Held;
                 self.session.backoff.reset();
@@ -157,7 +170,7 @@
         let value = serde_json::to_vec(&self.cfg.me).unwrap_or_default().into();
         let request = StoreRequest::CompareAndSwap {
             key: self.member_key(),
-            expected: Version::ABSENT,
+            expected: self.members.own_version.unwrap_or(Version::ABSENT),
             value,
             lease: None,
         };
--- a/crates/borageswitch_control/src/reducer/store_calls.rs
+++ b/crates/borageswitch_control/src/reducer/store_calls.rs
@@ -176,7 +176,7 @@
             Purpose::WatchFleet => self.fleet_watched(outcome),
             Purpose::WriteFleet => self.fleet_written(outcome),
             Purpose::Session(step) => self.session_answered(step, asked_at, outcome),
-            Purpose::ListMembers { known } => self.members_listed(known, asked_at, outcome),
+            Purpose::ListMembers { known } => self.members_listed(known, outcome),
             Purpose::ForgetMember(daemon) => self.member_forgotten(&daemon, &outcome),
             Purpose::Duty(duty, step) => self.duty_answered(&duty, step, outcome),
             Purpose::Claims(shard, step) => self.claims_answered(shard, step, asked_at, outcome),
--- a/crates/borageswitch_control/tests/support/world/mod.rs
+++ b/crates/borageswitch_control/tests/support/world/mod.rs
@@ -105,6 +105,9 @@
     waves: u32,
     pub auto: bool,
     pub lose_next_append: bool,
+    /// Only one list of keys in so many is answered.
+    pub answers_one_list_in: u64,
+    lists: u64,
     /// Draws which granted requests are not sent and what becomes of their claims; nothing else
     /// draws from it, so that runs without it keep their course.
     pub unsent: Option<fastrand::Rng>,
@@ -147,6 +150,8 @@
             waves: 0,
             auto: faults.disturbance.is_some(),
             lose_next_append: false,
+            answers_one_list_in: 1,
+            lists: 0,
             unsent: None,
             is_fast,
         };
--- a/crates/borageswitch_control/tests/support/world/store_calls.rs
+++ b/crates/borageswitch_control/tests/support/world/store_calls.rs
@@ -62,7 +62,13 @@
         let is_append = matches!(&request, StoreRequest::CompareAndSwap { key, .. }
             if key.contains("/claims/"));
         let planned_loss = is_append && std::mem::take(&mut self.lose_next_append);
-        let lost = planned_loss || self.chance(self.faults.lost_answer) || self.now >= lost_at;
+        let is_list = matches!(&request, StoreRequest::List { .. });
+        self.lists += u64::from(is_list);
+        let list_lost = is_list && !self.lists.is_multiple_of(self.answers_one_list_in);
+        let lost = planned_loss
+            || list_lost
+            || self.chance(self.faults.lost_answer)
+            || self.now >= lost_at;
         let delay = self.millis(1, 4);
         let (wait, outcome) = match lost {
             true => (lost_at.since(self.now), Err(StoreError::AnswerLost)),
