--- a/crates/borageswitch_fakes/src/platform/executors.rs
+++ b/crates/borageswitch_fakes/src/platform/executors.rs
@@ -1,29 +1,56 @@
-//! Executors that keep to tokens and leases.
+//! Executors that keep to tokens and leases, and remember every run.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use borageswitch_scheduler::{
     effect::{LookOrder, StartOrder},
     event::{LookAnswer, OrderAnswer, StartAnswer},
     executor::{ActiveRun, EndKind, EndedRun, Report},
-    job::Size,
     task::TaskKey,
 };
-use borageswitch_types::names::PoolName;
+use borageswitch_types::names::ExecutorName;
+
+/// A job whose text begins so has tasks that run until they are stopped.
+pub const LASTING_TEXT: &str = "lasting";
+/// A job whose text begins so has tasks that fail wherever they run.
+pub const FAILING_TEXT: &str = "failing";
+/// How long a lasting task takes until it is at work, in milliseconds.
+const STARTUP_MS: u64 = 300;
+
+/// One run of a task, as its executor saw it. Times are in milliseconds since the platform began.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunRecord {
+    /// Where it ran.
+    pub executor: ExecutorName,
+    /// The task.
+    pub task: TaskKey,
+    /// Which of its runs.
+    pub run: u32,
+    /// The text that came with the start.
+    pub text: Arc<str>,
+    /// When it began.
+    pub started_ms: u64,
+    /// When it ended; how is nothing if its executor went away with it.
+    pub ended: Option<(u64, Option<EndKind>)>,
+    /// When its end was acknowledged.
+    pub acknowledged_ms: Option<u64>,
+}
 
 #[derive(Debug)]
 struct Run {
     run: u32,
+    started_ms: u64,
     ends_ms: u64,
+    how: EndKind,
+    record: usize,
 }
 
 /// An executor in memory.
 #[derive(Debug)]
 pub(super) struct MemoryExecutor {
-    pub(super) pool: PoolName,
-    pub(super) capacity: Size,
+    name: ExecutorName,
     active: BTreeMap<TaskKey, Run>,
-    ended: Vec<EndedRun>,
+    ended: Vec<(EndedRun, usize)>,
     barred: BTreeMap<TaskKey, u32>,
     token: u64,
     lease_ms: u64,
@@ -31,10 +58,9 @@
 }
 
 impl MemoryExecutor {
-    pub(super) fn new(pool: PoolName, capacity: Size) -> Self {
+    pub(super) fn new(name: ExecutorName) -> Self {
         Self {
-            pool,
-            capacity,
+            name,
             active: BTreeMap::new(),
             ended: Vec::new(),
             barred: BTreeMap::new(),
@@ -44,29 +70,50 @@
         }
     }
 
-    /// Carries a start out. Gives whether a run has begun.
+    /// Carries a start out; a run that begins is added to `records`.
     pub(super) fn start(
         &mut self,
         clock_ms: u64,
         token: u64,
         order: &StartOrder,
-        task_time: u64,
-    ) -> (StartAnswer, bool) {
-        self.advance(clock_ms);
+        task_time: Duration,
+        records: &mut Vec<RunRecord>,
+    ) -> StartAnswer {
+        self.advance(clock_ms, records);
         if token < self.token {
-            return (StartAnswer::Fenced, false);
+            return StartAnswer::Fenced;
         }
         self.token = token;
+        if order.until_ms <= clock_ms {
+            return StartAnswer::Late;
+        }
         self.lease_ms = self.lease_ms.max(order.until_ms);
         if self.active.get(&order.task).is_some_and(|run| run.run == order.run) {
-            return (StartAnswer::Started, false);
+            return StartAnswer::Started;
         }
         if self.barred.get(&order.task).is_some_and(|barred| order.run <= *barred) {
-            return (StartAnswer::Outdated, false);
+            return StartAnswer::Outdated;
         }
-        let run = Run { run: order.run, ends_ms: clock_ms + task_time };
+        let lasting = order.text.starts_with(LASTING_TEXT);
+        let fails = order.text.starts_with(FAILING_TEXT);
+        let run = Run {
+            run: order.run,
+            started_ms: clock_ms,
+            ends_ms: if lasting { u64::MAX } else { clock_ms + task_time.as_millis() as u64 },
+            how: if fails { EndKind::Failed } else { EndKind::Done },
+            record: records.len(),
+        };
+        records.push(RunRecord {
+            executor: self.name.clone(),
+            task: order.task.clone(),
+            run: order.run,
+            text: order.text.clone(),
+            started_ms: clock_ms,
+            ended: None,
+            acknowledged_ms: None,
+        });
         self.active.insert(order.task.clone(), run);
-        (StartAnswer::Started, true)
+        StartAnswer::Started
     }
 
     pub(super) fn stop(
@@ -75,53 +122,86 @@
         token: u64,
         task: &TaskKey,
         run: u32,
+        records: &mut [RunRecord],
     ) -> OrderAnswer {
-        self.advance(clock_ms);
+        self.advance(clock_ms, records);
         if token < self.token {
             return OrderAnswer::Fenced;
         }
         self.token = token;
         self.bar(task, run);
         if self.active.get(task).is_some_and(|active| active.run <= run) {
-            self.end(task, EndKind::Stopped);
+            self.end(task, clock_ms, EndKind::Stopped, records);
         }
         OrderAnswer::Done
     }
 
-    pub(super) fn look(&mut self, clock_ms: u64, token: u64, order: &LookOrder) -> LookAnswer {
-        self.advance(clock_ms);
+    pub(super) fn look(
+        &mut self,
+        clock_ms: u64,
+        token: u64,
+        order: &LookOrder,
+        records: &mut [RunRecord],
+    ) -> LookAnswer {
+        self.advance(clock_ms, records);
         if token < self.token {
             return LookAnswer::Fenced;
         }
         self.token = token;
         self.lease_ms = self.lease_ms.max(order.until_ms.unwrap_or(0));
-        self.ended.retain(|ended| ended.number > order.acknowledged);
+        for (_, record) in self.ended.iter().filter(|(e, _)| e.number <= order.acknowledged) {
+            records[*record].acknowledged_ms.get_or_insert(clock_ms);
+        }
+        self.ended.retain(|(ended, _)| ended.number > order.acknowledged);
+        let percent = |run: &Run| {
+            let lasting = run.ends_ms == u64::MAX;
+            if lasting && clock_ms < run.started_ms + STARTUP_MS { 0 } else { 100 }
+        };
         let active = self.active.iter().map(|(task, run)| ActiveRun {
             task: task.clone(),
             run: run.run,
             checkpoint: None,
-            percent: 100,
+            percent: percent(run),
             recent: 0,
         });
         let active = active.collect();
-        LookAnswer::Report(Report { clock_ms, active, ended: self.ended.clone() })
+        let ended = self.ended.iter().map(|(ended, _)| ended.clone()).collect();
+        LookAnswer::Report(Report { clock_ms, active, ended })
+    }
+
+    /// The executor's life is over, and with it all that it runs.
+    pub(super) fn vanish(&mut self, clock_ms: u64, records: &mut [RunRecord]) {
+        self.advance(clock_ms, records);
+        for run in self.active.values() {
+            records[run.record].ended = Some((clock_ms, None));
+        }
+        self.active.clear();
     }
 
-    fn advance(&mut self, clock_ms: u64) {
-        let lapsed = clock_ms >= self.lease_ms;
-        let due = self.active.iter().filter(|(_, run)| lapsed || run.ends_ms <= clock_ms);
-        let due: Vec<TaskKey> = due.map(|(task, _)| task.clone()).collect();
-        for task in due {
-            self.end(&task, if lapsed { EndKind::Lapsed } else { EndKind::Done });
+    /// Ends what has come to its end by now.
+    pub(super) fn advance(&mut self, clock_ms: u64, records: &mut [RunRecord]) {
+        let lease_ms = self.lease_ms;
+        let due = self.active.iter().filter(|(_, run)| run.ends_ms.min(lease_ms) <= clock_ms);
+        let due: Vec<(TaskKey, u64, EndKind)> = due
+            .map(|(task, run)| {
+                let lapsed = lease_ms < run.ends_ms;
+                let how = if lapsed { EndKind::Lapsed } else { run.how };
+                (task.clone(), run.ends_ms.min(lease_ms), how)
+            })
+            .collect();
+        for (task, at, how) in due {
+            self.end(&task, at, how, records);
         }
     }
 
-    fn end(&mut self, task: &TaskKey, how: EndKind) {
+    fn end(&mut self, task: &TaskKey, at: u64, how: EndKind, records: &mut [RunRecord]) {
         let Some(run) = self.active.remove(task) else { return };
         self.ends += 1;
         self.bar(task, run.run);
-        let (number, run) = (self.ends, run.run);
-        self.ended.push(EndedRun { number, task: task.clone(), run, how, checkpoint: None });
+        records[run.record].ended = Some((at, Some(how)));
+        let ended =
+            EndedRun { number: self.ends, task: task.clone(), run: run.run, how, checkpoint: None };
+        self.ended.push((ended, run.record));
     }
 
     fn bar(&mut self, task: &TaskKey, run: u32) {
--- a/crates/borageswitch_fakes/src/platform/mod.rs
+++ b/crates/borageswitch_fakes/src/platform/mod.rs
@@ -1,10 +1,12 @@
 //! A platform in memory, for tests and examples of whatever schedules jobs.
 //!
 //! [`MemoryPlatform`] implements the runtime's port without sockets: a [`store`] with transactions,
-//! leases and watches, and [`executors`] that keep to fencing tokens and leases. Several daemons in
-//! one process share one. Faults are switched on by [`MemoryPlatform::set_faults`].
+//! leases and watches, [`executors`] that keep to fencing tokens and leases, and [`hosts`] that
+//! crash, move and are maintained. Several daemons in one process share one. Faults are switched on
+//! by [`MemoryPlatform::set_faults`]; what executors saw is in [`MemoryPlatform::runs`].
 
 mod executors;
+mod hosts;
 mod store;
 
 use std::{
@@ -26,14 +28,22 @@
     effect::{HostOrder, LookOrder, Recipient, StartOrder},
     event::{HostAnswer, LookAnswer, OrderAnswer, Seen, StartAnswer},
     executor::Registration,
-    fleet::{HostEntry, HostState, WaveRequest},
+    fleet::{HostEntry, WaveRequest},
     job::Size,
     task::{StepKey, TaskKey},
 };
-use borageswitch_types::names::{DataCentreName, ExecutorName, HostName, PoolName};
+use borageswitch_types::names::{ExecutorName, HostName, PoolName};
 use smol::Timer;
 
-use self::{executors::MemoryExecutor, store::MemoryStore};
+use self::{
+    executors::MemoryExecutor,
+    hosts::{LifeChange, MemoryHosts},
+    store::MemoryStore,
+};
+pub use self::{
+    executors::{FAILING_TEXT, LASTING_TEXT, RunRecord},
+    hosts::HostSpec,
+};
 
 /// How often a call that waits looks again.
 const LOOK_AGAIN: Duration = Duration::from_millis(2);
@@ -45,6 +55,8 @@
     pub store_refuses: bool,
     /// The store carries writes out and does not answer.
     pub store_loses_answers: bool,
+    /// The store answers so much later.
+    pub store_delay: Duration,
 }
 
 /// What a test asks of an executor.
@@ -61,15 +73,67 @@
 struct Inner {
     store: MemoryStore,
     executors: BTreeMap<ExecutorName, MemoryExecutor>,
+    hosts: MemoryHosts,
     faults: PlatformFaults,
-    started: Vec<Started>,
+    runs: Vec<RunRecord>,
     task_time: Duration,
+    most_in_maintenance: usize,
+}
+
+impl Inner {
+    /// Lets what is due happen: leases end, hosts come back.
+    fn advance(&mut self, wire: &Wire) {
+        self.store.expire(Instant::now());
+        for change in self.hosts.advance(Instant::now()) {
+            self.take(wire, 0, change);
+        }
+    }
+
+    fn take(&mut self, wire: &Wire, clock_ms: u64, change: LifeChange) {
+        match change {
+            LifeChange::Began(executor) => {
+                self.executors.insert(executor.clone(), MemoryExecutor::new(executor.clone()));
+                self.register(wire, &executor);
+            }
+            LifeChange::Over(executor) => {
+                if let Some(mut known) = self.executors.remove(&executor) {
+                    known.vanish(clock_ms, &mut self.runs);
+                }
+                self.store.delete(&format!("{}{executor}", wire.places.executors));
+            }
+        }
+        self.most_in_maintenance = self.most_in_maintenance.max(self.hosts.in_maintenance());
+    }
+
+    /// Whether nobody answers at the address of an executor: its host is away.
+    fn is_dark(&self, executor: &ExecutorName) -> bool {
+        !self.executors.keys().any(|life| base(life) == base(executor))
+    }
+
+    fn register(&mut self, wire: &Wire, executor: &ExecutorName) {
+        let Some(registration) = self.hosts.registration(executor) else { return };
+        let key = format!("{}{executor}", wire.places.executors);
+        self.store.put(&key, (wire.encode)(&registration));
+    }
+}
+
+/// The part of an executor's name that all lives on its host share.
+fn base(executor: &ExecutorName) -> &str {
+    executor.as_str().split('-').next().unwrap_or_default()
 }
 
+/// How the platform's own entries in its store are named and encoded.
+struct Wire {
+    places: Places,
+    encode: Box<EncodeRegistration>,
+}
+
+type EncodeRegistration = dyn Fn(&Registration) -> Vec<u8> + Send + Sync;
+
 /// A platform in memory. Copies share it.
 #[derive(Clone)]
 pub struct MemoryPlatform {
-    places: Places,
+    wire: Arc<Wire>,
     began: Instant,
     inner: Arc<Mutex<Inner>>,
     /// The store refuses whoever calls through this handle, and serves all others.
@@ -79,19 +143,30 @@
 impl MemoryPlatform {
     /// A platform whose tasks take so long each.
     pub fn new(task_time: Duration) -> Self {
+        let places = Places {
+            config: "operator/config".into(),
+            executors: "executors/".into(),
+            waves: "operator/wave/".into(),
+        };
+        Self::with_wire(task_time, places, |_| Vec::new())
+    }
+
+    /// A platform whose entries in the store are named and encoded as given.
+    pub fn with_wire<E>(task_time: Duration, places: Places, encode: E) -> Self
+    where
+        E: Fn(&Registration) -> Vec<u8> + Send + Sync + 'static,
+    {
         let inner = Inner {
             store: MemoryStore::default(),
             executors: BTreeMap::new(),
+            hosts: MemoryHosts::default(),
             faults: PlatformFaults::default(),
-            started: Vec::new(),
+            runs: Vec::new(),
             task_time,
+            most_in_maintenance: 0,
         };
         Self {
-            places: Places {
-                config: "operator/config".into(),
-                executors: "executors/".into(),
-                waves: "operator/wave/".into(),
-            },
+            wire: Arc::new(Wire { places, encode: Box::new(encode) }),
             began: Instant::now(),
             inner: Arc::new(Mutex::new(inner)),
             turned_away: Arc::default(),
@@ -111,15 +186,59 @@
     /// The operator declares a configuration.
     pub fn configure(&self, config: &Config) {
         let value = serde_json::to_vec(config).expect("a configuration can be encoded");
-        self.lock().store.put("operator/config", value);
+        let key = self.wire.places.config.clone();
+        self.put(&key, value);
+    }
+
+    /// The operator writes a key.
+    pub fn put(&self, key: &str, value: Vec<u8>) {
+        self.lock().store.put(key, value);
+    }
+
+    /// The operator reads a key.
+    pub fn get(&self, key: &str) -> Option<Item> {
+        self.lock().store.get(key)
     }
 
-    /// Adds an executor to a pool.
+    /// Adds an executor to a pool, on a host of its own.
     pub fn add_executor(&self, name: &str, pool: &str, capacity: Size) {
-        let executor = MemoryExecutor::new(PoolName::from(pool), capacity);
+        self.add_host(HostSpec {
+            host: HostName::from(format!("host-of-{name}")),
+            executor: ExecutorName::from(name),
+            pool: PoolName::from(pool),
+            capacity,
+            rack: "r1".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        });
+    }
+
+    /// Adds a host.
+    pub fn add_host(&self, spec: HostSpec) {
+        let mut inner = self.lock();
+        let executor = inner.hosts.add(spec);
+        inner.take(&self.wire, 0, LifeChange::Began(executor));
+    }
+
+    /// A host goes down without warning, and comes back after a while.
+    pub fn crash_host(&self, host: &HostName, down: Duration) {
+        let clock_ms = self.clock_ms();
+        let mut inner = self.lock();
+        if let Some(change) = inner.hosts.crash(host, down) {
+            inner.take(&self.wire, clock_ms, change);
+        }
+    }
+
+    /// The executor of a host says that it is about to leave.
+    pub fn drain_host(&self, host: &HostName) {
         let mut inner = self.lock();
-        inner.executors.insert(ExecutorName::from(name), executor);
-        inner.store.put(&format!("executors/{name}"), Vec::new());
+        if let Some(executor) = inner.hosts.drain(host) {
+            inner.register(&self.wire, &executor);
+        }
+    }
+
+    /// The store forgets its history.
+    pub fn forget_history(&self) {
+        self.lock().store.forget_history();
     }
 
     /// From now on this goes wrong.
@@ -127,57 +246,84 @@
         self.lock().faults = faults;
     }
 
+    /// From now on this goes wrong as well, or no more.
+    pub fn change_faults<F>(&self, change: F)
+    where
+        F: FnOnce(&mut PlatformFaults),
+    {
+        change(&mut self.lock().faults);
+    }
+
+    /// Every run that began, in order, as it stands now.
+    pub fn runs(&self) -> Vec<RunRecord> {
+        let clock_ms = self.clock_ms();
+        let mut guard = self.lock();
+        let Inner { executors, runs, .. } = &mut *guard;
+        executors.values_mut().for_each(|executor| executor.advance(clock_ms, runs));
+        runs.clone()
+    }
+
     /// The starts that executors have carried out, in order.
     pub fn started(&self) -> Vec<Started> {
-        self.lock().started.clone()
+        let started = |run: &RunRecord| Started {
+            executor: run.executor.clone(),
+            task: run.task.clone(),
+            run: run.run,
+        };
+        self.lock().runs.iter().map(started).collect()
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    /// The most hosts that were down for maintenance at once.
+    pub fn most_in_maintenance(&self) -> usize {
+        self.lock().most_in_maintenance
+    }
+
+    /// Whether a host has been maintained for a wave.
+    pub fn was_maintained(&self, host: &HostName, wave: u64) -> bool {
+        self.lock().hosts.was_maintained(host, wave)
     }
 
-    fn clock_ms(&self) -> u64 {
+    /// Milliseconds since the platform began: the clock of all its executors.
+    pub fn clock_ms(&self) -> u64 {
         self.began.elapsed().as_millis() as u64
     }
 
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.advance(&self.wire);
+        inner
+    }
+
     /// Refuses a call if the store refuses all.
     fn admit(&self) -> StoreResult<MutexGuard<'_, Inner>> {
-        let mut inner = self.lock();
+        let inner = self.lock();
         if inner.faults.store_refuses || self.turned_away.load(Ordering::SeqCst) {
             return Err(StoreError::Refused);
         }
-        inner.store.expire(Instant::now());
         Ok(inner)
     }
 
-    fn registration(&self, name: &str) -> Option<Registration> {
-        let executor = ExecutorName::from(name);
-        let inner = self.lock();
-        let known = inner.executors.get(&executor)?;
-        Some(Registration {
-            executor,
-            pool: known.pool.clone(),
-            address: SocketAddr::from(([127, 0, 0, 1], 1)),
-            data_centre: DataCentreName::from("memory"),
-            draining: false,
-            remaining: None,
-            capacity: known.capacity,
-            labels: vec!["a".into(), "r1".into()],
-        })
+    async fn be_slow(&self) {
+        let delay = self.lock().faults.store_delay;
+        if !delay.is_zero() {
+            Timer::after(delay).await;
+        }
     }
 }
 
 impl Platform for MemoryPlatform {
     fn places(&self) -> &Places {
-        &self.places
+        &self.wire.places
     }
 
     async fn read(&self, key: &str) -> StoreResult<Reading> {
+        self.be_slow().await;
         let inner = self.admit()?;
         Ok(Reading { item: inner.store.get(key), at: inner.store.revision() })
     }
 
     async fn list(&self, prefix: &str, after: Option<&str>) -> StoreResult<Page> {
+        self.be_slow().await;
         let inner = self.admit()?;
         let items = inner.store.list(prefix, after);
         Ok(Page { items, more: false, at: inner.store.revision() })
@@ -188,7 +334,7 @@
         loop {
             {
                 let inner = self.admit()?;
-                let changes = inner.store.changes(prefix, after);
+                let changes = inner.store.changes(prefix, after).ok_or(StoreError::HistoryGone)?;
                 if !changes.is_empty() || Instant::now() >= until {
                     return Ok(Changes { changes, at: inner.store.revision() });
                 }
@@ -198,6 +344,7 @@
     }
 
     async fn commit(&self, tx: &Transaction) -> StoreResult<Committed> {
+        self.be_slow().await;
         let mut inner = self.admit()?;
         let committed = inner.store.commit(tx);
         if inner.faults.store_loses_answers { Err(StoreError::Lost) } else { Ok(committed) }
@@ -208,6 +355,7 @@
     }
 
     async fn renew(&self, lease: LeaseId) -> StoreResult<Duration> {
+        self.be_slow().await;
         self.admit()?.store.renew(Instant::now(), lease).ok_or(StoreError::NotFound)
     }
 
@@ -226,7 +374,8 @@
                 Some(Seen::Gone(ExecutorName::from(key.strip_prefix("executors/")?)))
             }
             Change::Written(item) => {
-                self.registration(item.key.strip_prefix("executors/")?).map(Seen::There)
+                let executor = ExecutorName::from(item.key.strip_prefix("executors/")?);
+                self.lock().hosts.registration(&executor).map(Seen::There)
             }
         }
     }
@@ -246,25 +395,27 @@
         order: &StartOrder,
     ) -> (StartAnswer, Option<u64>) {
         let clock_ms = self.clock_ms();
-        let mut inner = self.lock();
-        let task_time = inner.task_time.as_millis() as u64;
-        let Some(executor) = inner.executors.get_mut(&to.executor) else {
-            return (StartAnswer::Lost, None);
-        };
-        let (answer, began) = executor.start(clock_ms, token, order, task_time);
-        if began {
-            let (task, run) = (order.task.clone(), order.run);
-            inner.started.push(Started { executor: to.executor.clone(), task, run });
+        let mut guard = self.lock();
+        let dark = guard.is_dark(&to.executor);
+        let Inner { executors, runs, task_time, .. } = &mut *guard;
+        match executors.get_mut(&to.executor) {
+            Some(executor) => {
+                (executor.start(clock_ms, token, order, *task_time, runs), Some(clock_ms))
+            }
+            None if dark => (StartAnswer::Lost, None),
+            None => (StartAnswer::OtherLife, Some(clock_ms)),
         }
-        (answer, Some(clock_ms))
     }
 
     async fn stop(&self, to: &Recipient, token: u64, task: &TaskKey, run: u32) -> OrderAnswer {
         let clock_ms = self.clock_ms();
-        let mut inner = self.lock();
-        match inner.executors.get_mut(&to.executor) {
-            Some(executor) => executor.stop(clock_ms, token, task, run),
-            None => OrderAnswer::Lost,
+        let mut guard = self.lock();
+        let dark = guard.is_dark(&to.executor);
+        let Inner { executors, runs, .. } = &mut *guard;
+        match executors.get_mut(&to.executor) {
+            Some(executor) => executor.stop(clock_ms, token, task, run, runs),
+            None if dark => OrderAnswer::Lost,
+            None => OrderAnswer::OtherLife,
         }
     }
 
@@ -273,11 +424,14 @@
         loop {
             {
                 let clock_ms = self.clock_ms();
-                let mut inner = self.lock();
-                let Some(executor) = inner.executors.get_mut(&to.executor) else {
-                    return LookAnswer::Lost;
+                let mut guard = self.lock();
+                let dark = guard.is_dark(&to.executor);
+                let Inner { executors, runs, .. } = &mut *guard;
+                let answer = match executors.get_mut(&to.executor) {
+                    Some(executor) => executor.look(clock_ms, token, order, runs),
+                    None if dark => LookAnswer::Lost,
+                    None => LookAnswer::OtherLife,
                 };
-                let answer = executor.look(clock_ms, token, order);
                 let waits = matches!(&answer, LookAnswer::Report(r) if r.ended.is_empty());
                 if !waits || Instant::now() >= until {
                     return answer;
@@ -300,19 +454,16 @@
     }
 
     async fn hosts(&self) -> Option<Vec<HostEntry>> {
-        let inner = self.lock();
-        let entries = inner.executors.iter().map(|(name, known)| HostEntry {
-            host: HostName::from(format!("host-of-{name}")),
-            pool: known.pool.clone(),
-            state: HostState::Up,
-            labels: vec!["a".into(), "r1".into()],
-            capacity: known.capacity,
-            executor: Some(name.clone()),
-        });
-        Some(entries.collect())
+        Some(self.lock().hosts.list())
     }
 
-    async fn order_host(&self, _: &Commander, _: &HostName, _: &HostOrder) -> HostAnswer {
-        HostAnswer::Busy
+    async fn order_host(&self, _: &Commander, host: &HostName, order: &HostOrder) -> HostAnswer {
+        let clock_ms = self.clock_ms();
+        let mut inner = self.lock();
+        let (answer, change) = inner.hosts.order(host, order);
+        if let Some(change) = change {
+            inner.take(&self.wire, clock_ms, change);
+        }
+        answer
     }
 }
--- a/crates/borageswitch_fakes/src/platform/store.rs
+++ b/crates/borageswitch_fakes/src/platform/store.rs
@@ -26,6 +26,7 @@
 pub(super) struct MemoryStore {
     items: BTreeMap<Arc<str>, Stored>,
     history: Vec<(Revision, Change)>,
+    forgotten: Revision,
     leases: BTreeMap<u64, Lease>,
     revision: Revision,
     next_lease: u64,
@@ -45,13 +46,24 @@
         self.items.iter().filter(|(key, _)| fits(key)).map(|(k, stored)| item(k, stored)).collect()
     }
 
-    pub(super) fn changes(&self, prefix: &str, after: Revision) -> Vec<Change> {
+    /// The changes after a revision; nothing if a part of them is forgotten.
+    pub(super) fn changes(&self, prefix: &str, after: Revision) -> Option<Vec<Change>> {
+        if after < self.forgotten {
+            return None;
+        }
         let key = |change: &Change| match change {
             Change::Written(item) => item.key.clone(),
             Change::Removed(key) => key.clone(),
         };
-        let newer = self.history.iter().filter(|(revision, _)| *revision > after);
-        newer.filter(|(_, c)| key(c).starts_with(prefix)).map(|(_, c)| c.clone()).collect()
+        let from = self.history.partition_point(|(revision, _)| *revision <= after);
+        let newer = self.history[from..].iter().map(|(_, change)| change);
+        Some(newer.filter(|change| key(change).starts_with(prefix)).cloned().collect())
+    }
+
+    /// Forgets all changes up to now.
+    pub(super) fn forget_history(&mut self) {
+        self.history.clear();
+        self.forgotten = self.revision;
     }
 
     pub(super) fn put(&mut self, key: &str, value: Vec<u8>) {
@@ -71,6 +83,11 @@
         }
     }
 
+    pub(super) fn delete(&mut self, key: &str) {
+        self.revision += 1;
+        self.remove(&key.into());
+    }
+
     pub(super) fn commit(&mut self, tx: &Transaction) -> Committed {
         let at = |key: &Arc<str>| self.items.get(key).map_or(0, |stored| stored.revision);
         if tx.expect.iter().any(|(key, revision)| at(key) != *revision) {
--- a/crates/borageswitch_scheduler/src/reducer/advice.rs
+++ b/crates/borageswitch_scheduler/src/reducer/advice.rs
@@ -16,7 +16,7 @@
     ledger::job::Job,
     reducer::{
         Scheduler,
-        pass::{Room, fits_labels},
+        pass::{Room, fits_labels, reserved},
     },
     task::StepKey,
 };
@@ -81,7 +81,10 @@
         configured.unwrap_or(&job.submission.queue).advisor
     }
 
-    /// Asks about a step that waits, unless enough is permitted or being asked.
+    /// Asks about a step with a task that has found no host, unless enough is being asked.
+    ///
+    /// Hosts with room that were not asked about yet come in, whether or not others are permitted:
+    /// those may be full, or have as many tasks of the step as they may have.
     pub(super) fn ask_advice(&mut self, now: Now, key: &StepKey, step: &Step, room: &Room) {
         let advice = &self.advice;
         let busy = advice.asking.len() >= MAX_CALLS || advice.asking.contains_key(key);
@@ -92,15 +95,11 @@
             let known = self.executors.get(*executor);
             known.is_some_and(|known| fits_labels(step, known))
         };
-        let permitted = room.iter().filter(|(executor, free)| {
-            free.holds(&super::pass::reserved(step))
-                && advice.ticket(key, executor, now.time).is_some()
-        });
-        if permitted.count() > 0 {
-            return;
-        }
+        let size = reserved(step);
         let mut ask: Vec<ExecutorName> = room
-            .keys()
+            .iter()
+            .filter(|(_, free)| free.holds(&size))
+            .map(|(executor, _)| executor)
             .filter(suits)
             .filter(|executor| !advice.is_refused(key, executor))
             .filter(|executor| advice.ticket(key, executor, now.time).is_none())
--- a/crates/borageswitch_scheduler/src/reducer/evict.rs
+++ b/crates/borageswitch_scheduler/src/reducer/evict.rs
@@ -15,7 +15,7 @@
     reducer::{
         Scheduler,
         executors::{Executor, Held, Phase},
-        pass::{fits_labels, reserved, siblings},
+        pass::reserved,
     },
     task::TaskKey,
 };
@@ -31,10 +31,7 @@
             .executors
             .iter()
             .filter(|(_, known)| known.registration.pool == *pool && known.is_open(now.time))
-            .filter(|(_, known)| fits_labels(step, known))
-            .filter(|(_, known)| {
-                step.max_per_host.is_none_or(|most| siblings(known, &key) < most as usize)
-            })
+            .filter(|(executor, _)| self.may_run_on(now, &key, step, executor, 0))
             .collect();
         if suitable.iter().any(|(_, known)| room_to_come(known).holds(&size)) {
             return;
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -49,8 +49,9 @@
     pub percent: u8,
     /// Its load or tail, as listed last.
     pub recent: u64,
-    /// The share of its speed at which it was told to work.
-    pub pace: u8,
+    /// The share of its speed at which it works, in percent; nothing if an earlier leader may have
+    /// changed it, or an order to change it got no answer.
+    pub pace: Option<u8>,
     /// The executor has confirmed or listed it.
     pub confirmed: bool,
     /// When an order to stop it left last.
--- a/crates/borageswitch_scheduler/src/reducer/gangs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/gangs.rs
@@ -10,30 +10,34 @@
     job::Step,
     reducer::{
         Scheduler,
-        pass::{Room, WaitingStep, fits_labels, reserved, siblings},
+        pass::{Room, WaitingStep, reserved},
     },
     task::TaskKey,
 };
 
 impl Scheduler {
+    /// Places a gang whole, or not at all. Gives whether it found room.
     pub(super) fn place_gang(
         &mut self,
         now: Now,
         waiting: &WaitingStep,
         step: &Step,
         room: &mut Room,
-    ) {
+    ) -> bool {
         if waiting.waiting.len() < step.count as usize {
             // A member was not started, or has ended: the others can only wait in vain.
             self.stop_members(now, waiting, step);
-            return;
+            return true;
         }
-        let Some((places, left)) = self.places_for_gang(now, waiting, step, room) else { return };
+        let Some((places, left)) = self.places_for_gang(now, waiting, step, room) else {
+            return false;
+        };
         *room = left;
         let run = self.next_gang_run(waiting);
         for (index, executor) in places {
             self.assign(now, &executor, &waiting.key.task(index), Some(run));
         }
+        true
     }
 
     /// A place for each member, and the room that is left then.
@@ -97,15 +101,9 @@
         places: &[(u32, ExecutorName)],
     ) -> Option<ExecutorName> {
         let size = reserved(step);
-        let ticketed = self.ledger.jobs.get(&waiting.key.job).is_some_and(|j| self.needs_ticket(j));
         let fitting = room.iter().filter(|(executor, free)| {
-            let Some(known) = self.executors.get(*executor) else { return false };
             let planned = places.iter().filter(|(_, other)| other == *executor).count();
-            let here = planned + siblings(known, &waiting.key);
-            free.holds(&size)
-                && fits_labels(step, known)
-                && step.max_per_host.is_none_or(|most| here < most as usize)
-                && (!ticketed || self.advice.ticket(&waiting.key, executor, now.time).is_some())
+            free.holds(&size) && self.may_run_on(now, &waiting.key, step, executor, planned)
         });
         let best = fitting.min_by_key(|(_, free)| free.less(&size).cpu_milli);
         best.map(|(executor, _)| executor.clone())
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -56,8 +56,11 @@
 /// How far it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
-    /// Its runs end or move away.
-    Emptying,
+    /// Its runs end or move away. No order is given before this time.
+    Emptying {
+        /// The platform has called the host busy; until then it would say so again.
+        not_before: Time,
+    },
     /// The order was given, last at this time.
     Ordered {
         /// When.
@@ -194,7 +197,8 @@
             let executor = executor.as_ref().map_or("none", |executor| executor.as_str());
             format!("for={purpose:?} executor={executor}")
         });
-        let withdrawal = Withdrawal { purpose, stage: Stage::Emptying };
+        let stage = Stage::Emptying { not_before: now.time };
+        let withdrawal = Withdrawal { purpose, stage };
         self.fleet.withdrawals.insert(host.clone(), withdrawal);
         self.step_host(now, host);
     }
@@ -212,17 +216,20 @@
                     self.give_order(now, host);
                 }
             }
-            Stage::Emptying => match entry.executor.clone() {
-                Some(executor) if entry.state == HostState::Up => {
-                    self.empty(now, &executor);
-                    if self.is_empty(&executor) {
-                        self.give_order(now, host);
-                    }
+            Stage::Emptying { not_before } => {
+                if entry.state != HostState::Up {
+                    return;
                 }
                 // A host that is off has nothing to be emptied of.
-                None if entry.state == HostState::Up => self.give_order(now, host),
-                _ => {}
-            },
+                let executor = entry.executor.clone();
+                if let Some(executor) = &executor {
+                    self.empty(now, executor);
+                }
+                let empty = executor.is_none_or(|executor| self.is_empty(&executor));
+                if empty && now.time >= not_before {
+                    self.give_order(now, host);
+                }
+            }
         }
     }
 
@@ -338,7 +345,9 @@
             HostAnswer::Lost | HostAnswer::TooMany => {
                 withdrawal.stage = Stage::Ordered { at: now.time, answered: true };
             }
-            HostAnswer::Busy => withdrawal.stage = Stage::Emptying,
+            HostAnswer::Busy => {
+                withdrawal.stage = Stage::Emptying { not_before: now.time + REPEAT_ORDER };
+            }
             HostAnswer::Impossible => {
                 if let (Purpose::Move(pool), Some(entry)) = (&purpose, self.fleet.hosts.get(host)) {
                     self.lending.note_unfit(entry, pool);
--- a/crates/borageswitch_scheduler/src/reducer/pace.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pace.rs
@@ -6,27 +6,45 @@
     effect::Effect,
     event::OrderAnswer,
     policy::pacing,
-    reducer::{Scheduler, executors::Executor},
+    reducer::{
+        Scheduler,
+        executors::{Executor, Held, Phase},
+    },
     task::TaskKey,
 };
 
+/// The pace of a run that has just started, in percent.
+pub const FULL_PACE: u8 = 100;
+
+/// Whom work that fills gaps may disturb on an executor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Served {
+    /// Nobody.
+    Nobody,
+    /// Tasks that have not begun to serve.
+    NotYet,
+    /// Tasks that serve; the worst of their tails, in percent of its target.
+    Tail(u64),
+}
+
 impl Scheduler {
     /// Adapts the pace of whatever fills gaps on an executor that was just looked at.
     pub(super) fn pace_neighbours(&mut self, executor: &ExecutorName) {
         let Some(known) = self.executors.get_mut(executor) else { return };
-        let Some(tail_percent) = worst_tail(known) else { return };
+        let served = served(known);
         let recipient = known.recipient();
         let mut changed = Vec::new();
-        for (task, held) in known.runs.iter_mut().filter(|(_, held)| held.fills) {
-            let next = pacing::next_pace(held.pace, tail_percent);
-            if next != held.pace && held.is_at_work() {
-                held.pace = next;
-                changed.push((task.clone(), held.run, next));
-            }
+        let fillers = known.runs.iter_mut().filter(|(_, h)| h.fills && h.phase == Phase::Active);
+        for (task, held) in fillers {
+            let Some(next) = next_pace(held, served).filter(|next| held.pace != Some(*next)) else {
+                continue;
+            };
+            held.pace = Some(next);
+            changed.push((task.clone(), held.run, next));
         }
         for (task, run, pace) in changed {
             self.log("run-paced", &task, || {
-                format!("executor={executor} pace={pace} tail_percent={tail_percent}")
+                format!("run={run} executor={executor} pace={pace} served={served:?}")
             });
             self.effects.push(Effect::Pace(recipient.clone(), task, run, pace));
         }
@@ -44,20 +62,38 @@
         if answer == OrderAnswer::Done {
             return;
         }
-        // The pace is not known any more: at full speed in our books, the next report sets it anew.
         let known = self.executors.get_mut(executor);
         if let Some(held) = known.and_then(|known| known.runs.get_mut(task)) {
-            held.pace = 100;
+            held.pace = None;
         }
     }
 }
 
-/// The worst tail of the serving tasks of an executor, in percent of the target.
-fn worst_tail(known: &Executor) -> Option<u64> {
-    let serving = known.runs.values().filter(|held| held.is_at_work() && !held.fills);
-    let percents = serving.filter_map(|held| {
-        let target = held.target_tail?.as_millis() as u64;
-        (target > 0).then(|| held.recent * 100 / target)
-    });
-    percents.max()
+/// The pace that a run is to have, if that can be told now.
+///
+/// A pace that is not known is ordered in any case: taken for full speed, a run that stands still
+/// would never be told to go on, and its owner would see it do nothing for ever.
+fn next_pace(held: &Held, served: Served) -> Option<u8> {
+    match served {
+        Served::Nobody => Some(FULL_PACE),
+        Served::NotYet => None,
+        Served::Tail(percent) => Some(pacing::next_pace(held.pace.unwrap_or(FULL_PACE), percent)),
+    }
+}
+
+fn served(known: &Executor) -> Served {
+    let serving = known.runs.values().filter(|held| !held.fills && held.target_tail.is_some());
+    let (mut any, mut worst) = (false, None);
+    for held in serving {
+        any = true;
+        let target = held.target_tail.unwrap_or_default().as_millis() as u64;
+        if held.is_at_work() && target > 0 {
+            worst = worst.max(Some(held.recent * 100 / target));
+        }
+    }
+    match worst {
+        Some(percent) => Served::Tail(percent),
+        None if any => Served::NotYet,
+        None => Served::Nobody,
+    }
 }
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -88,11 +88,11 @@
         let Some(job) = self.ledger.jobs.get(&waiting.key.job) else { return };
         let Some(step) = job.step(waiting.key.step).cloned() else { return };
         let needs_ticket = self.needs_ticket(job);
-        if needs_ticket {
-            self.ask_advice(now, &waiting.key, &step, room);
-        }
         if step.gang {
-            self.place_gang(now, waiting, &step, room);
+            let placed = self.place_gang(now, waiting, &step, room);
+            if needs_ticket && !placed {
+                self.ask_advice(now, &waiting.key, &step, room);
+            }
             return;
         }
         let size = reserved(&step);
@@ -105,13 +105,38 @@
                     }
                     self.assign(now, &executor, &task, None);
                 }
-                None if step.lasting => self.make_room(now, pool, &task, &step),
-                // The other tasks of the step are of the same size.
-                None => return,
+                None => {
+                    if needs_ticket {
+                        self.ask_advice(now, &waiting.key, &step, room);
+                    }
+                    if step.lasting {
+                        self.make_room(now, pool, &task, &step);
+                    } else {
+                        // The other tasks of the step are of the same size.
+                        return;
+                    }
+                }
             }
         }
     }
 
+    /// Whether a task of a step may run on an executor, however much room there is: by its label,
+    /// by how many of its step are `planned` there besides those that it has, and by the advisor.
+    pub(super) fn may_run_on(
+        &self,
+        now: Now,
+        key: &StepKey,
+        step: &Step,
+        executor: &ExecutorName,
+        planned: usize,
+    ) -> bool {
+        let Some(known) = self.executors.get(executor) else { return false };
+        let ticketed = self.ledger.jobs.get(&key.job).is_some_and(|job| self.needs_ticket(job));
+        fits_labels(step, known)
+            && step.max_per_host.is_none_or(|most| planned + siblings(known, key) < most as usize)
+            && (!ticketed || self.advice.ticket(key, executor, now.time).is_some())
+    }
+
     /// The best executor for a task, if any has room.
     pub(super) fn find_host(
         &self,
@@ -121,17 +146,11 @@
         room: &Room,
     ) -> Option<ExecutorName> {
         let key = task.step_key();
-        let ticketed = self.ledger.jobs.get(&task.job).is_some_and(|job| self.needs_ticket(job));
         let avoid = self.times.get(&task.job).and_then(|times| times.failed_on.clone());
-        let allowed = |executor: &ExecutorName, known: &Executor| {
-            fits_labels(step, known)
-                && step.max_per_host.is_none_or(|most| siblings(known, &key) < most as usize)
-                && (!ticketed || self.advice.ticket(&key, executor, now.time).is_some())
-        };
         let mut candidates = Vec::new();
         for (executor, free) in room {
             let Some(known) = self.executors.get(executor) else { continue };
-            if !free.holds(&reserved(step)) || !allowed(executor, known) {
+            if !free.holds(&reserved(step)) || !self.may_run_on(now, &key, step, executor, 0) {
                 continue;
             }
             candidates.push(Candidate {
--- a/crates/borageswitch_scheduler/src/reducer/waves.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waves.rs
@@ -70,7 +70,7 @@
             self.complete(wave.wave);
             return;
         }
-        let taken = self.taken_by(wave);
+        let taken = self.taken_by(now, wave);
         let mut waiting: Vec<(u64, HostName)> = due
             .into_iter()
             // Emptied before it may be ordered, a host would stand idle for the rest of the pause.
@@ -95,8 +95,12 @@
         due.filter(|host| self.fleet.hosts.contains_key(*host)).cloned().collect()
     }
 
-    /// How many hosts count as away for the wave: those that are, and those that are about to be.
-    fn taken_by(&self, wave: &WaveRequest) -> usize {
+    /// How many hosts count as away for the wave: those that are, those that are about to be, and
+    /// those that an order of an earlier leader may yet take away. Without the last, a new leader
+    /// would send the next host while such an order is on its way, and one too many would be away.
+    fn taken_by(&self, now: Now, wave: &WaveRequest) -> usize {
+        let begun = self.ledger.maintained.get(&wave.wave);
+        let is_begun = |host: &HostName| begun.is_some_and(|hosts| hosts.contains(host));
         let counts = |host: &&HostName| {
             let chosen = self.fleet.withdrawals.get(*host).is_some_and(|withdrawal| {
                 withdrawal.purpose == Purpose::Maintain(wave.wave)
@@ -107,7 +111,8 @@
                 .hosts
                 .get(*host)
                 .is_some_and(|entry| entry.state == HostState::InMaintenance);
-            chosen || away
+            let ordered = self.is_paused(now.time, host) && !is_begun(host);
+            chosen || away || ordered
         };
         wave.hosts.iter().filter(counts).count()
     }
--- /dev/null
+++ b/crates/borageswitch_scheduler/tests/advice.rs
@@ -0,0 +1,126 @@
+//! Steps that may run only where an advisor permits it.
+
+mod support;
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use borageswitch_scheduler::{
+    config::{AdvisorTimes, Queue},
+    effect::Effect,
+    event::Event,
+    job::Step,
+    ledger::Ledger,
+};
+use borageswitch_types::{Time, names::ExecutorName};
+use support::{
+    fixtures::{config_with, cores, queue},
+    session::{Session, active, key, lasting, step, stops},
+};
+
+/// What one call may ask about at the most.
+const MOST_ASKED: usize = 100;
+
+fn advised_queue() -> Queue {
+    let advisor = AdvisorTimes {
+        decision: Duration::from_millis(20),
+        per_host: Duration::from_millis(1),
+        validity: Duration::from_secs(2),
+    };
+    Queue { advisor: Some(advisor), ..queue() }
+}
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("e{number:02}")).collect()
+}
+
+fn session(executors: &[String]) -> Session {
+    let executors: Vec<&str> = executors.iter().map(String::as_str).collect();
+    Session::with_config(&executors, Ledger::default(), config_with(advised_queue(), true))
+}
+
+/// Lets the session go on for a second, with an advisor that permits these executors only. Gives
+/// where tasks were started, and with which tickets.
+fn go_on(session: &mut Session, permitted: &[&str]) -> Vec<(ExecutorName, Option<Arc<str>>)> {
+    let mut started = Vec::new();
+    for _ in 0..20 {
+        for effect in session.pass(50) {
+            match effect {
+                Effect::Advise(step, asked) => {
+                    assert!(asked.len() <= MOST_ASKED);
+                    let allowed = asked.iter().filter(|e| permitted.contains(&e.as_str()));
+                    let allowed = allowed.map(|e| (e.clone(), Arc::from(format!("for {e}"))));
+                    let allowed = Some(allowed.collect());
+                    let sent = Time::from_millis(session.now);
+                    session.handle(Event::Advised { step, sent, asked, allowed });
+                }
+                Effect::Append { append, .. } => session.handle(Event::Appended { append }),
+                Effect::Start(to, order) => started.push((to.executor, order.ticket)),
+                _ => {}
+            }
+        }
+    }
+    started
+}
+
+#[test]
+fn a_task_starts_only_where_it_is_permitted_and_shows_its_ticket() {
+    let executors = names(3);
+    let mut session = session(&executors);
+    session.submit("j", vec![step(2)]);
+
+    let started = go_on(&mut session, &["e01"]);
+
+    let expected = (ExecutorName::from("e01"), Some(Arc::from("for e01")));
+    assert_eq!(started, [expected.clone(), expected]);
+}
+
+/// A pool has more hosts than one call asks about. A step may have one task on a host, and its
+/// first task has taken the only permitted host among those that were asked about. Without asking
+/// about the others the second task would wait for ever beside an empty host that may run it.
+#[test]
+fn hosts_that_were_not_asked_about_are_when_the_permitted_ones_are_used_up() {
+    let executors = names(45);
+    let mut session = session(&executors);
+    session.submit("j", vec![Step { max_per_host: Some(1), ..step(2) }]);
+
+    let started = go_on(&mut session, &["e00", "e44"]);
+
+    let at: BTreeMap<&str, usize> = started.iter().map(|(e, _)| (e.as_str(), 1)).collect();
+    assert_eq!(at.len(), 2, "{started:?}");
+}
+
+/// The members of a gang need a host each, and only one permitted host has been found so far.
+/// Content with that one, the scheduler would never place the gang.
+#[test]
+fn a_gang_is_asked_for_until_all_its_members_have_a_host() {
+    let executors = names(45);
+    let mut session = session(&executors);
+    let gang = Step { gang: true, max_per_host: Some(1), ..step(2) };
+    session.submit("j", vec![gang]);
+
+    let started = go_on(&mut session, &["e00", "e44"]);
+
+    assert_eq!(started.len(), 2, "{started:?}");
+}
+
+/// All hosts are full of short work when a lasting task comes that may run on one of them only.
+/// Making room on another one would throw away the work of some caller, again and again, and help
+/// nobody.
+#[test]
+fn no_room_is_made_where_a_lasting_task_may_not_run() {
+    let executors = names(2);
+    let mut session = session(&executors);
+    session.submit("j", vec![Step { size: cores(8), ..step(2) }]);
+    assert_eq!(go_on(&mut session, &["e00", "e01"]).len(), 2);
+    for (index, executor) in executors.iter().enumerate() {
+        session.report(executor, &[active(&key("j", index as u32))], &[], 0);
+    }
+
+    session.submit("l", vec![lasting(1)]);
+    let mut effects = Vec::new();
+    for _ in 0..5 {
+        effects.extend(session.pass(50));
+    }
+
+    assert_eq!(stops(&effects), 0, "{effects:?}");
+}
--- a/crates/borageswitch_scheduler/tests/randomised.rs
+++ b/crates/borageswitch_scheduler/tests/randomised.rs
@@ -1,13 +1,15 @@
 //! Long runs of the scheduler under random faults. Each prints the seed that broke a promise;
 //! `BORAGESWITCH_SEED=N` runs that seed alone, `BORAGESWITCH_SEEDS=N` runs so many.
 
-#[expect(unreachable_pub, reason = "a module of tests has no other user")]
 mod support;
 
 use std::time::Duration;
 
 use borageswitch_scheduler::{job::Step, ledger::record::Outcome};
-use support::world::{Faults, World, cores};
+use support::{
+    fixtures::cores,
+    world::{Faults, World},
+};
 
 /// How many seeds each run in CI takes.
 const SEEDS: u64 = 40;
--- a/crates/borageswitch_scheduler/tests/sessions.rs
+++ b/crates/borageswitch_scheduler/tests/sessions.rs
@@ -1,191 +1,22 @@
 //! Short sessions with the scheduler, event by event.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+mod support;
+
+use std::time::Duration;
 
 use borageswitch_scheduler::{
-    config::{Config, Pool, Queue, RequestLimits},
-    effect::{Effect, HostOrder, LookOrder},
-    event::{Event, LookAnswer, Now, OrderAnswer, StartAnswer},
-    executor::{ActiveRun, EndKind, EndedRun, Registration, Report},
-    fleet::{HostEntry, HostState, WaveRequest},
-    job::{JobSpec, Size, Step, Submission},
+    effect::{Effect, HostOrder},
+    event::{Event, HostAnswer, LookAnswer, OrderAnswer, StartAnswer},
+    fleet::{HostEntry, WaveRequest},
+    job::Step,
     ledger::{Ledger, record::Record},
-    reducer::{Limits, Scheduler},
-    task::TaskKey,
 };
 use borageswitch_types::{
     Time,
-    names::{DataCentreName, ExecutorName, HostName, JobName, PoolName, QueueName},
+    names::{HostName, JobName},
     time::UnixMillis,
 };
-
-/// A leader with executors that do what the test says.
-struct Session {
-    scheduler: Scheduler,
-    now: u64,
-}
-
-fn queue() -> Queue {
-    Queue {
-        name: QueueName::from("runs"),
-        authority: "site.example".into(),
-        prefix: "/runs/".into(),
-        pool: PoolName::from("payroll"),
-        priority: 0,
-        max_attempts: 2,
-        stretch: 1.6,
-        allowance: Duration::from_millis(600),
-        timeout: Duration::from_secs(3),
-        advisor: None,
-    }
-}
-
-fn config() -> Arc<Config> {
-    let pool = Pool { name: queue().pool, guards_capacity: true, standby: false };
-    Arc::new(Config {
-        version: 1,
-        queues: BTreeMap::from([(queue().name, queue())]),
-        pools: BTreeMap::from([(pool.name.clone(), pool)]),
-        limits: RequestLimits {
-            head_bytes: 1 << 14,
-            body_bytes: 1 << 18,
-            head_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        },
-    })
-}
-
-fn cores(cores: u64) -> Size {
-    Size { cpu_milli: cores * 1_000, memory_mb: cores * 1_000, accelerators: 0 }
-}
-
-fn registration(name: &str) -> Registration {
-    Registration {
-        executor: ExecutorName::from(name),
-        pool: queue().pool,
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        data_centre: DataCentreName::from("dc"),
-        draining: false,
-        remaining: None,
-        capacity: cores(8),
-        labels: vec!["a".into(), "r1".into()],
-    }
-}
-
-fn step(count: u32) -> Step {
-    let estimate = Duration::from_millis(500);
-    Step { count, size: cores(1), estimate, ..Step::default() }
-}
-
-fn key(job: &str, index: u32) -> TaskKey {
-    TaskKey { job: JobName::from(job), occurrence: 0, step: 0, index }
-}
-
-fn active(task: &TaskKey) -> ActiveRun {
-    ActiveRun { task: task.clone(), run: 1, checkpoint: None, percent: 100, recent: 0 }
-}
-
-fn done(number: u64, task: &TaskKey) -> EndedRun {
-    EndedRun { number, task: task.clone(), run: 1, how: EndKind::Done, checkpoint: None }
-}
-
-impl Session {
-    fn new(executors: &[&str]) -> Self {
-        Self::with_ledger(executors, Ledger::default())
-    }
-
-    fn with_ledger(executors: &[&str], ledger: Ledger) -> Self {
-        let now = Now { time: Time::from_millis(10_000), wall: UnixMillis(1_000_000) };
-        let registrations = executors.iter().map(|name| registration(name)).collect();
-        let scheduler =
-            Scheduler::recover(Limits::default(), now, ledger, 1, config(), registrations);
-        let mut session = Self { scheduler, now: 10_000 };
-        session.settle();
-        for name in executors {
-            session.report(name, &[], &[], 0);
-        }
-        session
-    }
-
-    fn moment(&self) -> Now {
-        Now { time: Time::from_millis(self.now), wall: UnixMillis(990_000 + self.now) }
-    }
-
-    fn handle(&mut self, event: Event) {
-        let moment = self.moment();
-        self.scheduler.handle(moment, event);
-    }
-
-    fn settle(&mut self) -> Vec<Effect> {
-        let moment = self.moment();
-        let effects = self.scheduler.settle(moment);
-        effects.into_iter().filter(|effect| !matches!(effect, Effect::Log(_))).collect()
-    }
-
-    fn pass(&mut self, millis: u64) -> Vec<Effect> {
-        self.now += millis;
-        self.settle()
-    }
-
-    fn submit(&mut self, job: &str, steps: Vec<Step>) {
-        let submission = Submission {
-            job: JobName::from(job),
-            queue: queue(),
-            accepted: UnixMillis(990_000 + self.now),
-            spec: JobSpec { text: "text".into(), steps, schedule: None },
-        };
-        self.handle(Event::Submitted(Arc::new(submission)));
-    }
-
-    /// An executor answers a look that carried this acknowledgement.
-    fn report(&mut self, executor: &str, active: &[ActiveRun], ended: &[EndedRun], ack: u64) {
-        let report = Report { clock_ms: self.now, active: active.to_vec(), ended: ended.to_vec() };
-        self.look_answered(executor, LookAnswer::Report(report), ack);
-    }
-
-    /// Answers whatever look may be on its way, one that waits and one that does not.
-    fn look_answered(&mut self, executor: &str, answer: LookAnswer, ack: u64) {
-        let sent = Time::from_millis(self.now - 2);
-        let executor = ExecutorName::from(executor);
-        for wait in [Duration::ZERO, Duration::from_secs(1)] {
-            let order = LookOrder { until_ms: None, acknowledged: ack, wait };
-            let (executor, answer) = (executor.clone(), answer.clone());
-            self.handle(Event::Looked { executor, sent, order, answer });
-        }
-    }
-
-    /// Stores the append on its way and starts whatever is then ordered.
-    fn store_and_start(&mut self) -> Vec<(ExecutorName, TaskKey)> {
-        let mut started = Vec::new();
-        for effect in self.pass(50) {
-            if let Effect::Append { append, .. } = effect {
-                self.handle(Event::Appended { append });
-            }
-        }
-        for effect in self.settle() {
-            if let Effect::Start(to, order) = effect {
-                started.push((to.executor.clone(), order.task.clone()));
-                self.handle(Event::StartAnswered {
-                    executor: to.executor,
-                    task: order.task,
-                    run: order.run,
-                    sent: Time::from_millis(self.now),
-                    clock_ms: Some(self.now),
-                    answer: StartAnswer::Started,
-                });
-            }
-        }
-        started
-    }
-}
-
-fn acknowledgements(effects: &[Effect]) -> Vec<u64> {
-    let looks = effects.iter().filter_map(|effect| match effect {
-        Effect::Look(_, order) => Some(order.acknowledged),
-        _ => None,
-    });
-    looks.collect()
-}
+use support::session::{Session, acknowledgements, active, done, host, key, lasting, step, stops};
 
 #[test]
 fn an_end_is_acknowledged_only_after_it_is_stored() {
@@ -231,25 +62,6 @@
     assert_eq!(forgotten, 40);
 }
 
-fn lasting(count: u32) -> Step {
-    Step { lasting: true, max_per_host: Some(1), max_unavailable: Some(1), ..step(count) }
-}
-
-fn host(name: &str, executor: &str) -> HostEntry {
-    HostEntry {
-        host: HostName::from(name),
-        pool: queue().pool,
-        state: HostState::Up,
-        labels: vec!["a".into(), "r1".into()],
-        capacity: cores(8),
-        executor: Some(ExecutorName::from(executor)),
-    }
-}
-
-fn stops(effects: &[Effect]) -> usize {
-    effects.iter().filter(|effect| matches!(effect, Effect::Stop(..))).count()
-}
-
 #[test]
 fn a_task_on_a_silent_executor_does_not_count_as_at_work() {
     // Two tasks serve the same users and one may be away. The host of one has fallen silent a
@@ -384,3 +196,64 @@
     session.report(executor.as_str(), &[], &[], 0);
     assert_eq!(session.store_and_start().len(), 1);
 }
+
+fn wave_over(hosts: &[&str], max_down: u32) -> Event {
+    Event::Wave(WaveRequest {
+        wave: 1,
+        hosts: hosts.iter().map(|host| HostName::from(*host)).collect(),
+        allowed: Duration::from_secs(20),
+        max_down,
+    })
+}
+
+/// Stores what there is to store, and gives the hosts that get an order, for so many milliseconds.
+fn ordered_hosts(session: &mut Session, millis: u64) -> Vec<HostName> {
+    let mut orders = Vec::new();
+    for _ in 0..millis / 50 {
+        for effect in session.pass(50) {
+            match effect {
+                Effect::Append { append, .. } => session.handle(Event::Appended { append }),
+                Effect::Host(host, _) => orders.push(host),
+                _ => {}
+            }
+        }
+    }
+    orders
+}
+
+#[test]
+fn a_host_that_the_last_leader_ordered_about_counts_as_away() {
+    // A leader has ordered a host into maintenance and died; the order may still be on its way. Its
+    // successor sees the host up. Sending another one now, there would be two away where the
+    // operator allows one.
+    let mut ledger = Ledger::default();
+    let at = UnixMillis(999_000);
+    ledger.apply(&Record::HostOrdered { host: HostName::from("h1"), at });
+    let mut session = Session::with_ledger(&["e1", "e2"], ledger);
+    session.handle(wave_over(&["h1", "h2"], 1));
+    session.pass(60);
+    session.handle(Event::Hosts(Some(vec![host("h1", "e1"), host("h2", "e2")])));
+
+    let orders = ordered_hosts(&mut session, 2_000);
+
+    assert!(orders.is_empty(), "{orders:?}");
+}
+
+#[test]
+fn a_host_that_is_busy_is_not_ordered_all_the_time() {
+    // The platform calls a host busy that is about to leave, for as long as it takes. An order at
+    // every look would cost a write and a call each, several times a second.
+    let mut session = Session::new(&["e1"]);
+    session.handle(wave_over(&["h"], 1));
+    session.pass(60);
+    session.handle(Event::Hosts(Some(vec![host("h", "e1")])));
+    let mut orders = 0;
+    for _ in 0..40 {
+        for host in ordered_hosts(&mut session, 50) {
+            orders += 1;
+            session.handle(Event::HostAnswered { host, answer: HostAnswer::Busy });
+        }
+    }
+
+    assert!((1..=5).contains(&orders), "{orders} orders in two seconds");
+}
--- /dev/null
+++ b/crates/borageswitch_scheduler/tests/sharing.rs
@@ -0,0 +1,126 @@
+//! Tasks that fill gaps beside tasks that serve users, on one host.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use borageswitch_scheduler::{
+    effect::Effect,
+    event::{Event, OrderAnswer},
+    executor::ActiveRun,
+    job::{JobSpec, Step, Submission},
+    ledger::{Ledger, record::Record},
+    task::TaskKey,
+};
+use borageswitch_types::{
+    names::{ExecutorName, JobName},
+    time::UnixMillis,
+};
+use support::{
+    fixtures::queue,
+    session::{Session, key, step},
+};
+
+const SERVER: &str = "s";
+const FILLER: &str = "f";
+
+fn serving() -> Step {
+    Step { lasting: true, target_tail: Some(Duration::from_millis(100)), ..step(1) }
+}
+
+fn filling() -> Step {
+    Step { lasting: true, fills: true, ..step(1) }
+}
+
+fn at_work(job: &str, recent: u64) -> ActiveRun {
+    ActiveRun { task: key(job, 0), run: 1, checkpoint: None, percent: 100, recent }
+}
+
+/// Both kinds on the only host, at work.
+fn session() -> Session {
+    let mut session = Session::new(&["e1"]);
+    session.submit(SERVER, vec![serving()]);
+    session.submit(FILLER, vec![filling()]);
+    assert_eq!(session.store_and_start().len(), 2);
+    session.now += 100;
+    session
+}
+
+/// The host reports a tail of the serving task; gives the pace that is then ordered.
+fn pace_after(session: &mut Session, tail_ms: u64) -> Option<u8> {
+    session.report("e1", &[at_work(SERVER, tail_ms), at_work(FILLER, 0)], &[], 0);
+    ordered_pace(session)
+}
+
+fn ordered_pace(session: &mut Session) -> Option<u8> {
+    session.now += 100;
+    let paces = session.settle().into_iter().filter_map(|effect| match effect {
+        Effect::Pace(_, task, 1, percent) => {
+            assert_eq!(task, key(FILLER, 0));
+            Some(percent)
+        }
+        _ => None,
+    });
+    paces.last()
+}
+
+/// The tail of a serving task is over its target, so what fills gaps beside it stands still. Then
+/// the serving task is cancelled. Left at its pace, the other would do nothing for ever, although
+/// there is nobody left whom it could disturb.
+#[test]
+fn what_fills_gaps_is_let_go_when_nobody_is_served_beside_it() {
+    let mut session = session();
+    while pace_after(&mut session, 300) != Some(0) {}
+
+    session.report("e1", &[at_work(FILLER, 0)], &[], 0);
+
+    assert_eq!(ordered_pace(&mut session), Some(100));
+}
+
+/// An order to go on at a pace gets no answer and was not carried out. Believed to be at full
+/// speed, the task would be left where it is and its owner would see it stand still.
+#[test]
+fn a_pace_that_may_not_have_arrived_is_ordered_again() {
+    let mut session = session();
+    while pace_after(&mut session, 300) != Some(0) {}
+
+    let answer = OrderAnswer::Lost;
+    session.handle(Event::PaceAnswered {
+        executor: ExecutorName::from("e1"),
+        task: key(FILLER, 0),
+        answer,
+    });
+
+    assert_eq!(pace_after(&mut session, 10), Some(100));
+}
+
+fn submission(job: &str, step: Step) -> Arc<Submission> {
+    Arc::new(Submission {
+        job: JobName::from(job),
+        queue: queue(),
+        accepted: UnixMillis(999_000),
+        spec: JobSpec { text: "text".into(), steps: vec![step], schedule: None },
+    })
+}
+
+fn assigned(task: TaskKey) -> Record {
+    Record::Assigned { task, run: 1, executor: ExecutorName::from("e1") }
+}
+
+/// The leader is replaced while a task stands still beside one that serves. Its successor does not
+/// know of the pace; taken for full speed, it would never be raised.
+#[test]
+fn a_new_leader_sets_the_pace_anew() {
+    let mut ledger = Ledger::default();
+    for (job, step) in [(SERVER, serving()), (FILLER, filling())] {
+        ledger.submit(submission(job, step));
+        ledger.apply(&assigned(key(job, 0)));
+    }
+    let mut session = Session::with_ledger(&[], ledger);
+    session.handle(Event::Executors(vec![support::session::registration("e1")]));
+    session.pass(60);
+
+    let pace = pace_after(&mut session, 10);
+
+    assert_eq!(pace, Some(100));
+}
--- /dev/null
+++ b/crates/borageswitch_scheduler/tests/support/session.rs
@@ -0,0 +1,187 @@
+//! A leader with executors that answer as a test says, event by event.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use super::fixtures::{config, cores, queue};
+use borageswitch_scheduler::{
+    config::Config,
+    effect::{Effect, LookOrder},
+    event::{Event, LookAnswer, Now, StartAnswer},
+    executor::{ActiveRun, EndKind, EndedRun, Registration, Report},
+    fleet::{HostEntry, HostState},
+    job::{JobSpec, Step, Submission},
+    ledger::Ledger,
+    reducer::{Limits, Scheduler},
+    task::TaskKey,
+};
+use borageswitch_types::{
+    Time,
+    names::{DataCentreName, ExecutorName, HostName, JobName},
+    time::UnixMillis,
+};
+
+/// A leader with executors that do what the test says.
+pub struct Session {
+    pub scheduler: Scheduler,
+    pub now: u64,
+}
+
+/// An executor of the pool, with eight cores.
+pub fn registration(name: &str) -> Registration {
+    Registration {
+        executor: ExecutorName::from(name),
+        pool: queue().pool,
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: DataCentreName::from("dc"),
+        draining: false,
+        remaining: None,
+        capacity: cores(8),
+        labels: vec!["a".into(), "r1".into()],
+    }
+}
+
+/// Tasks of one core each.
+pub fn step(count: u32) -> Step {
+    let estimate = Duration::from_millis(500);
+    Step { count, size: cores(1), estimate, ..Step::default() }
+}
+
+/// A task of a job's first step.
+pub fn key(job: &str, index: u32) -> TaskKey {
+    TaskKey { job: JobName::from(job), occurrence: 0, step: 0, index }
+}
+
+/// The first run of a task, at work.
+pub fn active(task: &TaskKey) -> ActiveRun {
+    ActiveRun { task: task.clone(), run: 1, checkpoint: None, percent: 100, recent: 0 }
+}
+
+/// The first run of a task, done.
+pub fn done(number: u64, task: &TaskKey) -> EndedRun {
+    EndedRun { number, task: task.clone(), run: 1, how: EndKind::Done, checkpoint: None }
+}
+
+/// What the looks among the effects acknowledge.
+pub fn acknowledgements(effects: &[Effect]) -> Vec<u64> {
+    let looks = effects.iter().filter_map(|effect| match effect {
+        Effect::Look(_, order) => Some(order.acknowledged),
+        _ => None,
+    });
+    looks.collect()
+}
+
+/// Lasting tasks that may not share a host, of which one may be away.
+pub fn lasting(count: u32) -> Step {
+    Step { lasting: true, max_per_host: Some(1), max_unavailable: Some(1), ..step(count) }
+}
+
+/// A host of the pool that is up.
+pub fn host(name: &str, executor: &str) -> HostEntry {
+    HostEntry {
+        host: HostName::from(name),
+        pool: queue().pool,
+        state: HostState::Up,
+        labels: vec!["a".into(), "r1".into()],
+        capacity: cores(8),
+        executor: Some(ExecutorName::from(executor)),
+    }
+}
+
+/// How many stops are among the effects.
+pub fn stops(effects: &[Effect]) -> usize {
+    effects.iter().filter(|effect| matches!(effect, Effect::Stop(..))).count()
+}
+
+impl Session {
+    pub fn new(executors: &[&str]) -> Self {
+        Self::with_ledger(executors, Ledger::default())
+    }
+
+    pub fn with_ledger(executors: &[&str], ledger: Ledger) -> Self {
+        Self::with_config(executors, ledger, config(true))
+    }
+
+    pub fn with_config(executors: &[&str], ledger: Ledger, config: Arc<Config>) -> Self {
+        let now = Now { time: Time::from_millis(10_000), wall: UnixMillis(1_000_000) };
+        let registrations = executors.iter().map(|name| registration(name)).collect();
+        let scheduler =
+            Scheduler::recover(Limits::default(), now, ledger, 1, config, registrations);
+        let mut session = Self { scheduler, now: 10_000 };
+        session.settle();
+        for name in executors {
+            session.report(name, &[], &[], 0);
+        }
+        session
+    }
+
+    pub fn moment(&self) -> Now {
+        Now { time: Time::from_millis(self.now), wall: UnixMillis(990_000 + self.now) }
+    }
+
+    pub fn handle(&mut self, event: Event) {
+        let moment = self.moment();
+        self.scheduler.handle(moment, event);
+    }
+
+    pub fn settle(&mut self) -> Vec<Effect> {
+        let moment = self.moment();
+        let effects = self.scheduler.settle(moment);
+        effects.into_iter().filter(|effect| !matches!(effect, Effect::Log(_))).collect()
+    }
+
+    pub fn pass(&mut self, millis: u64) -> Vec<Effect> {
+        self.now += millis;
+        self.settle()
+    }
+
+    pub fn submit(&mut self, job: &str, steps: Vec<Step>) {
+        let submission = Submission {
+            job: JobName::from(job),
+            queue: queue(),
+            accepted: UnixMillis(990_000 + self.now),
+            spec: JobSpec { text: "text".into(), steps, schedule: None },
+        };
+        self.handle(Event::Submitted(Arc::new(submission)));
+    }
+
+    /// An executor answers a look that carried this acknowledgement.
+    pub fn report(&mut self, executor: &str, active: &[ActiveRun], ended: &[EndedRun], ack: u64) {
+        let report = Report { clock_ms: self.now, active: active.to_vec(), ended: ended.to_vec() };
+        self.look_answered(executor, LookAnswer::Report(report), ack);
+    }
+
+    /// Answers whatever look may be on its way, one that waits and one that does not.
+    pub fn look_answered(&mut self, executor: &str, answer: LookAnswer, ack: u64) {
+        let sent = Time::from_millis(self.now - 2);
+        let executor = ExecutorName::from(executor);
+        for wait in [Duration::ZERO, Duration::from_secs(1)] {
+            let order = LookOrder { until_ms: None, acknowledged: ack, wait };
+            let (executor, answer) = (executor.clone(), answer.clone());
+            self.handle(Event::Looked { executor, sent, order, answer });
+        }
+    }
+
+    /// Stores the append on its way and starts whatever is then ordered.
+    pub fn store_and_start(&mut self) -> Vec<(ExecutorName, TaskKey)> {
+        let mut started = Vec::new();
+        for effect in self.pass(50) {
+            if let Effect::Append { append, .. } = effect {
+                self.handle(Event::Appended { append });
+            }
+        }
+        for effect in self.settle() {
+            if let Effect::Start(to, order) = effect {
+                started.push((to.executor.clone(), order.task.clone()));
+                self.handle(Event::StartAnswered {
+                    executor: to.executor,
+                    task: order.task,
+                    run: order.run,
+                    sent: Time::from_millis(self.now),
+                    clock_ms: Some(self.now),
+                    answer: StartAnswer::Started,
+                });
+            }
+        }
+        started
+    }
+}
--- a/crates/borageswitch_scheduler/tests/support/world.rs
+++ b/crates/borageswitch_scheduler/tests/support/world.rs
@@ -8,11 +8,10 @@
 };
 
 use borageswitch_scheduler::{
-    config::{Config, Pool, Queue, RequestLimits},
     effect::{Effect, Recipient},
     event::{Event, LookAnswer, Now, OrderAnswer, StartAnswer},
     executor::Registration,
-    job::{JobSpec, Schedule, Size, Step, Submission},
+    job::{JobSpec, Schedule, Step, Submission},
     ledger::{
         Ledger,
         record::{Outcome, Record},
@@ -23,12 +22,15 @@
 };
 use borageswitch_types::{
     Time,
-    names::{DataCentreName, ExecutorName, JobName, PoolName, QueueName},
+    names::{DataCentreName, ExecutorName, JobName},
     time::UnixMillis,
 };
 use fastrand::Rng;
 
-use super::executor::{Behaviour, SimExecutor};
+use super::{
+    executor::{Behaviour, SimExecutor},
+    fixtures::{config, cores, queue},
+};
 
 /// One step of the world, in milliseconds.
 const STEP: u64 = 5;
@@ -79,40 +81,6 @@
     pub broken: Vec<String>,
 }
 
-pub fn queue() -> Queue {
-    Queue {
-        name: QueueName::from("runs"),
-        authority: "site.example".into(),
-        prefix: "/runs/".into(),
-        pool: PoolName::from("payroll"),
-        priority: 0,
-        max_attempts: 3,
-        stretch: 1.6,
-        allowance: Duration::from_millis(600),
-        timeout: Duration::from_secs(3),
-        advisor: None,
-    }
-}
-
-fn config(guards: bool) -> Arc<Config> {
-    let pool = Pool { name: queue().pool, guards_capacity: guards, standby: false };
-    Arc::new(Config {
-        version: 1,
-        queues: BTreeMap::from([(queue().name, queue())]),
-        pools: BTreeMap::from([(pool.name.clone(), pool)]),
-        limits: RequestLimits {
-            head_bytes: 1 << 14,
-            body_bytes: 1 << 18,
-            head_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        },
-    })
-}
-
-pub fn cores(cores: u64) -> Size {
-    Size { cpu_milli: cores * 1_000, memory_mb: cores * 1_000, accelerators: 0 }
-}
-
 impl World {
     pub fn new(seed: u64, hosts: usize, guards: bool, faults: Faults) -> Self {
         let mut world = Self {
--- /dev/null
+++ b/tools/soak/src/plan.rs
@@ -0,0 +1,155 @@
+//! Which faults come when, drawn from a seed.
+//!
+//! Faults come in series and overlap: half of them begin while another one lasts. All are over
+//! some time before the end of the run, so that what was promised can be seen to be kept.
+
+use std::time::Duration;
+
+/// Which daemon a fault is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Who {
+    /// The one with this number.
+    #[display("daemon {_0}")]
+    Number(usize),
+    /// Whichever leads when the fault begins.
+    #[display("the leader")]
+    Leader,
+}
+
+/// Something that goes wrong. Hosts are numbers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Fault {
+    /// A daemon is killed, and started again afterwards.
+    #[display("kill {_0}")]
+    Kill(Who),
+    /// All daemons are killed at once, and started again afterwards.
+    #[display("kill all")]
+    KillAll,
+    /// A daemon is asked to end, and started again when it has.
+    #[display("terminate {_0}")]
+    Terminate(Who),
+    /// A daemon is stopped by a signal and goes on afterwards, without knowing.
+    #[display("pause {_0}")]
+    Pause(Who),
+    /// A daemon is told to read its settings again.
+    #[display("reload {_0}")]
+    Reload(Who),
+    /// The store refuses every call.
+    #[display("store refuses")]
+    StoreRefuses,
+    /// The store carries writes out and does not answer.
+    #[display("store loses answers")]
+    StoreLosesAnswers,
+    /// The store answers late.
+    #[display("store slow")]
+    StoreSlow,
+    /// The store forgets its history.
+    #[display("store forgets")]
+    StoreForgets,
+    /// Nothing passes between a daemon and the store; what was held back arrives afterwards.
+    #[display("store silent for {_0}")]
+    StoreSilent(Who),
+    /// A daemon's calls reach the store, and no answer comes back.
+    #[display("store deaf for {_0}")]
+    StoreOneWay(Who),
+    /// A daemon's open connections to the store go silent for good; new ones work.
+    #[display("store connections lost for {_0}")]
+    StoreLoses(Who),
+    /// A daemon's connections to the store are reset.
+    #[display("store reset for {_0}")]
+    StoreReset(Who),
+    /// Orders to a host's executor are held back and arrive afterwards.
+    #[display("host {_0} late")]
+    HostLate(usize),
+    /// Orders reach a host's executor, and no answer comes back.
+    #[display("host {_0} deaf")]
+    HostOneWay(usize),
+    /// Everything to and from a host's executor takes longer.
+    #[display("host {_0} slow")]
+    HostSlow(usize),
+    /// A host goes down and comes back as another life of its executor.
+    #[display("host {_0} crashes")]
+    HostCrashes(usize),
+    /// A host says that it leaves, and is gone afterwards.
+    #[display("host {_0} leaves")]
+    HostLeaves(usize),
+    /// The operator declares a queue more.
+    #[display("new queue")]
+    NewQueue,
+    /// The operator asks for a maintenance wave over some hosts.
+    #[display("wave")]
+    Wave,
+}
+
+/// A fault with its times, counted from the beginning of the run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Planned {
+    /// When it begins.
+    pub at: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// What it is.
+    pub fault: Fault,
+}
+
+/// How large a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// How many daemons.
+    pub daemons: usize,
+    /// How many hosts.
+    pub hosts: usize,
+    /// For how long faults come.
+    pub faults_for: Duration,
+}
+
+/// Faults begin only after this time: the site has to stand first.
+const QUIET_START: Duration = Duration::from_millis(1_500);
+/// The mean time from one fault to the next; they last longer than that, so many overlap.
+const MEAN_GAP: Duration = Duration::from_millis(700);
+/// How long a fault lasts, at the least and at the most: from a hiccup to longer than a leader's
+/// lease, its grace and an executor's lease together allow for.
+const LASTS: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(5_000));
+
+/// The faults of a seed.
+pub fn draw(seed: u64, size: &Size) -> Vec<Planned> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut planned = Vec::new();
+    let mut at = QUIET_START;
+    while at < size.faults_for {
+        let shortest = LASTS.0.as_secs_f64();
+        // Short ones are more frequent than long ones.
+        let lasts = shortest * (LASTS.1.as_secs_f64() / shortest).powf(rng.f64());
+        let lasts = Duration::from_secs_f64(lasts).min(size.faults_for - at);
+        planned.push(Planned { at, lasts, fault: draw_fault(&mut rng, size) });
+        at += MEAN_GAP.mul_f64(-(1.0 - rng.f64()).ln());
+    }
+    planned
+}
+
+fn draw_fault(rng: &mut fastrand::Rng, size: &Size) -> Fault {
+    let who = if rng.bool() { Who::Leader } else { Who::Number(rng.usize(..size.daemons)) };
+    let host = rng.usize(..size.hosts);
+    match rng.u32(..30) {
+        0..=2 => Fault::Kill(who),
+        3 => Fault::KillAll,
+        4..=5 => Fault::Terminate(who),
+        6..=8 => Fault::Pause(who),
+        9 => Fault::Reload(who),
+        10 => Fault::StoreRefuses,
+        11 => Fault::StoreLosesAnswers,
+        12 => Fault::StoreSlow,
+        13 => Fault::StoreForgets,
+        14..=15 => Fault::StoreSilent(who),
+        16 => Fault::StoreOneWay(who),
+        17 => Fault::StoreLoses(who),
+        18 => Fault::StoreReset(who),
+        19..=20 => Fault::HostLate(host),
+        21 => Fault::HostOneWay(host),
+        22 => Fault::HostSlow(host),
+        23..=24 => Fault::HostCrashes(host),
+        25 => Fault::HostLeaves(host),
+        26..=27 => Fault::NewQueue,
+        _ => Fault::Wave,
+    }
+}
