Tell callers at once while the store is silent, and before they stop waiting

One request in 250 ms was let through to try the store; with 44 daemons nearly every request was that one, and was held for 600 ms, then for as long again at the leader. Ruled out: the leader (it answered within ms), the client's connection (other requests on it were answered). Change: the watch on the configuration, which goes on anyway, tells whether the store answers; no caller is used to find out. A job's write is waited for 400 ms (the slow store takes 240).

--- a/crates/borageswitch_fakes/src/platform/mod.rs
+++ b/crates/borageswitch_fakes/src/platform/mod.rs
@@ -14,7 +14,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -57,6 +57,8 @@
     pub store_loses_answers: bool,
     /// The store answers so much later.
     pub store_delay: Duration,
+    /// Calls to the store hang for so long and then end without an answer, having done nothing.
+    pub store_hangs: Duration,
 }
 
 /// What a test asks of an executor.
@@ -138,6 +140,8 @@
     inner: Arc<Mutex<Inner>>,
     /// The store refuses whoever calls through this handle, and serves all others.
     turned_away: Arc<AtomicBool>,
+    /// Calls that have hung and ended without an answer.
+    hung: Arc<AtomicUsize>,
 }
 
 impl MemoryPlatform {
@@ -170,6 +174,7 @@
             began: Instant::now(),
             inner: Arc::new(Mutex::new(inner)),
             turned_away: Arc::default(),
+            hung: Arc::default(),
         }
     }
 
@@ -303,11 +308,26 @@
         Ok(inner)
     }
 
-    async fn be_slow(&self) {
-        let delay = self.lock().faults.store_delay;
+    /// How many calls to the store have hung until they ended without an answer.
+    pub fn hung(&self) -> usize {
+        self.hung.load(Ordering::SeqCst)
+    }
+
+    /// Lets a call to the store take its time.
+    async fn pass(&self) -> StoreResult<()> {
+        let (delay, hangs) = {
+            let faults = self.lock().faults;
+            (faults.store_delay, faults.store_hangs)
+        };
         if !delay.is_zero() {
             Timer::after(delay).await;
         }
+        if !hangs.is_zero() {
+            Timer::after(hangs).await;
+            self.hung.fetch_add(1, Ordering::SeqCst);
+            return Err(StoreError::Lost);
+        }
+        Ok(())
     }
 }
 
@@ -317,19 +337,20 @@
     }
 
     async fn read(&self, key: &str) -> StoreResult<Reading> {
-        self.be_slow().await;
+        self.pass().await?;
         let inner = self.admit()?;
         Ok(Reading { item: inner.store.get(key), at: inner.store.revision() })
     }
 
     async fn list(&self, prefix: &str, after: Option<&str>) -> StoreResult<Page> {
-        self.be_slow().await;
+        self.pass().await?;
         let inner = self.admit()?;
         let items = inner.store.list(prefix, after);
         Ok(Page { items, more: false, at: inner.store.revision() })
     }
 
     async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> StoreResult<Changes> {
+        self.pass().await?;
         let until = Instant::now() + wait;
         loop {
             {
@@ -344,18 +365,19 @@
     }
 
     async fn commit(&self, tx: &Transaction) -> StoreResult<Committed> {
-        self.be_slow().await;
+        self.pass().await?;
         let mut inner = self.admit()?;
         let committed = inner.store.commit(tx);
         if inner.faults.store_loses_answers { Err(StoreError::Lost) } else { Ok(committed) }
     }
 
     async fn grant(&self, ttl: Duration) -> StoreResult<(LeaseId, Duration)> {
+        self.pass().await?;
         Ok((self.admit()?.store.grant(Instant::now(), ttl), ttl))
     }
 
     async fn renew(&self, lease: LeaseId) -> StoreResult<Duration> {
-        self.be_slow().await;
+        self.pass().await?;
         self.admit()?.store.renew(Instant::now(), lease).ok_or(StoreError::NotFound)
     }
 
--- a/crates/borageswitch_runtime/src/intake.rs
+++ b/crates/borageswitch_runtime/src/intake.rs
@@ -12,6 +12,7 @@
     reducer::view::JobStatus,
 };
 use borageswitch_types::{Time, names::JobName};
+use futures_lite::future;
 use smol::Timer;
 
 use crate::{
@@ -26,6 +27,9 @@
 /// How long a job is tried to be stored before the caller is told to come back. An ordinary write
 /// takes some 10 ms; a caller whose daemon is turned away does better at another one.
 const STORE_PATIENCE: Duration = Duration::from_millis(100);
+/// How long the store may take for one job. A slow store was seen to take 240 ms; a caller who
+/// waits longer is better told that nothing is known, and finds its job when it asks again.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(400);
 /// The pause before a call that failed is made again.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 /// How long a question waits for a leader: about the time of an orderly change.
@@ -108,10 +112,15 @@
     let give_up = clock::time() + STORE_PATIENCE;
     loop {
         let sent = clock::time();
-        if !shared.store_health.may_try(sent) {
+        if shared.store_health.is_away(sent) {
             return Err(Failure::StoreAway);
         }
-        match shared.platform.commit(&tx).await {
+        let answered = async { Some(shared.platform.commit(&tx).await) };
+        let patience = async {
+            Timer::after(ANSWER_PATIENCE).await;
+            None
+        };
+        match future::or(answered, patience).await.unwrap_or(Err(StoreError::Lost)) {
             // A conflict says that the same request was stored before.
             Ok(Committed::Done(_) | Committed::Conflict(_)) => {
                 shared.store_health.answered();
@@ -217,6 +226,9 @@
 where
     P: Platform,
 {
+    if shared.store_health.is_away(clock::time()) {
+        return Err(Failure::NoLeader);
+    }
     let reading = shared.platform.read(&keys::job(job)).await.map_err(|_| Failure::NoLeader)?;
     Ok(reading.item.is_some_and(|item| {
         codec::decode::<Submission>("submission", &item.value)
--- a/crates/borageswitch_runtime/src/watching.rs
+++ b/crates/borageswitch_runtime/src/watching.rs
@@ -14,7 +14,7 @@
 use smol::Timer;
 
 use crate::{
-    codec,
+    clock, codec,
     control::Message,
     daemon::Shared,
     keys,
@@ -44,18 +44,23 @@
     let mut at: Option<Revision> = None;
     let mut lost = false;
     loop {
+        let sent = clock::time();
         let outcome = match at {
             None => read_config(&shared, &key).await,
             Some(after) => watch_config(&shared, &key, after).await,
         };
         match outcome {
             Ok(next) => {
+                shared.store_health.answered();
                 if std::mem::take(&mut lost) {
                     log::info!("config-watch-regained");
                 }
                 at = Some(next);
             }
             Err(err) => {
+                if err != StoreError::HistoryGone {
+                    shared.store_health.failed(sent);
+                }
                 if !std::mem::replace(&mut lost, true) {
                     log::warn!(reason = err.to_string().as_str(); "config-watch-lost");
                 }
--- a/crates/borageswitch_runtime/tests/daemons.rs
+++ b/crates/borageswitch_runtime/tests/daemons.rs
@@ -296,3 +296,34 @@
         assert_eq!(outcome(&first, "00000000000000aa").await, Outcome::Completed);
     });
 }
+
+#[test]
+fn callers_are_not_the_ones_who_try_a_store_that_is_silent() {
+    // The store falls silent for seconds, and a caller comes to this daemon twice a second. If each
+    // tried the store, each would be held for as long as a call may take, only to be told what the
+    // daemon has known since the first.
+    let ex = Arc::new(Executor::new());
+    let platform = platform();
+    let daemon = start("d1", &platform, &ex);
+    run(&ex, async {
+        ready(&[&daemon]).await;
+        submit(&daemon, "00000000000000aa").await;
+        assert_eq!(outcome(&daemon, "00000000000000aa").await, Outcome::Completed);
+        let store_hangs = Duration::from_millis(200);
+        platform.set_faults(PlatformFaults { store_hangs, ..Default::default() });
+        let first = intake::submit(&daemon, &queue(), &JobName::from("b0"), two_steps()).await;
+        assert_eq!(first, Err(Failure::StoreSilent));
+
+        for number in 1..5 {
+            Timer::after(Duration::from_millis(500)).await;
+            let job = JobName::from(format!("b{number}"));
+            let told = intake::submit(&daemon, &queue(), &job, two_steps()).await;
+            // Nothing was tried, so nothing can have been stored.
+            assert_eq!(told, Err(Failure::StoreAway));
+        }
+
+        platform.set_faults(PlatformFaults::default());
+        submit(&daemon, "00000000000000cc").await;
+        assert_eq!(outcome(&daemon, "00000000000000cc").await, Outcome::Completed);
+    });
+}
