--- a/crates/borageswitch_edge/src/peers/accept.rs
+++ b/crates/borageswitch_edge/src/peers/accept.rs
@@ -19,11 +19,11 @@
         dial::LinkError,
         frames::{FrameReader, FrameWriter, SMALL_FRAME_BUDGET},
         handshake::{self, Role},
-        io::H2Stream,
         link::Link,
     },
     platform::before,
 };
+use borageswitch_http::h2_stream::H2Stream;
 
 /// The most connections that have not proved themselves yet; further ones are closed at once.
 const MAX_UNPROVED: usize = 32;
--- a/crates/borageswitch_edge/src/peers/dial.rs
+++ b/crates/borageswitch_edge/src/peers/dial.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use borageswitch_http::h2_stream::H2Stream;
 use borageswitch_types::names::DaemonName;
 use borageswitch_wire::peer::Member;
 use bytes::Bytes;
@@ -19,7 +20,6 @@
         Shared,
         frames::{FrameReader, FrameWriter, SMALL_FRAME_BUDGET},
         handshake::{self, HandshakeError, Role},
-        io::H2Stream,
         link::Link,
         registry::Standing,
     },
--- a/crates/borageswitch_edge/src/peers/link.rs
+++ b/crates/borageswitch_edge/src/peers/link.rs
@@ -10,6 +10,7 @@
 
 use async_channel::TrySendError;
 use borageswitch_control::Event;
+use borageswitch_http::h2_stream::ByteCounter;
 use borageswitch_types::names::DaemonName;
 use borageswitch_wire::{
     PeerMessage,
@@ -26,7 +27,6 @@
     peers::{
         Shared,
         frames::{FrameError, FrameReader, FrameWriter},
-        io::ByteCounter,
         registry::Place,
     },
     platform::before,
--- a/crates/borageswitch_edge/src/peers/mod.rs
+++ b/crates/borageswitch_edge/src/peers/mod.rs
@@ -14,7 +14,6 @@
 mod dial;
 mod frames;
 mod handshake;
-mod io;
 mod key;
 mod link;
 mod queue;
--- a/crates/borageswitch_edge/src/peers/tests.rs
+++ b/crates/borageswitch_edge/src/peers/tests.rs
@@ -4,6 +4,7 @@
 
 use async_channel::Receiver;
 use borageswitch_control::Event;
+use borageswitch_http::h2_stream::{ByteCounter, H2Stream};
 use borageswitch_types::{fleet::Revision, names::DaemonName};
 use borageswitch_wire::{
     PeerMessage,
@@ -18,7 +19,6 @@
     Peers, PeersConfig, SiteKey,
     frames::{FrameReader, FrameWriter},
     handshake::{self, HandshakeError, Role},
-    io::{ByteCounter, H2Stream},
 };
 
 const KEY: &[u8] = b"a key of the site, long enough";
--- a/crates/borageswitch_edge/src/peers/io.rs
+++ b/crates/borageswitch_http/src/h2_stream.rs
@@ -16,17 +16,18 @@
 
 /// A connection as `h2` wants it; only the traits of tokio are used, none of its runtime. It counts
 /// every byte, so that pings and headers count too.
-pub(super) struct H2Stream {
+pub struct H2Stream {
     stream: TcpStream,
     bytes: ByteCounter,
 }
 
 /// Counts the bytes of all connections.
-#[derive(Clone)]
-pub(super) struct ByteCounter(Counter<u64>);
+#[derive(Clone, Debug)]
+pub struct ByteCounter(Counter<u64>);
 
 impl ByteCounter {
-    pub(super) fn new(meter: &Meter) -> Self {
+    /// A counter that begins at zero.
+    pub fn new(meter: &Meter) -> Self {
         let bytes = meter.u64_counter("borageswitch_peer_bytes");
         Self(bytes.with_description("Bytes on connections between daemons by direction").build())
     }
@@ -37,7 +38,8 @@
 }
 
 impl H2Stream {
-    pub(super) fn new(stream: TcpStream, bytes: ByteCounter) -> Self {
+    /// A connection whose bytes are counted.
+    pub fn new(stream: TcpStream, bytes: ByteCounter) -> Self {
         Self { stream, bytes }
     }
 }
--- a/crates/borageswitch_runtime/src/daemon.rs
+++ b/crates/borageswitch_runtime/src/daemon.rs
@@ -14,6 +14,7 @@
 };
 
 use async_channel::{Receiver, Sender};
+use borageswitch_http::h2_stream::ByteCounter;
 use borageswitch_scheduler::{config::Config, reducer::Limits};
 use opentelemetry::metrics::Meter;
 
@@ -64,6 +65,7 @@
     pub(crate) store_health: StoreHealth,
     pub(crate) lanes: Lanes,
     client: Client,
+    pub(crate) peer_bytes: ByteCounter,
     config: Mutex<Option<Arc<Config>>>,
     leader: Mutex<Option<(LeaderRecord, Revision)>>,
     stopping: AtomicBool,
@@ -190,6 +192,7 @@
     let (control, messages) = async_channel::bounded(MESSAGE_QUEUE);
     let (work_tx, work) = async_channel::unbounded::<Work>();
     let instruments = Arc::new(Instruments::new(&cfg.meter));
+    let peer_bytes = ByteCounter::new(&cfg.meter);
     let thread = Control::new(cfg.limits.clone(), messages, work_tx, instruments.clone());
     thread::Builder::new().name("control".to_owned()).spawn(|| smol::block_on(thread.run()))?;
     let shared = Arc::new(Shared {
@@ -200,7 +203,8 @@
         instruments,
         store_health: StoreHealth::default(),
         lanes: Lanes::default(),
-        client: Client::new(ex.clone()),
+        client: Client::new(ex.clone(), peer_bytes.clone()),
+        peer_bytes,
         config: Mutex::default(),
         leader: Mutex::default(),
         stopping: AtomicBool::new(false),
--- a/crates/borageswitch_runtime/src/instruments.rs
+++ b/crates/borageswitch_runtime/src/instruments.rs
@@ -8,6 +8,7 @@
 //! | `borageswitch_call_seconds` | `to` | how long they took |
 //! | `borageswitch_decisions` | `kind` | the scheduler's decisions, as in the log |
 //! | `borageswitch_leading` | | 1 on the daemon that leads |
+//! | `borageswitch_peer_bytes` | `direction` | bytes on connections between daemons |
 
 use std::time::Duration;
 
--- a/crates/borageswitch_runtime/src/lib.rs
+++ b/crates/borageswitch_runtime/src/lib.rs
@@ -15,7 +15,7 @@
 //! - [`store_health`] tells whether the store is worth asking.
 //! - [`peers`] carries questions from any daemon to the one that leads.
 //! - [`instruments`] counts and times.
-//! - [`settings`] and [`logging`] are the process's own; [`reloading`] follows the settings' file.
+//! - [`settings`] are the process's own; [`reloading`] follows their file.
 
 pub mod answers;
 pub mod appends;
@@ -28,7 +28,6 @@
 pub mod instruments;
 pub mod intake;
 pub mod keys;
-pub mod logging;
 pub mod orders;
 pub mod peers;
 pub mod ports;
--- a/crates/borageswitch_runtime/src/peers/client.rs
+++ b/crates/borageswitch_runtime/src/peers/client.rs
@@ -6,12 +6,13 @@
     time::Duration,
 };
 
+use borageswitch_http::h2_stream::{ByteCounter, H2Stream};
 use bytes::Bytes;
 use h2::client::SendRequest;
 use http::Request;
 use smol::net::TcpStream;
 
-use super::{Answer, MAX_MESSAGE, Question, io::H2Stream};
+use super::{Answer, MAX_MESSAGE, Question};
 use crate::{codec, orders::within};
 
 /// How long a question may take; an answer that waits for the store takes some 10 ms.
@@ -27,13 +28,14 @@
 /// Asks the daemon that leads, over one connection that is kept.
 pub struct Client {
     connection: Mutex<Option<Connection>>,
+    bytes: ByteCounter,
     ex: Arc<smol::Executor<'static>>,
 }
 
 impl Client {
     /// A client without a connection.
-    pub fn new(ex: Arc<smol::Executor<'static>>) -> Self {
-        Self { connection: Mutex::default(), ex }
+    pub fn new(ex: Arc<smol::Executor<'static>>, bytes: ByteCounter) -> Self {
+        Self { connection: Mutex::default(), bytes, ex }
     }
 
     /// Asks the daemon at an address. Nothing is answered if it cannot be reached in time.
@@ -84,7 +86,8 @@
     async fn connect(&self, address: SocketAddr) -> Option<SendRequest<Bytes>> {
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
-        let (sender, connection) = h2::client::handshake(H2Stream(stream)).await.ok()?;
+        let (sender, connection) =
+            h2::client::handshake(H2Stream::new(stream, self.bytes.clone())).await.ok()?;
         let driver = self.ex.spawn(async move {
             if let Err(err) = connection.await {
                 log::debug!("the connection to the leader ended: {err}");
--- a/crates/borageswitch_runtime/src/peers/mod.rs
+++ b/crates/borageswitch_runtime/src/peers/mod.rs
@@ -4,7 +4,6 @@
 //! connection to the leader; each question is a stream with a `bincode` message either way.
 
 mod client;
-mod io;
 mod server;
 
 use borageswitch_scheduler::{job::Submission, reducer::view::JobStatus};
--- a/crates/borageswitch_runtime/src/peers/server.rs
+++ b/crates/borageswitch_runtime/src/peers/server.rs
@@ -2,6 +2,7 @@
 
 use std::{io, sync::Arc, time::Duration};
 
+use borageswitch_http::h2_stream::H2Stream;
 use bytes::Bytes;
 use h2::{RecvStream, server::SendResponse};
 use http::{Request, Response};
@@ -10,7 +11,7 @@
     net::{TcpListener, TcpStream},
 };
 
-use super::{Answer, MAX_MESSAGE, Question, io::H2Stream};
+use super::{Answer, MAX_MESSAGE, Question};
 use crate::{answers::Failure, codec, daemon::Shared, intake, ports::Platform};
 
 /// How long to wait before accepting again after the process ran out of descriptors.
@@ -47,7 +48,8 @@
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("a peer's connection stays slow: {err}");
     }
-    let mut connection = h2::server::handshake(H2Stream(stream)).await?;
+    let mut connection =
+        h2::server::handshake(H2Stream::new(stream, shared.peer_bytes.clone())).await?;
     while let Some(accepted) = connection.accept().await {
         let (req, respond) = accepted?;
         let own = shared.clone();
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,12 +1,8 @@
 //! Structured logs, as text or as one JSON object a record.
 
-use std::{
-    fmt::Write,
-    io,
-    str::FromStr,
-    time::{SystemTime, UNIX_EPOCH},
-};
+use std::{fmt::Write, io, str::FromStr};
 
+use borageswitch_logging::json;
 use borageswitch_settings::daemon::{LogFormat, LogSettings};
 use log::{
     LevelFilter, Record,
@@ -44,44 +40,23 @@
     }
 }
 
-struct JsonPairs(serde_json::Map<String, serde_json::Value>);
-
-impl<'kvs> VisitSource<'kvs> for JsonPairs {
-    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
-        let value = match (value.to_u64(), value.to_bool()) {
-            (Some(number), _) => serde_json::Value::from(number),
-            (_, Some(flag)) => serde_json::Value::from(flag),
-            _ => serde_json::Value::from(value.to_string()),
-        };
-        self.0.insert(key.to_string(), value);
-        Ok(())
-    }
-}
-
 fn text_line(record: &Record<'_>, message: &str) -> String {
     let mut pairs = TextPairs(String::new());
     let _ = record.key_values().visit(&mut pairs);
-    format!("{} {:5} {} {message}{}", unix_millis(), record.level(), record.target(), pairs.0)
+    format!("{} {:5} {} {message}{}", json::unix_millis(), record.level(), record.target(), pairs.0)
 }
 
 fn json_line(record: &Record<'_>, message: &str) -> String {
-    let mut pairs = JsonPairs(serde_json::Map::new());
-    let _ = record.key_values().visit(&mut pairs);
     let mut line = serde_json::json!({
-        "unix_ms": unix_millis(),
+        "unix_ms": json::unix_millis(),
         "level": record.level().as_str(),
         "target": record.target(),
         "message": message,
     });
     if let Some(object) = line.as_object_mut() {
-        for (key, value) in pairs.0 {
+        for (key, value) in json::pairs(record) {
             object.entry(key).or_insert(value);
         }
     }
     line.to_string()
 }
-
-fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    since.as_millis() as u64
-}
