Take queues and configurations of tests and soak from one example

The fakes' example is used by the daemons' and callers' tests and by the soak; figures that a test depends on are set by it.

--- a/crates/borageswitch_fakes/src/platform/mod.rs
+++ b/crates/borageswitch_fakes/src/platform/mod.rs
@@ -4,7 +4,9 @@
 //! leases and watches, [`executors`] that keep to fencing tokens and leases, and [`hosts`] that
 //! crash, move and are maintained. Several daemons in one process share one. Faults are switched on
 //! by [`MemoryPlatform::set_faults`]; what executors saw is in [`MemoryPlatform::runs`].
+//! [`example`] has a configuration to begin with.
 
+pub mod example;
 mod executors;
 mod hosts;
 mod store;
--- a/crates/borageswitch_runtime/tests/daemons.rs
+++ b/crates/borageswitch_runtime/tests/daemons.rs
@@ -2,69 +2,41 @@
 //! it, nothing is lost or done twice.
 
 use std::{
-    collections::BTreeMap,
     future::Future,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use borageswitch_fakes::platform::{MemoryPlatform, PlatformFaults};
+use borageswitch_fakes::platform::{
+    MemoryPlatform, PlatformFaults,
+    example::{self, cores},
+};
 use borageswitch_runtime::{
     answers::{Effective, Failure},
     daemon::{self, DaemonConfig, Shared},
     intake,
 };
 use borageswitch_scheduler::{
-    config::{Config, Pool, Queue, RequestLimits},
-    job::{JobSpec, Size, Step},
+    config::Queue,
+    job::{JobSpec, Step},
     ledger::record::Outcome,
     reducer::{Limits, view::JobStatus},
 };
-use borageswitch_types::names::{JobName, PoolName, QueueName};
+use borageswitch_types::names::JobName;
 use smol::{Executor, Timer};
 
 /// A bound of liveness, far above what anything here takes on a busy machine.
 const PATIENCE: Duration = Duration::from_secs(60);
 
-type Daemon = Arc<Shared<MemoryPlatform>>;
-
 fn queue() -> Queue {
-    Queue {
-        name: QueueName::from("runs"),
-        authority: "site.example".into(),
-        prefix: "/runs/".into(),
-        pool: PoolName::from("payroll"),
-        priority: 0,
-        max_attempts: 2,
-        stretch: 1.6,
-        allowance: Duration::from_millis(600),
-        timeout: Duration::from_secs(3),
-        advisor: None,
-    }
+    example::queue("runs", "/runs/", "payroll")
 }
 
-fn config() -> Config {
-    let pool = Pool { name: queue().pool, guards_capacity: true, standby: false };
-    Config {
-        version: 1,
-        queues: BTreeMap::from([(queue().name, queue())]),
-        pools: BTreeMap::from([(pool.name.clone(), pool)]),
-        limits: RequestLimits {
-            head_bytes: 16 << 10,
-            body_bytes: 256 << 10,
-            head_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        },
-    }
-}
-
-fn cores(cores: u64) -> Size {
-    Size { cpu_milli: cores * 1_000, memory_mb: cores * 1_000, accelerators: 0 }
-}
+type Daemon = Arc<Shared<MemoryPlatform>>;
 
 fn platform() -> MemoryPlatform {
     let platform = MemoryPlatform::new(Duration::from_millis(30));
-    platform.configure(&config());
+    platform.configure(&example::config([queue()], [example::pool("payroll")]));
     for name in ["e1", "e2", "e3"] {
         platform.add_executor(name, "payroll", cores(8));
     }
--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -11,7 +11,7 @@
 };
 
 use borageswitch_fakes::{
-    platform::{FAILING_TEXT, LASTING_TEXT},
+    platform::{FAILING_TEXT, LASTING_TEXT, example},
     serve::Runner,
 };
 use borageswitch_http::client::{Answer, Client};
@@ -259,7 +259,7 @@
 }
 
 fn request(method: Method, path: &str, body: Bytes) -> Request<Full<Bytes>> {
-    let req = Request::builder().method(method).uri(path).header(header::HOST, "soak.example");
+    let req = Request::builder().method(method).uri(path).header(header::HOST, example::AUTHORITY);
     req.body(Full::new(body)).expect("paths are made of names and digits")
 }
 
--- a/tools/soak/src/site.rs
+++ b/tools/soak/src/site.rs
@@ -1,7 +1,6 @@
 //! Platform, daemons and proxies of one run.
 
 use std::{
-    collections::BTreeMap,
     io,
     path::Path,
     sync::{
@@ -12,7 +11,7 @@
 };
 
 use borageswitch_fakes::{
-    platform::{HostSpec, MemoryPlatform},
+    platform::{HostSpec, MemoryPlatform, example},
     serve::Runner,
 };
 use borageswitch_platform_standin::{self as standin, operator};
@@ -21,10 +20,10 @@
     keys::{self, LeaderRecord},
 };
 use borageswitch_scheduler::{
-    config::{Config, Pool, Queue, RequestLimits},
+    config::{Config, Pool, Queue},
     job::Size,
 };
-use borageswitch_types::names::{ExecutorName, HostName, PoolName, QueueName};
+use borageswitch_types::names::{ExecutorName, HostName, PoolName};
 
 use crate::{plan::Who, process::Daemon, proxy::Proxy};
 
@@ -38,8 +37,6 @@
 const STANDBY_EVERY: usize = 5;
 /// What a host has: room for eight of the usual tasks.
 pub const HOST_SIZE: Size = Size { cpu_milli: 8_000, memory_mb: 16_000, accelerators: 0 };
-/// How often a task may fail.
-pub const MAX_ATTEMPTS: u16 = 2;
 
 /// Everything that one run needs.
 pub struct Site {
@@ -152,38 +149,17 @@
     }
 }
 
-/// The queue of a pool that is there from the start.
+/// A queue of a pool.
 pub fn queue(name: &str, pool: &str) -> Queue {
-    Queue {
-        name: QueueName::from(name),
-        authority: "soak.example".into(),
-        prefix: format!("/{name}/").into(),
-        pool: PoolName::from(pool),
-        priority: 0,
-        max_attempts: MAX_ATTEMPTS,
-        stretch: 1.6,
-        allowance: Duration::from_millis(600),
-        timeout: Duration::from_secs(3),
-        advisor: None,
-    }
+    example::queue(name, &format!("/{name}/"), pool)
 }
 
 fn config() -> Config {
     let queues = POOLS.map(|pool| queue(&format!("{pool}-runs"), pool));
-    let pool =
-        |name: &str, standby| Pool { name: PoolName::from(name), guards_capacity: false, standby };
-    let pools = [pool(POOLS[0], false), pool(POOLS[1], false), pool(STANDBY, true)];
-    Config {
-        version: 1,
-        queues: queues.into_iter().map(|queue| (queue.name.clone(), queue)).collect(),
-        pools: BTreeMap::from(pools.map(|pool| (pool.name.clone(), pool))),
-        limits: RequestLimits {
-            head_bytes: 16 << 10,
-            body_bytes: 256 << 10,
-            head_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        },
-    }
+    // Executors that take whatever they are told show each time that they are told too much.
+    let serving = POOLS.map(|pool| Pool { guards_capacity: false, ..example::pool(pool) });
+    let standby = Pool { standby: true, ..example::pool(STANDBY) };
+    example::config(queues, serving.into_iter().chain([standby]))
 }
 
 fn settings(name: &str, store: &Proxy, addresses: &standin::Addresses) -> String {
