Explain jobs, hosts and waves to operators, and dump a daemon's state on request

Cause: on-call engineers had lines and counters of jobs, but nothing that says why a job waits now; the house style asks for a dump of each process's state. Change: /state and /explain/job|host|wave/... on the metrics address of any daemon; a daemon asks the leader as it does for callers.

--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -260,6 +260,16 @@
         let reply = match question {
             Question::Status { queue, job } => Answer::Status(scheduler.status(&queue, &job)),
             Question::Pending { queue } => Answer::Pending(scheduler.pending(&queue)),
+            Question::Explain(subject) => {
+                Answer::Explained(scheduler.explain(clock::now(), &subject))
+            }
+            Question::Dump => match serde_json::to_string(&scheduler.dump(clock::now())) {
+                Ok(text) => Answer::Dumped(text),
+                Err(err) => {
+                    log::error!("the state cannot be encoded: {err}");
+                    Answer::NotLeading
+                }
+            },
             // Stored by the traffic thread, whoever leads.
             Question::Submit(_) => Answer::Refused,
             Question::Cancel { queue, job } => match scheduler.status(&queue, &job) {
--- a/crates/borageswitch_runtime/src/daemon.rs
+++ b/crates/borageswitch_runtime/src/daemon.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     authority::Authority,
+    clock,
     control::{Control, Message, Work},
     election,
     instruments::Instruments,
@@ -108,6 +109,16 @@
         *known = leader;
     }
 
+    /// Who leads, as far as this daemon knows, and by which token.
+    pub(crate) fn leader(&self) -> Option<(LeaderRecord, Revision)> {
+        self.leader.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Whether the store is known not to answer this daemon.
+    pub(crate) fn store_is_away(&self) -> bool {
+        self.store_health.is_away(clock::time())
+    }
+
     /// Whether this daemon is in the term with this token.
     pub(crate) fn leads(&self, token: Revision) -> bool {
         let known = self.leader.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/borageswitch_runtime/src/lib.rs
+++ b/crates/borageswitch_runtime/src/lib.rs
@@ -14,7 +14,7 @@
 //! - [`intake`] serves callers' requests, [`answers`] is the closed list of how they can fail.
 //! - [`store_health`] tells whether the store is worth asking.
 //! - [`peers`] carries questions from any daemon to the one that leads.
-//! - [`instruments`] counts and times.
+//! - [`operators`] answers why things are as they are; [`instruments`] counts and times.
 //! - [`settings`] are the process's own; [`reloading`] follows their file.
 
 pub mod answers;
@@ -28,6 +28,7 @@
 pub mod instruments;
 pub mod intake;
 pub mod keys;
+pub mod operators;
 pub mod orders;
 pub mod peers;
 pub mod ports;
--- a/crates/borageswitch_runtime/src/peers/mod.rs
+++ b/crates/borageswitch_runtime/src/peers/mod.rs
@@ -6,7 +6,10 @@
 mod client;
 mod server;
 
-use borageswitch_scheduler::{job::Submission, reducer::view::JobStatus};
+use borageswitch_scheduler::{
+    job::Submission,
+    reducer::{explain::Subject, view::JobStatus},
+};
 use borageswitch_types::names::{JobName, QueueName};
 
 pub use self::{client::Client, server::serve};
@@ -38,6 +41,10 @@
         /// The queue.
         queue: QueueName,
     },
+    /// Why something is as it is.
+    Explain(Subject),
+    /// What the leader believes.
+    Dump,
 }
 
 /// What the leader answers.
@@ -53,6 +60,10 @@
     Refused,
     /// The job may be stored or not.
     Unsettled,
+    /// Sentences; none if the leader does not know of it.
+    Explained(Vec<String>),
+    /// What the leader believes, as JSON.
+    Dumped(String),
     /// This daemon does not lead.
     NotLeading,
 }
--- /dev/null
+++ b/crates/borageswitch_scheduler/src/reducer/explain.rs
@@ -0,0 +1,251 @@
+//! Tells operators why things are as they are, and what the leader believes.
+//!
+//! Nothing here decides: each sentence names what a decision elsewhere looks at.
+
+use std::collections::BTreeMap;
+
+use borageswitch_types::names::{HostName, JobName, PoolName};
+
+use crate::{
+    event::Now,
+    job::Step,
+    ledger::job::{Job, Occurrence, StepState},
+    policy::order::Urgency,
+    reducer::{
+        Scheduler,
+        executors::Executor,
+        pass::{fits_labels, reserved},
+    },
+    task::StepKey,
+};
+
+/// What an operator asks about.
+#[derive(
+    Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize, derive_more::Display,
+)]
+pub enum Subject {
+    /// A job.
+    #[display("job {_0}")]
+    Job(JobName),
+    /// A host.
+    #[display("host {_0}")]
+    Host(HostName),
+    /// A maintenance wave.
+    #[display("wave {_0}")]
+    Wave(u64),
+}
+
+/// What the leader believes, in figures.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct StateDump {
+    /// For how long it has led, in milliseconds.
+    pub leads_for_ms: u64,
+    /// The version of the configuration in force.
+    pub config_version: Option<u64>,
+    /// Jobs that have not ended, by pool.
+    pub open_jobs: BTreeMap<PoolName, usize>,
+    /// Jobs that have ended and are still shown.
+    pub ended_jobs: usize,
+    /// A sentence for each executor.
+    pub executors: Vec<String>,
+    /// Hosts in the platform's list, and how old it is in milliseconds.
+    pub hosts: usize,
+    /// The age of that list.
+    pub hosts_age_ms: Option<u64>,
+    /// Hosts that are taken out of service, with what for and how far.
+    pub withdrawals: Vec<String>,
+    /// Waves that are not completed.
+    pub open_waves: Vec<u64>,
+    /// Runs that executors have or may have.
+    pub runs: usize,
+}
+
+impl Scheduler {
+    /// Why something is as it is, a sentence a line; nothing if it is not known here.
+    pub fn explain(&self, now: Now, subject: &Subject) -> Vec<String> {
+        match subject {
+            Subject::Job(job) => self.explain_job(now, job),
+            Subject::Host(host) => self.explain_host(now, host),
+            Subject::Wave(wave) => self.explain_wave(*wave),
+        }
+    }
+
+    /// What the leader believes, in figures.
+    pub fn dump(&self, now: Now) -> StateDump {
+        let mut open_jobs: BTreeMap<PoolName, usize> = BTreeMap::new();
+        for times in self.times.values() {
+            *open_jobs.entry(times.pool.clone()).or_default() += 1;
+        }
+        let executors = self.executors.iter().map(|(name, known)| {
+            let (runs, free) = (known.runs.len(), known.free().cpu_milli);
+            let pool = &known.registration.pool;
+            let state = closed_because(known, now).unwrap_or("open");
+            format!("{name}: pool={pool} state={state} runs={runs} free_cpu_milli={free}")
+        });
+        let withdrawals = self.fleet.withdrawals.iter().map(|(host, withdrawal)| {
+            format!("{host}: {:?}, {:?}", withdrawal.purpose, withdrawal.stage)
+        });
+        StateDump {
+            leads_for_ms: now.time.since(self.began).as_millis() as u64,
+            config_version: self.config.as_ref().map(|config| config.version),
+            open_jobs,
+            ended_jobs: self.ledger.finished.len(),
+            executors: executors.collect(),
+            hosts: self.fleet.hosts.len(),
+            hosts_age_ms: self.fleet.listed.map(|at| now.time.since(at).as_millis() as u64),
+            withdrawals: withdrawals.collect(),
+            open_waves: self.waves.open().collect(),
+            runs: self.executors.values().map(|known| known.runs.len()).sum(),
+        }
+    }
+
+    fn explain_job(&self, now: Now, name: &JobName) -> Vec<String> {
+        if let Some(ended) = self.ledger.finished.get(name) {
+            let age = now.wall.0.saturating_sub(ended.at.0);
+            return vec![format!("{} {age} ms ago, of queue {}", ended.outcome, ended.queue)];
+        }
+        let (Some(job), Some(times)) = (self.ledger.jobs.get(name), self.times.get(name)) else {
+            return Vec::new();
+        };
+        let age = now.time.since(times.accepted).as_millis();
+        let queue = &job.submission.queue.name;
+        let mut lines = vec![format!("accepted {age} ms ago, queue {queue}, pool {}", times.pool)];
+        if job.progress.open.is_empty() {
+            lines.push(format!("{} occurrences have begun, none is due", job.progress.begun));
+        }
+        for (&occurrence, open) in &job.progress.open {
+            let urgency = Urgency::of(&self.view_of(job, times, occurrence), now.time);
+            lines.push(format!("occurrence {occurrence}: urgency {:?}", urgency.class()));
+            for (number, state) in open.steps.iter().enumerate() {
+                let key = StepKey { job: name.clone(), occurrence, step: number as u16 };
+                lines.extend(self.explain_step(now, job, open, &key, state));
+            }
+        }
+        lines
+    }
+
+    fn explain_step(
+        &self,
+        now: Now,
+        job: &Job,
+        open: &Occurrence,
+        key: &StepKey,
+        state: &StepState,
+    ) -> Vec<String> {
+        let Some(step) = job.step(key.step) else { return Vec::new() };
+        let number = key.step;
+        let all = state.tasks.len();
+        if state.is_done() {
+            return vec![format!("step {number}: all {all} tasks are done")];
+        }
+        if !job.is_unblocked(open, step) {
+            return vec![format!("step {number}: waits for the steps {:?}", step.after)];
+        }
+        let waiting = state.tasks.iter().filter(|task| task.is_waiting()).count();
+        let failures: u32 = state.tasks.iter().map(|task| u32::from(task.failures)).sum();
+        let runs = all - state.done as usize - waiting;
+        let mut lines = vec![format!(
+            "step {number}: {} of {all} tasks done, {runs} assigned, {waiting} waiting, \
+             {failures} failures",
+            state.done
+        )];
+        for (index, task) in state.tasks.iter().enumerate() {
+            if let Some(assigned) = &task.assigned {
+                let (run, executor) = (assigned.run, &assigned.executor);
+                lines.push(format!("step {number}: task {index} is run {run} on {executor}"));
+            }
+        }
+        if waiting > 0 {
+            lines.push(self.explain_waiting(now, key, step));
+        }
+        lines
+    }
+
+    /// Why no executor takes a task of a step at this moment.
+    fn explain_waiting(&self, now: Now, key: &StepKey, step: &Step) -> String {
+        let Some(pool) = self.pool_of(&key.job) else { return "no pool is known".to_owned() };
+        let size = reserved(step);
+        let mut counts: BTreeMap<&'static str, usize> = BTreeMap::new();
+        let members = self.executors.iter().filter(|(_, e)| e.registration.pool == *pool);
+        for (executor, known) in members {
+            let why = match closed_because(known, now) {
+                Some(why) => why,
+                None if !known.free().holds(&size) => "without room",
+                None if !fits_labels(step, known) => "without the label",
+                None if !self.may_run_on(now, key, step, executor, 0) => {
+                    "with as many of the step as allowed, or not permitted by the advisor"
+                }
+                None => "suitable",
+            };
+            *counts.entry(why).or_default() += 1;
+        }
+        let counts: Vec<String> = counts.iter().map(|(why, n)| format!("{n} {why}")).collect();
+        let counts = if counts.is_empty() { "none".to_owned() } else { counts.join(", ") };
+        let (cpu, memory) = (size.cpu_milli, size.memory_mb);
+        format!("a task needs {cpu} thousandths of a core and {memory} MB; executors: {counts}")
+    }
+
+    fn explain_host(&self, now: Now, host: &HostName) -> Vec<String> {
+        let Some(entry) = self.fleet.hosts.get(host) else { return Vec::new() };
+        let age = self.fleet.listed.map_or(0, |at| now.time.since(at).as_millis());
+        let mut lines = vec![format!("pool {}, {}, listed {age} ms ago", entry.pool, entry.state)];
+        if let Some(withdrawal) = self.fleet.withdrawals.get(host) {
+            lines.push(format!("taken out for {:?}: {:?}", withdrawal.purpose, withdrawal.stage));
+        }
+        if self.is_paused(now.time, host) {
+            lines.push("an earlier leader ordered it about of late; no order yet".to_owned());
+        }
+        let Some(executor) = &entry.executor else {
+            lines.push("it has no executor".to_owned());
+            return lines;
+        };
+        let Some(known) = self.executors.get(executor) else {
+            lines.push(format!("its executor {executor} is not registered"));
+            return lines;
+        };
+        let state = closed_because(known, now).unwrap_or("open");
+        lines.push(format!("executor {executor} is {state}, {} runs", known.runs.len()));
+        let runs = known.runs.iter();
+        lines.extend(runs.map(|(task, held)| format!("{task} run {}: {:?}", held.run, held.phase)));
+        lines
+    }
+
+    fn explain_wave(&self, wave: u64) -> Vec<String> {
+        if self.ledger.completed_waves.contains(&wave) {
+            return vec!["completed".to_owned()];
+        }
+        let Some(request) = self.waves.request(wave) else { return Vec::new() };
+        let due = self.due_hosts(request);
+        let (all, most) = (request.hosts.len(), request.max_down);
+        let mut lines = vec![format!("{} of {all} hosts are due, {most} at once", due.len())];
+        lines.extend(due.iter().map(|host| match self.fleet.withdrawals.get(host) {
+            Some(withdrawal) => format!("{host}: {:?}, {:?}", withdrawal.purpose, withdrawal.stage),
+            None => format!("{host}: not chosen yet"),
+        }));
+        lines
+    }
+}
+
+/// Why nothing new is placed on an executor, if that is so.
+fn closed_because(known: &Executor, now: Now) -> Option<&'static str> {
+    if known.is_open(now.time) {
+        return None;
+    }
+    Some(if !known.present {
+        "not registered"
+    } else if known.registration.draining {
+        "draining"
+    } else if known.emptying {
+        "being emptied"
+    } else if known.looking.failures > 0 {
+        "silent"
+    } else if !known.fenced {
+        "not looked at yet"
+    } else if known.strays {
+        "running what nobody wants"
+    } else if now.time < known.full_until {
+        "full by its own account"
+    } else {
+        "distrusted"
+    })
+}
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -18,18 +18,18 @@
 //! - [`registrations`]: executors come, drain and go.
 //! - [`hosts`]: hosts are emptied for orders; [`waves`] maintain them, [`lending`] moves them.
 //! - [`recovery`]: a new leader takes over.
-//! - [`view`]: what callers and operators ask.
+//! - [`view`]: what callers ask; [`explain`] tells operators why.
 
 pub mod advice;
 pub mod clock;
 pub mod evict;
 pub mod executors;
+pub mod explain;
 pub mod gangs;
 pub mod hosts;
 pub mod jobs;
 pub mod lapses;
 pub mod lending;
-
 pub mod looks;
 pub mod outbox;
 pub mod pace;
@@ -112,7 +112,6 @@
     fleet: Fleet,
     waves: Waves,
     lending: Lending,
-
     /// Pools in which a waiting task may find a host since the last pass.
     stirred: BTreeSet<PoolName>,
     /// Jobs that may have ended since the last look at them.
--- a/crates/borageswitch_scheduler/src/reducer/waves.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waves.rs
@@ -29,6 +29,16 @@
     pub fn is_open(&self) -> bool {
         !self.open.is_empty()
     }
+
+    /// The waves that are not completed.
+    pub fn open(&self) -> impl Iterator<Item = u64> {
+        self.open.keys().copied()
+    }
+
+    /// What was asked for by a wave that is not completed.
+    pub fn request(&self, wave: u64) -> Option<&WaveRequest> {
+        self.open.get(&wave)
+    }
 }
 
 impl Scheduler {
@@ -88,7 +98,7 @@
     }
 
     /// Hosts that stay and whose maintenance has not begun.
-    fn due_hosts(&self, wave: &WaveRequest) -> Vec<HostName> {
+    pub(super) fn due_hosts(&self, wave: &WaveRequest) -> Vec<HostName> {
         let begun = self.ledger.maintained.get(&wave.wave);
         let is_begun = |host: &HostName| begun.is_some_and(|hosts| hosts.contains(host));
         let due = wave.hosts.iter().filter(|host| !is_begun(host));
