Look at executors while their ends are on their way to a slow store

Ruled out: the leader (it led throughout), hosts (131 to 207 were there), trust and silence (none closed). Change: such an executor is looked at after 250 ms. Test: a_slow_store_does_not_hide_what_ends_meanwhile, failed before.

--- a/crates/borageswitch_scheduler/src/reducer/looks.rs
+++ b/crates/borageswitch_scheduler/src/reducer/looks.rs
@@ -28,8 +28,10 @@
 /// An executor that has not answered looks for so many times in a row and is not registered any
 /// more is looked at no longer; what may run there ends with its lease.
 const GIVE_UP_AFTER: u32 = 4;
-/// How often a lease is prolonged while ends cannot be stored: three tries may be lost.
-const RENEWALS_A_LEASE: u32 = 4;
+/// How often an executor is looked at whose ends are on their way to the store. With a slow store
+/// an append takes a third of a second; looked at only after it, an executor in a rush would have
+/// as much room as it had before, and each of its places would stand idle for so long.
+const UNSTORED_LOOK: Duration = Duration::from_millis(250);
 
 impl Scheduler {
     /// Sends the looks that are due.
@@ -206,7 +208,7 @@
     let unknown = in_doubt && (known.present || !known.runs.is_empty());
     let at_once = unknown || unsettled;
     let running = known.strays || known.runs.values().any(|held| held.phase != Phase::Recorded);
-    if !at_once && (looking.waiting || !wants_look(known, now, running, limits)) {
+    if !at_once && (looking.waiting || !wants_look(known, now, running)) {
         return None;
     }
     let until_ms = known
@@ -218,12 +220,11 @@
 }
 
 /// Whether an executor that is known to answer is due for a look.
-fn wants_look(known: &Executor, now: Time, running: bool, limits: &Limits) -> bool {
+fn wants_look(known: &Executor, now: Time, running: bool) -> bool {
     if known.taken_end > known.stored_end {
-        // Until the ends that were taken in are stored, a look would only be told them again, at
-        // once: it is sent just often enough to prolong the lease.
+        // A look is told the ends that were taken in again, at once, so it cannot wait for others.
         let read = known.clock.map_or(Time::ZERO, |clock| clock.received);
-        return running && now.since(read) >= limits.lease / RENEWALS_A_LEASE;
+        return running && now.since(read) >= UNSTORED_LOOK;
     }
     running || known.stored_end > known.acknowledged
 }
--- a/crates/borageswitch_scheduler/tests/sessions.rs
+++ b/crates/borageswitch_scheduler/tests/sessions.rs
@@ -257,3 +257,24 @@
 
     assert!((1..=5).contains(&orders), "{orders} orders in two seconds");
 }
+
+fn looks(effects: &[Effect]) -> usize {
+    effects.iter().filter(|effect| matches!(effect, Effect::Look(..))).count()
+}
+
+#[test]
+fn a_slow_store_does_not_hide_what_ends_meanwhile() {
+    // The store takes a third of a second for each append while a pool is in its rush. An executor
+    // that is not looked at until its last end is stored seems as full as before, and the tasks that
+    // wait for its room are late.
+    let mut session = Session::new(&["e1"]);
+    session.submit("j", vec![step(2)]);
+    assert_eq!(session.store_and_start().len(), 2);
+    session.report("e1", &[active(&key("j", 1))], &[done(1, &key("j", 0))], 0);
+    let first = session.pass(50);
+    assert!(first.iter().any(|effect| matches!(effect, Effect::Append { .. })), "{first:?}");
+
+    let effects: Vec<Effect> = (0..5).flat_map(|_| session.pass(50)).collect();
+
+    assert_eq!(looks(&effects), 1, "{effects:?}");
+}
