Believe a turn of a queue sooner: average arrivals over 300 ms instead of 800

Ruled out: hosts that are lacking (some 200 were off), the platform's limit of orders (none refused). Test: a_turn_is_believed_within_half_a_second fails with 800 ms.

--- a/crates/borageswitch_scheduler/src/policy/lending.rs
+++ b/crates/borageswitch_scheduler/src/policy/lending.rs
@@ -23,9 +23,11 @@
 pub const IDLE_BEFORE_OFF: Duration = Duration::from_millis(1_200);
 /// How many idle hosts a pool keeps that has had short work.
 const KEEP_WARM: usize = 2;
-/// The time over which arrivals are averaged: shorter, and a single large job would move hosts;
-/// longer, and a turn would be half over before enough are there.
-const RATE_WINDOW: Duration = Duration::from_millis(800);
+/// The time over which arrivals are averaged. A turn begins within moments and a host takes a
+/// second and a half to come, so each tenth of a second until the turn is believed makes jobs late.
+/// With 300 instead of 800 ms a day's worth rose by 0.015 on the mean of 40 pairs of days at 49
+/// hosts, and by 0.031 on 8 pairs at 350 (same seeds, processor time not counted).
+const RATE_WINDOW: Duration = Duration::from_millis(300);
 
 /// How much work arrives, as a moving average.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/borageswitch_scheduler/src/policy/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/tests.rs
@@ -308,6 +308,20 @@
     assert!(rate.cores(at(13_000)) < 1.0);
 }
 
+#[test]
+fn a_turn_is_believed_within_half_a_second() {
+    // A queue's turn begins: forty jobs a second of five core-seconds each, from one moment to the
+    // next. Each tenth of a second until its hosts are sent for makes its first jobs late.
+    let mut rate = ArrivalRate::default();
+    for n in 0..20 {
+        rate.arrived(at(n * 25), 5.0);
+    }
+
+    let believed = rate.cores(at(500));
+
+    assert!(believed > 150.0, "{believed} of 200 cores");
+}
+
 #[test]
 fn a_run_that_stands_still_is_given_up_soon_and_a_slow_estimate_is_not() {
     // A host stands still for six seconds without a sign of it. Waited for, each of its runs makes
