--- a/crates/borageswitch_runtime/src/appends.rs
+++ b/crates/borageswitch_runtime/src/appends.rs
@@ -11,7 +11,7 @@
 use smol::Timer;
 
 use crate::{
-    codec,
+    clock, codec,
     daemon::Shared,
     keys,
     ports::{Committed, Platform, StoreError, Transaction},
@@ -19,6 +19,9 @@
 
 /// The pause before a call that failed is made again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// An append that took so long is logged: starts and ends wait for it, and callers see their jobs
+/// late. An ordinary one takes some 10 ms.
+const SLOW_APPEND: Duration = Duration::from_millis(100);
 /// The largest snapshot that is stored, in bytes; the store's limit for a value is 1 MiB.
 const MAX_SNAPSHOT: usize = 1_000_000;
 
@@ -49,9 +52,13 @@
         write: vec![(key.clone(), codec::encode(&records), None)],
         remove: forget.iter().map(keys::job).chain(cancels.iter().map(keys::cancel)).collect(),
     };
+    let sent = clock::time();
     loop {
         match shared.platform.commit(&tx).await {
-            Ok(Committed::Done(_)) => return Stored::Yes,
+            Ok(Committed::Done(_)) => {
+                note_slow(append, records.len(), clock::time().since(sent));
+                return Stored::Yes;
+            }
             Ok(Committed::Conflict(items)) => {
                 let leads = items.iter().any(|i| &*i.key == keys::LEADER && i.revision == token);
                 let there = items.iter().any(|item| item.key == key);
@@ -80,6 +87,13 @@
     }
 }
 
+fn note_slow(append: u64, records: usize, took: Duration) {
+    if took >= SLOW_APPEND {
+        let took_ms = took.as_millis() as u64;
+        log::warn!(append = append, records = records, took_ms = took_ms; "append-slow");
+    }
+}
+
 /// Stores a snapshot and removes the appends that are part of it.
 ///
 /// A snapshot that cannot be stored is let go: the appends are still there, and the next snapshot
