--- a/crates/borageswitch_scheduler/tests/support/world.rs
+++ b/crates/borageswitch_scheduler/tests/support/world.rs
@@ -1,4 +1,10 @@
 //! Carries effects out with delays and faults, and checks what must hold.
+//!
+//! - [`orders`]: what reaches executors, and when their answers come back.
+//! - [`checks`]: what must hold.
+
+mod checks;
+mod orders;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -8,8 +14,8 @@
 };
 
 use borageswitch_scheduler::{
-    effect::{Effect, Recipient},
-    event::{Event, LookAnswer, Now, OrderAnswer, StartAnswer},
+    effect::Effect,
+    event::{Event, Now},
     executor::Registration,
     job::{JobSpec, Schedule, Step, Submission},
     ledger::{
@@ -18,7 +24,6 @@
         snapshot::Snapshot,
     },
     reducer::{Limits, Scheduler},
-    task::TaskKey,
 };
 use borageswitch_types::{
     Time,
@@ -28,7 +33,7 @@
 use fastrand::Rng;
 
 use super::{
-    executor::{Behaviour, SimExecutor},
+    executor::SimExecutor,
     fixtures::{config, cores, queue},
 };
 
@@ -289,92 +294,6 @@
         self.leader = Some(leader);
     }
 
-    fn deliver(&mut self) {
-        let (now, later) =
-            std::mem::take(&mut self.due).into_iter().partition(|(at, _)| *at <= self.now);
-        self.due = later;
-        let now: Vec<(u64, Due)> = now;
-        for (_, due) in now {
-            match due {
-                Due::Event { token, event } => {
-                    let moment = self.moment();
-                    if let Some(leader) = self.leader.as_mut().filter(|_| token == self.token) {
-                        leader.handle(moment, event);
-                    }
-                }
-                Due::Order { token, effect, answered } => self.execute(token, effect, answered),
-            }
-        }
-    }
-
-    fn answer_later(&mut self, token: u64, event: Event) {
-        let at = self.now + self.rng.u64(1..8);
-        self.due.push((at, Due::Event { token, event }));
-    }
-
-    fn is_reachable(&self, executor: &ExecutorName) -> bool {
-        !self.dead.contains(executor) && self.cut.get(executor).is_none_or(|end| *end <= self.now)
-    }
-
-    /// An order arrives.
-    fn execute(&mut self, token: u64, effect: Effect, answered: bool) {
-        let sent = Time::from_millis(self.now.saturating_sub(8));
-        if !self.is_reachable(&recipient(&effect).executor) {
-            if answered {
-                // Cut off while the order was on its way: the call runs out of time.
-                let event = no_answer(&effect, sent);
-                self.due.push((self.now + CALL_TIMEOUT, Due::Event { token, event }));
-            }
-            return;
-        }
-        match effect {
-            Effect::Start(to, order) => {
-                let behaviour = self.behaviour(&order.task);
-                let executor = self.executors.get_mut(&to.executor).unwrap();
-                let answer = executor.start(self.now, token, &order, behaviour);
-                let clock_ms = Some(executor.clock(self.now));
-                if answer == StartAnswer::Started {
-                    self.check_started(&to.executor, &order.task);
-                }
-                if answered {
-                    let (task, run, executor) = (order.task, order.run, to.executor);
-                    let event =
-                        Event::StartAnswered { executor, task, run, sent, clock_ms, answer };
-                    self.answer_later(token, event);
-                }
-            }
-            Effect::Stop(to, task, run) => {
-                let executor = self.executors.get_mut(&to.executor).unwrap();
-                let answer = executor.stop(self.now, token, &task, run);
-                if answered {
-                    let event = Event::StopAnswered { executor: to.executor, task, run, answer };
-                    self.answer_later(token, event);
-                }
-            }
-            Effect::Look(to, order) => {
-                let executor = self.executors.get_mut(&to.executor).unwrap();
-                let answer = executor.look(self.now, token, &order);
-                if answered {
-                    let event = Event::Looked { executor: to.executor, sent, order, answer };
-                    self.answer_later(token, event);
-                }
-            }
-            other => panic!("not an order to an executor: {other:?}"),
-        }
-    }
-
-    fn behaviour(&self, task: &TaskKey) -> Behaviour {
-        let step = &self.submissions[&task.job].spec.steps[usize::from(task.step)];
-        // One job in sixteen has a task that always fails.
-        let fails = task.index == 0 && task.job.as_str().ends_with('0');
-        Behaviour {
-            size: step.size,
-            lasting: step.lasting,
-            length: step.estimate.as_millis() as u64,
-            fails: fails && !step.lasting,
-        }
-    }
-
     fn store(&mut self) {
         if self.now < self.store_away_until {
             return;
@@ -427,139 +346,4 @@
             }
         }
     }
-
-    fn send(&mut self, token: u64, effect: Effect) {
-        self.check_sent(&effect);
-        let lost = self.chance(self.faults.lost_order);
-        let late = self.chance(self.faults.late_order);
-        let silent = self.chance(self.faults.lost_answer) || lost || late;
-        let silent = silent || !self.is_reachable(&recipient(&effect).executor);
-        // A look waits on the executor's side until something ends.
-        let wait = match &effect {
-            Effect::Look(_, order) if !order.wait.is_zero() => 100,
-            _ => 0,
-        };
-        let delay = if late { self.rng.u64(2_000..12_000) } else { self.rng.u64(1..8) + wait };
-        if silent {
-            let event = no_answer(&effect, Time::from_millis(self.now));
-            self.due.push((self.now + CALL_TIMEOUT, Due::Event { token, event }));
-        }
-        if !lost {
-            let at = self.now + delay;
-            self.due.push((at, Due::Order { token, effect, answered: !silent }));
-        }
-    }
-
-    /// A leader that was told of a cancelling sends no start of that job any more.
-    fn check_sent(&mut self, effect: &Effect) {
-        if let Effect::Start(to, order) = effect
-            && self.cancelled.contains_key(&order.task.job)
-        {
-            self.broken.push(format!("{} sent to {} though cancelled", order.task, to.executor));
-        }
-    }
-
-    fn check_started(&mut self, executor: &ExecutorName, task: &TaskKey) {
-        for (other, known) in &self.executors {
-            if other != executor && !self.dead.contains(other) && known.active.contains_key(task) {
-                self.broken.push(format!("{}: {task} runs on {other} and {executor}", self.now));
-            }
-            if known.done.contains(task) {
-                self.broken.push(format!("{}: {task} started again after it was done", self.now));
-            }
-        }
-        let step = &self.submissions[&task.job].spec.steps[usize::from(task.step)];
-        for &before in &step.after {
-            let all = self.submissions[&task.job].spec.steps[usize::from(before)].count;
-            for index in 0..all {
-                let earlier = TaskKey { step: before, index, ..task.clone() };
-                let ended = |known: &SimExecutor| {
-                    known.done.contains(&earlier) || known.ended.iter().any(|e| e.task == earlier)
-                };
-                if !self.executors.values().any(ended) {
-                    self.broken.push(format!("{task} started before {earlier} was done"));
-                }
-            }
-        }
-        let known = &self.executors[executor];
-        if !known.capacity.holds(&known.taken()) {
-            self.broken.push(format!("{executor} is over its capacity"));
-        }
-    }
-
-    fn check(&mut self) {
-        if let Some((job, outcome)) = self.shown.iter().find(|(job, outcome)| {
-            **outcome == Outcome::Cancelled && !self.cancelled.contains_key(*job)
-        }) {
-            self.broken.push(format!("{job} is shown as {outcome} though nobody cancelled it"));
-        }
-    }
-
-    /// Ends all faults.
-    pub fn calm_down(&mut self) {
-        self.faults = Faults::default();
-        self.cut.clear();
-        self.store_away_until = 0;
-    }
-
-    /// Jobs that were neither cancelled nor have ended.
-    pub fn open_jobs(&self) -> Vec<&JobName> {
-        let open = |job: &&JobName| !self.shown.contains_key(*job);
-        let lasts = |job: &&JobName| self.submissions[*job].spec.is_lasting();
-        self.submissions.keys().filter(open).filter(|job| !lasts(job)).collect()
-    }
-
-    /// Runs of jobs that were cancelled or have ended.
-    pub fn leftovers(&self) -> Vec<&TaskKey> {
-        let alive = self.executors.iter().filter(|(name, _)| !self.dead.contains(*name));
-        let tasks = alive.flat_map(|(_, known)| known.active.keys());
-        let over = |task: &&TaskKey| {
-            self.cancelled.contains_key(&task.job) || self.shown.contains_key(&task.job)
-        };
-        tasks.filter(over).collect()
-    }
-
-    /// Lasting tasks of jobs that are not cancelled, and how many of them run.
-    pub fn lasting(&self) -> (usize, usize) {
-        let mut wanted = 0;
-        let mut running = 0;
-        for (name, submission) in &self.submissions {
-            if !submission.spec.is_lasting() || self.cancelled.contains_key(name) {
-                continue;
-            }
-            wanted += submission.spec.steps[0].count as usize;
-            let runs =
-                |known: &SimExecutor| known.active.keys().filter(|task| task.job == *name).count();
-            let alive = self.executors.iter().filter(|(e, _)| !self.dead.contains(*e));
-            running += alive.map(|(_, known)| runs(known)).sum::<usize>();
-        }
-        (wanted, running)
-    }
-}
-
-fn recipient(effect: &Effect) -> &Recipient {
-    match effect {
-        Effect::Start(to, _) | Effect::Stop(to, _, _) | Effect::Look(to, _) => to,
-        other => panic!("not an order to an executor: {other:?}"),
-    }
-}
-
-fn no_answer(effect: &Effect, sent: Time) -> Event {
-    match effect.clone() {
-        Effect::Start(to, order) => Event::StartAnswered {
-            executor: to.executor,
-            task: order.task,
-            run: order.run,
-            sent,
-            clock_ms: None,
-            answer: StartAnswer::Lost,
-        },
-        Effect::Stop(to, task, run) => {
-            Event::StopAnswered { executor: to.executor, task, run, answer: OrderAnswer::Lost }
-        }
-        Effect::Look(to, order) => {
-            Event::Looked { executor: to.executor, sent, order, answer: LookAnswer::Lost }
-        }
-        other => panic!("not an order to an executor: {other:?}"),
-    }
 }
--- /dev/null
+++ b/crates/borageswitch_scheduler/tests/support/world/orders.rs
@@ -0,0 +1,148 @@
+//! Orders reach executors, or do not, and their answers come back.
+
+use borageswitch_scheduler::{
+    effect::{Effect, Recipient},
+    event::{Event, LookAnswer, OrderAnswer, StartAnswer},
+    task::TaskKey,
+};
+use borageswitch_types::{Time, names::ExecutorName};
+
+use super::{CALL_TIMEOUT, Due, World};
+use crate::support::executor::Behaviour;
+
+impl World {
+    pub(super) fn deliver(&mut self) {
+        let (now, later) =
+            std::mem::take(&mut self.due).into_iter().partition(|(at, _)| *at <= self.now);
+        self.due = later;
+        let now: Vec<(u64, Due)> = now;
+        for (_, due) in now {
+            match due {
+                Due::Event { token, event } => {
+                    let moment = self.moment();
+                    if let Some(leader) = self.leader.as_mut().filter(|_| token == self.token) {
+                        leader.handle(moment, event);
+                    }
+                }
+                Due::Order { token, effect, answered } => self.execute(token, effect, answered),
+            }
+        }
+    }
+
+    pub(super) fn answer_later(&mut self, token: u64, event: Event) {
+        let at = self.now + self.rng.u64(1..8);
+        self.due.push((at, Due::Event { token, event }));
+    }
+
+    pub(super) fn is_reachable(&self, executor: &ExecutorName) -> bool {
+        !self.dead.contains(executor) && self.cut.get(executor).is_none_or(|end| *end <= self.now)
+    }
+
+    /// An order arrives.
+    pub(super) fn execute(&mut self, token: u64, effect: Effect, answered: bool) {
+        let sent = Time::from_millis(self.now.saturating_sub(8));
+        if !self.is_reachable(&recipient(&effect).executor) {
+            if answered {
+                // Cut off while the order was on its way: the call runs out of time.
+                let event = no_answer(&effect, sent);
+                self.due.push((self.now + CALL_TIMEOUT, Due::Event { token, event }));
+            }
+            return;
+        }
+        match effect {
+            Effect::Start(to, order) => {
+                let behaviour = self.behaviour(&order.task);
+                let executor = self.executors.get_mut(&to.executor).unwrap();
+                let answer = executor.start(self.now, token, &order, behaviour);
+                let clock_ms = Some(executor.clock(self.now));
+                if answer == StartAnswer::Started {
+                    self.check_started(&to.executor, &order.task);
+                }
+                if answered {
+                    let (task, run, executor) = (order.task, order.run, to.executor);
+                    let event =
+                        Event::StartAnswered { executor, task, run, sent, clock_ms, answer };
+                    self.answer_later(token, event);
+                }
+            }
+            Effect::Stop(to, task, run) => {
+                let executor = self.executors.get_mut(&to.executor).unwrap();
+                let answer = executor.stop(self.now, token, &task, run);
+                if answered {
+                    let event = Event::StopAnswered { executor: to.executor, task, run, answer };
+                    self.answer_later(token, event);
+                }
+            }
+            Effect::Look(to, order) => {
+                let executor = self.executors.get_mut(&to.executor).unwrap();
+                let answer = executor.look(self.now, token, &order);
+                if answered {
+                    let event = Event::Looked { executor: to.executor, sent, order, answer };
+                    self.answer_later(token, event);
+                }
+            }
+            other => panic!("not an order to an executor: {other:?}"),
+        }
+    }
+
+    pub(super) fn behaviour(&self, task: &TaskKey) -> Behaviour {
+        let step = &self.submissions[&task.job].spec.steps[usize::from(task.step)];
+        // One job in sixteen has a task that always fails.
+        let fails = task.index == 0 && task.job.as_str().ends_with('0');
+        Behaviour {
+            size: step.size,
+            lasting: step.lasting,
+            length: step.estimate.as_millis() as u64,
+            fails: fails && !step.lasting,
+        }
+    }
+
+    pub(super) fn send(&mut self, token: u64, effect: Effect) {
+        self.check_sent(&effect);
+        let lost = self.chance(self.faults.lost_order);
+        let late = self.chance(self.faults.late_order);
+        let silent = self.chance(self.faults.lost_answer) || lost || late;
+        let silent = silent || !self.is_reachable(&recipient(&effect).executor);
+        // A look waits on the executor's side until something ends.
+        let wait = match &effect {
+            Effect::Look(_, order) if !order.wait.is_zero() => 100,
+            _ => 0,
+        };
+        let delay = if late { self.rng.u64(2_000..12_000) } else { self.rng.u64(1..8) + wait };
+        if silent {
+            let event = no_answer(&effect, Time::from_millis(self.now));
+            self.due.push((self.now + CALL_TIMEOUT, Due::Event { token, event }));
+        }
+        if !lost {
+            let at = self.now + delay;
+            self.due.push((at, Due::Order { token, effect, answered: !silent }));
+        }
+    }
+}
+
+fn recipient(effect: &Effect) -> &Recipient {
+    match effect {
+        Effect::Start(to, _) | Effect::Stop(to, _, _) | Effect::Look(to, _) => to,
+        other => panic!("not an order to an executor: {other:?}"),
+    }
+}
+
+fn no_answer(effect: &Effect, sent: Time) -> Event {
+    match effect.clone() {
+        Effect::Start(to, order) => Event::StartAnswered {
+            executor: to.executor,
+            task: order.task,
+            run: order.run,
+            sent,
+            clock_ms: None,
+            answer: StartAnswer::Lost,
+        },
+        Effect::Stop(to, task, run) => {
+            Event::StopAnswered { executor: to.executor, task, run, answer: OrderAnswer::Lost }
+        }
+        Effect::Look(to, order) => {
+            Event::Looked { executor: to.executor, sent, order, answer: LookAnswer::Lost }
+        }
+        other => panic!("not an order to an executor: {other:?}"),
+    }
+}
