--- a/crates/borageswitch_fakes/src/platform/mod.rs
+++ b/crates/borageswitch_fakes/src/platform/mod.rs
@@ -4,11 +4,12 @@
 //! leases and watches, [`executors`] that keep to fencing tokens and leases, and [`hosts`] that
 //! crash, move and are maintained. Several daemons in one process share one. Faults are switched on
 //! by [`MemoryPlatform::set_faults`]; what executors saw is in [`MemoryPlatform::runs`].
-//! [`example`] has a configuration to begin with.
+//! [`example`] has a configuration to begin with; [`port`] is what the runtime calls.
 
 pub mod example;
 mod executors;
 mod hosts;
+mod port;
 mod store;
 
 use std::{
@@ -21,19 +22,8 @@
     time::{Duration, Instant},
 };
 
-use borageswitch_runtime::ports::{
-    Change, Changes, Commander, Committed, Item, LeaseId, Page, Places, Platform, Reading,
-    Revision, StoreError, StoreResult, Transaction,
-};
-use borageswitch_scheduler::{
-    config::Config,
-    effect::{HostOrder, LookOrder, Recipient, StartOrder},
-    event::{HostAnswer, LookAnswer, OrderAnswer, Seen, StartAnswer},
-    executor::Registration,
-    fleet::{HostEntry, WaveRequest},
-    job::Size,
-    task::{StepKey, TaskKey},
-};
+use borageswitch_runtime::ports::{Item, Places, StoreError, StoreResult};
+use borageswitch_scheduler::{config::Config, executor::Registration, job::Size, task::TaskKey};
 use borageswitch_types::names::{ExecutorName, HostName, PoolName};
 use smol::Timer;
 
@@ -334,166 +324,3 @@
         Ok(())
     }
 }
-
-impl Platform for MemoryPlatform {
-    fn places(&self) -> &Places {
-        &self.wire.places
-    }
-
-    async fn read(&self, key: &str) -> StoreResult<Reading> {
-        self.pass().await?;
-        let inner = self.admit()?;
-        Ok(Reading { item: inner.store.get(key), at: inner.store.revision() })
-    }
-
-    async fn list(&self, prefix: &str, after: Option<&str>) -> StoreResult<Page> {
-        self.pass().await?;
-        let inner = self.admit()?;
-        let items = inner.store.list(prefix, after);
-        Ok(Page { items, more: false, at: inner.store.revision() })
-    }
-
-    async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> StoreResult<Changes> {
-        self.pass().await?;
-        let until = Instant::now() + wait;
-        loop {
-            {
-                let inner = self.admit()?;
-                let changes = inner.store.changes(prefix, after).ok_or(StoreError::HistoryGone)?;
-                if inner.faults.watches_deaf && Instant::now() >= until {
-                    return Ok(Changes { changes: Vec::new(), at: after });
-                }
-                let heard = !changes.is_empty() && !inner.faults.watches_deaf;
-                if heard || Instant::now() >= until {
-                    return Ok(Changes { changes, at: inner.store.revision() });
-                }
-            }
-            Timer::after(LOOK_AGAIN).await;
-        }
-    }
-
-    async fn commit(&self, tx: &Transaction) -> StoreResult<Committed> {
-        self.pass().await?;
-        let mut inner = self.admit()?;
-        let committed = inner.store.commit(tx);
-        if inner.faults.store_loses_answers { Err(StoreError::Lost) } else { Ok(committed) }
-    }
-
-    async fn grant(&self, ttl: Duration) -> StoreResult<(LeaseId, Duration)> {
-        self.pass().await?;
-        Ok((self.admit()?.store.grant(Instant::now(), ttl), ttl))
-    }
-
-    async fn renew(&self, lease: LeaseId) -> StoreResult<Duration> {
-        self.pass().await?;
-        self.admit()?.store.renew(Instant::now(), lease).ok_or(StoreError::NotFound)
-    }
-
-    async fn revoke(&self, lease: LeaseId) -> StoreResult<()> {
-        self.admit()?.store.revoke(lease);
-        Ok(())
-    }
-
-    fn decode_config(&self, item: &Item) -> Option<Config> {
-        serde_json::from_slice(&item.value).ok()
-    }
-
-    fn decode_executor(&self, change: &Change) -> Option<Seen> {
-        match change {
-            Change::Removed(key) => {
-                Some(Seen::Gone(ExecutorName::from(key.strip_prefix("executors/")?)))
-            }
-            Change::Written(item) => {
-                let executor = ExecutorName::from(item.key.strip_prefix("executors/")?);
-                self.lock().hosts.registration(&executor).map(Seen::There)
-            }
-        }
-    }
-
-    fn decode_wave(&self, _: &Item) -> Option<WaveRequest> {
-        None
-    }
-
-    fn encode_wave_report(&self, wave: u64, completed: bool) -> (Arc<str>, Vec<u8>) {
-        (format!("reports/{wave}").into(), vec![u8::from(completed)])
-    }
-
-    async fn start(
-        &self,
-        to: &Recipient,
-        token: u64,
-        order: &StartOrder,
-    ) -> (StartAnswer, Option<u64>) {
-        let clock_ms = self.clock_ms();
-        let mut guard = self.lock();
-        let dark = guard.is_dark(&to.executor);
-        let Inner { executors, runs, task_time, .. } = &mut *guard;
-        match executors.get_mut(&to.executor) {
-            Some(executor) => {
-                (executor.start(clock_ms, token, order, *task_time, runs), Some(clock_ms))
-            }
-            None if dark => (StartAnswer::Lost, None),
-            None => (StartAnswer::OtherLife, Some(clock_ms)),
-        }
-    }
-
-    async fn stop(&self, to: &Recipient, token: u64, task: &TaskKey, run: u32) -> OrderAnswer {
-        let clock_ms = self.clock_ms();
-        let mut guard = self.lock();
-        let dark = guard.is_dark(&to.executor);
-        let Inner { executors, runs, .. } = &mut *guard;
-        match executors.get_mut(&to.executor) {
-            Some(executor) => executor.stop(clock_ms, token, task, run, runs),
-            None if dark => OrderAnswer::Lost,
-            None => OrderAnswer::OtherLife,
-        }
-    }
-
-    async fn look(&self, to: &Recipient, token: u64, order: &LookOrder) -> LookAnswer {
-        let until = Instant::now() + order.wait;
-        loop {
-            {
-                let clock_ms = self.clock_ms();
-                let mut guard = self.lock();
-                let dark = guard.is_dark(&to.executor);
-                let Inner { executors, runs, .. } = &mut *guard;
-                let answer = match executors.get_mut(&to.executor) {
-                    Some(executor) => executor.look(clock_ms, token, order, runs),
-                    None if dark => LookAnswer::Lost,
-                    None => LookAnswer::OtherLife,
-                };
-                let waits = matches!(&answer, LookAnswer::Report(r) if r.ended.is_empty());
-                if !waits || Instant::now() >= until {
-                    return answer;
-                }
-            }
-            Timer::after(LOOK_AGAIN).await;
-        }
-    }
-
-    async fn pace(&self, _: &Recipient, _: u64, _: &TaskKey, _: u32, _: u8) -> OrderAnswer {
-        OrderAnswer::Done
-    }
-
-    async fn advise(
-        &self,
-        _: &StepKey,
-        executors: &[ExecutorName],
-    ) -> Option<Vec<(ExecutorName, Arc<str>)>> {
-        Some(executors.iter().map(|executor| (executor.clone(), "ticket".into())).collect())
-    }
-
-    async fn hosts(&self) -> Option<Vec<HostEntry>> {
-        Some(self.lock().hosts.list())
-    }
-
-    async fn order_host(&self, _: &Commander, host: &HostName, order: &HostOrder) -> HostAnswer {
-        let clock_ms = self.clock_ms();
-        let mut inner = self.lock();
-        let (answer, change) = inner.hosts.order(host, order);
-        if let Some(change) = change {
-            inner.take(&self.wire, clock_ms, change);
-        }
-        answer
-    }
-}
--- a/crates/borageswitch_runtime/tests/daemons.rs
+++ b/crates/borageswitch_runtime/tests/daemons.rs
@@ -95,6 +95,13 @@
     }
 }
 
+/// Waits until a daemon leads, which a job that it has completed shows.
+async fn serves(daemon: &Daemon, job: &str) {
+    ready(&[daemon]).await;
+    submit(daemon, job).await;
+    assert_eq!(outcome(daemon, job).await, Outcome::Completed);
+}
+
 fn run<F>(ex: &Arc<Executor<'static>>, test: F)
 where
     F: Future<Output = ()>,
@@ -175,9 +182,7 @@
     let platform = platform();
     let daemon = start("d1", &platform, &ex);
     run(&ex, async {
-        ready(&[&daemon]).await;
-        submit(&daemon, "00000000000000ff").await;
-        assert_eq!(outcome(&daemon, "00000000000000ff").await, Outcome::Completed);
+        serves(&daemon, "00000000000000ff").await;
         let job = JobName::from("00000000000000aa");
         platform.set_faults(PlatformFaults { store_loses_answers: true, ..Default::default() });
 
@@ -229,9 +234,7 @@
     let handle = platform.another_handle();
     let first = start("d1", &platform, &ex);
     run(&ex, async {
-        ready(&[&first]).await;
-        submit(&first, "00000000000000dd").await;
-        assert_eq!(outcome(&first, "00000000000000dd").await, Outcome::Completed);
+        serves(&first, "00000000000000dd").await;
         let second = start("d2", &handle, &ex);
         leader_and_outcast(&first, &second, &handle).await;
         let job = JobName::from("00000000000000aa");
@@ -253,9 +256,7 @@
     let handle = platform.another_handle();
     let first = start("d1", &platform, &ex);
     run(&ex, async {
-        ready(&[&first]).await;
-        submit(&first, "00000000000000dd").await;
-        assert_eq!(outcome(&first, "00000000000000dd").await, Outcome::Completed);
+        serves(&first, "00000000000000dd").await;
         let second = start("d2", &handle, &ex);
         leader_and_outcast(&first, &second, &handle).await;
         platform.set_faults(PlatformFaults { store_loses_answers: true, ..Default::default() });
@@ -278,9 +279,7 @@
     let platform = platform();
     let daemon = start("d1", &platform, &ex);
     run(&ex, async {
-        ready(&[&daemon]).await;
-        submit(&daemon, "00000000000000aa").await;
-        assert_eq!(outcome(&daemon, "00000000000000aa").await, Outcome::Completed);
+        serves(&daemon, "00000000000000aa").await;
         let store_hangs = Duration::from_millis(200);
         platform.set_faults(PlatformFaults { store_hangs, ..Default::default() });
         let first = intake::submit(&daemon, &queue(), &JobName::from("b0"), two_steps()).await;
@@ -308,9 +307,7 @@
     let platform = platform();
     let first = start("d1", &platform, &ex);
     run(&ex, async {
-        ready(&[&first]).await;
-        submit(&first, "00000000000000aa").await;
-        assert_eq!(outcome(&first, "00000000000000aa").await, Outcome::Completed);
+        serves(&first, "00000000000000aa").await;
         let second = start("d2", &platform, &ex);
         ready(&[&second]).await;
         assert_eq!(outcome(&second, "00000000000000aa").await, Outcome::Completed);
