Name at most fifty runs of a step to operators

A step may have 10,000 tasks; their lines would not fit into the message in which the leader answers, and the operator would be told that nobody leads. Found by reading the diff; no run showed it.

--- a/crates/borageswitch_scheduler/src/reducer/explain.rs
+++ b/crates/borageswitch_scheduler/src/reducer/explain.rs
@@ -19,6 +19,10 @@
     task::StepKey,
 };
 
+/// The most runs that are named of one step: an answer has to fit into one message, and nobody
+/// reads thousands of lines.
+const MOST_RUNS: usize = 50;
+
 /// What an operator asks about.
 #[derive(
     Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize, derive_more::Display,
@@ -149,12 +153,12 @@
              {failures} failures",
             state.done
         )];
-        for (index, task) in state.tasks.iter().enumerate() {
-            if let Some(assigned) = &task.assigned {
-                let (run, executor) = (assigned.run, &assigned.executor);
-                lines.push(format!("step {number}: task {index} is run {run} on {executor}"));
-            }
-        }
+        let assigned = state.tasks.iter().enumerate().filter_map(|(index, task)| {
+            let assigned = task.assigned.as_ref()?;
+            let (run, executor) = (assigned.run, &assigned.executor);
+            Some(format!("step {number}: task {index} is run {run} on {executor}"))
+        });
+        lines.extend(assigned.take(MOST_RUNS));
         if waiting > 0 {
             lines.push(self.explain_waiting(now, key, step));
         }
