Count a new leader's pause for a host from the host's last order

Hypothesis: what matters is the age of the host's last order. Ages can be told without a wall clock: each append says how long its author has led, each answered order when in that time it was answered. Ruled out: wall clocks (they jump by seconds), shortening the pause (orders of two leaders must be 3 s apart), telling peers (a message lost or late would decide). The age of an order that was not answered counts from the change of leader, as before.

--- a/crates/borageswitch_scheduler/src/ledger/mod.rs
+++ b/crates/borageswitch_scheduler/src/ledger/mod.rs
@@ -4,6 +4,7 @@
 //! changes. A new leader reads the last [`Snapshot`](snapshot::Snapshot) and the records after it,
 //! and arrives at the ledger that its predecessor had stored.
 
+pub mod host_orders;
 pub mod job;
 pub mod record;
 pub mod snapshot;
@@ -22,6 +23,7 @@
     executor::EndKind,
     job::Submission,
     ledger::{
+        host_orders::HostOrders,
         job::Job,
         record::{Outcome, Record},
     },
@@ -32,10 +34,6 @@
 /// half a minute for clocks that differ and for callers that ask late.
 pub const KEEP_OUTCOME: Duration = Duration::from_secs(150);
 
-/// How long orders for hosts are kept in mind: several times the pause that a new leader makes for
-/// a host that its predecessor has ordered about, as wall clocks may jump by seconds.
-pub const KEEP_ORDERS: Duration = Duration::from_secs(20);
-
 /// A job that has ended.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Finished {
@@ -56,8 +54,8 @@
     pub finished: BTreeMap<JobName, Finished>,
     /// For each executor the highest number of an end that was taken in.
     pub seen: BTreeMap<ExecutorName, u64>,
-    /// For each host when it was last given an order, for those of late.
-    pub ordered: BTreeMap<HostName, UnixMillis>,
+    /// The orders that hosts were given of late.
+    pub host_orders: HostOrders,
     /// For each wave the hosts whose maintenance has begun.
     pub maintained: BTreeMap<u64, Vec<HostName>>,
     /// Waves that were reported as completed.
@@ -105,11 +103,10 @@
             Record::ExecutorGone { executor } => {
                 self.seen.remove(executor);
             }
-            Record::HostOrdered { host, at } => {
-                let kept_from = at.0.saturating_sub(KEEP_ORDERS.as_millis() as u64);
-                self.ordered.retain(|_, before| before.0 >= kept_from);
-                self.ordered.insert(host.clone(), *at);
-            }
+            Record::TermBegan => self.host_orders.term_began(),
+            Record::Led { millis } => self.host_orders.led(*millis),
+            Record::HostOrdered { host } => self.host_orders.ordered(host),
+            Record::HostOrderSettled { host, millis } => self.host_orders.settled(host, *millis),
             Record::Maintained { wave, host } => {
                 let hosts = self.maintained.entry(*wave).or_default();
                 if !hosts.contains(host) {
--- a/crates/borageswitch_scheduler/src/ledger/record.rs
+++ b/crates/borageswitch_scheduler/src/ledger/record.rs
@@ -89,12 +89,25 @@
         /// The executor.
         executor: ExecutorName,
     },
+    /// Another leader has begun. The first record of each leader.
+    TermBegan,
+    /// The leader has led for so long. The last record of each append while orders for hosts are
+    /// kept in mind: it tells the next leader how old they are at least, on no clock but this one.
+    Led {
+        /// The time since the leader took over, in milliseconds.
+        millis: u64,
+    },
     /// An order for a host is about to leave.
     HostOrdered {
         /// The host.
         host: HostName,
-        /// When, by the leader's wall clock.
-        at: UnixMillis,
+    },
+    /// The platform has answered the last order for a host, so none is on its way any more.
+    HostOrderSettled {
+        /// The host.
+        host: HostName,
+        /// The time since the leader took over, in milliseconds.
+        millis: u64,
     },
     /// The platform has begun to maintain a host.
     Maintained {
--- a/crates/borageswitch_scheduler/src/ledger/snapshot.rs
+++ b/crates/borageswitch_scheduler/src/ledger/snapshot.rs
@@ -2,14 +2,11 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use borageswitch_types::{
-    names::{ExecutorName, HostName, JobName},
-    time::UnixMillis,
-};
+use borageswitch_types::names::{ExecutorName, HostName, JobName};
 
 use crate::{
     job::Submission,
-    ledger::{Finished, Ledger, job::Job, job::Progress},
+    ledger::{Finished, Ledger, host_orders::HostOrders, job::Job, job::Progress},
 };
 
 /// The ledger without the jobs' descriptions: those are stored where the callers' requests were
@@ -24,8 +21,8 @@
     pub finished: BTreeMap<JobName, Finished>,
     /// For each executor the highest number of an end that was taken in.
     pub seen: BTreeMap<ExecutorName, u64>,
-    /// For each host when it was last given an order, for those of late.
-    pub ordered: BTreeMap<HostName, UnixMillis>,
+    /// The orders that hosts were given of late.
+    pub host_orders: HostOrders,
     /// For each wave the hosts whose maintenance has begun.
     pub maintained: BTreeMap<u64, Vec<HostName>>,
     /// Waves that were reported as completed.
@@ -41,7 +38,7 @@
             jobs: jobs.map(|(name, job)| (name.clone(), job.progress.clone())).collect(),
             finished: ledger.finished.clone(),
             seen: ledger.seen.clone(),
-            ordered: ledger.ordered.clone(),
+            host_orders: ledger.host_orders.clone(),
             maintained: ledger.maintained.clone(),
             completed_waves: ledger.completed_waves.clone(),
         }
@@ -58,7 +55,7 @@
             jobs: BTreeMap::new(),
             finished: self.finished,
             seen: self.seen,
-            ordered: self.ordered,
+            host_orders: self.host_orders,
             maintained: self.maintained,
             completed_waves: self.completed_waves,
         };
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -308,7 +308,7 @@
         }
         let Some(withdrawal) = self.fleet.withdrawals.get_mut(host) else { return };
         withdrawal.stage = Stage::Ordered { at: now.time, answered: false };
-        self.record(Record::HostOrdered { host: host.clone(), at: now.wall });
+        self.record(Record::HostOrdered { host: host.clone() });
         self.outbox.then_order_host(host.clone());
     }
 
@@ -325,12 +325,24 @@
     /// Whether an earlier leader has ordered a host about so lately that its orders may still be on
     /// their way. Where the platform does not check tokens, an order of ours would cross them.
     pub(super) fn is_paused(&self, now: Time, host: &HostName) -> bool {
-        self.inherited_orders.contains(host) && now.since(self.began) < self.limits.host_order_pause
+        self.inherited_orders
+            .get(host)
+            .is_some_and(|age| *age + now.since(self.began) < self.limits.host_order_pause)
+    }
+
+    /// How long this leader has led, in milliseconds.
+    pub(super) fn led_millis(&self, now: Time) -> u64 {
+        now.since(self.began).as_millis() as u64
     }
 
     pub(super) fn host_answered(&mut self, now: Now, host: &HostName, answer: HostAnswer) {
+        let millis = self.led_millis(now.time);
         let Some(withdrawal) = self.fleet.withdrawals.get_mut(host) else { return };
         let purpose = withdrawal.purpose.clone();
+        if answer != HostAnswer::Lost {
+            self.record(Record::HostOrderSettled { host: host.clone(), millis });
+        }
+        let Some(withdrawal) = self.fleet.withdrawals.get_mut(host) else { return };
         match answer {
             HostAnswer::Done => {
                 withdrawal.stage = Stage::Away { since: now.time };
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -76,7 +76,7 @@
     pub inherited_lease: Duration,
     /// How long a look may wait for an end.
     pub look_wait: Duration,
-    /// How long a new leader gives no order for a host that its predecessor has ordered about of late.
+    /// How old an earlier leader's order for a host must be before a new leader gives one.
     pub host_order_pause: Duration,
     /// The shortest time between two appends.
     pub append_interval: Duration,
@@ -103,8 +103,9 @@
     ledger: Ledger,
     config: Option<Arc<Config>>,
     executors: BTreeMap<ExecutorName, Executor>,
-    /// Hosts that an earlier leader has ordered about of late.
-    inherited_orders: BTreeSet<HostName>,
+    /// Hosts that an earlier leader has ordered about of late, and how long ago at least when this
+    /// one took over.
+    inherited_orders: BTreeMap<HostName, Duration>,
     times: BTreeMap<JobName, JobTimes>,
     learned: Learned,
     outbox: Outbox,
--- a/crates/borageswitch_scheduler/src/reducer/outbox.rs
+++ b/crates/borageswitch_scheduler/src/reducer/outbox.rs
@@ -115,12 +115,17 @@
 impl Scheduler {
     /// Sends what is pending, unless an append is on its way or just was.
     pub(super) fn flush(&mut self, now: Now) {
-        let outbox = &mut self.outbox;
+        let outbox = &self.outbox;
         let idle = outbox.pending.is_empty() && outbox.forget.is_empty();
         let paused = now.time.since(outbox.left_at) < self.limits.append_interval;
         if idle || outbox.in_flight.is_some() || (paused && outbox.left_at > Time::ZERO) {
             return;
         }
+        if !self.ledger.host_orders.is_empty() {
+            let millis = self.led_millis(now.time);
+            self.record(Record::Led { millis });
+        }
+        let outbox = &mut self.outbox;
         let append = outbox.next_append;
         let whole = outbox.pending.len() <= MAX_RECORDS;
         let rest = outbox.pending.split_off(outbox.pending.len().min(MAX_RECORDS));
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -17,7 +17,7 @@
     event::Now,
     executor::Registration,
     job::Size,
-    ledger::{Ledger, job::Job},
+    ledger::{Ledger, host_orders::HostOrders, job::Job, record::Record},
     policy::learned::Learned,
     reducer::{
         Limits, Scheduler,
@@ -42,7 +42,7 @@
         config: Arc<Config>,
         registrations: Vec<Registration>,
     ) -> Scheduler {
-        let inherited_orders = ledger.ordered.keys().cloned().collect();
+        let inherited_orders = ledger.host_orders.ages();
         let mut scheduler = Scheduler {
             limits,
             began: now.time,
@@ -66,6 +66,9 @@
             last_sweep: Time::ZERO,
             effects: Vec::new(),
         };
+        if scheduler.ledger.host_orders != HostOrders::default() {
+            scheduler.record(Record::TermBegan);
+        }
         scheduler.inherit_ends();
         scheduler.renew_times(now);
         scheduler.inherit_runs(now);
--- a/crates/borageswitch_scheduler/tests/sessions.rs
+++ b/crates/borageswitch_scheduler/tests/sessions.rs
@@ -14,7 +14,6 @@
 use borageswitch_types::{
     Time,
     names::{HostName, JobName},
-    time::UnixMillis,
 };
 use support::session::{Session, acknowledgements, active, done, host, key, lasting, step, stops};
 
@@ -126,8 +125,7 @@
     // for some seconds. Emptied already, the host would stand idle all that time, in the middle of
     // its pool's rush.
     let mut ledger = Ledger::default();
-    let at = UnixMillis(999_000);
-    ledger.apply(&Record::HostOrdered { host: HostName::from("h"), at });
+    ledger.apply(&Record::HostOrdered { host: HostName::from("h") });
     let mut session = Session::with_ledger(&["e1"], ledger);
     let wave = WaveRequest {
         wave: 1,
@@ -221,14 +219,68 @@
     orders
 }
 
+/// The ledger of a leader that had an order for `h` answered and went on for so long.
+fn ledger_with_order(settled_for: u64) -> Ledger {
+    let mut ledger = Ledger::default();
+    let host = HostName::from("h");
+    ledger.apply(&Record::HostOrdered { host: host.clone() });
+    ledger.apply(&Record::HostOrderSettled { host, millis: 7_000 });
+    ledger.apply(&Record::Led { millis: 7_000 + settled_for });
+    ledger
+}
+
+/// The hosts that a new leader sends into maintenance in its first half second.
+fn ordered_at_once(ledger: Ledger) -> Vec<HostName> {
+    let mut session = Session::with_ledger(&["e1"], ledger);
+    session.handle(wave_over(&["h"], 1));
+    session.pass(60);
+    session.handle(Event::Hosts(Some(vec![host("h", "e1")])));
+    ordered_hosts(&mut session, 500)
+}
+
+#[test]
+fn a_new_leader_orders_hosts_whose_last_order_is_old() {
+    // Daemons are restarted in turn while the load moves from pool to pool. Nearly every host was
+    // moved a while ago. A leader that left them all alone for seconds after each change would keep
+    // the pool that has its turn at the few hosts it has, and its callers' jobs would be late.
+    let long_ago = ledger_with_order(3_600);
+
+    let orders = ordered_at_once(long_ago);
+
+    assert_eq!(orders, [HostName::from("h")]);
+}
+
+#[test]
+fn a_new_leader_leaves_alone_what_was_ordered_of_late() {
+    // The last leader had an order for a host answered and died within the second. Ordered about
+    // again at once, the host would follow two leaders in turn.
+    let just_now = ledger_with_order(900);
+
+    let orders = ordered_at_once(just_now);
+
+    assert!(orders.is_empty(), "{orders:?}");
+}
+
+#[test]
+fn the_age_of_an_order_outlives_a_leader_without_any() {
+    // One leader orders a host about and dies; the next one dies a second later, without an order of
+    // its own. The third must not take the second's short term for the age of the order.
+    let mut ledger = ledger_with_order(900);
+    ledger.apply(&Record::TermBegan);
+    ledger.apply(&Record::Led { millis: 1_000 });
+
+    let orders = ordered_at_once(ledger);
+
+    assert!(orders.is_empty(), "{orders:?}");
+}
+
 #[test]
 fn a_host_that_the_last_leader_ordered_about_counts_as_away() {
     // A leader has ordered a host into maintenance and died; the order may still be on its way. Its
     // successor sees the host up. Sending another one now, there would be two away where the
     // operator allows one.
     let mut ledger = Ledger::default();
-    let at = UnixMillis(999_000);
-    ledger.apply(&Record::HostOrdered { host: HostName::from("h1"), at });
+    ledger.apply(&Record::HostOrdered { host: HostName::from("h1") });
     let mut session = Session::with_ledger(&["e1", "e2"], ledger);
     session.handle(wave_over(&["h1", "h2"], 1));
     session.pass(60);
--- a/crates/borageswitch_scheduler/tests/support/session.rs
+++ b/crates/borageswitch_scheduler/tests/support/session.rs
@@ -107,7 +107,12 @@
         let scheduler =
             Scheduler::recover(Limits::default(), now, ledger, 1, config, registrations);
         let mut session = Self { scheduler, now: 10_000 };
-        session.settle();
+        // A leader that inherits orders for hosts begins with an append.
+        for effect in session.settle() {
+            if let Effect::Append { append, .. } = effect {
+                session.handle(Event::Appended { append });
+            }
+        }
         for name in executors {
             session.report(name, &[], &[], 0);
         }
