Find hosts for lasting tasks and labels by what is free, not by counting hosts

Change: a host's lasting tasks are stopped without a place only if they may all be away together; lasting tasks that wait or are stuck are tried on the real room of the pool, and hosts are fetched for the rest, first of all wants; full labelled hosts no longer count as help; reserves give up labelled hosts, for lasting tasks also busy hosts do; hosts are lent after the pass, so that one that came back isn't sent away past the tasks that wait for it. Ruled out: advice and trust (not involved in the traces).

--- a/crates/borageswitch_scheduler/src/policy/lending.rs
+++ b/crates/borageswitch_scheduler/src/policy/lending.rs
@@ -75,7 +75,7 @@
 pub struct LabelNeed {
     /// The label.
     pub label: Arc<str>,
-    /// What these tasks ask for.
+    /// What waits for it, and whatever else runs on hosts that have it.
     pub need: Need,
     /// The pool's hosts that have it, and those on their way.
     pub hosts: usize,
@@ -111,10 +111,15 @@
     pub hosts: usize,
     /// Its hosts with nothing to run.
     pub idle: Vec<IdleHost<T>>,
+    /// Its hosts that run nothing but tasks that end.
+    pub busy: Vec<IdleHost<T>>,
     /// What its running tasks ask for, and waiting ones that need no label.
     pub need: Need,
     /// What its waiting tasks ask for that need a label.
     pub labelled: Vec<LabelNeed>,
+    /// The hosts that lasting tasks need besides those that the pool has, each with the label that
+    /// it must have.
+    pub lasting: Vec<Option<Arc<str>>>,
     /// Racks that hold data of tasks that wait.
     pub data_racks: BTreeSet<Arc<str>>,
     /// How many cores arrivals keep busy.
@@ -132,9 +137,23 @@
         self.need.hosts(&self.host).max(share(arriving, self.host.cpu_milli))
     }
 
-    /// How many hosts with a label the pool lacks.
+    /// How many hosts with a label the pool lacks for tasks that end, beyond those that lasting
+    /// tasks are about to get.
     fn lacks(&self, label: &LabelNeed) -> usize {
-        label.need.hosts(&self.host).saturating_sub(label.hosts)
+        let for_lasting =
+            self.lasting.iter().filter(|own| own.as_ref() == Some(&label.label)).count();
+        label.need.hosts(&self.host).saturating_sub(label.hosts + for_lasting)
+    }
+
+    /// Whether the pool has tasks for all its hosts with a label.
+    fn needs_all(&self, label: &str) -> bool {
+        let mut own = self.labelled.iter().filter(|l| &*l.label == label);
+        own.any(|l| l.hosts <= l.need.hosts(&self.host))
+    }
+
+    /// How many hosts of any kind the pool lacks, beyond those that lasting tasks are about to get.
+    fn missing(&self) -> usize {
+        self.needed().saturating_sub(self.hosts + self.lasting.len())
     }
 
     /// How many idle hosts the pool can give away.
@@ -170,9 +189,9 @@
     F: Fn(&T, &PoolName) -> bool,
 {
     let mut spare = spare_hosts(pools);
-    let mut moves = Vec::new();
+    let mut moves: Vec<Move<T>> = Vec::new();
     for want in wants(pools) {
-        let suits = |s: &&Spare<'_, T>| {
+        let suits = |s: &Spare<'_, T>| {
             s.from.pool != want.pool.pool
                 && want.label.is_none_or(|label| s.host.has(label))
                 && may_move(&s.host.host, &want.pool.pool)
@@ -182,9 +201,17 @@
         let candidates = spare.iter().enumerate().filter(|(_, s)| suits(s));
         let wasted = |s: &Spare<'_, T>| s.host.scarce && want.label.is_none();
         let best = candidates.min_by_key(|(position, s)| (wasted(s), !near(s), *position));
-        let Some((position, _)) = best else { continue };
-        let given = spare.remove(position);
-        moves.push(Move { host: given.host.host.clone(), to: want.pool.pool.clone() });
+        let to = want.pool.pool.clone();
+        if let Some((position, _)) = best {
+            let given = spare.remove(position);
+            moves.push(Move { host: given.host.host.clone(), to });
+            continue;
+        }
+        let moved = |s: &Spare<'_, T>| moves.iter().any(|m| m.host == s.host.host);
+        let kept = kept_hosts(pools, &want).into_iter().find(|s| suits(s) && !moved(s));
+        if let Some(given) = kept {
+            moves.push(Move { host: given.host.host.clone(), to });
+        }
     }
     if let Some(standby) = pools.iter().find(|pool| pool.standby) {
         let off = spare.into_iter().filter(|s| {
@@ -201,25 +228,49 @@
 struct Want<'a, T> {
     pool: &'a PoolLoad<T>,
     label: Option<&'a str>,
+    lasting: bool,
 }
 
-/// The hosts that pools lack. Labels come first, as few hosts have them; then the pool that lacks
-/// least, as it can be helped whole.
+/// Hosts with a wanted label that pools would rather keep.
+///
+/// Where few hosts have a label, one pool's idle reserve may hold the last of them while tasks of
+/// another wait for it beside dozens of others; for a lasting task even a busy one is emptied, as
+/// its users are without service until then.
+fn kept_hosts<'a, T>(pools: &'a [PoolLoad<T>], want: &Want<'a, T>) -> Vec<Spare<'a, T>> {
+    let Some(label) = want.label else { return Vec::new() };
+    let of = |from: &'a PoolLoad<T>, hosts: &'a [IdleHost<T>]| {
+        hosts.iter().map(move |host| Spare { host, from })
+    };
+    let content = pools.iter().filter(|pool| !pool.needs_all(label));
+    let mut kept: Vec<Spare<'a, T>> = content.flat_map(|pool| of(pool, &pool.idle)).collect();
+    if want.lasting {
+        kept.extend(pools.iter().flat_map(|pool| of(pool, &pool.idle)));
+        kept.extend(pools.iter().flat_map(|pool| of(pool, &pool.busy)));
+    }
+    kept
+}
+
+/// The hosts that pools lack. Those for lasting tasks come first, whose users are without service
+/// until then; then labels, as few hosts have them; then the pool that lacks least, as it can be
+/// helped whole.
 fn wants<T>(pools: &[PoolLoad<T>]) -> Vec<Want<'_, T>> {
     let mut wants = Vec::new();
     let mut short: Vec<(usize, &PoolLoad<T>)> = Vec::new();
+    for pool in pools.iter().filter(|pool| !pool.standby) {
+        let labels = pool.lasting.iter().map(Option::as_deref);
+        wants.extend(labels.map(|label| Want { pool, label, lasting: true }));
+    }
     for pool in pools.iter().filter(|pool| !pool.standby) {
         for label in &pool.labelled {
             let lacks = pool.lacks(label);
-            let one = |_| Want { pool, label: Some(&*label.label) };
+            let one = |_| Want { pool, label: Some(&*label.label), lasting: false };
             wants.extend((0..lacks).map(one));
         }
-        let missing = pool.needed().saturating_sub(pool.hosts);
-        short.push((missing, pool));
+        short.push((pool.missing(), pool));
     }
     short.sort_by_key(|(missing, _)| *missing);
     for (missing, pool) in short {
-        wants.extend((0..missing).map(|_| Want { pool, label: None }));
+        wants.extend((0..missing).map(|_| Want { pool, label: None, lasting: false }));
     }
     wants
 }
--- a/crates/borageswitch_scheduler/src/policy/mod.rs
+++ b/crates/borageswitch_scheduler/src/policy/mod.rs
@@ -7,10 +7,12 @@
 //! - [`placing`]: which host a task goes to.
 //! - [`learned`]: what tasks really take, since declared run times are far off.
 //! - [`lending`]: which hosts change their pool.
+//! - [`lasting`]: which more hosts lasting tasks need.
 //! - [`trust`]: which executors get work although some of theirs failed.
 //! - [`stragglers`]: which runs are given up for a new one elsewhere.
 //! - [`pacing`]: how fast work that fills gaps may run beside work that serves.
 
+pub mod lasting;
 pub mod learned;
 pub mod lending;
 pub mod order;
--- a/crates/borageswitch_scheduler/src/policy/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/tests.rs
@@ -5,6 +5,7 @@
 use borageswitch_types::{Time, names::PoolName};
 
 use super::{
+    lasting::{self, Room, Seeker},
     lending::{self, ArrivalRate, IdleHost, LabelNeed, Move, Need, PoolLoad},
     order::{Class, JobView, Urgency},
     pacing,
@@ -206,8 +207,10 @@
         standby: false,
         hosts,
         idle: idle(idle_hosts),
+        busy: Vec::new(),
         need: Need::default(),
         labelled: Vec::new(),
+        lasting: Vec::new(),
         data_racks: BTreeSet::new(),
         arriving_cores: 0.0,
         host: cores(64),
@@ -334,3 +337,63 @@
     assert!(!stragglers::gives_up(after(1_500), 60, expected, 0.0));
     assert!(!stragglers::gives_up(after(900), 0, expected, 0.0));
 }
+
+fn seeker(step: u32, label: Option<&str>) -> Seeker<u32> {
+    Seeker { step, size: cores(10), label: label.map(Arc::from), max_per_host: Some(1) }
+}
+
+fn room(free: u64, label: &str, steps: &[u32]) -> Room<u32> {
+    let tasks = steps.iter().map(|step| (*step, 1)).collect();
+    Room { labels: vec![Arc::from(label)], free: cores(free), tasks }
+}
+
+#[test]
+fn a_full_host_with_a_label_is_no_help_to_a_lasting_task() {
+    // A lasting task needs a label. The only hosts of its pool that have it are full of other
+    // lasting tasks, or have a task of the same step. Counted as help, they would leave its users
+    // without service for the rest of the day.
+    let rooms = vec![room(5, "b", &[7]), room(60, "b", &[1]), room(60, "a", &[])];
+
+    let more = lasting::more_hosts(&[seeker(1, Some("b"))], rooms, &cores(64));
+
+    assert_eq!(more, [Some(Arc::from("b"))]);
+}
+
+#[test]
+fn lasting_tasks_share_the_hosts_that_are_fetched_for_them() {
+    let seekers = [seeker(1, None), seeker(2, Some("b")), seeker(3, None), seeker(1, None)];
+
+    let more = lasting::more_hosts(&seekers, Vec::new(), &cores(64));
+
+    assert_eq!(more, [Some(Arc::from("b")), None]);
+}
+
+#[test]
+fn a_reserve_gives_up_the_last_host_with_a_wanted_label() {
+    // Two pools keep idle hosts for their next turn, among them the only free one with a label.
+    // Kept there, the tasks of a third pool that need it would wait beside it.
+    let need = Need { demand: cores(1), apart: 1 };
+    let label = LabelNeed { label: "b".into(), need, hosts: 0 };
+    let wants = PoolLoad { labelled: vec![label], ..load("roster", 3, &[]) };
+    let rests = load("tender", 2, &[("t1", 9_000, "a"), ("t2", 9_000, "b")]);
+    let off = PoolLoad { standby: true, ..load("spare", 1, &[("s1", 0, "a")]) };
+
+    let moves = lending::decide(&[wants, rests, off], |_, _| true);
+
+    assert_eq!(moves, [Move { host: "t2", to: PoolName::from("roster") }]);
+}
+
+#[test]
+fn a_lasting_task_gets_a_host_that_short_tasks_use() {
+    // Short tasks of another pool work off their backlog on all hosts with a label. A lasting task
+    // that waited for them would leave its users without service for as long as the backlog lasts.
+    let need = Need { demand: cores(900), apart: 1 };
+    let label = LabelNeed { label: "b".into(), need, hosts: 1 };
+    let busy = idle(&[("t1", 0, "b")]);
+    let rushes = PoolLoad { labelled: vec![label], busy, ..load("tender", 1, &[]) };
+    let wants = PoolLoad { lasting: vec![Some("b".into())], ..load("roster", 3, &[]) };
+
+    let moves = lending::decide(&[rushes, wants], |_, _| true);
+
+    assert_eq!(moves, [Move { host: "t1", to: PoolName::from("roster") }]);
+}
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -262,14 +262,41 @@
                 moved = true;
             }
         }
-        if moved || !only_lasting {
+        if moved || !only_lasting || !self.may_interrupt_all(now.time, &lasting) {
             return;
         }
         for task in lasting {
-            if self.may_interrupt(now.time, &task) {
-                self.order_stop(now, executor, &task);
+            self.order_stop(now, executor, &task);
+        }
+    }
+
+    /// Whether lasting tasks of one host may be away together.
+    ///
+    /// Stopped although its siblings on the same host may not follow, a task that has nowhere else
+    /// to go would wait for ever: the host takes nothing new, and is never empty.
+    fn may_interrupt_all(&self, now: Time, tasks: &[TaskKey]) -> bool {
+        tasks.iter().all(|task| {
+            let together = tasks.iter().filter(|t| t.step_key() == task.step_key()).count();
+            self.may_interrupt_with(now, task, together - 1)
+        })
+    }
+
+    /// The lasting tasks of a pool on hosts that are being emptied, which cannot leave together.
+    pub(super) fn stuck_tasks(&self, now: Now, pool: &PoolName) -> Vec<TaskKey> {
+        let mut stuck = Vec::new();
+        for host in self.fleet.withdrawals.keys() {
+            let entry = self.fleet.hosts.get(host).filter(|entry| entry.pool == *pool);
+            let executor = entry.and_then(|entry| entry.executor.as_ref());
+            let Some(known) = executor.and_then(|executor| self.executors.get(executor)) else {
+                continue;
+            };
+            let lasting = known.runs.iter().filter(|(_, held)| held.lasting);
+            let tasks: Vec<TaskKey> = lasting.map(|(task, _)| task.clone()).collect();
+            if !self.may_interrupt_all(now.time, &tasks) {
+                stuck.extend(tasks);
             }
         }
+        stuck
     }
 
     fn has_place(&self, now: Now, task: &TaskKey, room: &Room) -> bool {
@@ -279,6 +306,11 @@
 
     /// Whether a lasting task may be away for a moment: so many of its step may be at once.
     fn may_interrupt(&self, now: Time, task: &TaskKey) -> bool {
+        self.may_interrupt_with(now, task, 0)
+    }
+
+    /// Whether a lasting task may be away together with so many others of its step that are at work.
+    fn may_interrupt_with(&self, now: Time, task: &TaskKey, others: usize) -> bool {
         let Some(job) = self.ledger.jobs.get(&task.job) else { return true };
         let Some(step) = job.step(task.step) else { return true };
         let Some(most) = step.max_unavailable else { return true };
@@ -286,7 +318,7 @@
             let other = task.step_key().task(index);
             !self.is_at_work(now, &other)
         });
-        away.count() < most as usize
+        away.count() + others < most as usize
     }
 
     /// Whether a task is known to do its work: its executor has said so not long ago.
--- a/crates/borageswitch_scheduler/src/reducer/lending.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lending.rs
@@ -15,12 +15,17 @@
     event::Now,
     fleet::{HostEntry, HostState},
     job::{Size, Step, Submission},
-    policy::lending::{self, ArrivalRate, IdleHost, LabelNeed, Need, PoolLoad},
+    policy::{
+        lasting::{self, Room, Seeker},
+        lending::{self, ArrivalRate, IdleHost, LabelNeed, Need, PoolLoad},
+    },
     reducer::{
         Scheduler,
+        executors::Executor,
         hosts::Purpose,
-        pass::{reserved, unblocked_steps},
+        pass::{reserved, unblocked_steps, waiting_tasks_of},
     },
+    task::{StepKey, TaskKey},
 };
 
 /// What is known of the load of pools, and which moves are impossible.
@@ -128,8 +133,15 @@
                     self.fleet.hosts.values().filter(|entry| entry.pool == pool.name).collect();
                 let members = self.members_of(&pool.name, &in_pool);
                 let needs = needs.remove(&pool.name).unwrap_or_default();
-                let labelled = needs.labelled.into_iter().map(|(label, need)| {
-                    let hosts = members.iter().filter(|e| e.labels.contains(&label)).count();
+                let host = self.typical_host(&in_pool);
+                let labelled = needs.labelled.into_iter().map(|(label, mut need)| {
+                    let mut hosts = 0;
+                    for entry in members.iter().filter(|entry| entry.labels.contains(&label)) {
+                        hosts += 1;
+                        // Full hosts are of no help to what waits for the label.
+                        need.demand +=
+                            self.executor_on(entry).map_or(Size::default(), Executor::taken);
+                    }
                     LabelNeed { label, need, hosts }
                 });
                 PoolLoad {
@@ -137,11 +149,13 @@
                     standby: pool.standby,
                     hosts: members.len(),
                     idle: self.idle_hosts(now.time, pool.standby, &in_pool),
+                    busy: self.busy_hosts(now.time, &members),
                     need: needs.whole,
                     labelled: labelled.collect(),
+                    lasting: self.hosts_for_lasting(now, &pool.name, &members, &host),
                     data_racks: needs.data_racks,
                     arriving_cores: arrivals.map_or(0.0, |rate| rate.cores(now.time)),
-                    host: self.typical_host(&in_pool),
+                    host,
                     has_short_work: arrivals.is_some(),
                 }
             })
@@ -179,6 +193,66 @@
         serving.chain(coming.filter_map(|(host, _)| self.fleet.hosts.get(host))).collect()
     }
 
+    /// What is known of a host's executor.
+    fn executor_on(&self, entry: &HostEntry) -> Option<&Executor> {
+        self.executors.get(entry.executor.as_ref()?)
+    }
+
+    /// The hosts that a pool's lasting tasks need besides its members: those that wait, and those
+    /// that cannot leave a host that is being emptied.
+    fn hosts_for_lasting(
+        &self,
+        now: Now,
+        pool: &PoolName,
+        members: &[&HostEntry],
+        host: &Size,
+    ) -> Vec<Option<Arc<str>>> {
+        let seekers = self.lasting_seekers(now, pool);
+        if seekers.is_empty() {
+            return Vec::new();
+        }
+        let rooms = members.iter().filter_map(|entry| self.lasting_room(pool, entry));
+        lasting::more_hosts(&seekers, rooms.collect(), host)
+    }
+
+    fn lasting_seekers(&self, now: Now, pool: &PoolName) -> Vec<Seeker<StepKey>> {
+        let mut tasks = self.stuck_tasks(now, pool);
+        for (name, job) in &self.ledger.jobs {
+            let in_pool = self.times.get(name).is_some_and(|times| times.pool == *pool);
+            if in_pool && job.submission.spec.is_lasting() {
+                tasks.extend(waiting_tasks_of(name, job));
+            }
+        }
+        let seeker = |task: TaskKey| {
+            let step = self.ledger.jobs.get(&task.job)?.step(task.step)?;
+            step.lasting.then(|| Seeker {
+                step: task.step_key(),
+                size: reserved(step),
+                label: step.label.clone(),
+                max_per_host: step.max_per_host,
+            })
+        };
+        tasks.into_iter().filter_map(seeker).collect()
+    }
+
+    /// What a member of a pool has left beside its lasting tasks; a host on its way is empty.
+    fn lasting_room(&self, pool: &PoolName, entry: &HostEntry) -> Option<Room<StepKey>> {
+        let labels = entry.labels.clone();
+        if entry.pool != *pool {
+            return Some(Room { labels, free: entry.capacity, tasks: BTreeMap::new() });
+        }
+        let known = self.executor_on(entry).filter(|known| known.present)?;
+        if known.registration.draining {
+            return None;
+        }
+        let mut room = Room { labels, free: known.registration.capacity, tasks: BTreeMap::new() };
+        for (task, held) in known.runs.iter().filter(|(_, held)| held.lasting) {
+            room.free = room.free.less(&held.size);
+            *room.tasks.entry(task.step_key()).or_default() += 1;
+        }
+        Some(room)
+    }
+
     /// Hosts with nothing to run.
     fn idle_hosts(
         &self,
@@ -201,16 +275,34 @@
                 }
                 now.since(known.idle_since)
             };
-            Some(IdleHost {
-                host: entry.host.clone(),
-                idle,
-                labels: entry.labels.clone(),
-                scarce: self.fleet.is_scarce(&entry.labels),
-            })
+            Some(self.lendable(entry, idle))
         });
         idle.collect()
     }
 
+    /// Hosts that run nothing but tasks that end.
+    fn busy_hosts(&self, now: Time, members: &[&HostEntry]) -> Vec<IdleHost<HostName>> {
+        let busy = members.iter().filter(|entry| {
+            let known = self.executor_on(entry).filter(|known| known.present && known.fenced);
+            let only_short = known.is_some_and(|known| {
+                !known.runs.is_empty() && known.runs.values().all(|held| !held.lasting)
+            });
+            only_short
+                && !self.fleet.withdrawals.contains_key(&entry.host)
+                && !self.is_paused(now, &entry.host)
+        });
+        busy.map(|entry| self.lendable(entry, Duration::ZERO)).collect()
+    }
+
+    fn lendable(&self, entry: &HostEntry, idle: Duration) -> IdleHost<HostName> {
+        IdleHost {
+            host: entry.host.clone(),
+            idle,
+            labels: entry.labels.clone(),
+            scarce: self.fleet.is_scarce(&entry.labels),
+        }
+    }
+
     /// What a host of a pool has: that of its smallest one, or of the smallest of all.
     fn typical_host(&self, in_pool: &[&HostEntry]) -> Size {
         let smallest = |sizes: Vec<Size>| sizes.into_iter().min_by_key(|size| size.cpu_milli);
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -160,12 +160,18 @@
 
     /// Decides, and gives what is to be done.
     pub fn settle(&mut self, now: Now) -> Vec<Effect> {
-        if now.time.since(self.last_sweep) >= SWEEP_INTERVAL {
+        let sweep = now.time.since(self.last_sweep) >= SWEEP_INTERVAL;
+        if sweep {
             self.last_sweep = now.time;
             self.sweep(now);
         }
         self.finish_jobs(now);
         self.place_waiting(now);
+        if sweep {
+            // After the pass: a host that has just come back is idle until then, and would be sent
+            // away again past the tasks that wait for it.
+            self.step_fleet(now);
+        }
         self.look_around(now);
         self.flush(now);
         std::mem::take(&mut self.effects)
@@ -177,7 +183,6 @@
         self.repeat_stops(now);
         self.give_up_stragglers(now);
         self.begin_due(now);
-        self.step_fleet(now);
         self.stirred.extend(self.executors.values().map(|e| e.registration.pool.clone()));
         self.forget_outcomes(now);
         self.forget_executors();
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -261,6 +261,12 @@
     waiting
 }
 
+/// The tasks of a job that wait and could run.
+pub(super) fn waiting_tasks_of(name: &JobName, job: &Job) -> Vec<TaskKey> {
+    let steps = job.progress.open.keys().flat_map(|&open| waiting_of(name, job, open));
+    steps.flat_map(|(key, tasks)| tasks.into_iter().map(move |index| key.task(index))).collect()
+}
+
 fn waiting_tasks(state: &StepState) -> Vec<u32> {
     let waiting = state.tasks.iter().enumerate().filter(|(_, task)| task.is_waiting());
     waiting.map(|(index, _)| index as u32).collect()
--- a/crates/borageswitch_scheduler/tests/sessions.rs
+++ b/crates/borageswitch_scheduler/tests/sessions.rs
@@ -90,6 +90,27 @@
     assert_eq!(stops(&effects), 0, "{effects:?}");
 }
 
+#[test]
+fn tasks_that_may_not_leave_together_stay_until_there_is_another_host() {
+    // Two tasks that serve the same users share the only host of their pool, which is due for
+    // maintenance; one of them may be away. Stopped although it has nowhere to go, the first can
+    // neither come back to a host that is being emptied nor let the second follow: its users have
+    // one task less for the rest of the day.
+    let mut session = Session::new(&["e1"]);
+    session.submit("l", vec![Step { max_per_host: None, ..lasting(2) }]);
+    let started = session.store_and_start();
+    assert_eq!(started.len(), 2);
+    session.now += 500;
+    session.report("e1", &[active(&started[0].1), active(&started[1].1)], &[], 0);
+    session.handle(wave_over(&["h"], 1));
+    session.pass(60);
+    session.handle(Event::Hosts(Some(vec![host("h", "e1")])));
+
+    let effects: Vec<Effect> = (0..10).flat_map(|_| session.pass(60)).collect();
+
+    assert_eq!(stops(&effects), 0, "{effects:?}");
+}
+
 #[test]
 fn a_host_that_is_off_is_maintained_at_once() {
     // A host without an executor has nothing to be emptied of. Waited for, it made its wave late.
