Make no use of entries that another program wrote among the executors

Cause: an entry with a state that the pages do not name counted as ready, one that could not be read left the older one in force, and one value that is not the store's encoding made a whole list unreadable, so nobody could lead. Change: an entry needs all documented fields in their types; otherwise its executor counts as gone (what runs there is as on one out of reach), with one bounded line and a counter. Ruled out: dropping the watch's answer (the others hold).

--- a/crates/borageswitch_runtime/src/instruments.rs
+++ b/crates/borageswitch_runtime/src/instruments.rs
@@ -7,6 +7,7 @@
 //! | `borageswitch_calls` | `to`, `answer` | calls to the platform on the leader's behalf |
 //! | `borageswitch_call_seconds` | `to` | how long they took |
 //! | `borageswitch_decisions` | `kind` | the scheduler's decisions, as in the log |
+//! | `borageswitch_unreadable` | `what` | what others have stored and cannot be read |
 //! | `borageswitch_leading` | | 1 on the daemon that leads |
 //! | `borageswitch_peer_bytes` | `direction` | bytes on connections between daemons |
 
@@ -28,6 +29,7 @@
     calls: Counter<u64>,
     call_seconds: Histogram<f64>,
     decisions: Counter<u64>,
+    unreadable: Counter<u64>,
     leading: Gauge<u64>,
 }
 
@@ -42,6 +44,7 @@
             calls: meter.u64_counter("borageswitch_calls").build(),
             call_seconds: histogram("borageswitch_call_seconds"),
             decisions: meter.u64_counter("borageswitch_decisions").build(),
+            unreadable: meter.u64_counter("borageswitch_unreadable").build(),
             leading: meter.u64_gauge("borageswitch_leading").build(),
         }
     }
@@ -65,6 +68,11 @@
         self.decisions.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Something that another program has stored cannot be read.
+    pub fn unreadable(&self, what: &'static str) {
+        self.unreadable.add(1, &[KeyValue::new("what", what)]);
+    }
+
     /// Whether this daemon leads.
     pub fn leads(&self, leads: bool) {
         self.leading.record(u64::from(leads), &[]);
--- a/crates/borageswitch_runtime/src/takeover.rs
+++ b/crates/borageswitch_runtime/src/takeover.rs
@@ -74,7 +74,10 @@
     let mut cancelled = Vec::new();
     for item in &intake {
         if item.key.starts_with(keys::JOBS) {
-            submissions.push(Arc::new(decode::<Submission>("submission", item)?));
+            // One that cannot be read can never run. Given up for it, nobody would ever lead.
+            if let Ok(submission) = decode::<Submission>("submission", item) {
+                submissions.push(Arc::new(submission));
+            }
         } else if let Some(job) = item.key.strip_prefix(keys::CANCELS) {
             cancelled.push(JobName::from(job));
         }
--- a/crates/borageswitch_runtime/src/watching.rs
+++ b/crates/borageswitch_runtime/src/watching.rs
@@ -122,8 +122,10 @@
     let (items, at) = read_all(platform, &platform.places().executors).await?;
     let mut registrations = Vec::new();
     for item in items {
-        if let Some(Seen::There(registration)) = platform.decode_executor(&Change::Written(item)) {
-            registrations.push(registration);
+        match platform.decode_executor(&Change::Written(item)) {
+            Some(Seen::There(registration)) => registrations.push(registration),
+            Some(Seen::Gone(_) | Seen::Unreadable(_)) => {}
+            None => log::error!("an executor's registration has a strange key"),
         }
     }
     Ok((registrations, at))
@@ -152,10 +154,14 @@
         match shared.platform.watch(&prefix, after, WATCH_WAIT).await {
             Ok(seen) => {
                 for change in &seen.changes {
-                    match shared.platform.decode_executor(change) {
-                        Some(seen) => tell(shared, token, Event::Executor(seen)).await,
-                        None => log::error!("an executor's registration cannot be read"),
+                    let Some(seen) = shared.platform.decode_executor(change) else {
+                        log::error!("an executor's registration has a strange key");
+                        continue;
+                    };
+                    if matches!(seen, Seen::Unreadable(_)) {
+                        shared.instruments.unreadable("registration");
                     }
+                    tell(shared, token, Event::Executor(seen)).await;
                 }
                 at = Some(seen.at);
             }
--- a/crates/borageswitch_scheduler/src/event.rs
+++ b/crates/borageswitch_scheduler/src/event.rs
@@ -121,6 +121,8 @@
     There(Registration),
     /// It has gone.
     Gone(ExecutorName),
+    /// Its entry is there and cannot be read: whoever wrote it, no use is made of it.
+    Unreadable(ExecutorName),
 }
 
 /// What the reducer hears, each with the time at which it is handled.
--- a/crates/borageswitch_scheduler/src/reducer/registrations.rs
+++ b/crates/borageswitch_scheduler/src/reducer/registrations.rs
@@ -16,6 +16,12 @@
         match seen {
             Seen::There(registration) => self.registered(now, registration),
             Seen::Gone(executor) => self.unregistered(&executor),
+            Seen::Unreadable(executor) => {
+                self.log("registration-unreadable", &executor, || {
+                    "no use is made of it".to_owned()
+                });
+                self.unregistered(&executor);
+            }
         }
     }
 
