--- a/crates/borageswitch_scheduler/src/policy/lasting.rs
+++ b/crates/borageswitch_scheduler/src/policy/lasting.rs
@@ -78,3 +78,6 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/borageswitch_scheduler/src/policy/lending.rs
+++ b/crates/borageswitch_scheduler/src/policy/lending.rs
@@ -323,3 +323,6 @@
     spare.sort_by_key(|s| (!s.from.standby, std::cmp::Reverse(s.host.idle)));
     spare
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/borageswitch_scheduler/src/policy/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/tests.rs
@@ -1,13 +1,11 @@
 //! Each decision under the load that it answers.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::time::Duration;
 
-use borageswitch_types::{Time, names::PoolName};
+use borageswitch_types::Time;
 
 use super::{
     last_chance::{self, Allowance},
-    lasting::{self, Room, Seeker},
-    lending::{self, ArrivalRate, IdleHost, LabelNeed, Move, Need, PoolLoad},
     order::{Class, JobView, Urgency},
     pacing,
     placing::{self, Candidate},
@@ -188,144 +186,6 @@
     assert!(back > 0 && back < 50, "{back}");
 }
 
-fn idle(hosts: &[(&'static str, u64, &str)]) -> Vec<IdleHost<&'static str>> {
-    let each = hosts.iter().map(|(host, ms, label)| IdleHost {
-        host: *host,
-        idle: Duration::from_millis(*ms),
-        labels: vec![Arc::from(*label)],
-        scarce: *label == "b",
-    });
-    each.collect()
-}
-
-fn load(
-    pool: &str,
-    hosts: usize,
-    idle_hosts: &[(&'static str, u64, &str)],
-) -> PoolLoad<&'static str> {
-    PoolLoad {
-        pool: PoolName::from(pool),
-        standby: false,
-        hosts,
-        idle: idle(idle_hosts),
-        busy: Vec::new(),
-        need: Need::default(),
-        labelled: Vec::new(),
-        lasting: Vec::new(),
-        data_racks: BTreeSet::new(),
-        arriving_cores: 0.0,
-        host: cores(64),
-        has_short_work: true,
-    }
-}
-
-fn wanting(hosts: u64) -> Need {
-    Need { demand: cores(hosts * 54), apart: 0 }
-}
-
-#[test]
-fn a_pool_in_its_turn_gets_hosts_that_are_off_and_then_idle_ones() {
-    // One queue's turn begins while the others rest: its pool holds a quarter of what it asks for.
-    let busy = PoolLoad { need: wanting(5), ..load("roster", 2, &[]) };
-    let hosts = [("t1", 100, "a"), ("t2", 90, "a"), ("t3", 80, "a"), ("t4", 70, "a")];
-    let idle = load("tender", 5, &hosts);
-    let off = PoolLoad { standby: true, ..load("spare", 1, &[("s1", 0, "a")]) };
-
-    let moves = lending::decide(&[busy, idle, off], |_, _| true);
-
-    let hosts: Vec<&str> = moves.iter().map(|m| m.host).collect();
-    assert_eq!(hosts, ["s1", "t1", "t2"]);
-    assert!(moves.iter().all(|m| m.to.as_str() == "roster"));
-}
-
-#[test]
-fn an_idle_host_is_switched_off_but_a_few_stay_for_the_next_turn() {
-    let hosts = [("t1", 5_000, "a"), ("t2", 5_000, "a"), ("t3", 5_000, "a"), ("t4", 5_000, "a")];
-    let idle = load("tender", 4, &hosts);
-    let off = PoolLoad { standby: true, ..load("spare", 0, &[]) };
-
-    let moves = lending::decide(&[idle, off], |_, _| true);
-
-    assert_eq!(moves.len(), 2);
-    assert!(moves.iter().all(|m| m.to.as_str() == "spare"));
-}
-
-#[test]
-fn a_host_that_cannot_be_in_a_pool_is_not_sent_there() {
-    let busy = PoolLoad { need: wanting(1), ..load("roster", 0, &[]) };
-    let off = PoolLoad { standby: true, ..load("spare", 1, &[("s1", 0, "a")]) };
-
-    let moves = lending::decide(&[busy, off], |_, _| false);
-
-    assert!(moves.is_empty());
-}
-
-#[test]
-fn a_task_that_needs_a_label_gets_a_host_that_has_it() {
-    // Only some hosts have what a task needs. Were they switched off like any other, or lent to a
-    // pool that can do without, the task would wait for ever beside idle hosts.
-    let need = Need { demand: cores(1), apart: 1 };
-    let label = LabelNeed { label: "b".into(), need, hosts: 0 };
-    let wants = PoolLoad { need, labelled: vec![label], ..load("roster", 3, &[]) };
-    let off = PoolLoad { standby: true, ..load("spare", 2, &[("s1", 0, "a"), ("s2", 0, "b")]) };
-
-    let moves = lending::decide(&[wants, off], |_, _| true);
-
-    assert_eq!(moves, [Move { host: "s2", to: PoolName::from("roster") }]);
-}
-
-#[test]
-fn a_scarce_host_is_left_to_those_who_need_it() {
-    // A pool whose tasks can run anywhere takes the only host of a kind; a job that needs the kind
-    // waits until the rush is over.
-    let busy = PoolLoad { need: wanting(1), ..load("roster", 0, &[]) };
-    let off = PoolLoad { standby: true, ..load("spare", 2, &[("s1", 0, "b"), ("s2", 0, "a")]) };
-
-    let moves = lending::decide(&[busy, off], |_, _| true);
-
-    assert_eq!(moves, [Move { host: "s2", to: PoolName::from("roster") }]);
-}
-
-#[test]
-fn the_last_host_with_a_label_in_demand_stays() {
-    let need = Need { demand: cores(1), apart: 1 };
-    let label = LabelNeed { label: "b".into(), need, hosts: 1 };
-    let idle = [("t1", 9_000, "b"), ("t2", 9_000, "a"), ("t3", 9_000, "a"), ("t4", 9_000, "a")];
-    let rests = PoolLoad { labelled: vec![label], ..load("tender", 4, &idle) };
-    let off = PoolLoad { standby: true, ..load("spare", 0, &[]) };
-
-    let moves = lending::decide(&[rests, off], |_, _| true);
-
-    assert!(!moves.is_empty());
-    assert!(moves.iter().all(|m| m.host != "t1"), "{moves:?}");
-}
-
-#[test]
-fn arrivals_are_forgotten_after_their_turn() {
-    // A turn has ended. Believed to go on, it would keep hosts in a pool that has nothing to do.
-    let mut rate = ArrivalRate::default();
-    for n in 0..100 {
-        rate.arrived(at(n * 50), 5.0);
-    }
-    assert!((80.0..120.0).contains(&rate.cores(at(5_000))), "{}", rate.cores(at(5_000)));
-
-    assert!(rate.cores(at(13_000)) < 1.0);
-}
-
-#[test]
-fn a_turn_is_believed_within_half_a_second() {
-    // A queue's turn begins: forty jobs a second of five core-seconds each, from one moment to the
-    // next. Each tenth of a second until its hosts are sent for makes its first jobs late.
-    let mut rate = ArrivalRate::default();
-    for n in 0..20 {
-        rate.arrived(at(n * 25), 5.0);
-    }
-
-    let believed = rate.cores(at(500));
-
-    assert!(believed > 150.0, "{believed} of 200 cores");
-}
-
 #[test]
 fn a_run_that_stands_still_is_given_up_soon_and_a_slow_estimate_is_not() {
     // A host stands still for six seconds without a sign of it. Waited for, each of its runs makes
@@ -339,80 +199,6 @@
     assert!(!stragglers::gives_up(after(900), 0, expected, 0.0));
 }
 
-fn seeker(step: u32, label: Option<&str>) -> Seeker<u32> {
-    Seeker { step, size: cores(10), label: label.map(Arc::from), max_per_host: Some(1) }
-}
-
-fn room(free: u64, label: &str, steps: &[u32]) -> Room<u32> {
-    let tasks = steps.iter().map(|step| (*step, 1)).collect();
-    Room { labels: vec![Arc::from(label)], free: cores(free), tasks }
-}
-
-#[test]
-fn a_full_host_with_a_label_is_no_help_to_a_lasting_task() {
-    // A lasting task needs a label. The only hosts of its pool that have it are full of other
-    // lasting tasks, or have a task of the same step. Counted as help, they would leave its users
-    // without service for the rest of the day.
-    let rooms = vec![room(5, "b", &[7]), room(60, "b", &[1]), room(60, "a", &[])];
-
-    let more = lasting::more_hosts(&[seeker(1, Some("b"))], rooms, &cores(64));
-
-    assert_eq!(more, [Some(Arc::from("b"))]);
-}
-
-#[test]
-fn lasting_tasks_share_the_hosts_that_are_fetched_for_them() {
-    let seekers = [seeker(1, None), seeker(2, Some("b")), seeker(3, None), seeker(1, None)];
-
-    let more = lasting::more_hosts(&seekers, Vec::new(), &cores(64));
-
-    assert_eq!(more, [Some(Arc::from("b")), None]);
-}
-
-#[test]
-fn a_reserve_gives_up_the_last_host_with_a_wanted_label() {
-    // Two pools keep idle hosts for their next turn, among them the only free one with a label.
-    // Kept there, the tasks of a third pool that need it would wait beside it.
-    let need = Need { demand: cores(1), apart: 1 };
-    let label = LabelNeed { label: "b".into(), need, hosts: 0 };
-    let wants = PoolLoad { labelled: vec![label], ..load("roster", 3, &[]) };
-    let rests = load("tender", 2, &[("t1", 9_000, "a"), ("t2", 9_000, "b")]);
-    let off = PoolLoad { standby: true, ..load("spare", 1, &[("s1", 0, "a")]) };
-
-    let moves = lending::decide(&[wants, rests, off], |_, _| true);
-
-    assert_eq!(moves, [Move { host: "t2", to: PoolName::from("roster") }]);
-}
-
-#[test]
-fn a_lasting_task_gets_a_host_that_short_tasks_use() {
-    // Short tasks of another pool work off their backlog on all hosts with a label. A lasting task
-    // that waited for them would leave its users without service for as long as the backlog lasts.
-    let need = Need { demand: cores(900), apart: 1 };
-    let label = LabelNeed { label: "b".into(), need, hosts: 1 };
-    let busy = idle(&[("t1", 0, "b")]);
-    let rushes = PoolLoad { labelled: vec![label], busy, ..load("tender", 1, &[]) };
-    let wants = PoolLoad { lasting: vec![Some("b".into())], ..load("roster", 3, &[]) };
-
-    let moves = lending::decide(&[rushes, wants], |_, _| true);
-
-    assert_eq!(moves, [Move { host: "t1", to: PoolName::from("roster") }]);
-}
-
-#[test]
-fn a_turn_that_rises_is_asked_for_ahead() {
-    // The load of a queue rises for two seconds, from nothing to two hundred cores. Hosts take some
-    // two seconds to come: asked for by what has come so far, they are too few all the way up.
-    let mut rate = ArrivalRate::default();
-    for n in 0..40 {
-        rate.arrived(at(n * 25), 0.125 * n as f64);
-    }
-
-    let at_half = rate.cores(at(1_000));
-
-    assert!(at_half > 150.0, "{at_half} cores asked for while 200 a second arrive");
-}
-
 #[test]
 fn a_late_job_runs_before_it_is_of_no_use() {
     // A rush lasts: there is always a job that can still be on time. A late one that only gets what
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -19,12 +19,7 @@
     event::{HostAnswer, Now},
     fleet::{HostEntry, HostState},
     ledger::record::Record,
-    reducer::{
-        Scheduler,
-        executors::{Executor, Held},
-        pass::Room,
-    },
-    task::TaskKey,
+    reducer::Scheduler,
 };
 
 /// How often the hosts are listed while something is going on with them.
@@ -37,9 +32,6 @@
 /// again.
 const REPEAT_ORDER: Duration = Duration::from_millis(500);
 
-/// An executor that has said nothing for so long may have ended: what it runs is not counted on
-/// when another task of the same step is to be interrupted. Looks are answered within a second.
-const LAST_WORD: Duration = Duration::from_millis(2_500);
 /// An executor that the platform's list does not name has ended, if it was known for so long
 /// before the list was asked for: a new one appears there a moment after it has registered.
 const LIST_LAG: Duration = Duration::from_millis(1_500);
@@ -233,106 +225,6 @@
         }
     }
 
-    fn is_empty(&self, executor: &ExecutorName) -> bool {
-        self.executors
-            .get(executor)
-            .is_none_or(|known| known.runs.is_empty() && known.acknowledged >= known.taken_end)
-    }
-
-    /// Closes an executor and moves its lasting runs away as their steps allow.
-    ///
-    /// A run that has nowhere else to go stays until all others have ended, and is then away only
-    /// for as long as the order takes: stopped first, its users would wait for the slowest of its
-    /// neighbours as well.
-    fn empty(&mut self, now: Now, executor: &ExecutorName) {
-        let Some(known) = self.executors.get_mut(executor) else { return };
-        known.emptying = true;
-        let pool = known.registration.pool.clone();
-        let lasting: Vec<TaskKey> =
-            known.runs.iter().filter(|(_, h)| h.lasting).map(|(task, _)| task.clone()).collect();
-        if lasting.is_empty() {
-            return;
-        }
-        let only_lasting = lasting.len() == known.runs.len();
-        let room = self.room_of(now, &pool);
-        let mut moved = false;
-        for task in &lasting {
-            if self.may_interrupt(now.time, task) && self.has_place(now, task, &room) {
-                self.order_stop(now, executor, task);
-                moved = true;
-            }
-        }
-        if moved || !only_lasting || !self.may_interrupt_all(now.time, &lasting) {
-            return;
-        }
-        for task in lasting {
-            self.order_stop(now, executor, &task);
-        }
-    }
-
-    /// Whether lasting tasks of one host may be away together.
-    ///
-    /// Stopped although its siblings on the same host may not follow, a task that has nowhere else
-    /// to go would wait for ever: the host takes nothing new, and is never empty.
-    fn may_interrupt_all(&self, now: Time, tasks: &[TaskKey]) -> bool {
-        tasks.iter().all(|task| {
-            let together = tasks.iter().filter(|t| t.step_key() == task.step_key()).count();
-            self.may_interrupt_with(now, task, together - 1)
-        })
-    }
-
-    /// The lasting tasks of a pool on hosts that are being emptied, which cannot leave together.
-    pub(super) fn stuck_tasks(&self, now: Now, pool: &PoolName) -> Vec<TaskKey> {
-        let mut stuck = Vec::new();
-        for host in self.fleet.withdrawals.keys() {
-            let entry = self.fleet.hosts.get(host).filter(|entry| entry.pool == *pool);
-            let executor = entry.and_then(|entry| entry.executor.as_ref());
-            let Some(known) = executor.and_then(|executor| self.executors.get(executor)) else {
-                continue;
-            };
-            let lasting = known.runs.iter().filter(|(_, held)| held.lasting);
-            let tasks: Vec<TaskKey> = lasting.map(|(task, _)| task.clone()).collect();
-            if !self.may_interrupt_all(now.time, &tasks) {
-                stuck.extend(tasks);
-            }
-        }
-        stuck
-    }
-
-    fn has_place(&self, now: Now, task: &TaskKey, room: &Room) -> bool {
-        let step = self.ledger.jobs.get(&task.job).and_then(|job| job.step(task.step));
-        step.is_none_or(|step| self.find_host(now, task, step, room).is_some())
-    }
-
-    /// Whether a lasting task may be away for a moment: so many of its step may be at once.
-    fn may_interrupt(&self, now: Time, task: &TaskKey) -> bool {
-        self.may_interrupt_with(now, task, 0)
-    }
-
-    /// Whether a lasting task may be away together with so many others of its step that are at work.
-    fn may_interrupt_with(&self, now: Time, task: &TaskKey, others: usize) -> bool {
-        let Some(job) = self.ledger.jobs.get(&task.job) else { return true };
-        let Some(step) = job.step(task.step) else { return true };
-        let Some(most) = step.max_unavailable else { return true };
-        let away = (0..step.count).filter(|&index| index != task.index).filter(|&index| {
-            let other = task.step_key().task(index);
-            !self.is_at_work(now, &other)
-        });
-        away.count() + others < most as usize
-    }
-
-    /// Whether a task is known to do its work: its executor has said so not long ago.
-    fn is_at_work(&self, now: Time, task: &TaskKey) -> bool {
-        let assigned = self.ledger.task(task).and_then(|state| state.assigned.as_ref());
-        let executor = assigned.and_then(|assigned| self.executors.get(&assigned.executor));
-        let answers = |known: &&Executor| {
-            let heard = known.clock.is_some_and(|clock| now.since(clock.received) < LAST_WORD);
-            heard && known.looking.failures == 0
-        };
-        let held = executor.filter(answers).and_then(|known| known.runs.get(task));
-        held.is_some_and(Held::is_at_work)
-    }
-
     /// Has an order stored as given; it leaves after that, so that whoever leads next knows of it.
     fn give_order(&mut self, now: Now, host: &HostName) {
         if self.is_paused(now.time, host) {
--- /dev/null
+++ b/crates/borageswitch_scheduler/src/reducer/lasting.rs
@@ -0,0 +1,74 @@
+//! Lasting tasks that have no place in their pool; the decision is in [`crate::policy::lasting`].
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use borageswitch_types::names::PoolName;
+
+use crate::{
+    event::Now,
+    fleet::HostEntry,
+    job::Size,
+    policy::lasting::{self, Room, Seeker},
+    reducer::{
+        Scheduler,
+        pass::{reserved, waiting_tasks_of},
+    },
+    task::{StepKey, TaskKey},
+};
+
+impl Scheduler {
+    /// The hosts that a pool's lasting tasks need besides its members: those that wait, and those
+    /// that cannot leave a host that is being emptied.
+    pub(super) fn hosts_for_lasting(
+        &self,
+        now: Now,
+        pool: &PoolName,
+        members: &[&HostEntry],
+        host: &Size,
+    ) -> Vec<Option<Arc<str>>> {
+        let seekers = self.lasting_seekers(now, pool);
+        if seekers.is_empty() {
+            return Vec::new();
+        }
+        let rooms = members.iter().filter_map(|entry| self.lasting_room(pool, entry));
+        lasting::more_hosts(&seekers, rooms.collect(), host)
+    }
+
+    fn lasting_seekers(&self, now: Now, pool: &PoolName) -> Vec<Seeker<StepKey>> {
+        let mut tasks = self.stuck_tasks(now, pool);
+        for (name, job) in &self.ledger.jobs {
+            let in_pool = self.times.get(name).is_some_and(|times| times.pool == *pool);
+            if in_pool && job.submission.spec.is_lasting() {
+                tasks.extend(waiting_tasks_of(name, job));
+            }
+        }
+        let seeker = |task: TaskKey| {
+            let step = self.ledger.jobs.get(&task.job)?.step(task.step)?;
+            step.lasting.then(|| Seeker {
+                step: task.step_key(),
+                size: reserved(step),
+                label: step.label.clone(),
+                max_per_host: step.max_per_host,
+            })
+        };
+        tasks.into_iter().filter_map(seeker).collect()
+    }
+
+    /// What a member of a pool has left beside its lasting tasks; a host on its way is empty.
+    fn lasting_room(&self, pool: &PoolName, entry: &HostEntry) -> Option<Room<StepKey>> {
+        let labels = entry.labels.clone();
+        if entry.pool != *pool {
+            return Some(Room { labels, free: entry.capacity, tasks: BTreeMap::new() });
+        }
+        let known = self.executor_on(entry).filter(|known| known.present)?;
+        if known.registration.draining {
+            return None;
+        }
+        let mut room = Room { labels, free: known.registration.capacity, tasks: BTreeMap::new() };
+        for (task, held) in known.runs.iter().filter(|(_, held)| held.lasting) {
+            room.free = room.free.less(&held.size);
+            *room.tasks.entry(task.step_key()).or_default() += 1;
+        }
+        Some(room)
+    }
+}
--- a/crates/borageswitch_scheduler/src/reducer/lending.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lending.rs
@@ -15,17 +15,13 @@
     event::Now,
     fleet::{HostEntry, HostState},
     job::{Size, Step, Submission},
-    policy::{
-        lasting::{self, Room, Seeker},
-        lending::{self, ArrivalRate, IdleHost, LabelNeed, Need, PoolLoad},
-    },
+    policy::lending::{self, ArrivalRate, IdleHost, LabelNeed, Need, PoolLoad},
     reducer::{
         Scheduler,
         executors::Executor,
         hosts::Purpose,
-        pass::{reserved, unblocked_steps, waiting_tasks_of},
+        pass::{reserved, unblocked_steps},
     },
-    task::{StepKey, TaskKey},
 };
 
 /// What is known of the load of pools, and which moves are impossible.
@@ -194,65 +190,10 @@
     }
 
     /// What is known of a host's executor.
-    fn executor_on(&self, entry: &HostEntry) -> Option<&Executor> {
+    pub(super) fn executor_on(&self, entry: &HostEntry) -> Option<&Executor> {
         self.executors.get(entry.executor.as_ref()?)
     }
 
-    /// The hosts that a pool's lasting tasks need besides its members: those that wait, and those
-    /// that cannot leave a host that is being emptied.
-    fn hosts_for_lasting(
-        &self,
-        now: Now,
-        pool: &PoolName,
-        members: &[&HostEntry],
-        host: &Size,
-    ) -> Vec<Option<Arc<str>>> {
-        let seekers = self.lasting_seekers(now, pool);
-        if seekers.is_empty() {
-            return Vec::new();
-        }
-        let rooms = members.iter().filter_map(|entry| self.lasting_room(pool, entry));
-        lasting::more_hosts(&seekers, rooms.collect(), host)
-    }
-
-    fn lasting_seekers(&self, now: Now, pool: &PoolName) -> Vec<Seeker<StepKey>> {
-        let mut tasks = self.stuck_tasks(now, pool);
-        for (name, job) in &self.ledger.jobs {
-            let in_pool = self.times.get(name).is_some_and(|times| times.pool == *pool);
-            if in_pool && job.submission.spec.is_lasting() {
-                tasks.extend(waiting_tasks_of(name, job));
-            }
-        }
-        let seeker = |task: TaskKey| {
-            let step = self.ledger.jobs.get(&task.job)?.step(task.step)?;
-            step.lasting.then(|| Seeker {
-                step: task.step_key(),
-                size: reserved(step),
-                label: step.label.clone(),
-                max_per_host: step.max_per_host,
-            })
-        };
-        tasks.into_iter().filter_map(seeker).collect()
-    }
-
-    /// What a member of a pool has left beside its lasting tasks; a host on its way is empty.
-    fn lasting_room(&self, pool: &PoolName, entry: &HostEntry) -> Option<Room<StepKey>> {
-        let labels = entry.labels.clone();
-        if entry.pool != *pool {
-            return Some(Room { labels, free: entry.capacity, tasks: BTreeMap::new() });
-        }
-        let known = self.executor_on(entry).filter(|known| known.present)?;
-        if known.registration.draining {
-            return None;
-        }
-        let mut room = Room { labels, free: known.registration.capacity, tasks: BTreeMap::new() };
-        for (task, held) in known.runs.iter().filter(|(_, held)| held.lasting) {
-            room.free = room.free.less(&held.size);
-            *room.tasks.entry(task.step_key()).or_default() += 1;
-        }
-        Some(room)
-    }
-
     /// Hosts with nothing to run.
     fn idle_hosts(
         &self,
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -16,12 +16,14 @@
 //!   step may run; [`evict`] makes room for lasting tasks.
 //! - [`pace`]: work that fills gaps is slowed beside work that serves.
 //! - [`registrations`]: executors come, drain and go.
-//! - [`hosts`]: hosts are emptied for orders; [`waves`] maintain them, [`lending`] moves them.
+//! - [`hosts`]: orders for hosts, which are emptied before ([`emptying`]); [`waves`] maintain them,
+//!   [`lending`] moves them, also for what [`lasting`] tasks need.
 //! - [`recovery`]: a new leader takes over.
 //! - [`view`]: what callers ask; [`explain`] tells operators why.
 
 pub mod advice;
 pub mod clock;
+pub mod emptying;
 pub mod evict;
 pub mod executors;
 pub mod explain;
@@ -29,6 +31,7 @@
 pub mod hosts;
 pub mod jobs;
 pub mod lapses;
+pub mod lasting;
 pub mod lending;
 pub mod looks;
 pub mod outbox;
