Count a task as away while an earlier leader's order for its host may be on its way

By reading: since the pause of a new leader counts from the host's own order, it empties other hosts at once, while its predecessor's unanswered order for a host with a sibling task may be carried out. Change: such a task does not count as at work.

--- a/crates/borageswitch_scheduler/src/policy/lending.rs
+++ b/crates/borageswitch_scheduler/src/policy/lending.rs
@@ -59,7 +59,7 @@
         self.at = now;
     }
 
-    /// How many cores the arrivals will keep busy when hosts come that are asked for now.
+    /// How many cores the arrivals will keep busy once hosts that are sent for have come.
     pub fn cores(&self, now: Time) -> f64 {
         let (short, long) = self.averages(now);
         short + TREND_SHARE * (short - long).max(0.0)
--- a/crates/borageswitch_scheduler/src/reducer/emptying.rs
+++ b/crates/borageswitch_scheduler/src/reducer/emptying.rs
@@ -113,6 +113,16 @@
         away.count() + others < most as usize
     }
 
+    /// Whether an order of an earlier leader may be about to take an executor's host away. Its answer
+    /// never came to this leader, and what the executor last said is from before it: counted on, a
+    /// task there and the one that is interrupted beside it would both be away.
+    fn may_be_taken(&self, now: Time, executor: &ExecutorName) -> bool {
+        let mut hosts = self.fleet.hosts.values();
+        hosts.any(|entry| {
+            entry.executor.as_ref() == Some(executor) && self.is_paused(now, &entry.host)
+        })
+    }
+
     /// Whether a task is known to do its work: its executor has said so not long ago.
     fn is_at_work(&self, now: Time, task: &TaskKey) -> bool {
         let assigned = self.ledger.task(task).and_then(|state| state.assigned.as_ref());
@@ -123,5 +133,6 @@
         };
         let held = executor.filter(answers).and_then(|known| known.runs.get(task));
         held.is_some_and(Held::is_at_work)
+            && !assigned.is_some_and(|assigned| self.may_be_taken(now, &assigned.executor))
     }
 }
--- a/crates/borageswitch_scheduler/tests/sessions.rs
+++ b/crates/borageswitch_scheduler/tests/sessions.rs
@@ -282,6 +282,35 @@
     assert!(orders.is_empty(), "{orders:?}");
 }
 
+#[test]
+fn a_task_on_a_host_that_the_last_leader_ordered_about_does_not_count_as_at_work() {
+    // A leader has sent a host into maintenance and is restarted before the answer comes. Its
+    // successor hears from the host's executor just before it ends, and empties the host of the
+    // other task of the same step: both are away, and the users of the two are without service.
+    let mut ledger = Ledger::default();
+    ledger.apply(&Record::HostOrdered { host: HostName::from("h1") });
+    let mut session = Session::with_ledger(&["e1", "e2", "e3"], ledger);
+    session.submit("l", vec![lasting(2)]);
+    let started = session.store_and_start();
+    let (first, second) = (started[0].0.clone(), started[1].0.clone());
+    session.handle(wave_over(&["h2"], 1));
+    session.pass(60);
+    let hosts = vec![host("h1", first.as_str()), host("h2", second.as_str())];
+    session.handle(Event::Hosts(Some(hosts)));
+    let mut stops_within = |millis: u64| {
+        let mut found = 0;
+        for _ in 0..millis / 500 {
+            session.report(first.as_str(), &[active(&started[0].1)], &[], 0);
+            session.report(second.as_str(), &[active(&started[1].1)], &[], 0);
+            found += stops(&session.pass(500));
+        }
+        found
+    };
+
+    assert_eq!(stops_within(3_000), 0);
+    assert!(stops_within(1_500) > 0);
+}
+
 #[test]
 fn the_age_of_an_order_outlives_a_leader_without_any() {
     // One leader orders a host about and dies; the next one dies a second later, without an order of
