--- a/crates/borageswitch_scheduler/src/reducer/lasting.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lasting.rs
@@ -37,8 +37,8 @@
     fn lasting_seekers(&self, now: Now, pool: &PoolName) -> Vec<Seeker<StepKey>> {
         let mut tasks = self.stuck_tasks(now, pool);
         for (name, job) in &self.ledger.jobs {
-            let in_pool = self.times.get(name).is_some_and(|times| times.pool == *pool);
-            if in_pool && job.submission.spec.is_lasting() {
+            // Few jobs last, and to tell so is cheaper than to find a job's pool.
+            if job.submission.spec.is_lasting() && self.pool_of(name) == Some(pool) {
                 tasks.extend(waiting_tasks_of(name, job));
             }
         }
--- a/crates/borageswitch_scheduler/src/reducer/lending.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lending.rs
@@ -105,7 +105,14 @@
         if self.fleet.listed.is_none_or(|listed| listed < self.began) {
             return;
         }
-        let loads = self.pool_loads(now);
+        let mut loads = self.pool_loads(now);
+        // Busy hosts are lent for lasting tasks with a label only; listing them for each pool at
+        // each sweep took so much of a small host at 350 hosts that its jobs were late.
+        if loads.iter().any(|load| load.lasting.iter().any(Option::is_some)) {
+            for load in &mut loads {
+                load.busy = self.busy_hosts(now.time, &load.pool);
+            }
+        }
         let hosts = &self.fleet.hosts;
         let unfit = &self.lending.unfit;
         let may_move = |host: &HostName, pool: &PoolName| {
@@ -145,7 +152,7 @@
                     standby: pool.standby,
                     hosts: members.len(),
                     idle: self.idle_hosts(now.time, pool.standby, &in_pool),
-                    busy: self.busy_hosts(now.time, &members),
+                    busy: Vec::new(),
                     need: needs.whole,
                     labelled: labelled.collect(),
                     lasting: self.hosts_for_lasting(now, &pool.name, &members, &host),
@@ -222,8 +229,9 @@
     }
 
     /// Hosts that run nothing but tasks that end.
-    fn busy_hosts(&self, now: Time, members: &[&HostEntry]) -> Vec<IdleHost<HostName>> {
-        let busy = members.iter().filter(|entry| {
+    fn busy_hosts(&self, now: Time, pool: &PoolName) -> Vec<IdleHost<HostName>> {
+        let in_pool = self.fleet.hosts.values().filter(|entry| entry.pool == *pool);
+        let busy = in_pool.filter(|entry| {
             let known = self.executor_on(entry).filter(|known| known.present && known.fenced);
             let only_short = known.is_some_and(|known| {
                 !known.runs.is_empty() && known.runs.values().all(|held| !held.lasting)
