--- a/benches/src/scheduler.rs
+++ b/benches/src/scheduler.rs
@@ -306,7 +306,7 @@
             }
             Effect::Stop(to, task, run) => self.stop(to, task, run),
             Effect::Look(to, order) if order.wait.is_zero() => {
-                self.answer_look(&to.executor, order)
+                self.answer_look(&to.executor, order);
             }
             Effect::Look(to, order) => {
                 let until = self.now + order.wait.as_millis() as u64;
