Keep room for a gang that has waited, and fetch hosts for it as one

Cause: a gang took what was free in one pass or nothing. On hosts that are always full of small tasks each bit of room that came free went to a small task, so the gang never started; and hosts were fetched by cores, although a host of eight cores takes one member of five. Change: a gang that has missed room for 500 ms gets hosts for itself, one gang a pool; one that its pool cannot hold has hosts fetched as one want, one gang at a time for the whole site, for 8 s at most, so that two never hold half each. A line a second a pool says what the waiting gang lacks.

--- a/crates/borageswitch_scheduler/src/policy/lending.rs
+++ b/crates/borageswitch_scheduler/src/policy/lending.rs
@@ -141,6 +141,9 @@
     /// The hosts that lasting tasks need besides those that the pool has, each with the label that
     /// it must have.
     pub lasting: Vec<Option<Arc<str>>>,
+    /// The hosts that a gang needs besides those that the pool has, each with the label that it
+    /// must have.
+    pub gang: Vec<Option<Arc<str>>>,
     /// Racks that hold data of tasks that wait.
     pub data_racks: BTreeSet<Arc<str>>,
     /// How many cores arrivals keep busy.
@@ -159,11 +162,11 @@
     }
 
     /// How many hosts with a label the pool lacks for tasks that end, beyond those that lasting
-    /// tasks are about to get.
+    /// tasks and a gang are about to get.
     fn lacks(&self, label: &LabelNeed) -> usize {
-        let for_lasting =
-            self.lasting.iter().filter(|own| own.as_ref() == Some(&label.label)).count();
-        label.need.hosts(&self.host).saturating_sub(label.hosts + for_lasting)
+        let coming = self.lasting.iter().chain(&self.gang);
+        let labelled = coming.filter(|own| own.as_ref() == Some(&label.label)).count();
+        label.need.hosts(&self.host).saturating_sub(label.hosts + labelled)
     }
 
     /// Whether the pool has tasks for all its hosts with a label.
@@ -172,9 +175,10 @@
         own.any(|l| l.hosts <= l.need.hosts(&self.host))
     }
 
-    /// How many hosts of any kind the pool lacks, beyond those that lasting tasks are about to get.
+    /// How many hosts of any kind the pool lacks, beyond those that lasting tasks and a gang are
+    /// about to get.
     fn missing(&self) -> usize {
-        self.needed().saturating_sub(self.hosts + self.lasting.len())
+        self.needed().saturating_sub(self.hosts + self.lasting.len() + self.gang.len())
     }
 
     /// How many idle hosts the pool can give away.
@@ -272,7 +276,7 @@
 }
 
 /// The hosts that pools lack. Those for lasting tasks come first, whose users are without service
-/// until then; then labels, as few hosts have them; then the pool that lacks least, as it can be
+/// until then; then those of a gang that no pool can hold yet; then labels, as few hosts have them; then the pool that lacks least, as it can be
 /// helped whole.
 fn wants<T>(pools: &[PoolLoad<T>]) -> Vec<Want<'_, T>> {
     let mut wants = Vec::new();
@@ -281,6 +285,10 @@
         let labels = pool.lasting.iter().map(Option::as_deref);
         wants.extend(labels.map(|label| Want { pool, label, lasting: true }));
     }
+    for pool in pools.iter().filter(|pool| !pool.standby) {
+        let labels = pool.gang.iter().map(Option::as_deref);
+        wants.extend(labels.map(|label| Want { pool, label, lasting: false }));
+    }
     for pool in pools.iter().filter(|pool| !pool.standby) {
         for label in &pool.labelled {
             let lacks = pool.lacks(label);
--- a/crates/borageswitch_scheduler/src/policy/lending/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/lending/tests.rs
@@ -39,6 +39,7 @@
         need: Need::default(),
         labelled: Vec::new(),
         lasting: Vec::new(),
+        gang: Vec::new(),
         data_racks: BTreeSet::new(),
         arriving_cores: 0.0,
         host: cores(64),
--- a/crates/borageswitch_scheduler/src/policy/mod.rs
+++ b/crates/borageswitch_scheduler/src/policy/mod.rs
@@ -8,11 +8,13 @@
 //! - [`placing`]: which host a task goes to.
 //! - [`learned`]: what tasks really take, since declared run times are far off.
 //! - [`lending`]: which hosts change their pool.
+//! - [`gangs`]: which hosts are kept free for tasks that work only together.
 //! - [`lasting`]: which more hosts lasting tasks need.
 //! - [`trust`]: which executors get work although some of theirs failed.
 //! - [`stragglers`]: which runs are given up for a new one elsewhere.
 //! - [`pacing`]: how fast work that fills gaps may run beside work that serves.
 
+pub mod gangs;
 pub mod last_chance;
 pub mod lasting;
 pub mod learned;
--- a/crates/borageswitch_scheduler/src/policy/order.rs
+++ b/crates/borageswitch_scheduler/src/policy/order.rs
@@ -76,6 +76,11 @@
         Urgency { class: Class::LastChance, ..self }
     }
 
+    /// Whether its tasks last until it is cancelled.
+    pub fn is_lasting(&self) -> bool {
+        self.class == Class::Lasting
+    }
+
     /// Whether it will be late, if it is of use at all.
     pub fn is_late(&self) -> bool {
         !matches!(self.class, Class::Lasting | Class::OnTime)
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -186,13 +186,16 @@
 
     /// Whether new runs may be placed on it.
     pub fn is_open(&self, now: Time) -> bool {
+        self.takes_work(now) && now >= self.full_until && self.looking.failures == 0
+    }
+
+    /// Whether new runs may be placed on it once there is room.
+    pub fn takes_work(&self, now: Time) -> bool {
         self.present
             && self.fenced
             && !self.registration.draining
             && !self.emptying
             && !self.strays
-            && now >= self.full_until
-            && self.looking.failures == 0
             && self.trust.allows(now)
     }
 
--- a/crates/borageswitch_scheduler/src/reducer/gangs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/gangs.rs
@@ -3,7 +3,7 @@
 //! Members of which only some have found room hold it without working and give up after a few
 //! seconds, so a gang is placed whole or not at all, and all orders leave in the same moment.
 
-use borageswitch_types::names::{ExecutorName, RackName};
+use borageswitch_types::names::{ExecutorName, PoolName, RackName};
 
 use crate::{
     event::Now,
@@ -20,6 +20,7 @@
     pub(super) fn place_gang(
         &mut self,
         now: Now,
+        pool: &PoolName,
         waiting: &WaitingStep,
         step: &Step,
         room: &mut Room,
@@ -30,8 +31,10 @@
             return true;
         }
         let Some((places, left)) = self.places_for_gang(now, waiting, step, room) else {
+            self.gang_missed(now, pool, &waiting.key, step);
             return false;
         };
+        self.gang_placed(pool, &waiting.key);
         *room = left;
         let run = self.next_gang_run(waiting);
         for (index, executor) in places {
--- a/crates/borageswitch_scheduler/src/reducer/lasting.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lasting.rs
@@ -34,6 +34,21 @@
         lasting::more_hosts(&seekers, rooms.collect(), host)
     }
 
+    /// The hosts that a waiting gang needs besides the members of its pool.
+    pub(super) fn hosts_for_gang(
+        &self,
+        pool: &PoolName,
+        members: &[&HostEntry],
+        host: &Size,
+    ) -> Vec<Option<Arc<str>>> {
+        let seekers = self.gang_seekers(pool);
+        if seekers.is_empty() {
+            return Vec::new();
+        }
+        let rooms = members.iter().filter_map(|entry| self.lasting_room(pool, entry));
+        lasting::more_hosts(&seekers, rooms.collect(), host)
+    }
+
     fn lasting_seekers(&self, now: Now, pool: &PoolName) -> Vec<Seeker<StepKey>> {
         let mut tasks = self.stuck_tasks(now, pool);
         for (name, job) in &self.ledger.jobs {
--- a/crates/borageswitch_scheduler/src/reducer/lending.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lending.rs
@@ -155,6 +155,7 @@
                     need: needs.whole,
                     labelled: labelled.collect(),
                     lasting: self.hosts_for_lasting(now, &pool.name, &members, &host),
+                    gang: self.hosts_for_gang(&pool.name, &members, &host),
                     data_racks: needs.data_racks,
                     arriving_cores: arrivals.map_or(0.0, |rate| rate.cores(now.time)),
                     host,
@@ -220,6 +221,9 @@
                 if !known.present || !known.fenced || !known.runs.is_empty() {
                     return None;
                 }
+                if self.waits_for_gang(&entry.pool, entry.executor.as_ref()?) {
+                    return None;
+                }
                 now.since(known.idle_since)
             };
             Some(self.lendable(entry, idle))
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -13,7 +13,7 @@
 //! - [`stragglers`]: runs that fall far behind are given up.
 //! - [`lapses`]: runs on executors that cannot be reached.
 //! - [`pass`]: waiting tasks find hosts; [`gangs`] find them together; [`advice`] asks where a
-//!   step may run; [`evict`] makes room for lasting tasks.
+//!   step may run; [`kept_room`] keeps room for gangs; [`evict`] makes room for lasting tasks.
 //! - [`pace`]: work that fills gaps is slowed beside work that serves.
 //! - [`registrations`]: executors come, drain and go.
 //! - [`hosts`]: orders for hosts, which are emptied before ([`emptying`]); [`waves`] maintain them,
@@ -30,6 +30,7 @@
 pub mod gangs;
 pub mod hosts;
 pub mod jobs;
+pub mod kept_room;
 pub mod lapses;
 pub mod lasting;
 pub mod lending;
@@ -63,8 +64,8 @@
     ledger::{Ledger, record::Record},
     policy::learned::Learned,
     reducer::{
-        advice::Advice, executors::Executor, hosts::Fleet, jobs::JobTimes, lending::Lending,
-        outbox::Outbox, waves::Waves,
+        advice::Advice, executors::Executor, hosts::Fleet, jobs::JobTimes, kept_room::KeptRoom,
+        lending::Lending, outbox::Outbox, waves::Waves,
     },
     task::TaskKey,
 };
@@ -113,6 +114,7 @@
     learned: Learned,
     outbox: Outbox,
     advice: Advice,
+    kept_room: KeptRoom,
     fleet: Fleet,
     waves: Waves,
     lending: Lending,
@@ -190,6 +192,7 @@
         self.forget_outcomes(now);
         self.forget_executors();
         self.forget_advice();
+        self.forget_gangs();
     }
 
     fn configure(&mut self, now: Now, config: Arc<Config>) {
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -87,9 +87,15 @@
             if steps.is_empty() {
                 continue;
             }
+            self.renew_kept_room(now, &pool, &steps);
             let mut room = self.room_of(now, &pool);
             for step in steps {
+                let mut kept = Room::new();
+                if !step.urgency.is_lasting() && !self.has_kept_room(&pool, &step.key) {
+                    kept = self.take_kept_room(&pool, &mut room);
+                }
                 self.place_step(now, &pool, &step, &mut room);
+                room.append(&mut kept);
             }
         }
     }
@@ -159,7 +165,7 @@
         let Some(step) = job.step(waiting.key.step).cloned() else { return };
         let needs_ticket = self.needs_ticket(job);
         if step.gang {
-            let placed = self.place_gang(now, waiting, &step, room);
+            let placed = self.place_gang(now, pool, waiting, &step, room);
             if needs_ticket && !placed {
                 self.ask_advice(now, &waiting.key, &step, room);
             }
