Take only the executor that was emptied for ended when an order for its host is done

Read backwards: an order for a host whose answer was lost is given again; the platform says that it is done already; the reducer then took whichever executor the host had by now for ended. After a move or maintenance that went through unheard that is the new executor, which had been given tasks: these were released and started elsewhere. Ruled out: lapses (an end by lapse would be listed as such), starts that were not sent, late starts (refused after a stop). Change: the order keeps in mind whom it emptied, and only that one ends; where another executor has come since, it is emptied before the order is repeated; a host that is listed in the pool it was to go to is back.

--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -74,6 +74,8 @@
     pub purpose: Purpose,
     /// How far it is.
     pub stage: Stage,
+    /// The executor that was emptied for the order.
+    pub emptied: Option<ExecutorName>,
 }
 
 /// The hosts as they are known.
@@ -165,9 +167,18 @@
     fn take_back(&mut self, listed: Time) {
         let hosts = &self.fleet.hosts;
         let back = |host: &HostName, withdrawal: &Withdrawal| {
-            let Stage::Away { since } = withdrawal.stage else { return false };
-            let up = hosts.get(host).is_none_or(|entry| entry.state == HostState::Up);
-            up && listed > since
+            let entry = hosts.get(host);
+            let up = entry.is_none_or(|entry| entry.state == HostState::Up);
+            match withdrawal.stage {
+                Stage::Emptying { .. } => false,
+                Stage::Away { since } => up && listed > since,
+                // The answer was lost, and the host is where it was to go.
+                Stage::Ordered { at, answered } => {
+                    let there =
+                        |entry: &HostEntry| withdrawal.purpose == Purpose::Move(entry.pool.clone());
+                    answered && up && listed > at && entry.is_some_and(there)
+                }
+            }
         };
         let back: Vec<HostName> = self
             .fleet
@@ -190,7 +201,7 @@
             format!("for={purpose:?} executor={executor}")
         });
         let stage = Stage::Emptying { not_before: now.time };
-        let withdrawal = Withdrawal { purpose, stage };
+        let withdrawal = Withdrawal { purpose, stage, emptied: None };
         self.fleet.withdrawals.insert(host.clone(), withdrawal);
         self.step_host(now, host);
     }
@@ -205,7 +216,7 @@
             Stage::Away { .. } => {}
             Stage::Ordered { at, answered } => {
                 if answered && now.time.since(at) >= REPEAT_ORDER {
-                    self.give_order(now, host);
+                    self.repeat_order(now, host);
                 }
             }
             Stage::Emptying { not_before } => {
@@ -225,6 +236,19 @@
         }
     }
 
+    /// Gives an order once more. Where another executor has come meanwhile, by the order itself or
+    /// after a crash, that one is emptied first: it takes tasks as any other, and the order would
+    /// end them.
+    fn repeat_order(&mut self, now: Now, host: &HostName) {
+        let current = self.fleet.hosts.get(host).and_then(|entry| entry.executor.as_ref());
+        let Some(withdrawal) = self.fleet.withdrawals.get_mut(host) else { return };
+        if current.is_some() && current != withdrawal.emptied.as_ref() {
+            withdrawal.stage = Stage::Emptying { not_before: now.time };
+        } else {
+            self.give_order(now, host);
+        }
+    }
+
     /// Has an order stored as given; it leaves after that, so that whoever leads next knows of it.
     fn give_order(&mut self, now: Now, host: &HostName) {
         if self.is_paused(now.time, host) {
@@ -232,6 +256,7 @@
         }
         let Some(withdrawal) = self.fleet.withdrawals.get_mut(host) else { return };
         withdrawal.stage = Stage::Ordered { at: now.time, answered: false };
+        withdrawal.emptied = self.fleet.hosts.get(host).and_then(|entry| entry.executor.clone());
         self.record(Record::HostOrdered { host: host.clone() });
         self.outbox.then_order_host(host.clone());
     }
@@ -263,6 +288,7 @@
         let millis = self.led_millis(now.time);
         let Some(withdrawal) = self.fleet.withdrawals.get_mut(host) else { return };
         let purpose = withdrawal.purpose.clone();
+        let emptied = withdrawal.emptied.clone();
         if answer != HostAnswer::Lost {
             self.record(Record::HostOrderSettled { host: host.clone(), millis });
         }
@@ -273,8 +299,9 @@
                 if let Purpose::Maintain(wave) = purpose {
                     self.record(Record::Maintained { wave, host: host.clone() });
                 }
-                let executor = self.fleet.hosts.get(host).and_then(|e| e.executor.clone());
-                if let Some(executor) = executor {
+                // Not whichever executor the host has now: after an answer that was lost, that is
+                // the one that came with the order. Taken for ended, its tasks would run twice.
+                if let Some(executor) = emptied {
                     self.life_over(&executor, "its host was taken away");
                 }
             }
--- /dev/null
+++ b/crates/borageswitch_scheduler/tests/host_orders.rs
@@ -0,0 +1,73 @@
+//! Orders for hosts whose answers are lost.
+
+mod support;
+
+use std::time::Duration;
+
+use borageswitch_scheduler::{
+    effect::Effect,
+    event::{Event, HostAnswer, Seen},
+    fleet::WaveRequest,
+};
+use borageswitch_types::names::HostName;
+use support::session::{Session, active, host, key, registration, step};
+
+/// Lists one host with this executor whenever the hosts are asked for, and stores every append.
+fn pass(session: &mut Session, executor: &str) -> Vec<Effect> {
+    let mut all = Vec::new();
+    for _ in 0..4 {
+        for effect in session.pass(50) {
+            match &effect {
+                Effect::ListHosts => {
+                    session.handle(Event::Hosts(Some(vec![host("h", executor)])));
+                }
+                Effect::Append { append, .. } => {
+                    session.handle(Event::Appended { append: *append });
+                }
+                _ => {}
+            }
+            all.push(effect);
+        }
+    }
+    all
+}
+
+fn answer(session: &mut Session, answer: HostAnswer) {
+    session.handle(Event::HostAnswered { host: HostName::from("h"), answer });
+}
+
+#[test]
+fn a_host_that_was_maintained_unheard_keeps_what_it_has_begun_since() {
+    // A host is maintained, and the answer to the order is lost. The host is back under a new
+    // executor, which gets a task, when the order is given once more and the platform says that it
+    // is done already. If that is taken for the end of the new executor, its task is started a
+    // second time while the first run goes on, and a cleaner is paid twice.
+    let mut session = Session::new(&["old"]);
+    let request = WaveRequest {
+        wave: 1,
+        hosts: vec![HostName::from("h")],
+        allowed: Duration::from_secs(20),
+        max_down: 1,
+    };
+    session.handle(Event::Wave(request));
+    session.pass(60);
+    session.handle(Event::Hosts(Some(vec![host("h", "old")])));
+    let ordered = pass(&mut session, "old");
+    assert!(ordered.iter().any(|effect| matches!(effect, Effect::Host(..))), "{ordered:?}");
+    answer(&mut session, HostAnswer::Lost);
+    session.handle(Event::Executor(Seen::Gone("old".into())));
+    session.handle(Event::Executor(Seen::There(registration("new"))));
+    session.pass(50);
+    session.report("new", &[], &[], 0);
+    session.submit("j", vec![step(1)]);
+    for _ in 0..5 {
+        pass(&mut session, "new");
+    }
+    session.report("new", &[active(&key("j", 0))], &[], 0);
+
+    answer(&mut session, HostAnswer::Done);
+    let effects = [pass(&mut session, "new"), pass(&mut session, "new")].concat();
+
+    let runs: Vec<_> = session.scheduler.executors().flat_map(|e| e.runs.keys()).collect();
+    assert_eq!(runs, [&key("j", 0)], "{effects:?}");
+}
