Compare names by their first bytes; note executors that have changed once

Ruled out: other orders of names (a test compares with the texts' order, zeros and early ends among them).

--- a/crates/borageswitch_scheduler/src/reducer/advice.rs
+++ b/crates/borageswitch_scheduler/src/reducer/advice.rs
@@ -93,7 +93,7 @@
             return;
         }
         let suits = |executor: &&ExecutorName| {
-            let known = self.executors.get(*executor);
+            let known = self.executors.get(executor);
             known.is_some_and(|known| fits_labels(step, known))
         };
         let size = reserved(step);
--- a/crates/borageswitch_scheduler/src/reducer/executor_table.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executor_table.rs
@@ -22,8 +22,10 @@
     by_pool: BTreeMap<PoolName, BTreeSet<ExecutorName>>,
     /// Where a job's tasks have runs, or may have.
     holders: BTreeMap<JobName, BTreeSet<(ExecutorName, TaskKey)>>,
-    /// Executors that may look different since they were asked for last.
-    changed: BTreeSet<ExecutorName>,
+    /// Executors that may look different since they were asked for last, each once.
+    changed: Vec<ExecutorName>,
+    /// Pools that executors have left since they were asked for last.
+    departed: Vec<(PoolName, ExecutorName)>,
 }
 
 impl ExecutorTable {
@@ -36,8 +38,9 @@
     /// [`Self::drop_run`] and [`Self::register`] instead, which keep the indices.
     pub fn get_mut(&mut self, executor: &ExecutorName) -> Option<&mut Executor> {
         let known = self.all.get_mut(executor)?;
-        if !self.changed.contains(executor) {
-            self.changed.insert(executor.clone());
+        if !known.is_noted {
+            known.is_noted = true;
+            self.changed.push(executor.clone());
         }
         Some(known)
     }
@@ -73,9 +76,25 @@
         self.holders.get(job).into_iter().flatten()
     }
 
+    /// Those that may look different, without taking note of it.
+    pub fn changed(&self) -> impl Iterator<Item = &ExecutorName> {
+        self.changed.iter()
+    }
+
     /// Those that may look different since this was asked last.
-    pub fn take_changed(&mut self) -> BTreeSet<ExecutorName> {
-        std::mem::take(&mut self.changed)
+    pub fn take_changed(&mut self) -> Vec<ExecutorName> {
+        let changed = std::mem::take(&mut self.changed);
+        for executor in &changed {
+            if let Some(known) = self.all.get_mut(executor) {
+                known.is_noted = false;
+            }
+        }
+        changed
+    }
+
+    /// Pools that executors have left since this was asked last, and who.
+    pub fn take_departed(&mut self) -> Vec<(PoolName, ExecutorName)> {
+        std::mem::take(&mut self.departed)
     }
 
     /// Takes in how an executor is registered now.
@@ -93,7 +112,7 @@
     }
 
     /// Adds an executor.
-    pub fn insert(&mut self, executor: Executor) {
+    pub fn insert(&mut self, mut executor: Executor) {
         let name = executor.registration.executor.clone();
         self.remove(&name);
         let pool = executor.registration.pool.clone();
@@ -102,14 +121,14 @@
             let holders = self.holders.entry(task.job.clone()).or_default();
             holders.insert((name.clone(), task.clone()));
         }
-        self.changed.insert(name.clone());
+        executor.is_noted = true;
+        self.changed.push(name.clone());
         self.all.insert(name, executor);
     }
 
     /// Drops an executor.
     pub fn remove(&mut self, executor: &ExecutorName) {
         let Some(known) = self.all.remove(executor) else { return };
-        self.changed.remove(executor);
         self.leave_pool(&known.registration.pool, executor);
         for task in known.runs.keys() {
             self.forget_holder(executor, task);
@@ -140,6 +159,7 @@
     }
 
     fn leave_pool(&mut self, pool: &PoolName, executor: &ExecutorName) {
+        self.departed.push((pool.clone(), executor.clone()));
         let Some(members) = self.by_pool.get_mut(pool) else { return };
         members.remove(executor);
         if members.is_empty() {
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -127,6 +127,8 @@
     pub runs: BTreeMap<TaskKey, Held>,
     /// The room that these take together.
     taken: Size,
+    /// It stands in the table's list of those that have changed.
+    pub(super) is_noted: bool,
     /// It runs something that nobody wants and whose size is not known: until that has ended,
     /// there may be less room than it seems, and an executor that guards nothing would be overfilled.
     pub strays: bool,
@@ -157,6 +159,7 @@
             looking: Looking::default(),
             runs: BTreeMap::new(),
             taken: Size::default(),
+            is_noted: false,
             strays: false,
             trust: Trust::default(),
             full_until: Time::ZERO,
@@ -212,6 +215,11 @@
             && self.trust.allows(now)
     }
 
+    /// Whether the passing of time alone may open it again.
+    pub fn rests(&self, now: Time) -> bool {
+        now < self.full_until || self.trust.is_doubted()
+    }
+
     /// When the last lease that it may have has ended for certain.
     pub fn lapse(&self) -> Option<Time> {
         match self.clock {
--- a/crates/borageswitch_scheduler/src/reducer/gangs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/gangs.rs
@@ -60,7 +60,7 @@
         racks.sort_by_key(|rack| data_rack != Some(&**rack));
         let in_rack = |rack: &std::sync::Arc<str>| {
             let inside = room.iter().filter(|(executor, _)| {
-                let known = self.executors.get(*executor);
+                let known = self.executors.get(executor);
                 known.is_some_and(|known| known.registration.has_label(rack))
             });
             inside.map(|(executor, free)| (executor.clone(), *free)).collect::<Room>()
--- a/crates/borageswitch_scheduler/src/reducer/looks.rs
+++ b/crates/borageswitch_scheduler/src/reducer/looks.rs
@@ -38,16 +38,9 @@
     ///
     /// Most become due by an event; those that the time makes due are found in a sweep.
     pub(super) fn look_around(&mut self, now: Now, sweep: bool) {
-        let mut names = std::mem::take(&mut self.unlooked);
-        names.append(&mut self.executors.take_changed());
-        if sweep {
-            names = self.executors.keys().cloned().collect();
-        }
         let mut looks = Vec::new();
-        for name in names {
-            let known = self.executors.get(&name);
-            let order = known.and_then(|known| due_look(known, now.time, &self.limits));
-            let Some((order, known)) = order.zip(self.executors.get_mut(&name)) else { continue };
+        for (name, order) in self.due_looks(now, sweep) {
+            let Some(known) = self.executors.get_mut(&name) else { continue };
             if let Some(until) = order.until_ms {
                 known.lease_ms = known.lease_ms.max(until);
             }
@@ -61,6 +54,23 @@
         self.effects.append(&mut looks);
     }
 
+    fn due_looks(&mut self, now: Now, sweep: bool) -> Vec<(ExecutorName, LookOrder)> {
+        let mut unlooked = std::mem::take(&mut self.unlooked);
+        let due = |known: &Executor| due_look(known, now.time, &self.limits);
+        if sweep {
+            let all = self.executors.iter();
+            return all.filter_map(|(name, known)| Some((name.clone(), due(known)?))).collect();
+        }
+        unlooked.extend(self.executors.changed().cloned());
+        unlooked.sort();
+        unlooked.dedup();
+        let known = unlooked.into_iter().filter_map(|name| {
+            let order = due(self.executors.get(&name)?)?;
+            Some((name, order))
+        });
+        known.collect()
+    }
+
     pub(super) fn looked(
         &mut self,
         now: Now,
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -115,7 +115,7 @@
     rooms: Rooms,
     waiting: Waiting,
     /// Executors that may be due for a look since something has happened to them.
-    unlooked: BTreeSet<ExecutorName>,
+    unlooked: Vec<ExecutorName>,
     /// Hosts that an earlier leader has ordered about of late, and how long ago at least when this
     /// one took over.
     inherited_orders: BTreeMap<HostName, Duration>,
--- a/crates/borageswitch_scheduler/src/reducer/rooms.rs
+++ b/crates/borageswitch_scheduler/src/reducer/rooms.rs
@@ -13,6 +13,8 @@
 #[derive(Debug, Default)]
 pub struct Rooms {
     by_pool: BTreeMap<PoolName, Room>,
+    /// Executors that will be open again after some time, though nothing happens to them.
+    resting: Vec<ExecutorName>,
 }
 
 impl Rooms {
@@ -29,38 +31,41 @@
 impl Scheduler {
     /// Takes in what has changed on executors; in a sweep also what the time alone has changed.
     pub(super) fn renew_rooms(&mut self, now: Now, sweep: bool) {
+        for (pool, executor) in self.executors.take_departed() {
+            if let Some(room) = self.rooms.by_pool.get_mut(&pool) {
+                room.remove(&executor);
+            }
+        }
         let changed = self.executors.take_changed();
+        for executor in &changed {
+            self.renew_room(now, executor);
+        }
+        self.unlooked.extend(changed);
         if sweep {
-            let pools: Vec<PoolName> = self.executors.pools().cloned().collect();
-            self.rooms = Rooms::default();
-            for pool in pools {
-                let room = self.room_of(now, &pool);
-                self.rooms.put_back(&pool, room);
-            }
-        } else {
-            for executor in &changed {
-                self.renew_room(now, executor);
+            for executor in std::mem::take(&mut self.rooms.resting) {
+                self.renew_room(now, &executor);
             }
         }
-        self.unlooked.extend(changed);
     }
 
     fn renew_room(&mut self, now: Now, executor: &ExecutorName) {
-        let known = self.executors.get(executor).filter(|known| known.is_open(now.time));
-        let open = known.map(|known| (&known.registration.pool, known.free()));
-        for (pool, room) in &mut self.rooms.by_pool {
-            if open.is_none_or(|(own, _)| own != pool) {
-                room.remove(executor);
-            }
+        let Some(known) = self.executors.get(executor) else { return };
+        let pool = &known.registration.pool;
+        if !self.rooms.by_pool.contains_key(pool) {
+            self.rooms.by_pool.insert(pool.clone(), Room::new());
         }
-        let Some((pool, free)) = open else { return };
-        match self.rooms.by_pool.get_mut(pool) {
-            Some(room) => {
-                room.insert(executor.clone(), free);
+        let Some(room) = self.rooms.by_pool.get_mut(pool) else { return };
+        if !known.is_open(now.time) {
+            room.remove(executor);
+            if known.rests(now.time) {
+                self.rooms.resting.push(executor.clone());
             }
+            return;
+        }
+        match room.get_mut(executor) {
+            Some(free) => *free = known.free(),
             None => {
-                let room = Room::from([(executor.clone(), free)]);
-                self.rooms.by_pool.insert(pool.clone(), room);
+                room.insert(executor.clone(), known.free());
             }
         }
     }
--- a/crates/borageswitch_types/src/names.rs
+++ b/crates/borageswitch_types/src/names.rs
@@ -3,7 +3,9 @@
 //! A name is read from settings or the fleet document once and then copied into events, logs and
 //! keys of maps all the time. An [`Arc`] of text makes such a copy a counter increment.
 
-use std::{borrow::Borrow, fmt, str::FromStr, sync::Arc};
+mod text;
+
+use std::{borrow::Borrow, fmt, str::FromStr};
 
 /// The most bytes a name may have: it must fit a metric label and a key of the store.
 pub const MAX_NAME_LEN: usize = 63;
@@ -45,24 +47,24 @@
         $(#[$doc])*
         #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
         #[serde(transparent)]
-        pub struct $name(Arc<str>);
+        pub struct $name(text::Text);
 
         impl $name {
             /// The name as text.
             pub fn as_str(&self) -> &str {
-                &self.0
+                self.0.as_str()
             }
         }
 
         impl From<&str> for $name {
             fn from(text: &str) -> Self {
-                Self(Arc::from(text))
+                Self(text::Text::from(text))
             }
         }
 
         impl From<String> for $name {
             fn from(text: String) -> Self {
-                Self(Arc::from(text))
+                Self(text::Text::from(text))
             }
         }
 
@@ -71,25 +73,25 @@
 
             fn from_str(text: &str) -> Result<Self, NameError> {
                 check_name(text)?;
-                Ok(Self(Arc::from(text)))
+                Ok(Self(text::Text::from(text)))
             }
         }
 
         impl Borrow<str> for $name {
             fn borrow(&self) -> &str {
-                &self.0
+                self.0.as_str()
             }
         }
 
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.pad(&self.0)
+                f.pad(self.0.as_str())
             }
         }
 
         impl fmt::Debug for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.pad(&self.0)
+                f.pad(self.0.as_str())
             }
         }
     };
