Decide every 4 ms at most, and put a call's deadline off by as much as its timer is late

Ruled out: the store (its appends are slow only then), the network. Change: a leader's control thread lets 4 ms pass from one decision to the next; a deadline whose timer is 20 ms late or more is put off by that much, 400 ms at most.

--- a/crates/borageswitch_http/src/client.rs
+++ b/crates/borageswitch_http/src/client.rs
@@ -147,7 +147,7 @@
             let body = body.map_err(|_| Failed::Call(CallError::Lost { reused }))?.to_bytes();
             Ok(Answer { status: head.status, headers: head.headers, body })
         };
-        let Some(outcome) = before(deadline, exchange).await else {
+        let Some(outcome) = before_or_late(deadline, exchange).await else {
             self.connections.forget(address);
             return Err(lost);
         };
@@ -162,6 +162,32 @@
     Call(CallError),
 }
 
+/// A timer that fires so much too late tells that this process is late with everything.
+const LATE: Duration = Duration::from_millis(20);
+/// The most that is added to a deadline for that.
+const MOST_ADDED: Duration = Duration::from_millis(400);
+
+/// The output of a future, or nothing once `deadline` has passed by this process's own account.
+///
+/// A process that has more to do than its core can carry comes late to its timers and its sockets
+/// alike. The answers are there, unread, when the timers fire; were they given up, each would cost
+/// another call to find out what became of the first, and the process would never catch up. So a
+/// deadline is put off by as much as its timer was late.
+async fn before_or_late<F>(deadline: Instant, f: F) -> Option<F::Output>
+where
+    F: Future,
+{
+    let timer = async {
+        smol::Timer::at(deadline).await;
+        let late = deadline.elapsed();
+        if late >= LATE {
+            smol::Timer::after(late.min(MOST_ADDED)).await;
+        }
+        None
+    };
+    future::or(async { Some(f.await) }, timer).await
+}
+
 /// The output of a future, or nothing once `deadline` has passed.
 pub async fn before<F>(deadline: Instant, f: F) -> Option<F::Output>
 where
--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -3,9 +3,12 @@
 //! Everything that waits in the queue is taken in before the scheduler decides, so that a flood of
 //! ends costs one decision and not hundreds.
 
+mod pacing;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
+    thread,
     time::{Duration, Instant},
 };
 
@@ -126,7 +129,13 @@
     /// Runs until the queue of messages is closed.
     pub async fn run(mut self) {
         let mut next_tick = Instant::now();
+        let mut last = next_tick;
         while let Some(message) = self.next(&mut next_tick).await {
+            if self.leading.is_some() {
+                // Nothing else runs on this thread.
+                thread::sleep(pacing::pause(last.elapsed()));
+            }
+            last = Instant::now();
             if let Some(message) = message {
                 self.take(message);
             }
