Count lasting tasks that are away once a step of the fleet; let weak daemons leave the lead to strong ones

By reading: each host that is emptied counted, ten times a second, for each of its lasting tasks the siblings that are away, and made the room of its whole pool anew; a lasting task without a place looked through its pool at each decision. Change: siblings that are away are noted once a step of the fleet; a place elsewhere is looked for in the rooms that are kept; a lasting step that found no room is tried again after 20 ms. A weak daemon waits with the square of its weakness (350 ms with an eighth of a core), watching whether somebody has begun, so that it makes no vain attempt. Two orders at a time to an executor instead of three. Tests: a weak host that hears of a vacancy a pause earlier lets a strong one lead (fails before).

--- a/crates/borageswitch_runtime/src/election.rs
+++ b/crates/borageswitch_runtime/src/election.rs
@@ -32,12 +32,14 @@
 /// The pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// How long a daemon on a host of one core waits before it tries to lead. A weaker one waits longer
-/// in proportion: 20 ms with half a core, 80 ms with an eighth, which is more than a write and its
-/// news take. At 350 hosts a leader was measured at 0.13 to 0.18 cores over a day; an eighth of a
-/// core is late with everything.
-const HEAD_START: Duration = Duration::from_millis(10);
-/// The longest that a daemon waits, however weak.
-const LONGEST_HEAD_START: Duration = Duration::from_millis(150);
+/// with the square of its weakness: 20 ms with half a core, 350 ms with an eighth. At 1,100 executors
+/// a leader takes 0.13 to 0.18 cores on the mean of a minute and several times that in a rush; an
+/// eighth of a core is late with everything, until nothing starts any more. And daemons learn of a
+/// vacancy up to a retry's pause apart when their watches are cut, so a head start has to be longer.
+const HEAD_START: Duration = Duration::from_millis(5);
+/// The longest that a daemon waits, however weak: where no stronger one is left, each moment of it
+/// is one in which nothing starts.
+const LONGEST_HEAD_START: Duration = Duration::from_millis(400);
 
 /// How much of the time that the store has just taken for a call a daemon on a host of one core
 /// waits besides; a weaker one longer in proportion. With a store that takes a quarter of a second,
@@ -63,19 +65,21 @@
     P: Platform,
 {
     while !shared.is_stopping() {
-        match wait_for_vacancy(&shared).await {
-            Ok(()) => {}
+        let vacant_at = match wait_for_vacancy(&shared).await {
+            Ok(at) => at,
             Err(err) => {
                 log::debug!("who leads cannot be read: {err}");
                 Timer::after(RETRY_PAUSE).await;
                 continue;
             }
-        }
+        };
         if shared.is_stopping() || shared.config().is_none() {
             Timer::after(RETRY_PAUSE).await;
             continue;
         }
-        Timer::after(head_start(shared.cfg.weight)).await;
+        if !stays_vacant(&shared, vacant_at, head_start(shared.cfg.weight)).await {
+            continue;
+        }
         match campaign(&shared).await {
             Ok(Some(term)) => lead(&shared, term).await,
             Ok(None) => {}
@@ -90,7 +94,7 @@
 /// How long a daemon waits before it tries to lead: the stronger its host, the shorter, so that the
 /// work of the leader falls on a host that can bear it.
 fn head_start(cores: f64) -> Duration {
-    let wait = HEAD_START.div_f64(cores.max(0.01)).min(LONGEST_HEAD_START);
+    let wait = HEAD_START.div_f64(cores.max(0.01).powi(2)).min(LONGEST_HEAD_START);
     wait + Duration::from_micros(fastrand::u64(..5_000))
 }
 
@@ -99,8 +103,30 @@
     took.mul_f64(PER_STORE_CALL / cores.max(0.01)).min(LONGEST_FOR_STORE)
 }
 
-/// Returns once nobody leads, and keeps in mind who does until then.
-async fn wait_for_vacancy<P>(shared: &Arc<Shared<P>>) -> StoreResult<()>
+/// Waits for this daemon's turn to try. Gives whether nobody has begun to lead meanwhile, as far as
+/// this daemon hears: of a hundred weak daemons each would else burden the store with a lease and
+/// an attempt that cannot succeed, right when the new leader reads all it has to take over.
+async fn stays_vacant<P>(shared: &Arc<Shared<P>>, at: Revision, turn: Duration) -> bool
+where
+    P: Platform,
+{
+    let due = clock::time() + turn;
+    let seen = shared.platform.watch(keys::LEADER, at, turn).await;
+    let begun = seen.iter().flat_map(|seen| &seen.changes).any(|change| match change {
+        Change::Written(item) => {
+            note_leader(shared, item);
+            true
+        }
+        Change::Removed(_) => false,
+    });
+    if !begun {
+        Timer::after(due.since(clock::time())).await;
+    }
+    !begun
+}
+
+/// Returns once nobody leads, and keeps in mind who does until then. Gives as of when that was so.
+async fn wait_for_vacancy<P>(shared: &Arc<Shared<P>>) -> StoreResult<Revision>
 where
     P: Platform,
 {
@@ -108,19 +134,19 @@
     let mut at = reading.at;
     let Some(item) = reading.item else {
         shared.set_leader(None);
-        return Ok(());
+        return Ok(at);
     };
     note_leader(shared, &item);
     loop {
         if shared.is_stopping() {
-            return Ok(());
+            return Ok(at);
         }
         let seen = shared.platform.watch(keys::LEADER, at, WATCH_WAIT).await?;
         at = seen.at;
         match seen.changes.last() {
             Some(Change::Removed(_)) => {
                 shared.set_leader(None);
-                return Ok(());
+                return Ok(at);
             }
             Some(Change::Written(item)) => note_leader(shared, item),
             None => {}
--- a/crates/borageswitch_runtime/src/election/tests.rs
+++ b/crates/borageswitch_runtime/src/election/tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{LEADER_TTL, head_start, wait_for_store};
+use super::{LEADER_TTL, RETRY_PAUSE, head_start, wait_for_store};
 
 const STRONG: f64 = 0.5;
 const WEAK: f64 = 0.12;
@@ -35,3 +35,16 @@
 
     assert!(waited < LEADER_TTL, "{waited:?}");
 }
+
+/// The store drops its history and cuts all watches. Daemons read anew who leads whenever their pause
+/// after the cut is over, so a weak one may learn of the vacancy that much earlier than all strong
+/// ones. If it led, jobs would be late for as long as it does.
+#[test]
+fn a_weak_host_that_hears_first_lets_a_strong_one_lead() {
+    let heard_later = RETRY_PAUSE;
+
+    let strong = heard_later + attempt(STRONG, Duration::from_millis(4));
+    let weak = attempt(WEAK, Duration::from_millis(4));
+
+    assert!(strong < weak, "{strong:?} against {weak:?}");
+}
--- a/crates/borageswitch_runtime/src/orders.rs
+++ b/crates/borageswitch_runtime/src/orders.rs
@@ -27,8 +27,9 @@
 };
 
 /// How many orders to one executor are on their way at once. Each needs a connection of its own,
-/// and new connections have their price; at some 3 ms an order, three carry a thousand a second.
-const ORDERS_PER_EXECUTOR: usize = 3;
+/// with its price and some 20 KB of memory; at some 3 ms an order, two carry 600 a second, and one
+/// that gets no answer does not hold up the next.
+const ORDERS_PER_EXECUTOR: usize = 2;
 /// An order whose authority ends sooner than this does not leave.
 const LEAST_AUTHORITY: Duration = Duration::from_millis(20);
 /// The pause before a report on a wave that was not stored is made again.
--- a/crates/borageswitch_scheduler/src/reducer/emptying.rs
+++ b/crates/borageswitch_scheduler/src/reducer/emptying.rs
@@ -3,7 +3,10 @@
 //! Nothing new is placed on such a host, its short runs end by themselves, and its lasting ones move
 //! as their steps allow: so many of a step may be away at once through planned work.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use borageswitch_types::{
     Time,
@@ -15,9 +18,9 @@
     reducer::{
         Scheduler,
         executors::{Executor, Held},
-        rooms::Room,
+        pass::reserved,
     },
-    task::TaskKey,
+    task::{StepKey, TaskKey},
 };
 
 /// An executor that has said nothing for so long may have ended: what it runs is not counted on
@@ -46,15 +49,14 @@
             return;
         }
         let only_lasting = lasting.len() == known.runs.len();
-        let room = self.room_of(now, &pool);
         let mut moved = false;
         for task in &lasting {
-            if self.may_interrupt(now.time, task) && self.has_place(now, task, &room) {
+            if self.may_interrupt(task) && self.has_place(now, &pool, executor, task) {
                 self.order_stop(now, executor, task);
                 moved = true;
             }
         }
-        if moved || !only_lasting || !self.may_interrupt_all(now.time, &lasting) {
+        if moved || !only_lasting || !self.may_interrupt_all(&lasting) {
             return;
         }
         for task in lasting {
@@ -66,15 +68,15 @@
     ///
     /// Stopped although its siblings on the same host may not follow, a task that has nowhere else
     /// to go would wait for ever: the host takes nothing new, and is never empty.
-    fn may_interrupt_all(&self, now: Time, tasks: &[TaskKey]) -> bool {
+    fn may_interrupt_all(&self, tasks: &[TaskKey]) -> bool {
         tasks.iter().all(|task| {
             let together = tasks.iter().filter(|t| t.step_key() == task.step_key()).count();
-            self.may_interrupt_with(now, task, together - 1)
+            self.may_interrupt_with(task, together - 1)
         })
     }
 
     /// The lasting tasks of a pool on hosts that are being emptied, which cannot leave together.
-    pub(super) fn stuck_tasks(&self, now: Now, pool: &PoolName) -> Vec<TaskKey> {
+    pub(super) fn stuck_tasks(&self, pool: &PoolName) -> Vec<TaskKey> {
         let mut stuck = Vec::new();
         for host in self.fleet.withdrawals.keys() {
             let entry = self.fleet.hosts.get(host).filter(|entry| entry.pool == *pool);
@@ -84,33 +86,63 @@
             };
             let lasting = known.runs.iter().filter(|(_, held)| held.lasting);
             let tasks: Vec<TaskKey> = lasting.map(|(task, _)| task.clone()).collect();
-            if !self.may_interrupt_all(now.time, &tasks) {
+            if !self.may_interrupt_all(&tasks) {
                 stuck.extend(tasks);
             }
         }
         stuck
     }
 
-    fn has_place(&self, now: Now, task: &TaskKey, room: &Room) -> bool {
+    /// Whether a task would find a place on another executor of its pool at this moment.
+    pub(super) fn has_place(
+        &self,
+        now: Now,
+        pool: &PoolName,
+        executor: &ExecutorName,
+        task: &TaskKey,
+    ) -> bool {
         let step = self.ledger.jobs.get(&task.job).and_then(|job| job.step(task.step));
-        step.is_none_or(|step| self.find_host(now, task, step, room).is_some())
+        let Some(step) = step else { return true };
+        let (key, size) = (task.step_key(), reserved(step));
+        let mut room =
+            self.rooms.of(pool).filter(|(name, free)| *name != executor && free.holds(&size));
+        room.any(|(name, _)| {
+            let open = self.executors.get(name).is_some_and(|known| known.is_open(now.time));
+            open && self.may_run_on(now, &key, step, name, 0)
+        })
+    }
+
+    /// Notes which tasks of each lasting step are away.
+    ///
+    /// Hundreds of hosts are emptied at once in a wave. Counted for each task of each of them, the
+    /// siblings that are away took most of a core at 1,100 hosts, and hardly anything was started.
+    pub(super) fn note_away(&mut self, now: Now) {
+        let mut away = BTreeMap::new();
+        for (name, job) in self.ledger.jobs.iter().filter(|(_, j)| j.submission.spec.is_lasting()) {
+            for &occurrence in job.progress.open.keys() {
+                for (number, step) in job.submission.spec.steps.iter().enumerate() {
+                    let key = StepKey { job: name.clone(), occurrence, step: number as u16 };
+                    let absent = |index: &u32| !self.is_at_work(now.time, &key.task(*index));
+                    let absent: BTreeSet<u32> = (0..step.count).filter(absent).collect();
+                    away.insert(key, absent);
+                }
+            }
+        }
+        self.away = away;
     }
 
     /// Whether a lasting task may be away for a moment: so many of its step may be at once.
-    fn may_interrupt(&self, now: Time, task: &TaskKey) -> bool {
-        self.may_interrupt_with(now, task, 0)
+    fn may_interrupt(&self, task: &TaskKey) -> bool {
+        self.may_interrupt_with(task, 0)
     }
 
     /// Whether a lasting task may be away together with so many others of its step that are at work.
-    fn may_interrupt_with(&self, now: Time, task: &TaskKey, others: usize) -> bool {
+    fn may_interrupt_with(&self, task: &TaskKey, others: usize) -> bool {
         let Some(job) = self.ledger.jobs.get(&task.job) else { return true };
         let Some(step) = job.step(task.step) else { return true };
         let Some(most) = step.max_unavailable else { return true };
-        let away = (0..step.count).filter(|&index| index != task.index).filter(|&index| {
-            let other = task.step_key().task(index);
-            !self.is_at_work(now, &other)
-        });
-        away.count() + others < most as usize
+        let Some(away) = self.away.get(&task.step_key()) else { return false };
+        away.iter().filter(|&&index| index != task.index).count() + others < most as usize
     }
 
     /// Whether an order of an earlier leader may be about to take an executor's host away. Its answer
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -113,6 +113,7 @@
 impl Scheduler {
     pub(super) fn step_fleet(&mut self, now: Now) {
         self.list_hosts(now);
+        self.note_away(now);
         self.step_waves(now);
         self.step_lending(now);
         let hosts: Vec<HostName> = self.fleet.withdrawals.keys().cloned().collect();
--- a/crates/borageswitch_scheduler/src/reducer/lasting.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lasting.rs
@@ -5,7 +5,6 @@
 use borageswitch_types::names::PoolName;
 
 use crate::{
-    event::Now,
     fleet::HostEntry,
     job::Size,
     policy::lasting::{self, Room, Seeker},
@@ -21,12 +20,11 @@
     /// that cannot leave a host that is being emptied.
     pub(super) fn hosts_for_lasting(
         &self,
-        now: Now,
         pool: &PoolName,
         members: &[&HostEntry],
         host: &Size,
     ) -> Vec<Option<Arc<str>>> {
-        let seekers = self.lasting_seekers(now, pool);
+        let seekers = self.lasting_seekers(pool);
         if seekers.is_empty() {
             return Vec::new();
         }
@@ -49,8 +47,8 @@
         lasting::more_hosts(&seekers, rooms.collect(), host)
     }
 
-    fn lasting_seekers(&self, now: Now, pool: &PoolName) -> Vec<Seeker<StepKey>> {
-        let mut tasks = self.stuck_tasks(now, pool);
+    fn lasting_seekers(&self, pool: &PoolName) -> Vec<Seeker<StepKey>> {
+        let mut tasks = self.stuck_tasks(pool);
         for (name, job) in &self.ledger.jobs {
             // Few jobs last, and to tell so is cheaper than to find a job's pool.
             if job.submission.spec.is_lasting() && self.pool_of(name) == Some(pool) {
--- a/crates/borageswitch_scheduler/src/reducer/lending.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lending.rs
@@ -155,7 +155,7 @@
                     busy: Vec::new(),
                     need: needs.whole,
                     labelled: labelled.collect(),
-                    lasting: self.hosts_for_lasting(now, &pool.name, &members, &host),
+                    lasting: self.hosts_for_lasting(&pool.name, &members, &host),
                     gang: self.hosts_for_gang(&pool.name, &members, &host),
                     label_hosts: count_labels(&members),
                     data_racks: needs.data_racks,
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -72,7 +72,7 @@
         kept_room::KeptRoom, lending::Lending, outbox::Outbox, rooms::Rooms, waiting::Waiting,
         waves::Waves,
     },
-    task::TaskKey,
+    task::{StepKey, TaskKey},
 };
 
 /// What the operator's platform promises, and how the leader uses it.
@@ -114,6 +114,8 @@
     executors: ExecutorTable,
     rooms: Rooms,
     waiting: Waiting,
+    /// When a lasting step last found no room.
+    lasting_missed: BTreeMap<StepKey, Time>,
     /// Executors that may be due for a look since something has happened to them.
     unlooked: Vec<ExecutorName>,
     /// Hosts that an earlier leader has ordered about of late, and how long ago at least when this
@@ -125,6 +127,8 @@
     advice: Advice,
     kept_room: KeptRoom,
     fleet: Fleet,
+    /// The tasks of lasting steps that are not at work, as of the last step of the fleet.
+    away: BTreeMap<StepKey, BTreeSet<u32>>,
     waves: Waves,
     lending: Lending,
     /// Pools in which a waiting task may find a host since the last pass.
@@ -217,6 +221,8 @@
         self.forget_outcomes(now);
         self.forget_advice();
         self.forget_gangs();
+        let jobs = &self.ledger.jobs;
+        self.lasting_missed.retain(|step, _| jobs.contains_key(&step.job));
     }
 
     fn configure(&mut self, now: Now, config: Arc<Config>) {
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -3,7 +3,7 @@
 //! One pass looks at a pool: its jobs by urgency, their unblocked steps, their waiting tasks. Room
 //! that a task takes is gone for the rest of the pass.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use borageswitch_types::names::{ExecutorName, JobName, PoolName};
 
@@ -70,6 +70,11 @@
     }
 }
 
+/// How long after a miss a lasting step is tried again. Room is made for it within some hundred
+/// milliseconds; to look through a pool of hundreds of hosts at each decision until then would take
+/// a good part of a core where a rack with lasting tasks is lost in a rush.
+const LASTING_PAUSE: Duration = Duration::from_millis(20);
+
 /// What came of an attempt to place a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Placed {
@@ -134,7 +139,7 @@
         for step in first.chain(ahead.iter()).chain(rest) {
             let own = step.urgency.is_lasting() || self.has_kept_room(pool, &step.key);
             if own {
-                self.place_step(now, pool, step, room);
+                self.place_own(now, pool, step, room);
                 continue;
             }
             if full.is_certain(&step.size) {
@@ -151,6 +156,17 @@
         }
     }
 
+    /// Places a step that may use all room there is. A lasting one that found none is tried again
+    /// only after a while.
+    fn place_own(&mut self, now: Now, pool: &PoolName, step: &WaitingStep, room: &mut Room) {
+        let rests = self.lasting_missed.get(&step.key);
+        if rests.is_some_and(|at| now.time.since(*at) < LASTING_PAUSE) {
+            return;
+        }
+        self.lasting_missed.remove(&step.key);
+        self.place_step(now, pool, step, room);
+    }
+
     /// The late steps that must run now and may go ahead of all others.
     fn let_ahead(&self, pool: &PoolName, order: &Order) -> Vec<WaitingStep> {
         let due: Vec<&WaitingStep> = order.values().filter(|step| step.due).collect();
@@ -199,7 +215,8 @@
                 }
                 if step.lasting {
                     self.make_room(now, pool, &task, &step);
-                    continue;
+                    self.lasting_missed.insert(waiting.key.clone(), now.time);
+                    return Placed::Done;
                 }
                 // The other tasks of the step are of the same size.
                 let none = !room.values().any(|free| free.holds(&size));
@@ -238,17 +255,6 @@
             && (!ticketed || self.advice.ticket(key, executor, now.time).is_some())
     }
 
-    /// The best executor for a task, if any has room.
-    pub(super) fn find_host(
-        &self,
-        now: Now,
-        task: &TaskKey,
-        step: &Step,
-        room: &Room,
-    ) -> Option<ExecutorName> {
-        self.places(now, &task.step_key(), step, room).take(&reserved(step))
-    }
-
     /// Where tasks of a step may go.
     fn places(&self, now: Now, key: &StepKey, step: &Step, room: &Room) -> Places {
         let size = reserved(step);
--- a/crates/borageswitch_scheduler/src/reducer/rooms.rs
+++ b/crates/borageswitch_scheduler/src/reducer/rooms.rs
@@ -23,6 +23,11 @@
         self.by_pool.get_mut(pool).map(std::mem::take).unwrap_or_default()
     }
 
+    /// The room of a pool.
+    pub(super) fn of(&self, pool: &PoolName) -> impl Iterator<Item = (&ExecutorName, &Size)> {
+        self.by_pool.get(pool).into_iter().flatten()
+    }
+
     pub(super) fn put_back(&mut self, pool: &PoolName, room: Room) {
         self.by_pool.insert(pool.clone(), room);
     }
@@ -69,10 +74,4 @@
             }
         }
     }
-
-    /// What the open executors of a pool have left, looked up anew.
-    pub(super) fn room_of(&self, now: Now, pool: &PoolName) -> Room {
-        let open = self.executors.of_pool(pool).filter(|(_, known)| known.is_open(now.time));
-        open.map(|(name, known)| (name.clone(), known.free())).collect()
-    }
 }
--- a/crates/borageswitch_scheduler/src/reducer/starts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/starts.rs
@@ -184,6 +184,9 @@
             Phase::Sent | Phase::Active | Phase::Inherited | Phase::Unsure => {
                 held.phase = Phase::Stopping;
                 held.since = now.time;
+                if let Some(away) = self.away.get_mut(&task.step_key()) {
+                    away.insert(task.index);
+                }
                 self.send_stop(now, executor, task);
             }
         }
--- a/crates/borageswitch_scheduler/src/reducer/stragglers.rs
+++ b/crates/borageswitch_scheduler/src/reducer/stragglers.rs
@@ -30,7 +30,8 @@
             found.extend(slow.map(|(task, _)| (executor.clone(), task.clone())));
         }
         for (executor, task) in found {
-            if self.has_better_place(now, &executor, &task) {
+            let pool = self.pool_of(&task.job).cloned();
+            if pool.is_some_and(|pool| self.has_place(now, &pool, &executor, &task)) {
                 self.give_up(now, &executor, &task);
             }
         }
@@ -53,15 +54,6 @@
         stragglers::gives_up(elapsed, held.percent, expected, kept)
     }
 
-    fn has_better_place(&self, now: Now, executor: &ExecutorName, task: &TaskKey) -> bool {
-        let Some(pool) = self.pool_of(&task.job) else { return false };
-        let Some(job) = self.ledger.jobs.get(&task.job) else { return false };
-        let Some(step) = job.step(task.step) else { return false };
-        let mut room = self.room_of(now, pool);
-        room.remove(executor);
-        self.find_host(now, task, step, &room).is_some()
-    }
-
     fn give_up(&mut self, now: Now, executor: &ExecutorName, task: &TaskKey) {
         let Some(known) = self.executors.get_mut(executor) else { return };
         known.trust.failed(now.time);
