Look up hosts that are about to be taken once; tell when the leader is late

Change: these executors are looked up once a step of the fleet. A line leader-late says when a decision took 50 ms or more.

--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -37,6 +37,12 @@
 /// The most messages that are taken in before the scheduler decides.
 const MAX_BATCH: usize = 512;
 
+/// A decision that takes so long makes starts late, and callers see their jobs late. An ordinary one
+/// takes a millisecond or two.
+const LATE_DECISION: Duration = Duration::from_millis(50);
+/// The shortest time between two lines about that.
+const LATE_LINE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What the control thread is told.
 #[derive(Debug)]
 pub enum Message {
@@ -113,6 +119,8 @@
     instruments: Arc<Instruments>,
     config: Option<Arc<Config>>,
     leading: Option<Leading>,
+    /// When operators were last told that the leader is late.
+    late_told: Option<Instant>,
 }
 
 impl Control {
@@ -123,7 +131,7 @@
         work: Sender<Work>,
         instruments: Arc<Instruments>,
     ) -> Self {
-        Self { limits, messages, work, instruments, config: None, leading: None }
+        Self { limits, messages, work, instruments, config: None, leading: None, late_told: None }
     }
 
     /// Runs until the queue of messages is closed.
@@ -139,14 +147,26 @@
             if let Some(message) = message {
                 self.take(message);
             }
-            for _ in 0..MAX_BATCH {
-                match self.messages.try_recv() {
-                    Ok(message) => self.take(message),
-                    Err(_) => break,
-                }
+            let mut taken = 0;
+            while taken < MAX_BATCH {
+                let Ok(message) = self.messages.try_recv() else { break };
+                self.take(message);
+                taken += 1;
             }
             self.settle();
+            self.note_late(last.elapsed(), taken);
+        }
+    }
+
+    /// Tells operators that the leader cannot keep up with what it has to decide.
+    fn note_late(&mut self, took: Duration, taken: usize) {
+        let told = self.late_told.is_some_and(|told| told.elapsed() < LATE_LINE_INTERVAL);
+        if self.leading.is_none() || took < LATE_DECISION || told {
+            return;
         }
+        self.late_told = Some(Instant::now());
+        let (took_ms, waiting) = (took.as_millis() as u64, self.messages.len());
+        log::warn!(took_ms = took_ms, taken = taken, waiting = waiting; "leader-late");
     }
 
     /// The next message, or none inside when it is time for a tick; nothing when all is over.
--- a/crates/borageswitch_scheduler/src/reducer/emptying.rs
+++ b/crates/borageswitch_scheduler/src/reducer/emptying.rs
@@ -117,12 +117,14 @@
     /// Hundreds of hosts are emptied at once in a wave. Counted for each task of each of them, the
     /// siblings that are away took most of a core at 1,100 hosts, and hardly anything was started.
     pub(super) fn note_away(&mut self, now: Now) {
+        let taken = self.about_to_be_taken(now.time);
         let mut away = BTreeMap::new();
         for (name, job) in self.ledger.jobs.iter().filter(|(_, j)| j.submission.spec.is_lasting()) {
             for &occurrence in job.progress.open.keys() {
                 for (number, step) in job.submission.spec.steps.iter().enumerate() {
                     let key = StepKey { job: name.clone(), occurrence, step: number as u16 };
-                    let absent = |index: &u32| !self.is_at_work(now.time, &key.task(*index));
+                    let absent =
+                        |index: &u32| !self.is_at_work(now.time, &key.task(*index), &taken);
                     let absent: BTreeSet<u32> = (0..step.count).filter(absent).collect();
                     away.insert(key, absent);
                 }
@@ -145,19 +147,16 @@
         away.iter().filter(|&&index| index != task.index).count() + others < most as usize
     }
 
-    /// Whether an order of an earlier leader may be about to take an executor's host away. Its answer
-    /// never came to this leader, and what the executor last said is from before it: counted on, a
-    /// task there and the one that is interrupted beside it would both be away.
-    fn may_be_taken(&self, now: Time, executor: &ExecutorName) -> bool {
-        self.inherited_orders.keys().any(|host| {
-            let entry = self.fleet.hosts.get(host);
-            entry.is_some_and(|entry| entry.executor.as_ref() == Some(executor))
-                && self.is_paused(now, host)
-        })
+    /// Executors whose hosts an order of an earlier leader may be about to take away. Its answer never
+    /// came to this leader, and what they last said is from before it: counted on, a task there and
+    /// the one that is interrupted beside it would both be away.
+    fn about_to_be_taken(&self, now: Time) -> BTreeSet<&ExecutorName> {
+        let paused = self.inherited_orders.keys().filter(|host| self.is_paused(now, host));
+        paused.filter_map(|host| self.fleet.hosts.get(host)?.executor.as_ref()).collect()
     }
 
     /// Whether a task is known to do its work: its executor has said so not long ago.
-    fn is_at_work(&self, now: Time, task: &TaskKey) -> bool {
+    fn is_at_work(&self, now: Time, task: &TaskKey, taken: &BTreeSet<&ExecutorName>) -> bool {
         let assigned = self.ledger.task(task).and_then(|state| state.assigned.as_ref());
         let executor = assigned.and_then(|assigned| self.executors.get(&assigned.executor));
         let answers = |known: &&Executor| {
@@ -166,6 +165,6 @@
         };
         let held = executor.filter(answers).and_then(|known| known.runs.get(task));
         held.is_some_and(Held::is_at_work)
-            && !assigned.is_some_and(|assigned| self.may_be_taken(now, &assigned.executor))
+            && assigned.is_some_and(|assigned| !taken.contains(&assigned.executor))
     }
 }
