--- a/crates/borageswitch_scheduler/src/reducer/rooms.rs
+++ b/crates/borageswitch_scheduler/src/reducer/rooms.rs
@@ -1,6 +1,6 @@
 //! What the open executors of each pool have left.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use borageswitch_types::names::{ExecutorName, PoolName};
 
@@ -14,7 +14,7 @@
 pub struct Rooms {
     by_pool: BTreeMap<PoolName, Room>,
     /// Executors that will be open again after some time, though nothing happens to them.
-    resting: Vec<ExecutorName>,
+    resting: BTreeSet<ExecutorName>,
 }
 
 impl Rooms {
@@ -63,7 +63,7 @@
         if !known.is_open(now.time) {
             room.remove(executor);
             if known.rests(now.time) {
-                self.rooms.resting.push(executor.clone());
+                self.rooms.resting.insert(executor.clone());
             }
             return;
         }
