--- a/crates/borageswitch_types/src/names.rs
+++ b/crates/borageswitch_types/src/names.rs
@@ -1,7 +1,7 @@
 //! Shared immutable names.
 //!
 //! A name is read from settings or the fleet document once and then copied into events, logs and
-//! keys of maps all the time. An [`Arc`] of text makes such a copy a counter increment.
+//! keys of maps all the time. An [`Arc`](std::sync::Arc) of text makes such a copy a counter increment.
 
 mod text;
 
