--- a/crates/borageswitch_runtime/src/orders.rs
+++ b/crates/borageswitch_runtime/src/orders.rs
@@ -27,7 +27,7 @@
 };
 
 /// How many orders to one executor are on their way at once. Each needs a connection of its own,
-/// with its price and some 20 KB of memory; at some 3 ms an order, two carry 600 a second, and one
+/// with its price and its memory; at some 3 ms an order, two carry 600 a second, and one
 /// that gets no answer does not hold up the next.
 const ORDERS_PER_EXECUTOR: usize = 2;
 /// An order whose authority ends sooner than this does not leave.
