Stop a gang that lacks a member although its pool is full

Cause, found by reading the whole change: steps whose size has no room for certain are passed over, and gangs with them. A gang one of whose members has failed was therefore not looked at while its pool was full of tasks that go first: its other members held their room in vain until they gave up by themselves (an end that the users count as broken). Ruled out: the pass before the sizes were noted (it looked at each gang).

--- a/crates/borageswitch_scheduler/src/reducer/gangs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/gangs.rs
@@ -40,6 +40,18 @@
         true
     }
 
+    /// There is no room for a member of a gang for certain. Members that run without the others are
+    /// stopped all the same: they work only together.
+    pub(super) fn gang_without_room(&mut self, now: Now, pool: &PoolName, waiting: &WaitingStep) {
+        let job = self.ledger.jobs.get(&waiting.key.job);
+        let Some(step) = job.and_then(|job| job.step(waiting.key.step)).cloned() else { return };
+        if waiting.waiting.len() < step.count as usize {
+            self.stop_members(now, waiting, &step);
+        } else {
+            self.gang_missed(now, pool, &waiting.key);
+        }
+    }
+
     /// A place for each member, and the room that is left then.
     ///
     /// One rack is tried before all: there a gang that talks much is faster.
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -95,7 +95,7 @@
             }
             if full.is_certain(&step.size) {
                 if step.gang {
-                    self.gang_missed(now, pool, &step.key);
+                    self.gang_without_room(now, pool, step);
                 }
                 continue;
             }
--- a/crates/borageswitch_scheduler/tests/gangs.rs
+++ b/crates/borageswitch_scheduler/tests/gangs.rs
@@ -2,12 +2,13 @@
 
 mod support;
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use borageswitch_scheduler::{
     config::{Config, Pool},
     effect::{Effect, HostOrder},
     event::Event,
+    executor::{EndKind, EndedRun},
     fleet::HostEntry,
     job::Step,
     ledger::Ledger,
@@ -16,7 +17,7 @@
 use borageswitch_types::names::{HostName, PoolName};
 use support::{
     fixtures::{config, cores},
-    session::{Session, active, done, host, step},
+    session::{Session, active, done, host, step, stops},
 };
 
 /// A gang whose members take most of a host each.
@@ -142,6 +143,29 @@
     assert_eq!(moved.first(), Some(&(HostName::from("h-off"), PoolName::from("payroll"))));
 }
 
+#[test]
+fn a_gang_that_lacks_a_member_is_stopped_although_its_pool_is_full() {
+    // One member of a gang fails to start while small tasks fill the pool and more of them wait.
+    // Left running, the other member holds its room in vain until it gives up by itself.
+    let mut session = Session::new(&["e1", "e2"]);
+    session.submit("gang", vec![gang(2)]);
+    let started = session.store_and_start();
+    assert_eq!(started.len(), 2);
+    // Short ones are due before the gang, so they come first.
+    let short = Step { estimate: Duration::from_millis(10), ..step(1) };
+    for job in 0..40 {
+        session.submit(&format!("small-{job}"), vec![short.clone()]);
+    }
+    session.store_and_start();
+    let (executor, lost) = &started[1];
+    let failed = EndedRun { how: EndKind::Failed, ..done(1, lost) };
+    session.report(executor.as_str(), &[], &[failed], 0);
+
+    let effects = session.settle();
+
+    assert!(stops(&effects) >= 1, "{effects:?}");
+}
+
 fn with_hosts_off() -> Arc<Config> {
     let mut config = (*config(true)).clone();
     let off = PoolName::from("off");
