--- a/benches/src/scheduler.rs
+++ b/benches/src/scheduler.rs
@@ -12,7 +12,7 @@
 };
 
 use borageswitch_scheduler::{
-    config::{Config, Pool, Queue, RequestLimits},
+    config::{Config, Pool, Queue},
     effect::{Effect, HostOrder, LookOrder, Recipient},
     event::{Event, HostAnswer, LookAnswer, Now, OrderAnswer, Seen, StartAnswer},
     executor::{ActiveRun, EndKind, EndedRun, Registration, Report},
@@ -216,6 +216,7 @@
                 queue: queue(turn),
                 accepted: UnixMillis(self.now),
                 spec: JobSpec { text: "text".into(), steps: vec![step], schedule: None },
+                caller: None,
             };
             self.due.push_back((self.now, Event::Submitted(Arc::new(submission))));
         }
@@ -412,15 +413,5 @@
     let own =
         (0..POOLS).map(|number| Pool { name: pool(number), guards_capacity: true, standby: false });
     let off = Pool { name: PoolName::from("off"), guards_capacity: true, standby: true };
-    Arc::new(Config {
-        version: 1,
-        queues: (0..POOLS).map(queue).map(|queue| (queue.name.clone(), queue)).collect(),
-        pools: own.chain([off]).map(|pool| (pool.name.clone(), pool)).collect(),
-        limits: RequestLimits {
-            head_bytes: 1 << 14,
-            body_bytes: 1 << 18,
-            head_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        },
-    })
+    Arc::new(Config::new(1, (0..POOLS).map(queue), own.chain([off])))
 }
--- a/crates/borageswitch_fakes/src/platform/example.rs
+++ b/crates/borageswitch_fakes/src/platform/example.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use borageswitch_scheduler::{
-    config::{Config, Pool, Queue, RequestLimits},
+    config::{Config, Pool, Queue},
     job::Size,
 };
 use borageswitch_types::names::{PoolName, QueueName};
@@ -38,17 +38,7 @@
     Q: IntoIterator<Item = Queue>,
     P: IntoIterator<Item = Pool>,
 {
-    Config {
-        version: 1,
-        queues: queues.into_iter().map(|queue| (queue.name.clone(), queue)).collect(),
-        pools: pools.into_iter().map(|pool| (pool.name.clone(), pool)).collect(),
-        limits: RequestLimits {
-            head_bytes: 16 << 10,
-            body_bytes: 256 << 10,
-            head_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        },
-    }
+    Config::new(1, queues, pools)
 }
 
 /// So many cores, with as many gigabytes.
--- a/crates/borageswitch_fakes/src/platform/mod.rs
+++ b/crates/borageswitch_fakes/src/platform/mod.rs
@@ -22,7 +22,10 @@
     time::{Duration, Instant},
 };
 
-use borageswitch_runtime::ports::{Item, Places, StoreError, StoreResult};
+use borageswitch_runtime::{
+    codec,
+    ports::{Item, Places, StoreError, StoreResult},
+};
 use borageswitch_scheduler::{config::Config, executor::Registration, job::Size, task::TaskKey};
 use borageswitch_types::names::{ExecutorName, HostName, PoolName};
 use smol::Timer;
@@ -184,7 +187,7 @@
 
     /// The operator declares a configuration.
     pub fn configure(&self, config: &Config) {
-        let value = serde_json::to_vec(config).expect("a configuration can be encoded");
+        let value = codec::encode(config);
         let key = self.wire.places.config.clone();
         self.put(&key, value);
     }
--- a/crates/borageswitch_fakes/src/platform/port.rs
+++ b/crates/borageswitch_fakes/src/platform/port.rs
@@ -5,9 +5,12 @@
     time::{Duration, Instant},
 };
 
-use borageswitch_runtime::ports::{
-    Change, Changes, Commander, Committed, Item, LeaseId, Page, Places, Platform, Reading,
-    Revision, StoreError, StoreResult, Transaction,
+use borageswitch_runtime::{
+    codec,
+    ports::{
+        Change, Changes, Commander, Committed, Item, LeaseId, Page, Places, Platform, Reading,
+        Revision, StoreError, StoreResult, Transaction,
+    },
 };
 use borageswitch_scheduler::{
     config::Config,
@@ -81,7 +84,7 @@
     }
 
     fn decode_config(&self, item: &Item) -> Option<Config> {
-        serde_json::from_slice(&item.value).ok()
+        codec::decode("configuration", &item.value).ok()
     }
 
     fn decode_executor(&self, change: &Change) -> Option<Seen> {
--- a/crates/borageswitch_runtime/src/answers.rs
+++ b/crates/borageswitch_runtime/src/answers.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use borageswitch_scheduler::{config::access::Rejection, policy::quotas::QuotaError};
+
 /// Whether what a request asked for has happened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum Effective {
@@ -25,9 +27,21 @@
     /// The job does not exist.
     #[display("there is no such job")]
     NoJob,
+    /// The request shows no key that is anybody's.
+    #[display("{_0}")]
+    NotLetIn(Rejection),
+    /// Whether the key still holds cannot be known at the moment.
+    #[display("this daemon cannot tell which keys hold at the moment")]
+    KeysUnknown,
+    /// The job is another caller's.
+    #[display("the job belongs to another caller")]
+    Foreign,
     /// The request is malformed.
     #[display("{_0}")]
     Malformed(String),
+    /// The caller's quota never lets the job run.
+    #[display("{_0}")]
+    OverQuota(QuotaError),
     /// The body is too large.
     #[display("body: more than {_0} bytes")]
     TooLarge(usize),
@@ -71,7 +85,11 @@
             Failure::NoConfig => "no-config",
             Failure::NoQueue => "no-queue",
             Failure::NoJob => "no-job",
+            Failure::NotLetIn(_) => "not-let-in",
+            Failure::KeysUnknown => "keys-unknown",
+            Failure::Foreign => "foreign",
             Failure::Malformed(_) => "malformed",
+            Failure::OverQuota(_) => "over-quota",
             Failure::TooLarge(_) => "too-large",
             Failure::BadMethod => "bad-method",
             Failure::StoreAway => "store-away",
@@ -88,7 +106,11 @@
             Failure::NoConfig => verdict(503, Effective::No, Some(SOON)),
             Failure::NoQueue => verdict(404, Effective::No, None),
             Failure::NoJob => verdict(410, Effective::No, None),
+            Failure::NotLetIn(_) => verdict(401, Effective::No, None),
+            Failure::KeysUnknown => verdict(503, Effective::No, Some(SOON)),
+            Failure::Foreign => verdict(403, Effective::No, None),
             Failure::Malformed(_) => verdict(400, Effective::No, None),
+            Failure::OverQuota(_) => verdict(422, Effective::No, None),
             Failure::TooLarge(_) => verdict(413, Effective::No, None),
             Failure::BadMethod => verdict(405, Effective::No, None),
             Failure::StoreAway => verdict(503, Effective::No, Some(AFTER_OUTAGE)),
--- a/crates/borageswitch_runtime/src/codec.rs
+++ b/crates/borageswitch_runtime/src/codec.rs
@@ -1,5 +1,6 @@
 //! The encoding of stored values and of messages between daemons.
 
+use borageswitch_scheduler::job::Submission;
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Bytes that do not hold what was expected.
@@ -41,3 +42,37 @@
         Err(err) => Err(DecodeError { what, reason: err.to_string() }),
     }
 }
+
+/// What stands for nothing at the end of an encoded value: no caller, or no leftover runs.
+const NOTHING: u8 = 0;
+
+/// Decodes a stored value whose last field is younger than the layout and may be empty.
+///
+/// What was stored before there was such a field ends one byte earlier. Read as damaged, jobs that
+/// were accepted would never run, or nobody could lead, when daemons are replaced by newer ones.
+///
+/// # Errors
+///
+/// When the bytes hold something else.
+pub fn decode_grown<T>(what: &'static str, bytes: &[u8]) -> Result<T, DecodeError>
+where
+    T: DeserializeOwned,
+{
+    decode(what, bytes).or_else(|err| {
+        let mut completed = bytes.to_vec();
+        completed.push(NOTHING);
+        decode(what, &completed).map_err(|_| err)
+    })
+}
+
+/// Decodes a stored submission.
+///
+/// # Errors
+///
+/// When the bytes hold something else.
+pub fn decode_submission(bytes: &[u8]) -> Result<Submission, DecodeError> {
+    decode_grown("submission", bytes)
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -282,7 +282,12 @@
         };
         let scheduler = &mut leading.scheduler;
         let reply = match question {
-            Question::Status { queue, job } => Answer::Status(scheduler.status(&queue, &job)),
+            Question::Status { job, caller, .. } | Question::Cancel { job, caller, .. }
+                if scheduler.is_foreign(&job, caller.as_ref()) =>
+            {
+                Answer::Foreign
+            }
+            Question::Status { queue, job, .. } => Answer::Status(scheduler.status(&queue, &job)),
             Question::Pending { queue } => Answer::Pending(scheduler.pending(&queue)),
             Question::Explain(subject) => {
                 Answer::Explained(scheduler.explain(clock::now(), &subject))
@@ -302,7 +307,7 @@
                 let _ = answer.try_send(Answer::Noted);
                 return;
             }
-            Question::Cancel { queue, job } => match scheduler.status(&queue, &job) {
+            Question::Cancel { queue, job, .. } => match scheduler.status(&queue, &job) {
                 None => Answer::Status(None),
                 Some(JobStatus::Ended(outcome)) => Answer::Status(Some(JobStatus::Ended(outcome))),
                 Some(_) => {
--- a/crates/borageswitch_runtime/src/control/tests.rs
+++ b/crates/borageswitch_runtime/src/control/tests.rs
@@ -1,7 +1,7 @@
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use borageswitch_scheduler::{
-    config::{Pool, Queue, RequestLimits},
+    config::{Pool, Queue},
     event::Event,
     job::{JobSpec, Step, Submission},
     ledger::Ledger,
@@ -31,17 +31,7 @@
 
 fn config() -> Arc<Config> {
     let pool = Pool { name: queue().pool, guards_capacity: true, standby: false };
-    Arc::new(Config {
-        version: 1,
-        queues: BTreeMap::from([(queue().name, queue())]),
-        pools: BTreeMap::from([(pool.name.clone(), pool)]),
-        limits: RequestLimits {
-            head_bytes: 1 << 14,
-            body_bytes: 1 << 18,
-            head_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        },
-    })
+    Arc::new(Config::new(1, [queue()], [pool]))
 }
 
 fn leading() -> (Control, Receiver<Work>) {
@@ -71,6 +61,7 @@
         queue: queue(),
         accepted: UnixMillis(1),
         spec: JobSpec { text: "text".into(), steps, schedule: None },
+        caller: None,
     })
 }
 
--- a/crates/borageswitch_runtime/src/daemon.rs
+++ b/crates/borageswitch_runtime/src/daemon.rs
@@ -11,11 +11,13 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
+    time::Duration,
 };
 
 use async_channel::{Receiver, Sender};
 use borageswitch_http::h2_stream::ByteCounter;
 use borageswitch_scheduler::{config::Config, reducer::Limits};
+use borageswitch_types::Time;
 use opentelemetry::metrics::Meter;
 
 use crate::{
@@ -46,6 +48,8 @@
     pub weight: f64,
     /// What the platform promises.
     pub limits: Limits,
+    /// How old a configuration may be for its keys to be gone by; any age if not set.
+    pub keys_hold: Option<Duration>,
     /// Where it counts and times.
     pub meter: Meter,
 }
@@ -68,6 +72,8 @@
     client: Client,
     pub(crate) peer_bytes: ByteCounter,
     config: Mutex<Option<Arc<Config>>>,
+    /// When the store last showed that no later configuration is there.
+    config_confirmed: Mutex<Time>,
     leader: Mutex<Option<(LeaderRecord, Revision)>>,
     stopping: AtomicBool,
     stop: (Sender<()>, Receiver<()>),
@@ -96,6 +102,18 @@
         let _ = self.control.try_send(Message::Configured(config));
     }
 
+    /// The store has shown to a call sent at this time which configuration is the last.
+    pub(crate) fn confirm_config(&self, sent: Time) {
+        let mut confirmed = self.config_confirmed.lock().unwrap_or_else(PoisonError::into_inner);
+        *confirmed = (*confirmed).max(sent);
+    }
+
+    /// For how long a later configuration than the one in force may have been there at most.
+    pub fn config_age(&self) -> Duration {
+        let confirmed = self.config_confirmed.lock().unwrap_or_else(PoisonError::into_inner);
+        clock::time().since(*confirmed)
+    }
+
     /// Keeps in mind who leads.
     pub(crate) fn set_leader(&self, leader: Option<(LeaderRecord, Revision)>) {
         let mut known = self.leader.lock().unwrap_or_else(PoisonError::into_inner);
@@ -217,6 +235,7 @@
         client: Client::new(ex.clone(), peer_bytes.clone()),
         peer_bytes,
         config: Mutex::default(),
+        config_confirmed: Mutex::new(clock::time()),
         leader: Mutex::default(),
         stopping: AtomicBool::new(false),
         stop: async_channel::bounded(1),
--- a/crates/borageswitch_runtime/src/intake.rs
+++ b/crates/borageswitch_runtime/src/intake.rs
@@ -7,11 +7,18 @@
 use std::{sync::Arc, time::Duration};
 
 use borageswitch_scheduler::{
-    config::Queue,
-    job::{JobSpec, Submission},
+    config::{
+        Config, Queue,
+        access::{Credential, KeyOwner},
+    },
+    job::{JobSpec, Size, Submission},
+    policy::quotas,
     reducer::view::JobStatus,
 };
-use borageswitch_types::{Time, names::JobName};
+use borageswitch_types::{
+    Time,
+    names::{CallerName, JobName},
+};
 use futures_lite::future;
 use smol::Timer;
 
@@ -38,6 +45,73 @@
 /// The result of a caller's request.
 pub type Served<T> = Result<T, Failure>;
 
+/// Who calls which queue.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a> {
+    /// The queue.
+    pub queue: &'a Queue,
+    /// Whose key was shown; nobody's where none is needed.
+    pub owner: Option<&'a KeyOwner>,
+    /// What that caller may use.
+    quota: Option<Size>,
+}
+
+impl<'a> Call<'a> {
+    /// A call for which no key is needed.
+    pub fn without_key(queue: &'a Queue) -> Self {
+        Self { queue, owner: None, quota: None }
+    }
+
+    fn caller(&self) -> Option<CallerName> {
+        self.owner.map(|owner| owner.caller.clone())
+    }
+
+    fn caller_name(&self) -> &str {
+        self.owner.map_or("", |owner| owner.caller.as_str())
+    }
+}
+
+/// Lets a request in, or not.
+///
+/// # Errors
+///
+/// [`Failure::NotLetIn`], and [`Failure::KeysUnknown`] where this daemon must not go by a
+/// configuration as old as its own.
+pub fn admit<'a, P>(
+    shared: &Arc<Shared<P>>,
+    config: &'a Config,
+    queue: &'a Queue,
+    shown: Credential<'_>,
+) -> Served<Call<'a>>
+where
+    P: Platform,
+{
+    let owner = config.access.admit(&queue.name, shown);
+    let age = shared.config_age();
+    match owner {
+        Ok(Some(_)) if shared.cfg.keys_hold.is_some_and(|hold| age > hold) => {
+            log::warn!(queue = queue.name.as_str(), age_ms = millis(age); "keys-unknown");
+            Err(Failure::KeysUnknown)
+        }
+        Ok(owner) => {
+            let declared = owner.and_then(|owner| config.callers.get(&owner.caller));
+            Ok(Call { queue, owner, quota: declared.map(|caller| caller.quota) })
+        }
+        Err(rejection) => {
+            log::info!(
+                queue = queue.name.as_str(), reason = rejection.to_string().as_str(),
+                version = config.version, age_ms = millis(age);
+                "not-let-in"
+            );
+            Err(Failure::NotLetIn(rejection))
+        }
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
+
 /// Accepts a job.
 ///
 /// # Errors
@@ -45,7 +119,7 @@
 /// A [`Failure`] that says whether the job may have been accepted all the same.
 pub async fn submit<P>(
     shared: &Arc<Shared<P>>,
-    queue: &Queue,
+    call: Call<'_>,
     job: &JobName,
     spec: JobSpec,
 ) -> Served<()>
@@ -53,13 +127,31 @@
     P: Platform,
 {
     spec.check().map_err(|err| Failure::Malformed(err.to_string()))?;
-    let submission =
-        Submission { job: job.clone(), queue: queue.clone(), accepted: clock::wall(), spec };
+    if let Some(quota) = &call.quota {
+        quotas::check(quota, &spec).map_err(Failure::OverQuota)?;
+    }
+    let submission = Submission {
+        job: job.clone(),
+        queue: call.queue.clone(),
+        accepted: clock::wall(),
+        spec,
+        caller: call.caller(),
+    };
     let stored = store_submission(shared, &submission).await;
-    let Err(failure) = stored else {
-        log::info!(job = job.as_str(), queue = queue.name.as_str(); "accepted");
-        tell_leader(shared, submission);
-        return Ok(());
+    let failure = match stored {
+        Ok(()) => {
+            let key = call.owner.map(|owner| owner.fingerprint.to_string()).unwrap_or_default();
+            log::info!(
+                job = job.as_str(), queue = call.queue.name.as_str(), caller = call.caller_name(),
+                key = key.as_str();
+                "accepted"
+            );
+            tell_leader(shared, submission);
+            return Ok(());
+        }
+        // The leader would find the same.
+        Err(Failure::Foreign) => return Err(Failure::Foreign),
+        Err(failure) => failure,
     };
     let settled = submit_through_leader(shared, submission, failure).await;
     match &settled {
@@ -141,11 +233,20 @@
             None
         };
         match future::or(answered, patience).await.unwrap_or(Err(StoreError::Lost)) {
-            // A conflict says that the same request was stored before.
-            Ok(Committed::Done(_) | Committed::Conflict(_)) => {
+            Ok(Committed::Done(_)) => {
                 shared.store_health.answered();
                 return Ok(());
             }
+            // The same request was stored before, unless two callers have chosen one id: told that
+            // its job is accepted, the second would wait for what never runs.
+            Ok(Committed::Conflict(items)) => {
+                shared.store_health.answered();
+                let foreign = items.iter().any(|item| {
+                    codec::decode_submission(&item.value)
+                        .is_ok_and(|stored| stored.is_foreign_to(submission.caller.as_ref()))
+                });
+                return if foreign { Err(Failure::Foreign) } else { Ok(()) };
+            }
             Ok(Committed::NoLease) | Err(StoreError::Refused) => {
                 shared.store_health.failed(sent);
             }
@@ -168,18 +269,20 @@
 /// # Errors
 ///
 /// [`Failure::NoJob`] if there is none, [`Failure::NoLeader`] if nobody can tell.
-pub async fn status<P>(shared: &Arc<Shared<P>>, queue: &Queue, job: &JobName) -> Served<JobStatus>
+pub async fn status<P>(shared: &Arc<Shared<P>>, call: Call<'_>, job: &JobName) -> Served<JobStatus>
 where
     P: Platform,
 {
-    let question = Question::Status { queue: queue.name.clone(), job: job.clone() };
+    let (queue, caller) = (call.queue.name.clone(), call.caller());
+    let question = Question::Status { queue, job: job.clone(), caller };
     let known = ask_leader(shared, &question).await;
     match known {
         Some(Answer::Status(Some(status))) => Ok(status),
+        Some(Answer::Foreign) => Err(Failure::Foreign),
         // A job that was accepted a moment ago may not have come to the leader's ears yet.
-        Some(_) if is_stored(shared, queue, job).await? => Ok(JobStatus::Queued),
+        Some(_) if is_stored(shared, call, job).await? => Ok(JobStatus::Queued),
         Some(_) => Err(Failure::NoJob),
-        None if is_stored(shared, queue, job).await? => Ok(JobStatus::Queued),
+        None if is_stored(shared, call, job).await? => Ok(JobStatus::Queued),
         // The job may have ended, which only a leader can tell.
         None => Err(Failure::NoLeader),
     }
@@ -190,18 +293,20 @@
 /// # Errors
 ///
 /// As [`status`].
-pub async fn cancel<P>(shared: &Arc<Shared<P>>, queue: &Queue, job: &JobName) -> Served<()>
+pub async fn cancel<P>(shared: &Arc<Shared<P>>, call: Call<'_>, job: &JobName) -> Served<()>
 where
     P: Platform,
 {
-    let question = Question::Cancel { queue: queue.name.clone(), job: job.clone() };
+    let (queue, caller) = (call.queue.name.clone(), call.caller());
+    let question = Question::Cancel { queue, job: job.clone(), caller };
     match ask_leader(shared, &question).await {
         Some(Answer::Status(Some(_))) => Ok(()),
-        Some(_) => match store_cancel(shared, queue, job).await? {
+        Some(Answer::Foreign) => Err(Failure::Foreign),
+        Some(_) => match store_cancel(shared, call, job).await? {
             true => Ok(()),
             false => Err(Failure::NoJob),
         },
-        None => match store_cancel(shared, queue, job).await? {
+        None => match store_cancel(shared, call, job).await? {
             true => Ok(()),
             false => Err(Failure::NoLeader),
         },
@@ -213,11 +318,11 @@
 /// # Errors
 ///
 /// [`Failure::NoLeader`] if nobody can tell.
-pub async fn pending<P>(shared: &Arc<Shared<P>>, queue: &Queue) -> Served<u64>
+pub async fn pending<P>(shared: &Arc<Shared<P>>, call: Call<'_>) -> Served<u64>
 where
     P: Platform,
 {
-    let question = Question::Pending { queue: queue.name.clone() };
+    let question = Question::Pending { queue: call.queue.name.clone() };
     match ask_leader(shared, &question).await {
         Some(Answer::Pending(pending)) => Ok(pending),
         _ => Err(Failure::NoLeader),
@@ -242,7 +347,7 @@
     }
 }
 
-async fn is_stored<P>(shared: &Arc<Shared<P>>, queue: &Queue, job: &JobName) -> Served<bool>
+async fn is_stored<P>(shared: &Arc<Shared<P>>, call: Call<'_>, job: &JobName) -> Served<bool>
 where
     P: Platform,
 {
@@ -250,18 +355,27 @@
         return Err(Failure::NoLeader);
     }
     let reading = shared.platform.read(&keys::job(job)).await.map_err(|_| Failure::NoLeader)?;
-    Ok(reading.item.is_some_and(|item| {
-        codec::decode::<Submission>("submission", &item.value)
-            .is_ok_and(|submission| submission.queue.name == queue.name)
-    }))
+    let Some(item) = reading.item else { return Ok(false) };
+    let submission = match codec::decode_submission(&item.value) {
+        Ok(submission) if submission.queue.name == call.queue.name => submission,
+        Ok(_) => return Ok(false),
+        Err(err) => {
+            log::error!(key = &*item.key; "{err}");
+            return Ok(false);
+        }
+    };
+    if submission.is_foreign_to(call.caller().as_ref()) {
+        return Err(Failure::Foreign);
+    }
+    Ok(true)
 }
 
 /// Stores that a job is cancelled, for whoever leads next. Gives whether there is such a job.
-async fn store_cancel<P>(shared: &Arc<Shared<P>>, queue: &Queue, job: &JobName) -> Served<bool>
+async fn store_cancel<P>(shared: &Arc<Shared<P>>, call: Call<'_>, job: &JobName) -> Served<bool>
 where
     P: Platform,
 {
-    if !is_stored(shared, queue, job).await? {
+    if !is_stored(shared, call, job).await? {
         return Ok(false);
     }
     let key = keys::cancel(job);
--- a/crates/borageswitch_runtime/src/peers/mod.rs
+++ b/crates/borageswitch_runtime/src/peers/mod.rs
@@ -12,7 +12,7 @@
     job::Submission,
     reducer::{explain::Subject, view::JobStatus},
 };
-use borageswitch_types::names::{JobName, QueueName};
+use borageswitch_types::names::{CallerName, JobName, QueueName};
 
 pub use self::{client::Client, server::serve};
 
@@ -28,6 +28,8 @@
         queue: QueueName,
         /// The job.
         job: JobName,
+        /// Who asks, if a key was needed.
+        caller: Option<CallerName>,
     },
     /// Cancel a job; answered once that is stored.
     Cancel {
@@ -35,6 +37,8 @@
         queue: QueueName,
         /// The job.
         job: JobName,
+        /// Who asks, if a key was needed.
+        caller: Option<CallerName>,
     },
     /// A job was stored: the leader need not wait until its watch tells.
     Stored(Arc<Submission>),
@@ -56,6 +60,8 @@
 pub enum Answer {
     /// How the job stands; nothing if the leader knows of none.
     Status(Option<JobStatus>),
+    /// The job is another caller's.
+    Foreign,
     /// How many jobs wait.
     Pending(u64),
     /// The leader knows of the job.
--- a/crates/borageswitch_runtime/src/settings.rs
+++ b/crates/borageswitch_runtime/src/settings.rs
@@ -52,6 +52,9 @@
     pub host_order_pause: Duration,
     /// How long a process has to end after it was told to.
     pub stop: Duration,
+    /// A daemon that has not heard for so long whether a key was taken away lets nobody in by it;
+    /// if not set, it goes by what it heard last.
+    pub keys_hold: Option<Duration>,
 }
 
 /// What one daemon is told of itself.
@@ -145,9 +148,12 @@
     let longest_lease = reader.decimal_or("longest_lease_ms", 10_000.0, 100.0, 1e7);
     let host_order_pause = reader.decimal_or("host_order_pause_ms", 3_000.0, 0.0, 1e7);
     let stop = reader.decimal_or("stop_s", 6.0, 0.0, 1e5);
+    let keys_strict = reader.flag_or("keys_strict", false);
+    let keys_hold = reader.decimal_or("keys_hold_ms", 5_000.0, 0.0, 1e7);
     Some(Promises {
         longest_lease: Duration::from_secs_f64(longest_lease? / 1_000.0),
         host_order_pause: Duration::from_secs_f64(host_order_pause? / 1_000.0),
         stop: Duration::from_secs_f64(stop?),
+        keys_hold: keys_strict?.then_some(Duration::from_secs_f64(keys_hold? / 1_000.0)),
     })
 }
--- a/crates/borageswitch_runtime/src/takeover.rs
+++ b/crates/borageswitch_runtime/src/takeover.rs
@@ -65,7 +65,7 @@
     P: Platform,
 {
     let snapshot = match platform.read(keys::SNAPSHOT).await?.item {
-        Some(item) => decode::<Snapshot>("snapshot", &item)?,
+        Some(item) => readable(&item, codec::decode_grown::<Snapshot>("snapshot", &item.value))?,
         None => Snapshot::default(),
     };
     let (appends, _) = read_all(platform, keys::LOG).await?;
@@ -75,8 +75,9 @@
     for item in &intake {
         if item.key.starts_with(keys::JOBS) {
             // One that cannot be read can never run. Given up for it, nobody would ever lead.
-            if let Ok(submission) = decode::<Submission>("submission", item) {
-                submissions.push(Arc::new(submission));
+            match codec::decode_submission(&item.value) {
+                Ok(submission) => submissions.push(Arc::new(submission)),
+                Err(err) => log::error!(key = &*item.key; "{err}"),
             }
         } else if let Some(job) = item.key.strip_prefix(keys::CANCELS) {
             cancelled.push(JobName::from(job));
@@ -90,7 +91,7 @@
         if number <= through {
             continue;
         }
-        for record in decode::<Vec<Record>>("append", item)? {
+        for record in readable(item, codec::decode::<Vec<Record>>("append", &item.value))? {
             ledger.apply(&record);
         }
         last = last.max(number);
@@ -100,11 +101,8 @@
     Ok(Inheritance { ledger, next_append: last + 1, cancelled, stale, intake_at })
 }
 
-fn decode<T>(what: &'static str, item: &Item) -> StoreResult<T>
-where
-    T: serde::de::DeserializeOwned,
-{
-    codec::decode(what, &item.value).map_err(|err| {
+fn readable<T>(item: &Item, decoded: Result<T, codec::DecodeError>) -> StoreResult<T> {
+    decoded.map_err(|err| {
         log::error!(key = &*item.key; "{err}");
         StoreError::Unreadable
     })
--- a/crates/borageswitch_runtime/src/watching.rs
+++ b/crates/borageswitch_runtime/src/watching.rs
@@ -8,7 +8,6 @@
 use borageswitch_scheduler::{
     event::{Event, Seen},
     executor::Registration,
-    job::Submission,
 };
 use borageswitch_types::names::JobName;
 use smol::Timer;
@@ -52,6 +51,7 @@
         match outcome {
             Ok(next) => {
                 shared.store_health.answered();
+                shared.confirm_config(sent);
                 if std::mem::take(&mut lost) {
                     log::info!("config-watch-regained");
                 }
@@ -220,7 +220,7 @@
         let _ = shared.control.send(Message::CancelStored { token, job }).await;
         return;
     }
-    match codec::decode::<Submission>("submission", &item.value) {
+    match codec::decode_submission(&item.value) {
         Ok(submission) => tell(shared, token, Event::Submitted(Arc::new(submission))).await,
         Err(err) => log::error!(key = &*item.key; "{err}"),
     }
--- a/crates/borageswitch_runtime/tests/daemons.rs
+++ b/crates/borageswitch_runtime/tests/daemons.rs
@@ -14,7 +14,7 @@
 use borageswitch_runtime::{
     answers::{Effective, Failure},
     daemon::{self, DaemonConfig, Shared},
-    intake,
+    intake::{self, Call},
 };
 use borageswitch_scheduler::{
     config::Queue,
@@ -49,6 +49,7 @@
         peer_address: ([127, 0, 0, 1], 0).into(),
         weight: 1.0,
         limits: Limits::default(),
+        keys_hold: None,
         meter: opentelemetry::global::meter("borageswitch"),
     };
     daemon::start(cfg, platform.clone(), ex.clone()).unwrap()
@@ -77,12 +78,15 @@
 
 async fn submit(daemon: &Daemon, job: &str) {
     let job = JobName::from(job);
-    until(async || intake::submit(daemon, &queue(), &job, two_steps()).await.ok()).await;
+    until(async || {
+        intake::submit(daemon, Call::without_key(&queue()), &job, two_steps()).await.ok()
+    })
+    .await;
 }
 
 async fn outcome(daemon: &Daemon, job: &str) -> Outcome {
     let job = JobName::from(job);
-    until(async || match intake::status(daemon, &queue(), &job).await {
+    until(async || match intake::status(daemon, Call::without_key(&queue()), &job).await {
         Ok(JobStatus::Ended(outcome)) => Some(outcome),
         _ => None,
     })
@@ -161,14 +165,16 @@
         platform.set_faults(PlatformFaults { store_refuses: true, ..Default::default() });
         let job = JobName::from("00000000000000aa");
 
-        let refused = intake::submit(&daemon, &queue(), &job, two_steps()).await;
+        let refused = intake::submit(&daemon, Call::without_key(&queue()), &job, two_steps()).await;
 
         let failure = refused.unwrap_err();
         assert_eq!(failure, Failure::StoreAway);
         assert_eq!(failure.verdict().effective, Effective::No);
         assert!(failure.verdict().retry_after.is_some());
         platform.set_faults(PlatformFaults::default());
-        let unknown = until(async || intake::status(&daemon, &queue(), &job).await.err()).await;
+        let unknown =
+            until(async || intake::status(&daemon, Call::without_key(&queue()), &job).await.err())
+                .await;
         assert!(matches!(unknown, Failure::NoJob | Failure::NoLeader), "{unknown}");
         assert!(platform.started().is_empty());
     });
@@ -186,7 +192,7 @@
         let job = JobName::from("00000000000000aa");
         platform.set_faults(PlatformFaults { store_loses_answers: true, ..Default::default() });
 
-        let lost = intake::submit(&daemon, &queue(), &job, two_steps()).await;
+        let lost = intake::submit(&daemon, Call::without_key(&queue()), &job, two_steps()).await;
         platform.set_faults(PlatformFaults::default());
 
         assert_eq!(lost.unwrap_err().verdict().effective, Effective::Unknown);
@@ -207,7 +213,7 @@
         submit(&daemon, "00000000000000aa").await;
         let job = JobName::from("00000000000000aa");
 
-        until(async || intake::cancel(&daemon, &queue(), &job).await.ok()).await;
+        until(async || intake::cancel(&daemon, Call::without_key(&queue()), &job).await.ok()).await;
 
         let ended = outcome(&daemon, "00000000000000aa").await;
         assert!(matches!(ended, Outcome::Cancelled | Outcome::Completed), "{ended}");
@@ -239,7 +245,8 @@
         leader_and_outcast(&first, &second, &handle).await;
         let job = JobName::from("00000000000000aa");
 
-        let accepted = intake::submit(&second, &queue(), &job, two_steps()).await;
+        let accepted =
+            intake::submit(&second, Call::without_key(&queue()), &job, two_steps()).await;
 
         assert_eq!(accepted, Ok(()));
         assert_eq!(outcome(&first, "00000000000000aa").await, Outcome::Completed);
@@ -262,7 +269,8 @@
         platform.set_faults(PlatformFaults { store_loses_answers: true, ..Default::default() });
         let job = JobName::from("00000000000000aa");
 
-        let unsettled = intake::submit(&second, &queue(), &job, two_steps()).await;
+        let unsettled =
+            intake::submit(&second, Call::without_key(&queue()), &job, two_steps()).await;
         platform.set_faults(PlatformFaults::default());
 
         assert_eq!(unsettled.unwrap_err().verdict().effective, Effective::Unknown);
@@ -282,13 +290,16 @@
         serves(&daemon, "00000000000000aa").await;
         let store_hangs = Duration::from_millis(200);
         platform.set_faults(PlatformFaults { store_hangs, ..Default::default() });
-        let first = intake::submit(&daemon, &queue(), &JobName::from("b0"), two_steps()).await;
+        let first =
+            intake::submit(&daemon, Call::without_key(&queue()), &JobName::from("b0"), two_steps())
+                .await;
         assert_eq!(first, Err(Failure::StoreSilent));
 
         for number in 1..5 {
             Timer::after(Duration::from_millis(500)).await;
             let job = JobName::from(format!("b{number}"));
-            let told = intake::submit(&daemon, &queue(), &job, two_steps()).await;
+            let told =
+                intake::submit(&daemon, Call::without_key(&queue()), &job, two_steps()).await;
             // Nothing was tried, so nothing can have been stored.
             assert_eq!(told, Err(Failure::StoreAway));
         }
--- a/crates/borageswitch_scheduler/src/config.rs
+++ b/crates/borageswitch_scheduler/src/config.rs
@@ -1,8 +1,14 @@
-//! Queues and pools as the operator declares them.
+//! Queues, pools and callers as the operator declares them.
+//!
+//! [`access`] tells who may call.
+
+pub mod access;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use borageswitch_types::names::{PoolName, QueueName};
+use borageswitch_types::names::{CallerName, PoolName, QueueName};
+
+use crate::{config::access::Access, job::Size};
 
 /// How long advice on where a step may run takes and holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -64,6 +70,29 @@
     pub idle_timeout: Duration,
 }
 
+/// A head of 16 KiB within three seconds, a body of 256 KiB, and fifteen seconds of rest.
+impl Default for RequestLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 << 10,
+            body_bytes: 256 << 10,
+            head_timeout: Duration::from_millis(3_000),
+            idle_timeout: Duration::from_millis(15_000),
+        }
+    }
+}
+
+/// Somebody who hands in jobs.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Caller {
+    /// Its name.
+    pub name: CallerName,
+    /// How many jobs a second are its share when not all can be served.
+    pub weight: f64,
+    /// The most that its tasks may use at once on all hosts; 0 of a kind sets no limit to it.
+    pub quota: Size,
+}
+
 /// One version of the operator's configuration.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Config {
@@ -73,11 +102,31 @@
     pub queues: BTreeMap<QueueName, Queue>,
     /// The pools by name.
     pub pools: BTreeMap<PoolName, Pool>,
-    /// Limits for callers.
+    /// Limits for requests.
     pub limits: RequestLimits,
+    /// The callers by name.
+    pub callers: BTreeMap<CallerName, Caller>,
+    /// Who may call.
+    pub access: Access,
 }
 
 impl Config {
+    /// A configuration with the usual limits, in which whoever calls is served.
+    pub fn new<Q, P>(version: u64, queues: Q, pools: P) -> Self
+    where
+        Q: IntoIterator<Item = Queue>,
+        P: IntoIterator<Item = Pool>,
+    {
+        Self {
+            version,
+            queues: queues.into_iter().map(|queue| (queue.name.clone(), queue)).collect(),
+            pools: pools.into_iter().map(|pool| (pool.name.clone(), pool)).collect(),
+            limits: RequestLimits::default(),
+            callers: BTreeMap::new(),
+            access: Access::Open,
+        }
+    }
+
     /// The queue of a request: its host name is the queue's, and of the prefixes that the path
     /// begins with the longest wins.
     pub fn queue_of(&self, authority: &str, path: &str) -> Option<&Queue> {
--- a/crates/borageswitch_scheduler/src/job.rs
+++ b/crates/borageswitch_scheduler/src/job.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use borageswitch_types::{
-    names::{JobName, RackName},
+    names::{CallerName, JobName, RackName},
     time::UnixMillis,
 };
 
@@ -47,6 +47,15 @@
             && self.accelerators >= other.accelerators
     }
 
+    /// So many of this.
+    pub fn times(&self, count: u64) -> Size {
+        Size {
+            cpu_milli: self.cpu_milli * count,
+            memory_mb: self.memory_mb * count,
+            accelerators: self.accelerators * count,
+        }
+    }
+
     /// What is left after taking `other` away; nothing of a kind where `other` has more.
     pub fn less(&self, other: &Size) -> Size {
         Size {
@@ -128,6 +137,18 @@
     pub accepted: UnixMillis,
     /// What to run.
     pub spec: JobSpec,
+    /// Whose it is; nobody's where callers need no key. Last of all, as submissions that were
+    /// stored before there were callers end before it.
+    pub caller: Option<CallerName>,
+}
+
+impl Submission {
+    /// Whether the job is of another caller than this one.
+    ///
+    /// A job of nobody is everybody's, and so is any job to whom a queue without keys is open.
+    pub fn is_foreign_to(&self, caller: Option<&CallerName>) -> bool {
+        self.caller.as_ref().zip(caller).is_some_and(|(own, other)| own != other)
+    }
 }
 
 /// Why a job cannot be taken.
--- a/crates/borageswitch_scheduler/src/ledger/mod.rs
+++ b/crates/borageswitch_scheduler/src/ledger/mod.rs
@@ -25,7 +25,7 @@
     ledger::{
         host_orders::HostOrders,
         job::Job,
-        record::{Outcome, Record},
+        record::{Leftover, Outcome, Record},
     },
     task::TaskKey,
 };
@@ -60,6 +60,8 @@
     pub maintained: BTreeMap<u64, Vec<HostName>>,
     /// Waves that were reported as completed.
     pub completed_waves: Vec<u64>,
+    /// Runs of jobs that have ended, which count for a quota until they have ended as well.
+    pub leftovers: BTreeMap<TaskKey, Leftover>,
 }
 
 impl Ledger {
@@ -79,8 +81,15 @@
     pub fn apply(&mut self, record: &Record) {
         match record {
             Record::Assigned { task, run, executor } => self.assign(task, *run, executor),
-            Record::Released { task, run } => self.release(task, *run),
+            Record::Released { task, run } => {
+                self.clear_leftover(task, *run);
+                self.release(task, *run);
+            }
+            Record::Leftover { task, leftover } => {
+                self.leftovers.insert(task.clone(), leftover.clone());
+            }
             Record::Ended { executor, number, task, run, how, checkpoint } => {
+                self.clear_leftover(task, *run);
                 let seen = self.seen.entry(executor.clone()).or_default();
                 if *number > *seen {
                     *seen = *number;
@@ -102,6 +111,7 @@
             }
             Record::ExecutorGone { executor } => {
                 self.seen.remove(executor);
+                self.leftovers.retain(|_, leftover| leftover.executor != *executor);
             }
             Record::TermBegan => self.host_orders.term_began(),
             Record::Led { millis } => self.host_orders.led(*millis),
@@ -133,6 +143,12 @@
         }
     }
 
+    fn clear_leftover(&mut self, task: &TaskKey, run: u32) {
+        if self.leftovers.get(task).is_some_and(|leftover| leftover.run == run) {
+            self.leftovers.remove(task);
+        }
+    }
+
     fn end(&mut self, task: &TaskKey, run: u32, how: EndKind, checkpoint: Option<&Arc<str>>) {
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.end(task, run, how, checkpoint);
--- a/crates/borageswitch_scheduler/src/ledger/record.rs
+++ b/crates/borageswitch_scheduler/src/ledger/record.rs
@@ -7,7 +7,7 @@
     time::UnixMillis,
 };
 
-use crate::{executor::EndKind, task::TaskKey};
+use crate::{executor::EndKind, job::Size, policy::quotas::Charge, task::TaskKey};
 
 /// How a job ended.
 #[derive(
@@ -121,6 +121,27 @@
         /// The wave.
         wave: u64,
     },
+    /// A run of a job that ends may be on an executor still. Its job is forgotten with its end, so
+    /// without this the next leader would not count it for its caller's quota.
+    Leftover {
+        /// The task.
+        task: TaskKey,
+        /// What is left of it.
+        leftover: Leftover,
+    },
+}
+
+/// A run of a job that has ended, which is being stopped.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Leftover {
+    /// Where it is.
+    pub executor: ExecutorName,
+    /// The run.
+    pub run: u32,
+    /// The room that it takes.
+    pub size: Size,
+    /// What it uses of its caller's quota.
+    pub charge: Charge,
 }
 
 impl Record {
@@ -138,7 +159,8 @@
             | Record::HostOrdered { .. }
             | Record::HostOrderSettled { .. }
             | Record::Maintained { .. }
-            | Record::WaveCompleted { .. } => None,
+            | Record::WaveCompleted { .. }
+            | Record::Leftover { .. } => None,
         }
     }
 }
--- a/crates/borageswitch_scheduler/src/ledger/snapshot.rs
+++ b/crates/borageswitch_scheduler/src/ledger/snapshot.rs
@@ -6,7 +6,10 @@
 
 use crate::{
     job::Submission,
-    ledger::{Finished, Ledger, host_orders::HostOrders, job::Job, job::Progress},
+    ledger::{
+        Finished, Ledger, host_orders::HostOrders, job::Job, job::Progress, record::Leftover,
+    },
+    task::TaskKey,
 };
 
 /// The ledger without the jobs' descriptions: those are stored where the callers' requests were
@@ -27,6 +30,9 @@
     pub maintained: BTreeMap<u64, Vec<HostName>>,
     /// Waves that were reported as completed.
     pub completed_waves: Vec<u64>,
+    /// Runs of jobs that have ended, which count for a quota until they have ended as well. Last of
+    /// all, as snapshots that were stored before there were quotas end before it.
+    pub leftovers: BTreeMap<TaskKey, Leftover>,
 }
 
 impl Snapshot {
@@ -41,6 +47,7 @@
             host_orders: ledger.host_orders.clone(),
             maintained: ledger.maintained.clone(),
             completed_waves: ledger.completed_waves.clone(),
+            leftovers: ledger.leftovers.clone(),
         }
     }
 
@@ -58,6 +65,7 @@
             host_orders: self.host_orders,
             maintained: self.maintained,
             completed_waves: self.completed_waves,
+            leftovers: self.leftovers,
         };
         let mut progress = self.jobs;
         for submission in submissions {
--- a/crates/borageswitch_scheduler/src/ledger/tests.rs
+++ b/crates/borageswitch_scheduler/src/ledger/tests.rs
@@ -35,6 +35,7 @@
         queue: queue(),
         accepted: UnixMillis(1_000),
         spec: JobSpec { text: "text".into(), steps, schedule: None },
+        caller: None,
     })
 }
 
--- a/crates/borageswitch_scheduler/src/policy/mod.rs
+++ b/crates/borageswitch_scheduler/src/policy/mod.rs
@@ -24,6 +24,7 @@
 pub mod order;
 pub mod pacing;
 pub mod placing;
+pub mod quotas;
 pub mod stragglers;
 pub mod trust;
 
--- a/crates/borageswitch_scheduler/src/reducer/executor_table.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executor_table.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     executor::Registration,
+    policy::quotas::Usage,
     reducer::executors::{Executor, Held},
     task::TaskKey,
 };
@@ -20,6 +21,8 @@
 pub struct ExecutorTable {
     all: BTreeMap<ExecutorName, Executor>,
     by_pool: BTreeMap<PoolName, BTreeSet<ExecutorName>>,
+    /// What callers' runs use on all of them.
+    usage: Usage,
     /// Where a job's tasks have runs, or may have.
     holders: BTreeMap<JobName, BTreeSet<(ExecutorName, TaskKey)>>,
     /// Executors that may look different since they were asked for last, each once.
@@ -35,7 +38,7 @@
     }
 
     /// One of them, to be changed. Its runs and its registration are changed by [`Self::hold`],
-    /// [`Self::drop_run`] and [`Self::register`] instead, which keep the indices.
+    /// [`Self::confirm`], [`Self::drop_run`] and [`Self::register`] instead, which keep the indices.
     pub fn get_mut(&mut self, executor: &ExecutorName) -> Option<&mut Executor> {
         let known = self.all.get_mut(executor)?;
         if !known.is_noted {
@@ -76,6 +79,11 @@
         self.holders.get(job).into_iter().flatten()
     }
 
+    /// What callers' runs use on all executors.
+    pub fn usage(&self) -> &Usage {
+        &self.usage
+    }
+
     /// Those that may look different, without taking note of it.
     pub fn changed(&self) -> impl Iterator<Item = &ExecutorName> {
         self.changed.iter()
@@ -117,7 +125,8 @@
         self.remove(&name);
         let pool = executor.registration.pool.clone();
         self.by_pool.entry(pool).or_default().insert(name.clone());
-        for task in executor.runs.keys() {
+        for (task, held) in &executor.runs {
+            charge(&mut self.usage, held);
             let holders = self.holders.entry(task.job.clone()).or_default();
             holders.insert((name.clone(), task.clone()));
         }
@@ -130,22 +139,36 @@
     pub fn remove(&mut self, executor: &ExecutorName) {
         let Some(known) = self.all.remove(executor) else { return };
         self.leave_pool(&known.registration.pool, executor);
-        for task in known.runs.keys() {
+        for (task, held) in &known.runs {
+            discharge(&mut self.usage, held);
             self.forget_holder(executor, task);
         }
     }
 
     /// An executor has a run of a task, or may have.
     pub fn hold(&mut self, executor: &ExecutorName, task: &TaskKey, held: Held) {
-        let Some(known) = self.get_mut(executor) else { return };
+        self.drop_run(executor, task);
+        let Some(known) = self.all.get_mut(executor) else { return };
+        charge(&mut self.usage, &held);
         known.add_run(task.clone(), held);
         let holders = self.holders.entry(task.job.clone()).or_default();
         holders.insert((executor.clone(), task.clone()));
     }
 
+    /// An executor has confirmed or listed a run.
+    pub fn confirm(&mut self, executor: &ExecutorName, task: &TaskKey) {
+        let held = self.all.get_mut(executor).and_then(|known| known.runs.get_mut(task));
+        let Some(held) = held.filter(|held| !held.confirmed) else { return };
+        held.confirmed = true;
+        if let Some(charge) = &held.charge {
+            self.usage.confirm(&charge.caller);
+        }
+    }
+
     /// An executor has no run of a task any more.
     pub fn drop_run(&mut self, executor: &ExecutorName, task: &TaskKey) -> Option<Held> {
         let held = self.get_mut(executor)?.remove_run(task)?;
+        discharge(&mut self.usage, &held);
         self.forget_holder(executor, task);
         Some(held)
     }
@@ -168,6 +191,18 @@
     }
 }
 
+fn charge(usage: &mut Usage, held: &Held) {
+    if let Some(charge) = &held.charge {
+        usage.add(charge, held.confirmed);
+    }
+}
+
+fn discharge(usage: &mut Usage, held: &Held) {
+    if let Some(charge) = &held.charge {
+        usage.subtract(charge, held.confirmed);
+    }
+}
+
 impl FromIterator<Executor> for ExecutorTable {
     fn from_iter<I>(executors: I) -> Self
     where
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -5,8 +5,12 @@
 use borageswitch_types::Time;
 
 use crate::{
-    effect::Recipient, executor::Registration, job::Size, policy::trust::Trust,
-    reducer::clock::ClockReading, task::TaskKey,
+    effect::Recipient,
+    executor::Registration,
+    job::Size,
+    policy::{quotas::Charge, trust::Trust},
+    reducer::{clock::ClockReading, pace::FULL_PACE},
+    task::TaskKey,
 };
 
 /// What is known of a run on an executor.
@@ -33,6 +37,8 @@
     pub run: u32,
     /// The room that it takes.
     pub size: Size,
+    /// Whose it is, and what it uses of that caller's quota.
+    pub charge: Option<Charge>,
     /// It lasts until its job is cancelled.
     pub lasting: bool,
     /// Its job could not be on time any more when it was placed.
@@ -63,6 +69,29 @@
 }
 
 impl Held {
+    /// A run that takes no room and is nobody's, as of now in this phase.
+    pub(super) fn new(run: u32, phase: Phase, now: Time) -> Self {
+        Self {
+            run,
+            size: Size::default(),
+            charge: None,
+            lasting: false,
+            late: false,
+            fills: false,
+            target_tail: None,
+            phase,
+            since: now,
+            started: now,
+            percent: 0,
+            recent: 0,
+            // Whatever pace an earlier leader may have given is not known.
+            pace: (phase == Phase::Recorded).then_some(FULL_PACE),
+            confirmed: false,
+            stop_sent: None,
+            barred: None,
+        }
+    }
+
     /// Whether a look that left at `sent` and did not list the run proves that it is not there and
     /// will not come.
     pub fn is_over(&self, sent: Time) -> bool {
--- a/crates/borageswitch_scheduler/src/reducer/gangs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/gangs.rs
@@ -22,9 +22,8 @@
         step: &Step,
         room: &mut Room,
     ) -> bool {
-        if waiting.waiting.len() < step.count as usize {
-            // A member was not started, or has ended: the others can only wait in vain.
-            self.stop_members(now, waiting, step);
+        // A member was not started, or has ended: the others can only wait in vain.
+        if self.stop_incomplete(now, waiting) {
             return true;
         }
         let Some((places, left)) = self.places_for_gang(now, waiting, step, room) else {
@@ -43,15 +42,23 @@
     /// There is no room for a member of a gang for certain. Members that run without the others are
     /// stopped all the same: they work only together.
     pub(super) fn gang_without_room(&mut self, now: Now, pool: &PoolName, waiting: &WaitingStep) {
-        let job = self.ledger.jobs.get(&waiting.key.job);
-        let Some(step) = job.and_then(|job| job.step(waiting.key.step)).cloned() else { return };
-        if waiting.waiting.len() < step.count as usize {
-            self.stop_members(now, waiting, &step);
-        } else {
+        if !self.stop_incomplete(now, waiting) {
             self.gang_missed(now, pool, &waiting.key);
         }
     }
 
+    /// Stops the members of a gang that run without the others. Gives whether there are such.
+    pub(super) fn stop_incomplete(&mut self, now: Now, waiting: &WaitingStep) -> bool {
+        let job = self.ledger.jobs.get(&waiting.key.job);
+        let step = job.and_then(|job| job.step(waiting.key.step));
+        let Some(count) = step.map(|step| step.count) else { return true };
+        let incomplete = waiting.waiting.len() < count as usize;
+        if incomplete {
+            self.stop_members(now, waiting, count);
+        }
+        incomplete
+    }
+
     /// A place for each member, and the room that is left then.
     ///
     /// One rack is tried before all: there a gang that talks much is faster.
@@ -129,8 +136,8 @@
         last.max().unwrap_or(0) + 1
     }
 
-    fn stop_members(&mut self, now: Now, waiting: &WaitingStep, step: &Step) {
-        for index in 0..step.count {
+    fn stop_members(&mut self, now: Now, waiting: &WaitingStep, count: u32) {
+        for index in 0..count {
             let task: TaskKey = waiting.key.task(index);
             let assigned = self.ledger.task(&task).and_then(|state| state.assigned.clone());
             if let Some(assigned) = assigned {
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -15,7 +15,7 @@
     ledger::{
         KEEP_OUTCOME,
         job::{Job, Occurrence},
-        record::{Outcome, Record},
+        record::{Leftover, Outcome, Record},
     },
     policy::order::JobView,
     reducer::{Scheduler, executors::Held},
@@ -161,12 +161,27 @@
         });
         self.stir_pool_of(job);
         self.ending.insert(job.clone(), self.outbox.next_append());
+        for record in self.leftovers_of(job) {
+            self.record(record);
+        }
         self.record(Record::Finished { job: job.clone(), queue, outcome, at: now.wall });
         self.outbox.then_show_end(job.clone());
         self.times.remove(job);
         self.stop_all_of(now, job);
     }
 
+    /// The runs of a job that go on counting for its caller's quota when it ends.
+    fn leftovers_of(&self, job: &JobName) -> Vec<Record> {
+        let runs = self.executors.runs_of(job).filter_map(|(executor, task)| {
+            let held = self.executors.get(executor)?.runs.get(task)?;
+            let charge = held.charge.clone()?;
+            let (executor, run, size) = (executor.clone(), held.run, held.size);
+            let leftover = Leftover { executor, run, size, charge };
+            Some(Record::Leftover { task: task.clone(), leftover })
+        });
+        runs.collect()
+    }
+
     /// Begins occurrences of timed jobs that are due.
     pub(super) fn begin_due(&mut self, now: Now) {
         let mut due = Vec::new();
--- a/crates/borageswitch_scheduler/src/reducer/lending.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lending.rs
@@ -17,7 +17,11 @@
     job::{Size, Step, Submission},
     policy::lending::{self, ArrivalRate, IdleHost, LabelNeed, Need, PoolLoad},
     reducer::{
-        Scheduler, executors::Executor, hosts::Purpose, places::reserved, waiting::unblocked_steps,
+        Scheduler,
+        executors::Executor,
+        hosts::Purpose,
+        places::reserved,
+        waiting::{charge_of, unblocked_steps},
     },
 };
 
@@ -42,11 +46,7 @@
 impl PoolNeeds {
     fn add(&mut self, step: &Step, waiting: u64) {
         let size = reserved(step);
-        let waits = Size {
-            cpu_milli: size.cpu_milli * waiting,
-            memory_mb: size.memory_mb * waiting,
-            accelerators: size.accelerators * waiting,
-        };
+        let waits = size.times(waiting);
         let apart = step.max_per_host.map_or(0, |most| step.count.div_ceil(most) as usize);
         let need = match &step.label {
             // Hosts without the label are of no use to what waits for it; what runs counts as any
@@ -170,11 +170,14 @@
         for known in self.executors.values() {
             needs.entry(known.registration.pool.clone()).or_default().whole.demand += known.taken();
         }
+        // Hosts that are fetched for tasks whose callers are at their quota would stand idle.
+        let mut dealing = self.dealing();
         for (name, job) in &self.ledger.jobs {
             let Some(times) = self.times.get(name) else { continue };
             let pool = needs.entry(times.pool.clone()).or_default();
             for (step, waiting) in unblocked_steps(job) {
-                pool.add(step, waiting as u64);
+                let charge = charge_of(job, step);
+                pool.add(step, dealing.take(charge.as_ref(), waiting as u64));
             }
         }
         for pool in needs.values_mut() {
--- a/crates/borageswitch_scheduler/src/reducer/looks.rs
+++ b/crates/borageswitch_scheduler/src/reducer/looks.rs
@@ -152,6 +152,12 @@
 
     /// Compares what an executor runs with what it is believed to run.
     fn compare(&mut self, now: Now, executor: &ExecutorName, sent: Time, report: &Report) {
+        for active in &report.active {
+            let held = self.executors.get(executor).and_then(|known| known.runs.get(&active.task));
+            if held.is_some_and(|held| held.run == active.run && !held.confirmed) {
+                self.executors.confirm(executor, &active.task);
+            }
+        }
         let Some(known) = self.executors.get_mut(executor) else { return };
         let ended: BTreeSet<&TaskKey> = report.ended.iter().map(|e| &e.task).collect();
         let listed: BTreeSet<(&TaskKey, u32)> =
@@ -206,7 +212,6 @@
 fn take_active(held: &mut Held, active: &ActiveRun, now: Time) {
     held.percent = active.percent;
     held.recent = active.recent;
-    held.confirmed = true;
     if matches!(held.phase, Phase::Sent | Phase::Inherited | Phase::Unsure) {
         held.phase = Phase::Active;
         held.since = now;
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -15,6 +15,7 @@
 //! - [`waiting`]: which steps wait, most urgent first; [`rooms`]: what executors have left.
 //! - [`pass`]: waiting tasks find hosts, among the [`places`] that suit them; [`gangs`] find them together; [`advice`] asks where a
 //!   step may run; [`kept_room`] keeps room for gangs; [`evict`] makes room for lasting tasks.
+//! - [`quotas`]: callers are held to what their tasks may use at once.
 //! - [`pace`]: work that fills gaps is slowed beside work that serves.
 //! - [`registrations`]: executors come, drain and go.
 //! - [`hosts`]: orders for hosts, which are emptied before ([`emptying`]); [`waves`] maintain them,
@@ -41,6 +42,7 @@
 pub mod pace;
 pub mod pass;
 pub mod places;
+pub mod quotas;
 pub mod recovery;
 pub mod registrations;
 pub mod rooms;
@@ -263,7 +265,8 @@
             format!("run={} executor={executor} why={why}", held.run)
         });
         let assigned = self.ledger.task(task).and_then(|state| state.assigned.as_ref());
-        if assigned.is_some_and(|a| a.run == held.run && a.executor == *executor) {
+        let is_left = self.ledger.leftovers.get(task).is_some_and(|left| left.run == held.run);
+        if is_left || assigned.is_some_and(|a| a.run == held.run && a.executor == *executor) {
             self.record(Record::Released { task: task.clone(), run: held.run });
         }
     }
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -88,6 +88,12 @@
         let rest = rest.filter(|step| !ahead.iter().any(|other| other.key == step.key));
         let mut full = Full::default();
         for step in first.chain(ahead.iter()).chain(rest) {
+            if self.is_at_quota(step) {
+                if step.gang {
+                    self.stop_incomplete(now, step);
+                }
+                continue;
+            }
             let own = step.urgency.is_lasting() || self.has_kept_room(pool, &step.key);
             if own {
                 self.place_own(now, pool, step, room);
@@ -120,7 +126,8 @@
 
     /// The late steps that must run now and may go ahead of all others.
     fn let_ahead(&self, pool: &PoolName, order: &Order) -> Vec<WaitingStep> {
-        let due: Vec<&WaitingStep> = order.values().filter(|step| step.due).collect();
+        let due = order.values().filter(|step| step.due && !self.is_at_quota(step));
+        let due: Vec<&WaitingStep> = due.collect();
         if due.is_empty() {
             return Vec::new();
         }
@@ -158,7 +165,7 @@
         }
         let size = waiting.size;
         let mut places = self.places(now, &waiting.key, &step, room);
-        for &index in &waiting.waiting {
+        for &index in waiting.waiting.iter().take(self.startable(waiting)) {
             let task = waiting.key.task(index);
             let Some(executor) = places.take(&size) else {
                 if needs_ticket {
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -9,7 +9,7 @@
 
 use borageswitch_types::{
     Time,
-    names::{DataCentreName, ExecutorName},
+    names::{DataCentreName, ExecutorName, PoolName},
 };
 
 use crate::{
@@ -27,9 +27,9 @@
         kept_room::KeptRoom,
         lending::Lending,
         outbox::Outbox,
-        pace::FULL_PACE,
+        places::reserved,
         rooms::Rooms,
-        waiting::Waiting,
+        waiting::{Waiting, charge_of},
         waves::Waves,
     },
     task::TaskKey,
@@ -103,20 +103,42 @@
         for (task, executor, run) in inherited {
             let held = self.held_for(now.time, &task, run, Phase::Inherited);
             let Some(held) = held else { continue };
-            if self.executors.get(&executor).is_none() {
-                let Some(pool) = self.pool_of(&task.job).cloned() else { continue };
-                let mut unregistered =
-                    Executor::new(unknown_registration(&executor, pool), now.time);
-                let stored = self.ledger.seen.get(&executor).copied().unwrap_or(0);
-                unregistered.present = false;
-                unregistered.taken_end = stored;
-                unregistered.stored_end = stored;
-                self.executors.insert(unregistered);
-            }
-            self.executors.hold(&executor, &task, held);
-            if let Some(known) = self.executors.get_mut(&executor) {
-                known.inherited_until = Some(until);
-            }
+            let Some(pool) = self.pool_of(&task.job).cloned() else { continue };
+            self.inherit_run(now, &executor, pool, &task, held, until);
+        }
+        for (task, left) in self.ledger.leftovers.clone() {
+            let held = Held {
+                size: left.size,
+                charge: Some(left.charge),
+                ..Held::new(left.run, Phase::Inherited, now.time)
+            };
+            self.inherit_run(now, &left.executor, PoolName::from(""), &task, held, until);
+            self.order_stop(now, &left.executor, &task);
+        }
+    }
+
+    /// Takes in a run that an earlier leader has ordered. Its executor may not be registered any
+    /// more, and the run go on there all the same.
+    fn inherit_run(
+        &mut self,
+        now: Now,
+        executor: &ExecutorName,
+        pool: PoolName,
+        task: &TaskKey,
+        held: Held,
+        until: Time,
+    ) {
+        if self.executors.get(executor).is_none() {
+            let mut unregistered = Executor::new(unknown_registration(executor, pool), now.time);
+            let stored = self.ledger.seen.get(executor).copied().unwrap_or(0);
+            unregistered.present = false;
+            unregistered.taken_end = stored;
+            unregistered.stored_end = stored;
+            self.executors.insert(unregistered);
+        }
+        self.executors.hold(executor, task, held);
+        if let Some(known) = self.executors.get_mut(executor) {
+            known.inherited_until = Some(until);
         }
     }
 
@@ -130,23 +152,13 @@
     ) -> Option<Held> {
         let job = self.ledger.jobs.get(&task.job)?;
         let step = job.step(task.step)?;
-        let cpu_milli = if step.fills { 0 } else { step.size.cpu_milli };
         Some(Held {
-            run,
-            size: Size { cpu_milli, ..step.size },
+            size: reserved(step),
+            charge: charge_of(job, step),
             lasting: step.lasting,
-            late: false,
             fills: step.fills,
             target_tail: step.target_tail,
-            phase,
-            since: now,
-            started: now,
-            percent: 0,
-            recent: 0,
-            pace: (phase == Phase::Recorded).then_some(FULL_PACE),
-            confirmed: false,
-            stop_sent: None,
-            barred: None,
+            ..Held::new(run, phase, now)
         })
     }
 }
@@ -170,10 +182,7 @@
 }
 
 /// Stands for an executor that is named in the ledger but not registered; nothing is sent to it.
-fn unknown_registration(
-    executor: &ExecutorName,
-    pool: borageswitch_types::names::PoolName,
-) -> Registration {
+fn unknown_registration(executor: &ExecutorName, pool: PoolName) -> Registration {
     Registration {
         executor: executor.clone(),
         pool,
--- a/crates/borageswitch_scheduler/src/reducer/starts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/starts.rs
@@ -138,9 +138,9 @@
     }
 
     fn run_confirmed(&mut self, now: Now, executor: &ExecutorName, task: &TaskKey) {
+        self.executors.confirm(executor, task);
         let Some(known) = self.executors.get_mut(executor) else { return };
         let Some(held) = known.runs.get_mut(task) else { return };
-        held.confirmed = true;
         if let Some(times) = self.times.get_mut(&task.job) {
             times.begun = true;
         }
--- a/crates/borageswitch_scheduler/src/reducer/view.rs
+++ b/crates/borageswitch_scheduler/src/reducer/view.rs
@@ -1,6 +1,6 @@
 //! What callers and operators ask.
 
-use borageswitch_types::names::{JobName, QueueName};
+use borageswitch_types::names::{CallerName, JobName, QueueName};
 
 use crate::{ledger::record::Outcome, reducer::Scheduler};
 
@@ -40,6 +40,11 @@
         Some(if known.progress.started { JobStatus::Running } else { JobStatus::Queued })
     }
 
+    /// Whether a job that has not ended is another caller's.
+    pub fn is_foreign(&self, job: &JobName, caller: Option<&CallerName>) -> bool {
+        self.ledger.jobs.get(job).is_some_and(|known| known.submission.is_foreign_to(caller))
+    }
+
     /// How many jobs of a queue wait for their first start.
     ///
     /// An order that is stored is no start: it may never have left. Counted as one, the jobs of a
--- a/crates/borageswitch_scheduler/src/reducer/waiting.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waiting.rs
@@ -16,7 +16,7 @@
     event::Now,
     job::{Size, Step},
     ledger::job::{Job, StepState},
-    policy::{last_chance, order::Urgency},
+    policy::{last_chance, order::Urgency, quotas::Charge},
     reducer::{Scheduler, places::reserved},
     task::{StepKey, TaskKey},
 };
@@ -36,6 +36,8 @@
     pub(super) waiting: Vec<u32>,
     /// The room that each of them takes.
     pub(super) size: Size,
+    /// Whose job it is, and what each task uses of that caller's quota.
+    pub(super) charge: Option<Charge>,
     /// Its tasks work only together.
     pub(super) gang: bool,
     /// It must run now to be of use, though it will be late.
@@ -142,13 +144,20 @@
                 let step = job.step(key.step);
                 let size = step.map(reserved).unwrap_or_default();
                 let gang = step.is_some_and(|step| step.gang);
-                WaitingStep { urgency, key, waiting, size, gang, due }
+                let charge = step.and_then(|step| charge_of(job, step));
+                WaitingStep { urgency, key, waiting, size, charge, gang, due }
             }));
         }
         steps
     }
 }
 
+/// What each task of a step uses of its caller's quota.
+pub(super) fn charge_of(job: &Job, step: &Step) -> Option<Charge> {
+    let caller = job.submission.caller.clone()?;
+    Some(Charge { caller, size: step.size })
+}
+
 /// The steps of a job that can run, with how many of their tasks wait.
 pub(super) fn unblocked_steps(job: &Job) -> Vec<(&Step, usize)> {
     let steps = &job.submission.spec.steps;
--- /dev/null
+++ b/crates/borageswitch_scheduler/tests/quotas.rs
@@ -0,0 +1,155 @@
+//! Callers are held to what their tasks may use at once.
+
+mod support;
+
+use std::sync::Arc;
+
+use borageswitch_scheduler::{
+    config::{Caller, Config},
+    effect::Effect,
+    event::Event,
+    executor::{EndKind, EndedRun},
+    job::Step,
+    ledger::{Ledger, record::Record},
+};
+use borageswitch_types::names::{CallerName, JobName};
+use support::{
+    fixtures::{config, cores},
+    session::{Session, active, done, key, step, stops},
+};
+
+const CALLER: &str = "nosipho";
+
+/// A configuration with a caller that may use so many cores.
+fn config_with_quota(version: u64, quota: u64) -> Arc<Config> {
+    let mut config = Config::clone(&config(true));
+    let name = CallerName::from(CALLER);
+    config.version = version;
+    config.callers.insert(name.clone(), Caller { name, weight: 10.0, quota: cores(quota) });
+    Arc::new(config)
+}
+
+fn session_with_quota(executors: &[&str], ledger: Ledger, quota: u64) -> Session {
+    Session::with_config(executors, ledger, config_with_quota(1, quota))
+}
+
+/// Stores what is on its way until nothing more is ordered; gives how many tasks were.
+fn start_all(session: &mut Session) -> usize {
+    let mut started = 0;
+    let mut idle = 0;
+    while idle < 3 {
+        let now = session.store_and_start().len();
+        started += now;
+        idle = if now == 0 { idle + 1 } else { 0 };
+    }
+    started
+}
+
+fn records(effects: &[Effect]) -> Vec<Record> {
+    let stored = effects.iter().filter_map(|effect| match effect {
+        Effect::Append { records, .. } => Some(records.clone()),
+        _ => None,
+    });
+    stored.flatten().collect()
+}
+
+#[test]
+fn a_caller_gets_its_quota_and_the_others_the_rest() {
+    // One caller hands in forty tasks at once and another hands in eight a moment later. Served as
+    // they come, the eight would wait until the forty are done.
+    let mut session = session_with_quota(&["e1", "e2"], Ledger::default(), 6);
+    session.submit_as(CALLER, "flood", vec![step(40)]);
+    session.submit_as("thandi", "few", vec![step(8)]);
+
+    let started = start_all(&mut session);
+
+    assert_eq!(started, 6 + 8);
+}
+
+#[test]
+fn what_ends_makes_room_for_what_waits() {
+    let mut session = session_with_quota(&["e1"], Ledger::default(), 2);
+    session.submit_as(CALLER, "j", vec![step(3)]);
+    assert_eq!(start_all(&mut session), 2);
+
+    session.report("e1", &[active(&key("j", 1))], &[done(1, &key("j", 0))], 0);
+
+    assert_eq!(start_all(&mut session), 1);
+}
+
+#[test]
+fn a_lowered_quota_stops_nothing_and_starts_nothing() {
+    // An operator lowers a quota while its caller uses all of it. What runs goes on, what waits is
+    // kept, and starts again once less runs than the new quota allows.
+    let mut session = session_with_quota(&["e1"], Ledger::default(), 4);
+    session.submit_as(CALLER, "j", vec![step(6)]);
+    assert_eq!(start_all(&mut session), 4);
+
+    session.handle(Event::Configured(config_with_quota(2, 2)));
+    let effects = session.pass(60);
+    let running: Vec<_> = (2..4).map(|index| active(&key("j", index))).collect();
+    let ended: Vec<_> = (0..2).map(|index| done(u64::from(index) + 1, &key("j", index))).collect();
+    session.report("e1", &running, &ended, 0);
+    let at_quota = start_all(&mut session);
+    session.report("e1", &running[1..], &[done(3, &key("j", 2))], 2);
+
+    assert_eq!(stops(&effects), 0);
+    assert_eq!(at_quota, 0);
+    assert_eq!(start_all(&mut session), 1);
+}
+
+#[test]
+fn the_task_that_goes_over_the_quota_leaves_alone() {
+    // Tasks of three cores, and five cores are allowed. Ordered together with the first, the second
+    // could arrive before it and find the caller at what it may use.
+    let mut session = session_with_quota(&["e1"], Ledger::default(), 5);
+    let large = Step { size: cores(3), ..step(4) };
+    session.submit_as(CALLER, "j", vec![large]);
+
+    let first = session.store_and_start().len();
+    let rest = start_all(&mut session);
+
+    assert_eq!((first, rest), (1, 1));
+}
+
+#[test]
+fn runs_of_a_cancelled_job_count_for_the_next_leader() {
+    // A job is cancelled, and its leader dies before the orders to stop its tasks have arrived. The
+    // job is forgotten with its end. If its runs were too, the next leader would give their caller
+    // its whole quota once more.
+    let mut session = session_with_quota(&["e1"], Ledger::default(), 4);
+    session.submit_as(CALLER, "old", vec![step(4)]);
+    assert_eq!(start_all(&mut session), 4);
+    session.handle(Event::Cancelled(JobName::from("old")));
+    let stored = records(&session.pass(60));
+    let mut ledger = Ledger::default();
+    stored.iter().for_each(|record| ledger.apply(record));
+
+    let mut next = session_with_quota(&["e1"], ledger, 4);
+    next.submit_as(CALLER, "new", vec![step(4)]);
+    let before = start_all(&mut next);
+    let stopped = |index: u32| EndedRun {
+        how: EndKind::Stopped,
+        ..done(u64::from(index) + 1, &key("old", index))
+    };
+    next.report("e1", &[], &(0..4).map(stopped).collect::<Vec<_>>(), 0);
+
+    assert_eq!(before, 0);
+    assert_eq!(start_all(&mut next), 4);
+}
+
+#[test]
+fn a_gang_starts_within_its_quota_or_not_at_all() {
+    // Three tasks that work only together wait beside single ones of the same caller. Started in
+    // part, they would hold their room without working.
+    let mut session = session_with_quota(&["e1"], Ledger::default(), 4);
+    session.submit_as(CALLER, "single", vec![step(2)]);
+    assert_eq!(start_all(&mut session), 2);
+    session.submit_as(CALLER, "gang", vec![Step { gang: true, ..step(3) }]);
+
+    let before = start_all(&mut session);
+    session.report("e1", &[active(&key("single", 1))], &[done(1, &key("single", 0))], 0);
+
+    assert_eq!(before, 0);
+    assert_eq!(start_all(&mut session), 3);
+}
--- a/crates/borageswitch_scheduler/tests/randomised.rs
+++ b/crates/borageswitch_scheduler/tests/randomised.rs
@@ -50,15 +50,37 @@
 fn play(seed: u64, guards: bool, faults: Faults) -> World {
     let mut world = World::new(seed, 6, guards, faults);
     world.submit(lasting_job(3));
+    play_in(world)
+}
+
+/// As [`play`], with two callers: one with room for all it sends, one whose quota binds, and is
+/// lowered and raised meanwhile.
+fn play_with_quotas(seed: u64, faults: Faults) -> World {
+    let mut world = World::new(seed, 6, true, faults);
+    world.set_quota("ample", cores(60));
+    world.submit(lasting_job(3));
+    world.set_quota("tight", cores(8));
+    play_in(world)
+}
+
+fn play_in(mut world: World) -> World {
     for _ in 0..60 {
         let steps = random_job(&mut world);
         match world.rng.u32(..6) {
             0 => world.submit_timed(steps, 3),
             _ => world.submit(steps),
         };
+        if world.rng.u32(..10) == 0 && world.has_callers() {
+            let quota = world.rng.u64(3..12);
+            world.set_quota("tight", cores(quota));
+        }
         world.run(500);
     }
     world.calm_down();
+    if world.has_callers() {
+        // What has waited for its quota has to come to its end as well.
+        world.set_quota("tight", cores(40));
+    }
     world.run(40_000);
     world
 }
@@ -167,3 +189,29 @@
         must_hold(seed, &world);
     }
 }
+
+#[test]
+fn a_quota_is_kept_whatever_fails() {
+    // Orders get no answer or arrive late, the leader dies between an order and its answer, jobs are
+    // cancelled while their tasks run, and the quota changes. A caller whose tasks are counted too
+    // low takes hosts for which others have been promised their share.
+    let faults = [
+        Faults::default(),
+        Faults { lost_answer: 60, lost_order: 30, late_order: 40, ..Faults::default() },
+        Faults { leader_dies: 4, lost_order: 200, cancel: 12, ..Faults::default() },
+        Faults {
+            leader_dies: 2,
+            executor_dies: 1,
+            executor_cut: 3,
+            cancel: 4,
+            ..Faults::default()
+        },
+        Faults { store_away: 2, leader_dies: 1, cancel: 4, lost_answer: 30, ..Faults::default() },
+    ];
+    for seed in seeds() {
+        let faults = faults[seed as usize % faults.len()];
+        let world = play_with_quotas(seed, faults);
+
+        must_hold(seed, &world);
+    }
+}
--- a/crates/borageswitch_scheduler/tests/sharing.rs
+++ b/crates/borageswitch_scheduler/tests/sharing.rs
@@ -100,6 +100,7 @@
         queue: queue(),
         accepted: UnixMillis(999_000),
         spec: JobSpec { text: "text".into(), steps: vec![step], schedule: None },
+        caller: None,
     })
 }
 
--- a/crates/borageswitch_scheduler/tests/support/fixtures.rs
+++ b/crates/borageswitch_scheduler/tests/support/fixtures.rs
@@ -1,9 +1,9 @@
 //! One queue, one pool, and sizes.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use borageswitch_scheduler::{
-    config::{Config, Pool, Queue, RequestLimits},
+    config::{Config, Pool, Queue},
     job::Size,
 };
 use borageswitch_types::names::{PoolName, QueueName};
@@ -32,17 +32,7 @@
 /// A configuration with this queue alone.
 pub fn config_with(queue: Queue, guards: bool) -> Arc<Config> {
     let pool = Pool { name: queue.pool.clone(), guards_capacity: guards, standby: false };
-    Arc::new(Config {
-        version: 1,
-        queues: BTreeMap::from([(queue.name.clone(), queue)]),
-        pools: BTreeMap::from([(pool.name.clone(), pool)]),
-        limits: RequestLimits {
-            head_bytes: 1 << 14,
-            body_bytes: 1 << 18,
-            head_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        },
-    })
+    Arc::new(Config::new(1, [queue], [pool]))
 }
 
 /// So many cores, with as many gigabytes.
--- a/crates/borageswitch_scheduler/tests/support/session.rs
+++ b/crates/borageswitch_scheduler/tests/support/session.rs
@@ -16,7 +16,7 @@
 };
 use borageswitch_types::{
     Time,
-    names::{DataCentreName, ExecutorName, HostName, JobName},
+    names::{CallerName, DataCentreName, ExecutorName, HostName, JobName},
     time::UnixMillis,
 };
 
@@ -140,11 +140,21 @@
     }
 
     pub fn submit(&mut self, job: &str, steps: Vec<Step>) {
+        self.submit_of(None, job, steps);
+    }
+
+    /// A caller with a key hands in a job.
+    pub fn submit_as(&mut self, caller: &str, job: &str, steps: Vec<Step>) {
+        self.submit_of(Some(CallerName::from(caller)), job, steps);
+    }
+
+    fn submit_of(&mut self, caller: Option<CallerName>, job: &str, steps: Vec<Step>) {
         let submission = Submission {
             job: JobName::from(job),
             queue: queue(),
             accepted: UnixMillis(990_000 + self.now),
             spec: JobSpec { text: "text".into(), steps, schedule: None },
+            caller,
         };
         self.handle(Event::Submitted(Arc::new(submission)));
     }
--- a/crates/borageswitch_scheduler/tests/support/world.rs
+++ b/crates/borageswitch_scheduler/tests/support/world.rs
@@ -14,10 +14,11 @@
 };
 
 use borageswitch_scheduler::{
+    config::{Caller, Config},
     effect::Effect,
     event::{Event, Now},
     executor::Registration,
-    job::{JobSpec, Schedule, Step, Submission},
+    job::{JobSpec, Schedule, Size, Step, Submission},
     ledger::{
         Ledger,
         record::{Outcome, Record},
@@ -27,7 +28,7 @@
 };
 use borageswitch_types::{
     Time,
-    names::{DataCentreName, ExecutorName, JobName},
+    names::{CallerName, DataCentreName, ExecutorName, JobName},
     time::UnixMillis,
 };
 use fastrand::Rng;
@@ -43,6 +44,8 @@
 const WALL: u64 = 1_700_000_000_000;
 /// How long a call without an answer takes.
 const CALL_TIMEOUT: u64 = 450;
+/// The longest that an order is on its way.
+const LONGEST_DELAY: u64 = 12_000;
 
 /// Which faults happen, each with its chance a thousand calls or steps.
 #[derive(Clone, Copy, Debug, Default)]
@@ -82,6 +85,9 @@
     leader_back_at: u64,
     due: Vec<(u64, Due)>,
     next_executor: u32,
+    config: Arc<Config>,
+    /// Quotas of earlier configurations, and until when a start may go by them.
+    earlier_quotas: Vec<(u64, CallerName, Size)>,
     pub shown: BTreeMap<JobName, Outcome>,
     pub broken: Vec<String>,
 }
@@ -107,6 +113,8 @@
             leader_back_at: 0,
             due: Vec::new(),
             next_executor: 0,
+            config: config(guards),
+            earlier_quotas: Vec::new(),
             shown: BTreeMap::new(),
             broken: Vec::new(),
         };
@@ -144,6 +152,40 @@
             .collect()
     }
 
+    /// The operator sets what a caller's tasks may use at once.
+    pub fn set_quota(&mut self, caller: &str, quota: Size) {
+        let name = CallerName::from(caller);
+        if let Some(before) = self.config.callers.get(&name) {
+            // An order that left under it may be carried out that much later.
+            let until = self.now + LONGEST_DELAY;
+            self.earlier_quotas.push((until, name.clone(), before.quota));
+        }
+        let mut config = Config::clone(&self.config);
+        config.version += 1;
+        config.callers.insert(name.clone(), Caller { name, weight: 1.0, quota });
+        self.config = Arc::new(config);
+        let moment = self.moment();
+        let event = Event::Configured(self.config.clone());
+        if let Some(leader) = &mut self.leader {
+            leader.handle(moment, event);
+        }
+    }
+
+    /// Whether jobs have callers.
+    pub fn has_callers(&self) -> bool {
+        !self.config.callers.is_empty()
+    }
+
+    /// Some caller with a quota, if there are any.
+    fn some_caller(&mut self) -> Option<CallerName> {
+        let callers: Vec<&CallerName> = self.config.callers.keys().collect();
+        if callers.is_empty() {
+            return None;
+        }
+        let chosen = self.rng.usize(..callers.len());
+        Some(callers[chosen].clone())
+    }
+
     /// A caller hands in a job.
     pub fn submit(&mut self, steps: Vec<Step>) -> JobName {
         self.submit_at(steps, None)
@@ -158,11 +200,13 @@
 
     fn submit_at(&mut self, steps: Vec<Step>, schedule: Option<Schedule>) -> JobName {
         let name = JobName::from(format!("{:016x}", self.rng.u64(..)));
+        let caller = self.some_caller();
         let submission = Arc::new(Submission {
             job: name.clone(),
             queue: queue(),
             accepted: UnixMillis(WALL + self.now),
             spec: JobSpec { text: "text".into(), steps, schedule },
+            caller,
         });
         self.submissions.insert(name.clone(), submission.clone());
         self.stored_jobs.insert(name.clone());
@@ -285,7 +329,7 @@
             moment,
             ledger,
             next,
-            config(self.executors.values().all(|e| e.guards)),
+            self.config.clone(),
             self.registrations(),
         );
         for job in self.cancelled.keys() {
--- a/crates/borageswitch_scheduler/tests/support/world/checks.rs
+++ b/crates/borageswitch_scheduler/tests/support/world/checks.rs
@@ -1,7 +1,7 @@
 //! What must hold, at each moment and at the end.
 
-use borageswitch_scheduler::{effect::Effect, ledger::record::Outcome, task::TaskKey};
-use borageswitch_types::names::{ExecutorName, JobName};
+use borageswitch_scheduler::{effect::Effect, job::Size, ledger::record::Outcome, task::TaskKey};
+use borageswitch_types::names::{CallerName, ExecutorName, JobName};
 
 use super::{Faults, World};
 use crate::support::executor::SimExecutor;
@@ -38,12 +38,44 @@
                 }
             }
         }
+        self.check_quota(task);
         let known = &self.executors[executor];
         if !known.capacity.holds(&known.taken()) {
             self.broken.push(format!("{executor} is over its capacity"));
         }
     }
 
+    /// A task starts only while what else its caller has running is below the quota.
+    fn check_quota(&mut self, task: &TaskKey) {
+        let Some(caller) = self.submissions[&task.job].caller.clone() else { return };
+        let quota = self.highest_quota(&caller);
+        let mut used = Size::default();
+        for (name, known) in &self.executors {
+            let runs = known.active.iter().filter(|(other, _)| {
+                *other != task && self.submissions[&other.job].caller.as_ref() == Some(&caller)
+            });
+            if !self.dead.contains(name) {
+                runs.for_each(|(_, run)| used += run.size);
+            }
+        }
+        if quota.cpu_milli > 0 && used.cpu_milli >= quota.cpu_milli {
+            let (used, quota) = (used.cpu_milli, quota.cpu_milli);
+            let now = self.now;
+            self.broken.push(format!("{now}: {task} started, {caller} uses {used} of {quota}"));
+        }
+    }
+
+    /// The highest quota by which a start that arrives now may have been ordered.
+    fn highest_quota(&self, caller: &CallerName) -> Size {
+        let now = self.config.callers[caller].quota;
+        let earlier = self
+            .earlier_quotas
+            .iter()
+            .filter(|(until, name, _)| *until >= self.now && name == caller);
+        let quotas = earlier.map(|(_, _, quota)| *quota).chain([now]);
+        quotas.max_by_key(|quota| quota.cpu_milli).unwrap_or_default()
+    }
+
     pub(super) fn check(&mut self) {
         if let Some((job, outcome)) = self.shown.iter().find(|(job, outcome)| {
             **outcome == Outcome::Cancelled && !self.cancelled.contains_key(*job)
--- a/crates/borageswitch_scheduler/tests/support/world/orders.rs
+++ b/crates/borageswitch_scheduler/tests/support/world/orders.rs
@@ -7,7 +7,7 @@
 };
 use borageswitch_types::{Time, names::ExecutorName};
 
-use super::{CALL_TIMEOUT, Due, World};
+use super::{CALL_TIMEOUT, Due, LONGEST_DELAY, World};
 use crate::support::executor::Behaviour;
 
 impl World {
@@ -108,7 +108,8 @@
             Effect::Look(_, order) if !order.wait.is_zero() => 100,
             _ => 0,
         };
-        let delay = if late { self.rng.u64(2_000..12_000) } else { self.rng.u64(1..8) + wait };
+        let delay =
+            if late { self.rng.u64(2_000..LONGEST_DELAY) } else { self.rng.u64(1..8) + wait };
         if silent {
             let event = no_answer(&effect, Time::from_millis(self.now));
             self.due.push((self.now + CALL_TIMEOUT, Due::Event { token, event }));
