Tell operators which caller is at its quota, and what each uses

Cause: a job that waits for its caller's quota looked like one that waits for room. Explain names the quota with figures, the state dump lists what each caller uses, a line a second tells of a caller at its quota and one of each changed quota or share, and the lines of accepted and known jobs name the caller. Ruled out: a metric a caller (its labels would grow with the callers). No decision changes; test: quotas::an_operator_is_told_that_a_job_waits_for_its_callers_quota.

--- a/crates/borageswitch_runtime/src/daemon.rs
+++ b/crates/borageswitch_runtime/src/daemon.rs
@@ -97,7 +97,11 @@
             }
             *known = Some(config.clone());
         }
-        log::info!(version = config.version, queues = config.queues.len(); "config-in-force");
+        log::info!(
+            version = config.version, queues = config.queues.len(),
+            callers = config.callers.len();
+            "config-in-force"
+        );
         // The queue is closed only when the process ends.
         let _ = self.control.try_send(Message::Configured(config));
     }
--- a/crates/borageswitch_scheduler/src/job.rs
+++ b/crates/borageswitch_scheduler/src/job.rs
@@ -29,7 +29,9 @@
     serde::Deserialize,
     derive_more::Add,
     derive_more::AddAssign,
+    derive_more::Display,
 )]
+#[display("{cpu_milli} thousandths of a core, {memory_mb} MB, {accelerators} accelerators")]
 pub struct Size {
     /// Thousandths of a core.
     pub cpu_milli: u64,
--- a/crates/borageswitch_scheduler/src/reducer/explain.rs
+++ b/crates/borageswitch_scheduler/src/reducer/explain.rs
@@ -4,17 +4,18 @@
 
 use std::collections::BTreeMap;
 
-use borageswitch_types::names::{HostName, JobName, PoolName};
+use borageswitch_types::names::{CallerName, HostName, JobName, PoolName};
 
 use crate::{
     event::Now,
-    job::Step,
+    job::{Size, Step},
     ledger::job::{Job, Occurrence, StepState},
-    policy::order::Urgency,
+    policy::{order::Urgency, quotas},
     reducer::{
         Scheduler,
         executors::Executor,
         places::{fits_labels, reserved},
+        waiting::charge_of,
     },
     task::StepKey,
 };
@@ -40,7 +41,7 @@
 }
 
 /// What the leader believes, in figures.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
 pub struct StateDump {
     /// For how long it has led, in milliseconds.
     pub leads_for_ms: u64,
@@ -62,6 +63,21 @@
     pub open_waves: Vec<u64>,
     /// Runs that executors have or may have.
     pub runs: usize,
+    /// Callers that use anything, with their quota and share.
+    pub callers: BTreeMap<CallerName, CallerDump>,
+}
+
+/// What the leader believes of a caller.
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+pub struct CallerDump {
+    /// What its tasks use.
+    pub used: Size,
+    /// What they may use at once; 0 sets no limit.
+    pub quota: Size,
+    /// How many jobs a second are its share.
+    pub weight: f64,
+    /// How many orders to start its tasks are unanswered.
+    pub on_way: u32,
 }
 
 impl Scheduler {
@@ -100,9 +116,25 @@
             withdrawals: withdrawals.collect(),
             open_waves: self.waves.open().collect(),
             runs: self.executors.values().map(|known| known.runs.len()).sum(),
+            callers: self.dump_callers(),
         }
     }
 
+    fn dump_callers(&self) -> BTreeMap<CallerName, CallerDump> {
+        let declared = self.config.as_ref().map(|config| &config.callers);
+        let dumps = self.executors.usage().iter().map(|(name, used)| {
+            let caller = declared.and_then(|declared| declared.get(name));
+            let dump = CallerDump {
+                used: used.size,
+                quota: caller.map(|caller| caller.quota).unwrap_or_default(),
+                weight: caller.map_or(0.0, |caller| caller.weight),
+                on_way: used.on_way,
+            };
+            (name.clone(), dump)
+        });
+        dumps.collect()
+    }
+
     fn explain_job(&self, now: Now, name: &JobName) -> Vec<String> {
         if let Some(ended) = self.ledger.finished.get(name) {
             let age = now.wall.0.saturating_sub(ended.at.0);
@@ -168,6 +200,9 @@
     /// Why no executor takes a task of a step at this moment.
     fn explain_waiting(&self, now: Now, key: &StepKey, step: &Step) -> String {
         let Some(pool) = self.pool_of(&key.job) else { return "no pool is known".to_owned() };
+        if let Some(line) = self.explain_quota(key, step) {
+            return line;
+        }
         let size = reserved(step);
         let mut counts: BTreeMap<&'static str, usize> = BTreeMap::new();
         let members = self.executors.iter().filter(|(_, e)| e.registration.pool == *pool);
@@ -189,6 +224,25 @@
         format!("a task needs {cpu} thousandths of a core and {memory} MB; executors: {counts}")
     }
 
+    /// That a step waits for its caller's quota, if it does.
+    fn explain_quota(&self, key: &StepKey, step: &Step) -> Option<String> {
+        let charge = charge_of(self.ledger.jobs.get(&key.job)?, step)?;
+        let quota = self.quota_of(&charge.caller)?;
+        let used = self.executors.usage().of(&charge.caller);
+        let left = quotas::startable(&quota, &used.size, &charge.size)?;
+        let starts = match step.gang {
+            false => left.of_single(1, used.on_way > 0) > 0,
+            true => left.lets_gang(step.count as usize, used.on_way > 0),
+        };
+        (!starts).then(|| {
+            format!(
+                "its caller {} is at its quota: uses {}, may use {}, a task needs {}, {} orders \
+                 are unanswered",
+                charge.caller, used.size, quota, charge.size, used.on_way
+            )
+        })
+    }
+
     fn explain_host(&self, now: Now, host: &HostName) -> Vec<String> {
         let Some(entry) = self.fleet.hosts.get(host) else { return Vec::new() };
         let age = self.fleet.listed.map_or(0, |at| now.time.since(at).as_millis());
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -4,7 +4,7 @@
 
 use borageswitch_types::{
     Time,
-    names::{ExecutorName, JobName, PoolName, QueueName},
+    names::{CallerName, ExecutorName, JobName, PoolName, QueueName},
     time::UnixMillis,
 };
 
@@ -86,8 +86,9 @@
             let tasks: u32 = steps.iter().map(|step| step.count).sum();
             let labels: Vec<&str> = steps.iter().filter_map(|s| s.label.as_deref()).collect();
             format!(
-                "queue={} steps={} tasks={tasks} labels={labels:?} age_ms={age}",
+                "queue={} caller={} steps={} tasks={tasks} labels={labels:?} age_ms={age}",
                 submission.queue.name,
+                submission.caller.as_ref().map_or("none", CallerName::as_str),
                 steps.len()
             )
         });
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -60,7 +60,7 @@
 
 use borageswitch_types::{
     Time,
-    names::{ExecutorName, HostName, JobName, PoolName},
+    names::{CallerName, ExecutorName, HostName, JobName, PoolName},
 };
 
 use crate::{
@@ -119,6 +119,8 @@
     waiting: Waiting,
     /// When a lasting step last found no room.
     lasting_missed: BTreeMap<StepKey, Time>,
+    /// When it was last told that a caller's tasks wait for its quota.
+    told_at_quota: BTreeMap<CallerName, Time>,
     /// Executors that may be due for a look since something has happened to them.
     unlooked: Vec<ExecutorName>,
     /// Hosts that an earlier leader has ordered about of late, and how long ago at least when this
@@ -230,6 +232,7 @@
 
     fn configure(&mut self, now: Now, config: Arc<Config>) {
         self.stirred.extend(config.pools.keys().cloned());
+        self.tell_callers(&config);
         self.config = Some(config);
         self.renew_times(now);
     }
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -89,6 +89,7 @@
         let mut full = Full::default();
         for step in first.chain(ahead.iter()).chain(rest) {
             if self.is_at_quota(step) {
+                self.tell_at_quota(now, step);
                 if step.gang {
                     self.stop_incomplete(now, step);
                 }
--- a/crates/borageswitch_scheduler/src/reducer/quotas.rs
+++ b/crates/borageswitch_scheduler/src/reducer/quotas.rs
@@ -3,15 +3,21 @@
 //! What a caller uses is counted with its runs in the table of executors, so whatever ends a run or
 //! proves that it never began gives its part back, and a new leader counts what it inherits.
 
+use std::time::Duration;
+
 use borageswitch_types::names::CallerName;
 
 use crate::{
     config::Config,
+    event::Now,
     job::Size,
     policy::quotas::{self, Charge, Usage},
     reducer::{Scheduler, waiting::WaitingStep},
 };
 
+/// The shortest time between two lines about one caller.
+const LINE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What callers may start, while it is dealt out to the tasks that wait.
 #[derive(Debug)]
 pub(super) struct Dealing<'a> {
@@ -62,6 +68,38 @@
         }
     }
 
+    /// Tells which callers' share or quota a configuration changes.
+    pub(super) fn tell_callers(&mut self, fresh: &Config) {
+        let known = self.config.clone();
+        let before = |name| known.as_ref().and_then(|config| config.callers.get(name));
+        for caller in fresh.callers.values().filter(|caller| before(&caller.name) != Some(caller)) {
+            let (weight, quota, version) = (caller.weight, caller.quota, fresh.version);
+            self.log("caller-declared", &caller.name, || {
+                format!("weight={weight} quota=[{quota}] version={version}")
+            });
+        }
+    }
+
+    /// Tells at most once a second that a caller's tasks wait for its quota.
+    pub(super) fn tell_at_quota(&mut self, now: Now, step: &WaitingStep) {
+        let Some(charge) = &step.charge else { return };
+        let told = self.told_at_quota.get(&charge.caller);
+        if told.is_some_and(|at| now.time.since(*at) < LINE_INTERVAL) {
+            return;
+        }
+        let caller = charge.caller.clone();
+        let used = self.executors.usage().of(&caller);
+        let quota = self.quota_of(&caller).unwrap_or_default();
+        let version = self.config.as_ref().map_or(0, |config| config.version);
+        self.told_at_quota.insert(caller.clone(), now.time);
+        self.log("caller-at-quota", &caller, || {
+            format!(
+                "used=[{}] quota=[{quota}] unanswered={} version={version} first={}",
+                used.size, used.on_way, step.key
+            )
+        });
+    }
+
     /// Whether a step has to wait until its caller uses less.
     pub(super) fn is_at_quota(&self, step: &WaitingStep) -> bool {
         self.startable(step) == 0
--- a/crates/borageswitch_scheduler/tests/quotas.rs
+++ b/crates/borageswitch_scheduler/tests/quotas.rs
@@ -11,6 +11,7 @@
     executor::{EndKind, EndedRun},
     job::Step,
     ledger::{Ledger, record::Record},
+    reducer::explain::Subject,
 };
 use borageswitch_types::names::{CallerName, JobName};
 use support::{
@@ -153,3 +154,18 @@
     assert_eq!(before, 0);
     assert_eq!(start_all(&mut session), 3);
 }
+
+#[test]
+fn an_operator_is_told_that_a_job_waits_for_its_callers_quota() {
+    // A caller complains that its job does not start although hosts stand idle.
+    let mut session = session_with_quota(&["e1"], Ledger::default(), 2);
+    session.submit_as(CALLER, "j", vec![step(3)]);
+    start_all(&mut session);
+
+    let lines = session.scheduler.explain(session.moment(), &Subject::Job(JobName::from("j")));
+    let dump = session.scheduler.dump(session.moment());
+
+    let told = "its caller nosipho is at its quota: uses 2000 thousandths of a core";
+    assert!(lines.iter().any(|line| line.starts_with(told)), "{lines:?}");
+    assert_eq!(dump.callers[CALLER].used, cores(2));
+}
