Count hosts on their way for the lasting tasks that wait for them

A host that moves is listed in its new pool at once, without an executor; it was taken for a member without room, so each list of the platform had as many sent for again. Ruled out: tasks that do not fit the hosts (the third lot stayed empty), a withdrawal that is forgotten (each host has one order).

--- a/crates/borageswitch_scheduler/src/reducer/lasting.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lasting.rs
@@ -8,7 +8,7 @@
     fleet::HostEntry,
     job::Size,
     policy::lasting::{self, Room, Seeker},
-    reducer::{Scheduler, places::reserved, waiting::waiting_tasks_of},
+    reducer::{Scheduler, hosts::Purpose, places::reserved, waiting::waiting_tasks_of},
     task::{StepKey, TaskKey},
 };
 
@@ -67,7 +67,11 @@
     /// What a member of a pool has left beside its lasting tasks; a host on its way is empty.
     fn lasting_room(&self, pool: &PoolName, entry: &HostEntry) -> Option<Room<StepKey>> {
         let labels = entry.labels.clone();
-        if entry.pool != *pool {
+        // The platform lists a host in its new pool as soon as it moves, without an executor. Taken
+        // for one without room, it would be sent for again with each list until it has come.
+        let withdrawal = self.fleet.withdrawals.get(&entry.host);
+        let comes = withdrawal.is_some_and(|w| w.purpose == Purpose::Move(pool.clone()));
+        if comes || entry.pool != *pool {
             return Some(Room { labels, free: entry.capacity, tasks: BTreeMap::new() });
         }
         let known = self.executor_on(entry).filter(|known| known.present)?;
