Keep hosts on after a start until a pool's load is known

A leader switched 236 hosts off four seconds after the start, as nothing had come yet, and fetched 219 of them when the turn began; they came two seconds later. Change: for half a minute a new leader switches off no host of a pool in which it has seen no work, nor in the five seconds after the first. Another pool that lacks them gets them all the same. Tests: lending::a_new_leader_keeps_hosts_on_until_it_knows_the_load, a_load_is_known_some_seconds_after_the_first_work_or_after_half_a_minute.

--- a/crates/borageswitch_scheduler/src/policy/lending.rs
+++ b/crates/borageswitch_scheduler/src/policy/lending.rs
@@ -6,6 +6,9 @@
 //! one. So hosts follow the load: a pool that asks for more than it holds gets hosts that are off
 //! or idle elsewhere, and what has been idle for a while is switched off.
 //!
+//! A leader that has just begun has not seen the load yet. It leaves hosts where the operator or its
+//! predecessor had them until it knows what a pool's queues ask for, or has watched for some time.
+//!
 //! A move takes a second and a half, about as long as a job has to spare. A pool therefore keeps a
 //! few idle hosts for the first jobs of its next turn, and asks for as many as the rate of its
 //! arrivals will need, not only for what waits already.
@@ -31,6 +34,14 @@
 /// cost, rose by 0.010 on the mean of 60 pairs of simulated days at 48 and 49 hosts (standard error
 /// 0.005, each pair with the same seed); with 3 s it fell by 0.005 again.
 pub const IDLE_BEFORE_OFF: Duration = Duration::from_millis(2_000);
+/// For how long a new leader keeps the hosts of a pool on in which it has seen no short work yet: a
+/// turn of each queue.
+///
+/// Switched off while the site is silent after a start, hosts were missing for the first seconds of
+/// the first turn, and the jobs of those seconds, and all that waited behind them, were late.
+const UNSEEN: Duration = Duration::from_secs(30);
+/// For how long after the first work of a pool its hosts are kept on as well: about a turn.
+const FIRST_SEEN: Duration = Duration::from_secs(5);
 /// How many idle hosts a pool keeps that has had short work.
 const KEEP_WARM: usize = 2;
 /// The time over which arrivals are averaged. A turn begins within moments and a host takes a
@@ -55,6 +66,7 @@
     short: f64,
     long: f64,
     at: Time,
+    first: Option<Time>,
 }
 
 impl ArrivalRate {
@@ -64,6 +76,7 @@
         self.short = short + core_seconds / RATE_WINDOW.as_secs_f64();
         self.long = long + core_seconds / TREND_WINDOW.as_secs_f64();
         self.at = now;
+        self.first.get_or_insert(now);
     }
 
     /// How many cores the arrivals will keep busy once hosts that are sent for have come.
@@ -79,6 +92,14 @@
     }
 }
 
+/// Whether a leader that has led for so long does not know a pool's load yet.
+pub fn is_learning(led: Duration, arrivals: Option<&ArrivalRate>, now: Time) -> bool {
+    match arrivals.and_then(|arrivals| arrivals.first) {
+        None => led < UNSEEN,
+        Some(first) => led < UNSEEN && now.since(first) < FIRST_SEEN,
+    }
+}
+
 /// What a pool's tasks ask for, in all or of hosts with one label.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Need {
@@ -163,6 +184,8 @@
     pub host: Size,
     /// Short work has been seen here.
     pub has_short_work: bool,
+    /// Its load is not known yet: none of its hosts is switched off.
+    pub is_learning: bool,
 }
 
 impl<T> PoolLoad<T> {
@@ -272,6 +295,7 @@
     if let Some(standby) = pools.iter().find(|pool| pool.standby) {
         let off = spare.into_iter().filter(|s| {
             !s.from.standby
+                && !s.from.is_learning
                 && s.host.idle >= IDLE_BEFORE_OFF
                 && may_move(&s.host.host, &standby.pool)
         });
--- a/crates/borageswitch_scheduler/src/policy/lending/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/lending/tests.rs
@@ -49,6 +49,7 @@
         arriving_cores: 0.0,
         host: cores(64),
         has_short_work: true,
+        is_learning: false,
     }
 }
 
@@ -221,3 +222,30 @@
 
     assert_eq!(moves, [Move { host: "h", to: PoolName::from("roster") }]);
 }
+
+#[test]
+fn a_new_leader_keeps_hosts_on_until_it_knows_the_load() {
+    // The site starts, and nothing comes for some seconds. Then the first turn begins at full rate.
+    // With its hosts switched off, the first seconds of jobs wait until they are back, and all that
+    // comes behind them is late as well.
+    let hosts = [("t1", 9_000, "a"), ("t2", 9_000, "a"), ("t3", 9_000, "a"), ("t4", 9_000, "a")];
+    let silent = PoolLoad { is_learning: true, has_short_work: false, ..load("tender", 4, &hosts) };
+    let off = PoolLoad { standby: true, ..load("spare", 0, &[]) };
+    let busy = PoolLoad { need: wanting(2), ..load("roster", 1, &[]) };
+
+    assert_eq!(lending::decide(&[silent.clone(), off], |_, _| true), []);
+    // Another pool that lacks them gets them all the same.
+    assert_eq!(lending::decide(&[silent, busy], |_, _| true).len(), 1);
+}
+
+#[test]
+fn a_load_is_known_some_seconds_after_the_first_work_or_after_half_a_minute() {
+    let mut rate = ArrivalRate::default();
+    let led = Duration::from_secs(20);
+    assert!(lending::is_learning(led, None, at(20_000)));
+    rate.arrived(at(20_000), 5.0);
+
+    assert!(lending::is_learning(led, Some(&rate), at(24_000)));
+    assert!(!lending::is_learning(led, Some(&rate), at(26_000)));
+    assert!(!lending::is_learning(Duration::from_secs(31), None, at(31_000)));
+}
--- a/crates/borageswitch_scheduler/src/reducer/lending.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lending.rs
@@ -123,6 +123,7 @@
     fn pool_loads(&self, now: Now) -> Vec<PoolLoad<HostName>> {
         let Some(config) = &self.config else { return Vec::new() };
         let mut needs = self.needs();
+        let led = now.time.since(self.began);
         config
             .pools
             .values()
@@ -159,6 +160,7 @@
                     arriving_cores: arrivals.map_or(0.0, |rate| rate.cores(now.time)),
                     host,
                     has_short_work: arrivals.is_some(),
+                    is_learning: lending::is_learning(led, arrivals, now.time),
                 }
             })
             .collect()
