Let jobs beyond their caller's share wait for those within it

Change: a bucket a caller, filled with its weight, tells at a job's arrival whether it is within the share; beyond it, a job that can still be on time goes after those within, and none gets the last moment ahead of others. Constant time a job, one line a job beyond.

--- a/crates/borageswitch_scheduler/src/policy/last_chance.rs
+++ b/crates/borageswitch_scheduler/src/policy/last_chance.rs
@@ -27,7 +27,7 @@
 /// Whether a late job must run now to be of use.
 pub fn is_due(job: &JobView, now: Time) -> bool {
     let end = now + job.remaining;
-    let late = !job.lasting && end > job.deadline;
+    let late = !job.lasting && !job.beyond_share && end > job.deadline;
     let needs = job.remaining.mul_f64(CHAINS) + SLACK;
     late && end <= job.useful_until && now + needs > job.useful_until
 }
--- a/crates/borageswitch_scheduler/src/policy/mod.rs
+++ b/crates/borageswitch_scheduler/src/policy/mod.rs
@@ -11,6 +11,8 @@
 //! - [`gangs`]: which hosts are kept free for tasks that work only together.
 //! - [`label_shares`]: how pools share the hosts with a label of which there are too few.
 //! - [`lasting`]: which more hosts lasting tasks need.
+//! - [`quotas`]: how many of a caller's tasks may start.
+//! - [`shares`]: which jobs are within what their caller was promised.
 //! - [`trust`]: which executors get work although some of theirs failed.
 //! - [`stragglers`]: which runs are given up for a new one elsewhere.
 //! - [`pacing`]: how fast work that fills gaps may run beside work that serves.
@@ -25,6 +27,7 @@
 pub mod pacing;
 pub mod placing;
 pub mod quotas;
+pub mod shares;
 pub mod stragglers;
 pub mod trust;
 
--- a/crates/borageswitch_scheduler/src/policy/order.rs
+++ b/crates/borageswitch_scheduler/src/policy/order.rs
@@ -15,6 +15,8 @@
 pub struct JobView {
     /// It lasts until it is cancelled.
     pub lasting: bool,
+    /// Its caller had handed in its share already.
+    pub beyond_share: bool,
     /// The queue's priority; 0 comes first.
     pub priority: u32,
     /// When it was accepted.
@@ -44,6 +46,8 @@
     LastChance,
     /// It can still be on time.
     OnTime,
+    /// It can still be on time, but is beyond what its caller was promised.
+    Beyond,
     /// It will be late, but is still of use.
     Late,
     /// It is of little use any more; it is done all the same.
@@ -56,6 +60,8 @@
         let end = now + job.remaining;
         let (class, by) = if job.lasting {
             (Class::Lasting, job.accepted)
+        } else if job.beyond_share && end <= job.deadline {
+            (Class::Beyond, job.deadline)
         } else if end <= job.deadline {
             (Class::OnTime, job.deadline)
         } else if end <= job.useful_until {
--- a/crates/borageswitch_scheduler/src/policy/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/tests.rs
@@ -25,6 +25,7 @@
 fn job(accepted: u64, deadline: u64, remaining: u64) -> JobView {
     JobView {
         lasting: false,
+        beyond_share: false,
         priority: 0,
         accepted: at(accepted),
         deadline: at(deadline),
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -17,7 +17,7 @@
         job::{Job, Occurrence},
         record::{Leftover, Outcome, Record},
     },
-    policy::order::JobView,
+    policy::{order::JobView, shares::JobRate},
     reducer::{Scheduler, executors::Held},
     task::TaskKey,
 };
@@ -46,6 +46,8 @@
     pub failed_on: Option<ExecutorName>,
     /// An executor has confirmed or listed a run of it to this leader.
     pub begun: bool,
+    /// Its caller had handed in its share already when it came.
+    pub beyond_share: bool,
 }
 
 impl JobTimes {
@@ -59,6 +61,7 @@
             accepted,
             failed_on: None,
             begun: false,
+            beyond_share: false,
         }
     }
 }
@@ -75,6 +78,7 @@
             return;
         }
         self.note_times(now, &submission);
+        self.note_share(now, &submission);
         self.waiting.note(&job);
         if let Some(pool) = self.pool_of(&job).cloned() {
             self.note_arrival(now, &pool, &submission);
@@ -94,6 +98,24 @@
         });
     }
 
+    /// Notes whether a job is within its caller's share.
+    fn note_share(&mut self, now: Now, submission: &Submission) {
+        let Some(name) = &submission.caller else { return };
+        let declared = self.config.as_ref().and_then(|config| config.callers.get(name));
+        let Some(weight) = declared.map(|caller| caller.weight) else { return };
+        if !self.job_rates.contains_key(name) {
+            self.job_rates.insert(name.clone(), JobRate::new(now.time, weight));
+        }
+        let within = self.job_rates.get_mut(name).is_none_or(|rate| rate.take(now.time, weight));
+        if within {
+            return;
+        }
+        if let Some(times) = self.times.get_mut(&submission.job) {
+            times.beyond_share = true;
+        }
+        self.log("beyond-share", &submission.job, || format!("caller={name} weight={weight}"));
+    }
+
     /// Works out when a job is due, from its queue as it stands now.
     pub(super) fn note_times(&mut self, now: Now, submission: &Submission) {
         let age = Duration::from_millis(now.wall.0.saturating_sub(submission.accepted.0));
@@ -116,7 +138,8 @@
                     let Some(queue) = queue else { continue };
                     let fresh = JobTimes::new(queue, times.accepted);
                     let failed_on = times.failed_on.take();
-                    *times = JobTimes { failed_on, begun: times.begun, ..fresh };
+                    let JobTimes { begun, beyond_share, .. } = *times;
+                    *times = JobTimes { failed_on, begun, beyond_share, ..fresh };
                 }
                 None => unknown.push(job.submission.clone()),
             }
@@ -237,6 +260,7 @@
         };
         JobView {
             lasting: spec.is_lasting(),
+            beyond_share: times.beyond_share,
             priority: times.priority,
             accepted: begin,
             deadline: begin + objective,
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -69,7 +69,7 @@
     event::{Event, Now},
     executor::EndKind,
     ledger::{Ledger, record::Record},
-    policy::learned::Learned,
+    policy::{learned::Learned, shares::JobRate},
     reducer::{
         advice::Advice, executor_table::ExecutorTable, hosts::Fleet, jobs::JobTimes,
         kept_room::KeptRoom, lending::Lending, outbox::Outbox, rooms::Rooms, waiting::Waiting,
@@ -119,6 +119,8 @@
     waiting: Waiting,
     /// When a lasting step last found no room.
     lasting_missed: BTreeMap<StepKey, Time>,
+    /// What callers have handed in, against their shares.
+    job_rates: BTreeMap<CallerName, JobRate>,
     /// When it was last told that a caller's tasks wait for its quota.
     told_at_quota: BTreeMap<CallerName, Time>,
     /// Executors that may be due for a look since something has happened to them.
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -56,6 +56,7 @@
             rooms: Rooms::default(),
             waiting: Waiting::default(),
             lasting_missed: Default::default(),
+            job_rates: Default::default(),
             told_at_quota: Default::default(),
             unlooked: Default::default(),
             times: Default::default(),
--- a/crates/borageswitch_scheduler/tests/quotas.rs
+++ b/crates/borageswitch_scheduler/tests/quotas.rs
@@ -9,7 +9,7 @@
     effect::Effect,
     event::Event,
     executor::{EndKind, EndedRun},
-    job::Step,
+    job::{Size, Step},
     ledger::{Ledger, record::Record},
     reducer::explain::Subject,
 };
@@ -169,3 +169,31 @@
     assert!(lines.iter().any(|line| line.starts_with(told)), "{lines:?}");
     assert_eq!(dump.callers[CALLER].used, cores(2));
 }
+
+#[test]
+fn a_flood_beyond_its_share_does_not_push_aside_what_others_were_promised() {
+    // One caller hands in forty jobs in a moment, four times its share, and another hands in four as
+    // it always does. All are due about the same time, and the pool runs eight at once. Served by
+    // their deadlines alone, the four would come after all forty.
+    let mut config = Config::clone(&config_with_quota(1, 0));
+    let name = CallerName::from("thandi");
+    let caller = Caller { name: name.clone(), weight: 10.0, quota: Size::default() };
+    config.callers.insert(name, caller);
+    let mut session = Session::with_config(&["e1"], Ledger::default(), Arc::new(config));
+    for job in 0..40 {
+        session.submit_as(CALLER, &format!("flood-{job}"), vec![step(1)]);
+    }
+    session.now += 10;
+    for job in 0..4 {
+        session.submit_as("thandi", &format!("few-{job}"), vec![step(1)]);
+    }
+
+    let mut started = session.store_and_start();
+    let first: Vec<_> = started.iter().map(|(_, task)| task.clone()).collect();
+    let ended: Vec<_> = (1..).zip(&first).map(|(number, task)| done(number, task)).collect();
+    session.report("e1", &[], &ended, 0);
+    started.extend(session.store_and_start());
+
+    let of = |job: &str| started.iter().filter(|(_, t)| t.job.as_str().starts_with(job)).count();
+    assert_eq!((of("flood"), of("few")), (12, 4));
+}
