Time keys, and the scheduler with callers, in benchmarks

Cause: issue on callers asks for a key to be known within 1 us among 5,000 callers, and for a scheduler's pass within 5 % of what it was and flat up to 5,000 callers. The benchmarks now show both; their figures go into MEASUREMENTS after a run on a quiet machine. No decision changes.

--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -5,6 +5,7 @@
 //! come from one run, as ratios against our own baselines.
 
 mod capacity;
+mod keys;
 mod latency;
 mod load;
 mod peers;
@@ -35,6 +36,11 @@
         about: "state, messages, time and memory of control by size of a region",
         run: capacity::run,
     },
+    Benchmark {
+        name: "keys",
+        about: "knowing a caller by its key, among 20 and 5,000 callers",
+        run: keys::run,
+    },
     Benchmark {
         name: "latency",
         about: "what a daemon adds to a request, and how many pass through one",
--- a/benches/src/scheduler.rs
+++ b/benches/src/scheduler.rs
@@ -12,7 +12,7 @@
 };
 
 use borageswitch_scheduler::{
-    config::{Config, Pool, Queue},
+    config::{Caller, Config, Pool, Queue},
     effect::{Effect, HostOrder, LookOrder, Recipient},
     event::{Event, HostAnswer, LookAnswer, Now, OrderAnswer, Seen, StartAnswer},
     executor::{ActiveRun, EndKind, EndedRun, Registration, Report},
@@ -24,7 +24,7 @@
 };
 use borageswitch_types::{
     Time,
-    names::{DataCentreName, ExecutorName, HostName, JobName, PoolName, QueueName},
+    names::{CallerName, DataCentreName, ExecutorName, HostName, JobName, PoolName, QueueName},
     time::UnixMillis,
 };
 use fastrand::Rng;
@@ -32,6 +32,9 @@
 
 /// Hosts of the sites that are timed; the second is the larger of today's.
 const SIZES: [u64; 3] = [49, 349, 698];
+/// How many callers there are, with quotas that never bind, at the size of today's larger site.
+const CALLERS: [u64; 2] = [20, 5_000];
+const HOSTS_WITH_CALLERS: u64 = 349;
 const POOLS: u64 = 4;
 /// One turn of a queue, and the time that is simulated: each queue has one.
 const TURN: u64 = 8_000;
@@ -52,13 +55,17 @@
 
 /// Runs all of it and gives the figures.
 pub(crate) fn run() -> Value {
-    json!({ "sizes": SIZES.iter().map(|&hosts| figures(hosts, &play(hosts))).collect::<Vec<_>>() })
+    let sizes = SIZES.map(|hosts| figures(hosts, 0));
+    let callers = CALLERS.map(|callers| figures(HOSTS_WITH_CALLERS, callers));
+    json!({ "sizes": sizes, "callers": callers })
 }
 
-fn figures(hosts: u64, site: &Site) -> Value {
+fn figures(hosts: u64, callers: u64) -> Value {
+    let site = play(hosts, callers);
     let rounded = |figure: f64| (figure * 100.0).round() / 100.0;
     json!({
         "hosts": hosts,
+        "callers": callers,
         "jobs": site.submitted,
         "jobs_ended": site.ended,
         "decisions": site.decisions,
@@ -67,8 +74,8 @@
     })
 }
 
-fn play(hosts: u64) -> Site {
-    let mut site = Site::new(hosts);
+fn play(hosts: u64, callers: u64) -> Site {
+    let mut site = Site::new(hosts, callers);
     while site.now < WHOLE {
         site.step();
     }
@@ -85,6 +92,7 @@
 }
 
 struct Site {
+    callers: u64,
     rng: Rng,
     now: u64,
     scheduler: Scheduler,
@@ -102,11 +110,13 @@
 }
 
 impl Site {
-    fn new(hosts: u64) -> Self {
+    fn new(hosts: u64, callers: u64) -> Self {
         let now = Now { time: Time::from_millis(1), wall: UnixMillis(1) };
+        let config = config(callers);
         let scheduler =
-            Scheduler::recover(Limits::default(), now, Ledger::default(), 1, config(), Vec::new());
+            Scheduler::recover(Limits::default(), now, Ledger::default(), 1, config, Vec::new());
         let mut site = Self {
+            callers,
             rng: Rng::with_seed(1),
             now: 1,
             scheduler,
@@ -216,7 +226,7 @@
                 queue: queue(turn),
                 accepted: UnixMillis(self.now),
                 spec: JobSpec { text: "text".into(), steps: vec![step], schedule: None },
-                caller: None,
+                caller: (self.callers > 0).then(|| caller(self.rng.u64(..self.callers)).name),
             };
             self.due.push_back((self.now, Event::Submitted(Arc::new(submission))));
         }
@@ -409,9 +419,17 @@
     }
 }
 
-fn config() -> Arc<Config> {
+/// A caller whose quota and share are far above what it sends.
+fn caller(number: u64) -> Caller {
+    let name = CallerName::from(format!("caller-{number}"));
+    Caller { name, weight: 1_000.0, quota: cores(1_000_000) }
+}
+
+fn config(callers: u64) -> Arc<Config> {
     let own =
         (0..POOLS).map(|number| Pool { name: pool(number), guards_capacity: true, standby: false });
     let off = Pool { name: PoolName::from("off"), guards_capacity: true, standby: true };
-    Arc::new(Config::new(1, (0..POOLS).map(queue), own.chain([off])))
+    let mut config = Config::new(1, (0..POOLS).map(queue), own.chain([off]));
+    config.callers = (0..callers).map(caller).map(|c| (c.name.clone(), c)).collect();
+    Arc::new(config)
 }
