Pause a watch after it has told something

Hypothesis: a watch that waits is a call, and one that returns at once each time is many. In a rush each stored job and each removal of one ended a call of the leader's watch for jobs, although whoever stores a job tells the leader of it directly; each host that came ended one of the watch for executors. Change: 0.1 s of pause after jobs were told, 15 ms after executors were. Kept for the calls saved.

--- a/crates/borageswitch_runtime/src/watching.rs
+++ b/crates/borageswitch_runtime/src/watching.rs
@@ -28,6 +28,13 @@
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// How long the watch for waves waits: they are announced long before they are due.
 const WAVES_WAIT: Duration = Duration::from_millis(4_000);
+/// The pause after a watch has told of jobs. Each watch that returns is a call, and in a rush each job
+/// and each removal made one, although whoever stores a job tells the leader of it at once. What is
+/// told by the watch alone, as the other way failed, waits so much longer.
+const INTAKE_PAUSE: Duration = Duration::from_millis(100);
+/// The pause after a watch has told of executors: hosts that were sent for together come within
+/// moments of each other.
+const EXECUTORS_PAUSE: Duration = Duration::from_millis(15);
 /// The pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -164,6 +171,9 @@
                     tell(shared, token, Event::Executor(seen)).await;
                 }
                 at = Some(seen.at);
+                if !seen.changes.is_empty() {
+                    Timer::after(EXECUTORS_PAUSE).await;
+                }
             }
             Err(StoreError::HistoryGone) => at = None,
             Err(_) => {
@@ -202,6 +212,9 @@
                     }
                 }
                 at = Some(seen.at);
+                if !seen.changes.is_empty() {
+                    Timer::after(INTAKE_PAUSE).await;
+                }
             }
             Err(StoreError::HistoryGone) => at = None,
             Err(_) => {
