Say that a key or queue is unknown only with a fresh configuration

Change: with a configuration older than 2.5 s such an answer is 503, "cannot tell", not run, come back. One that is in touch hears every 1.5 s. A request without a key is still told so at once.

--- a/crates/borageswitch_runtime/src/admission.rs
+++ b/crates/borageswitch_runtime/src/admission.rs
@@ -5,7 +5,7 @@
 use borageswitch_scheduler::{
     config::{
         Config, Queue,
-        access::{Credential, KeyOwner},
+        access::{Credential, KeyOwner, Rejection},
     },
     job::Size,
 };
@@ -43,12 +43,16 @@
     }
 }
 
+/// With a configuration older than this, a daemon does not say that there is no such key or queue. One
+/// that is in touch with the store hears of it about every second and a half.
+const FRESH_CONFIG: Duration = Duration::from_millis(2_500);
+
 /// Lets a request in, or not.
 ///
 /// # Errors
 ///
-/// [`Failure::NotLetIn`], and [`Failure::KeysUnknown`] where this daemon must not go by a
-/// configuration as old as its own.
+/// [`Failure::NotLetIn`], and [`Failure::ConfigTooOld`] where this daemon must not go by a
+/// configuration as old as its own, or may have missed the one that has the key.
 pub fn admit<'a, P>(
     shared: &Arc<Shared<P>>,
     config: &'a Config,
@@ -58,28 +62,30 @@
 where
     P: Platform,
 {
-    let owner = config.access.admit(&queue.name, shown);
     let age = shared.config_age();
-    match owner {
-        Ok(Some(_)) if shared.cfg.keys_hold.is_some_and(|hold| age > hold) => {
-            log::warn!(queue = queue.name.as_str(), age_ms = millis(age); "keys-unknown");
-            Err(Failure::KeysUnknown)
-        }
+    let failure = match config.access.admit(&queue.name, shown) {
+        Ok(Some(_)) if shared.cfg.keys_hold.is_some_and(|hold| age > hold) => Failure::ConfigTooOld,
         Ok(owner) => {
             let declared = owner.and_then(|owner| config.callers.get(&owner.caller));
-            Ok(Call { queue, owner, quota: declared.map(|caller| caller.quota) })
+            return Ok(Call { queue, owner, quota: declared.map(|caller| caller.quota) });
         }
-        Err(rejection) => {
-            log::info!(
-                queue = queue.name.as_str(), reason = rejection.to_string().as_str(),
-                version = config.version, age_ms = millis(age);
-                "not-let-in"
-            );
-            Err(Failure::NotLetIn(rejection))
-        }
-    }
+        // A daemon that was cut off while a key was handed out would turn its owner away for good.
+        // Told to come back, the owner finds a daemon that knows it.
+        Err(Rejection::UnknownKey(_)) if age > FRESH_CONFIG => Failure::ConfigTooOld,
+        Err(rejection) => Failure::NotLetIn(rejection),
+    };
+    log::info!(
+        queue = queue.name.as_str(), reason = failure.to_string().as_str(),
+        version = config.version, age_ms = age.as_millis() as u64;
+        "not-let-in"
+    );
+    Err(failure)
 }
 
-fn millis(time: Duration) -> u64 {
-    time.as_millis() as u64
+/// What is said of a queue that the configuration in force does not have.
+pub fn no_queue<P>(shared: &Arc<Shared<P>>) -> Failure
+where
+    P: Platform,
+{
+    if shared.config_age() > FRESH_CONFIG { Failure::ConfigTooOld } else { Failure::NoQueue }
 }
--- a/crates/borageswitch_runtime/src/answers.rs
+++ b/crates/borageswitch_runtime/src/answers.rs
@@ -30,9 +30,9 @@
     /// The request shows no key that is anybody's.
     #[display("{_0}")]
     NotLetIn(Rejection),
-    /// Whether the key still holds cannot be known at the moment.
-    #[display("this daemon cannot tell which keys hold at the moment")]
-    KeysUnknown,
+    /// This daemon has not heard of the configuration for so long that it cannot tell.
+    #[display("this daemon cannot tell which keys and queues there are at the moment")]
+    ConfigTooOld,
     /// The job is another caller's.
     #[display("the job belongs to another caller")]
     Foreign,
@@ -89,7 +89,7 @@
             Failure::NoQueue => "no-queue",
             Failure::NoJob => "no-job",
             Failure::NotLetIn(_) => "not-let-in",
-            Failure::KeysUnknown => "keys-unknown",
+            Failure::ConfigTooOld => "config-too-old",
             Failure::Foreign => "foreign",
             Failure::Malformed(_) => "malformed",
             Failure::OverQuota(_) => "over-quota",
@@ -110,7 +110,7 @@
             Failure::NoQueue => verdict(404, Effective::No, None),
             Failure::NoJob => verdict(410, Effective::No, None),
             Failure::NotLetIn(_) => verdict(401, Effective::No, None),
-            Failure::KeysUnknown => verdict(503, Effective::No, Some(SOON)),
+            Failure::ConfigTooOld => verdict(503, Effective::No, Some(SOON)),
             Failure::Foreign => verdict(403, Effective::No, None),
             Failure::Malformed(_) => verdict(400, Effective::No, None),
             Failure::OverQuota(_) => verdict(422, Effective::No, None),
