Deal what a caller may start to each kind of hosts that its tasks wait for

Cause: what a caller may start was dealt out once, job by job, to bound the hosts that are fetched for it. It went to tasks whose label few hosts had, and none was fetched for its others: 1 and 2 hosts with the label were left in two pools, the other 140 off. Ruled out: a caller's sum that is never given back (no line tells of this caller at its quota after 55.9), the leader's pace (2,000 ends in two seconds). Change: each pool and label is dealt all that the caller may start there. Test: hosts::tasks_that_find_no_host_take_nothing_from_what_their_caller_may_start_elsewhere, fails before (no host is sent for).

--- a/crates/borageswitch_scheduler/src/config/access.rs
+++ b/crates/borageswitch_scheduler/src/config/access.rs
@@ -11,8 +11,7 @@
 use borageswitch_types::names::{CallerName, QueueName};
 use sha2::{Digest, Sha256};
 
-/// The longest key that is looked up, in bytes. Operators hand out keys of some twenty characters;
-/// without a bound each request could have its daemon digest a whole head.
+/// The longest key that is looked up, in bytes; operators hand out keys of some twenty characters.
 pub const MAX_KEY: usize = 256;
 
 /// What a request shows of its caller.
--- a/crates/borageswitch_scheduler/src/policy/shares.rs
+++ b/crates/borageswitch_scheduler/src/policy/shares.rs
@@ -20,12 +20,13 @@
 }
 
 impl JobRate {
-    /// A caller with this share that has handed in nothing for a while.
+    /// A caller that has handed in nothing for a while. As with [`Self::take`], its share is given in
+    /// jobs a second.
     pub fn new(now: Time, per_second: f64) -> Self {
         Self { left: per_second.max(LEAST_BURST), at: now }
     }
 
-    /// A job is handed in. Gives whether it is within the share.
+    /// A job is handed in; `per_second` is the caller's share now. Gives whether it is within that.
     pub fn take(&mut self, now: Time, per_second: f64) -> bool {
         let fresh = now.since(self.at).as_secs_f64() * per_second;
         self.left = (self.left + fresh).min(per_second.max(LEAST_BURST));
--- a/crates/borageswitch_scheduler/src/reducer/lending.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lending.rs
@@ -20,11 +20,7 @@
         lending::{self, IdleHost, LabelNeed, Need, PoolLoad},
     },
     reducer::{
-        Scheduler,
-        executors::Executor,
-        hosts::Purpose,
-        places::reserved,
-        waiting::{charge_of, unblocked_steps},
+        Scheduler, executors::Executor, hosts::Purpose, places::reserved, waiting::unblocked_steps,
     },
 };
 
@@ -181,8 +177,7 @@
             let Some(times) = self.times.get(name) else { continue };
             let pool = needs.entry(times.pool.clone()).or_default();
             for (step, waiting) in unblocked_steps(job) {
-                let charge = charge_of(job, step);
-                pool.add(step, dealing.take(charge.as_ref(), waiting as u64));
+                pool.add(step, dealing.take(job, step, &times.pool, waiting as u64));
             }
         }
         for pool in needs.values_mut() {
--- a/crates/borageswitch_scheduler/src/reducer/quotas.rs
+++ b/crates/borageswitch_scheduler/src/reducer/quotas.rs
@@ -3,38 +3,52 @@
 //! What a caller uses is counted with its runs in the table of executors, so whatever ends a run or
 //! proves that it never began gives its part back, and a new leader counts what it inherits.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
-use borageswitch_types::names::CallerName;
+use borageswitch_types::names::{CallerName, PoolName};
 
 use crate::{
     config::Config,
     event::Now,
-    job::Size,
-    policy::quotas::{self, Charge, Usage},
+    job::{Size, Step},
+    ledger::job::Job,
+    policy::quotas,
     reducer::{Scheduler, waiting::WaitingStep},
 };
 
 /// The shortest time between two lines about one caller.
 const LINE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// For which hosts tasks of a caller wait: those of a pool, with a label or any.
+type Wanted<'a> = (&'a CallerName, &'a PoolName, Option<&'a str>);
+
 /// What callers may start, while it is dealt out to the tasks that wait.
+///
+/// Each kind of hosts for which a caller's tasks wait is dealt all that the caller may start: where
+/// these tasks can run is not known here. Dealt out once for all of them, it would go to tasks that
+/// find no host, and none would be fetched for the others, which then wait for ever.
 #[derive(Debug)]
 pub(super) struct Dealing<'a> {
-    config: Option<&'a Config>,
-    usage: Usage,
+    scheduler: &'a Scheduler,
+    dealt: BTreeMap<Wanted<'a>, Size>,
 }
 
-impl Dealing<'_> {
-    /// Takes as much as a caller's tasks may, of so many.
-    pub(super) fn take(&mut self, charge: Option<&Charge>, tasks: u64) -> u64 {
-        let quota = |charge: &Charge| Some(self.config?.callers.get(&charge.caller)?.quota);
-        let Some((charge, quota)) = charge.and_then(|c| Some((c, quota(c)?))) else { return tasks };
-        let used = self.usage.of(&charge.caller).size;
-        let left = quotas::startable(&quota, &used, &charge.size);
+impl<'a> Dealing<'a> {
+    /// Takes as much as a caller's tasks of one size may, of so many.
+    pub(super) fn take(
+        &mut self,
+        job: &'a Job,
+        step: &'a Step,
+        pool: &'a PoolName,
+        tasks: u64,
+    ) -> u64 {
+        let Some(caller) = &job.submission.caller else { return tasks };
+        let Some(quota) = self.scheduler.quota_of(caller) else { return tasks };
+        let dealt = self.dealt.entry((caller, pool, step.label.as_deref())).or_default();
+        let used = self.scheduler.executors.usage().of(caller).size + *dealt;
+        let left = quotas::startable(&quota, &used, &step.size);
         let taken = left.map_or(tasks, |left| tasks.min(left.with_last));
-        let all = Charge { caller: charge.caller.clone(), size: charge.size.times(taken) };
-        self.usage.add(&all, true);
+        *dealt += step.size.times(taken);
         taken
     }
 }
@@ -42,7 +56,7 @@
 impl Scheduler {
     /// What all callers may start as things stand.
     pub(super) fn dealing(&self) -> Dealing<'_> {
-        Dealing { config: self.config.as_deref(), usage: self.executors.usage().clone() }
+        Dealing { scheduler: self, dealt: BTreeMap::new() }
     }
 
     /// The quota of a caller by the configuration in force; nothing where it has none.
--- a/crates/borageswitch_scheduler/tests/hosts.rs
+++ b/crates/borageswitch_scheduler/tests/hosts.rs
@@ -2,19 +2,20 @@
 
 mod support;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use borageswitch_scheduler::{
-    config::{Config, Pool},
+    config::{Caller, Config, Pool},
     effect::{Effect, HostOrder},
     event::{Event, HostAnswer},
     fleet::{HostEntry, HostState},
+    job::Step,
     ledger::Ledger,
 };
-use borageswitch_types::names::PoolName;
+use borageswitch_types::names::{CallerName, PoolName};
 use support::{
-    fixtures::config,
-    session::{Session, host, lasting},
+    fixtures::{config, cores},
+    session::{Session, host, lasting, step},
 };
 
 /// How many hosts are off at first.
@@ -39,8 +40,8 @@
 }
 
 impl Site {
-    fn new() -> Self {
-        let session = Session::with_config(&[], Ledger::default(), config_with_hosts_off());
+    fn new(config: Arc<Config>) -> Self {
+        let session = Session::with_config(&[], Ledger::default(), config);
         Self { session, hosts: (0..HOSTS).map(host_off).collect(), ordered: 0 }
     }
 
@@ -74,7 +75,7 @@
     // and a half. The platform lists them in their new pool as soon as they move. Taken for hosts
     // without room, they would be sent for again with each list, and the whole site would be
     // switched on for four tasks.
-    let mut site = Site::new();
+    let mut site = Site::new(config_with_hosts_off());
     site.run(3_000);
     site.session.submit("j", vec![lasting(4)]);
 
@@ -82,3 +83,25 @@
 
     assert_eq!(site.ordered, 4);
 }
+
+#[test]
+fn tasks_that_find_no_host_take_nothing_from_what_their_caller_may_start_elsewhere() {
+    // A caller may use four cores. Ten of its tasks wait for a label that no host has, and two that
+    // any host could run wait for one to be switched on. If all that the caller may start were kept
+    // for the ten, none would be, and its second job would wait beside hosts that are off.
+    let mut config = Config::clone(&config_with_hosts_off());
+    let name = CallerName::from("nosipho");
+    let caller = Caller { name: name.clone(), weight: 10.0, quota: cores(4) };
+    config.callers.insert(name, caller);
+    let mut site = Site::new(Arc::new(config));
+    site.run(3_000);
+    // By their estimates they are no work, so that arrivals alone send for no host.
+    let any = Step { estimate: Duration::ZERO, ..step(2) };
+    let labelled = Step { label: Some("x".into()), count: 10, ..any.clone() };
+    site.session.submit_as("nosipho", "a", vec![labelled]);
+    site.session.submit_as("nosipho", "b", vec![any]);
+
+    site.run(1_000);
+
+    assert!(site.ordered >= 1, "no host was sent for");
+}
