Take two watches for the age at which a configuration is too old

Cause: a watch is dated from when it was sent and waits 1.5 s, so a daemon in touch is 1.5 to 3.0 s behind; the limit of 2.5 s stood in between, and for part of each cycle an unknown key got 503 instead of 401. Now two watches and a slow answer: 3.6 s.

--- a/crates/borageswitch_runtime/src/admission.rs
+++ b/crates/borageswitch_runtime/src/admission.rs
@@ -15,6 +15,7 @@
     answers::{Failure, Served},
     daemon::Shared,
     ports::Platform,
+    watching::CONFIG_WAIT,
 };
 
 /// Who calls which queue.
@@ -43,9 +44,12 @@
     }
 }
 
-/// With a configuration older than this, a daemon does not say that there is no such key or queue. One
-/// that is in touch with the store hears of it about every second and a half.
-const FRESH_CONFIG: Duration = Duration::from_millis(2_500);
+/// With a configuration older than this, a daemon does not say that there is no such key or queue. A
+/// watch says how things stood when it was sent, so that one in touch is up to two watches behind, and
+/// a slow answer more.
+const FRESH_CONFIG: Duration = CONFIG_WAIT.saturating_mul(2).saturating_add(SLOW_ANSWER);
+/// How long the answer of a slow store takes.
+const SLOW_ANSWER: Duration = Duration::from_millis(600);
 
 /// Lets a request in, or not.
 ///
--- a/crates/borageswitch_runtime/src/watching.rs
+++ b/crates/borageswitch_runtime/src/watching.rs
@@ -23,7 +23,7 @@
 
 /// How long a watch for the configuration waits on the store. A connection that went silent is
 /// noticed when this is over, and a change has to be in force within 2 s.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_500);
+pub(crate) const CONFIG_WAIT: Duration = Duration::from_millis(1_500);
 /// How long other watches wait.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// How long the watch for waves waits: they are announced long before they are due.
--- a/crates/borageswitch_scheduler/src/reducer/explain.rs
+++ b/crates/borageswitch_scheduler/src/reducer/explain.rs
@@ -10,7 +10,7 @@
     event::Now,
     job::{Size, Step},
     ledger::job::{Job, Occurrence, StepState},
-    policy::{order::Urgency, quotas},
+    policy::order::Urgency,
     reducer::{
         Scheduler,
         executors::Executor,
@@ -229,12 +229,8 @@
         let charge = charge_of(self.ledger.jobs.get(&key.job)?, step)?;
         let quota = self.quota_of(&charge.caller)?;
         let used = self.executors.usage().of(&charge.caller);
-        let left = quotas::startable(&quota, &used.size, &charge.size)?;
-        let starts = match step.gang {
-            false => left.of_single(1, used.on_way > 0) > 0,
-            true => left.lets_gang(step.count as usize, used.on_way > 0),
-        };
-        (!starts).then(|| {
+        let starts = self.startable_of(&charge, step.gang, step.count as usize);
+        (starts == 0).then(|| {
             format!(
                 "its caller {} is at its quota: uses {}, may use {}, a task needs {}, {} orders \
                  are unanswered",
--- a/crates/borageswitch_scheduler/src/reducer/lasting.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lasting.rs
@@ -21,12 +21,7 @@
         members: &[&HostEntry],
         host: &Size,
     ) -> Vec<Option<Arc<str>>> {
-        let seekers = self.lasting_seekers(pool);
-        if seekers.is_empty() {
-            return Vec::new();
-        }
-        let rooms = members.iter().filter_map(|entry| self.lasting_room(pool, entry));
-        lasting::more_hosts(&seekers, rooms.collect(), host)
+        self.hosts_for(&self.lasting_seekers(pool), pool, members, host)
     }
 
     /// The hosts that a waiting gang needs besides the members of its pool.
@@ -36,12 +31,21 @@
         members: &[&HostEntry],
         host: &Size,
     ) -> Vec<Option<Arc<str>>> {
-        let seekers = self.gang_seekers(pool);
+        self.hosts_for(&self.gang_seekers(pool), pool, members, host)
+    }
+
+    fn hosts_for(
+        &self,
+        seekers: &[Seeker<StepKey>],
+        pool: &PoolName,
+        members: &[&HostEntry],
+        host: &Size,
+    ) -> Vec<Option<Arc<str>>> {
         if seekers.is_empty() {
             return Vec::new();
         }
         let rooms = members.iter().filter_map(|entry| self.lasting_room(pool, entry));
-        lasting::more_hosts(&seekers, rooms.collect(), host)
+        lasting::more_hosts(seekers, rooms.collect(), host)
     }
 
     fn lasting_seekers(&self, pool: &PoolName) -> Vec<Seeker<StepKey>> {
--- a/crates/borageswitch_scheduler/src/reducer/quotas.rs
+++ b/crates/borageswitch_scheduler/src/reducer/quotas.rs
@@ -12,7 +12,7 @@
     event::Now,
     job::{Size, Step},
     ledger::job::Job,
-    policy::quotas,
+    policy::quotas::{self, Charge},
     reducer::{Scheduler, waiting::WaitingStep},
 };
 
@@ -66,16 +66,19 @@
     }
 
     /// How many waiting tasks of a step its caller's quota lets start now.
-    ///
-    /// Members of a gang start together or not at all.
     pub(super) fn startable(&self, step: &WaitingStep) -> usize {
         let all = step.waiting.len();
-        let Some(charge) = &step.charge else { return all };
+        step.charge.as_ref().map_or(all, |charge| self.startable_of(charge, step.gang, all))
+    }
+
+    /// How many of so many tasks of a caller its quota lets start now. Members of a gang start
+    /// together or not at all.
+    pub(super) fn startable_of(&self, charge: &Charge, gang: bool, all: usize) -> usize {
         let Some(quota) = self.quota_of(&charge.caller) else { return all };
         let used = self.executors.usage().of(&charge.caller);
         let Some(left) = quotas::startable(&quota, &used.size, &charge.size) else { return all };
         let others_on_way = used.on_way > 0;
-        match step.gang {
+        match gang {
             false => left.of_single(all, others_on_way),
             true if left.lets_gang(all, others_on_way) => all,
             true => 0,
