Tell crashes of executors from planned ends, and what ran there

An executor that ended is now told with its cause (crash, drain, order, removal of its host), and a crash with the tasks that were there, for how long, and how many other executors went in the same moment. What an executor had when its lease ended is kept until it answers again, so that a crash that shows by the lease alone is told too. Nothing is decided by it yet.

--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -9,7 +9,7 @@
     executor::Registration,
     job::Size,
     policy::{quotas::Charge, trust::Trust},
-    reducer::{clock::ClockReading, pace::FULL_PACE},
+    reducer::{clock::ClockReading, crashes::LostRun, pace::FULL_PACE},
     task::TaskKey,
 };
 
@@ -51,6 +51,8 @@
     pub phase: Phase,
     /// When that changed last.
     pub since: Time,
+    /// When the order to start it left; nothing if an earlier leader gave it.
+    pub ordered: Option<Time>,
     /// When the executor confirmed the start.
     pub started: Time,
     /// How far it is, as listed last.
@@ -81,6 +83,7 @@
             target_tail: None,
             phase,
             since: now,
+            ordered: None,
             started: now,
             percent: 0,
             recent: 0,
@@ -124,6 +127,8 @@
     pub not_before: Time,
     /// When the newest look that was answered had left.
     pub answered: Option<Time>,
+    /// Since when calls have got no answer.
+    pub silent_since: Option<Time>,
 }
 
 /// An executor as the leader knows it.
@@ -154,6 +159,9 @@
     pub looking: Looking,
     /// What it has or may have.
     pub runs: BTreeMap<TaskKey, Held>,
+    /// What it had when its lease ended. It may have crashed or have been cut off; nothing once it
+    /// has answered again.
+    pub lapsed: Vec<LostRun>,
     /// The room that these take together.
     taken: Size,
     /// It stands in the table's list of those that have changed.
@@ -187,6 +195,7 @@
             inherited_until: None,
             looking: Looking::default(),
             runs: BTreeMap::new(),
+            lapsed: Vec::new(),
             taken: Size::default(),
             is_noted: false,
             strays: false,
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -19,7 +19,10 @@
     event::{HostAnswer, Now},
     fleet::{HostEntry, HostState},
     ledger::record::Record,
-    reducer::Scheduler,
+    reducer::{
+        Scheduler,
+        crashes::{Ending, HostFate},
+    },
 };
 
 /// How often the hosts are listed while something is going on with them.
@@ -78,6 +81,13 @@
     pub emptied: Option<ExecutorName>,
 }
 
+impl Withdrawal {
+    /// Whether an order for the host has left, answered or not.
+    fn is_under_way(&self) -> bool {
+        !matches!(self.stage, Stage::Emptying { .. })
+    }
+}
+
 /// The hosts as they are known.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -93,6 +103,20 @@
 }
 
 impl Fleet {
+    /// What has become of the host that had an executor in an earlier list.
+    fn fate_of(&self, before: &BTreeMap<HostName, HostEntry>, executor: &ExecutorName) -> HostFate {
+        let had = before.values().find(|entry| entry.executor.as_ref() == Some(executor));
+        let Some(host) = had.map(|entry| entry.host.clone()) else { return HostFate::Unknown };
+        if self.withdrawals.get(&host).is_some_and(Withdrawal::is_under_way) {
+            return HostFate::Ordered(host);
+        }
+        match self.hosts.get(&host).map(|entry| entry.state) {
+            Some(HostState::Moving | HostState::InMaintenance) => HostFate::Ordered(host),
+            Some(state @ (HostState::Up | HostState::Down)) => HostFate::Stays(host, state),
+            None => HostFate::Removed(host),
+        }
+    }
+
     /// Whether hosts with these labels are of a kind of which there are few.
     pub(super) fn is_scarce(&self, labels: &[Arc<str>]) -> bool {
         labels.first().is_some_and(|kind| self.scarce.contains(kind))
@@ -140,14 +164,15 @@
             return;
         };
         self.fleet.listed = Some(asked);
-        self.fleet.hosts = hosts.into_iter().map(|entry| (entry.host.clone(), entry)).collect();
+        let fresh = hosts.into_iter().map(|entry| (entry.host.clone(), entry)).collect();
+        let before = std::mem::replace(&mut self.fleet.hosts, fresh);
         self.fleet.find_scarce();
+        self.end_unlisted(now, asked, &before);
         self.take_back(asked);
-        self.end_unlisted(asked);
     }
 
     /// Executors that no host has any more have ended: what they ran need not wait for their lease.
-    fn end_unlisted(&mut self, asked: Time) {
+    fn end_unlisted(&mut self, now: Now, asked: Time, before: &BTreeMap<HostName, HostEntry>) {
         let up = self.fleet.hosts.values().filter(|entry| entry.state == HostState::Up);
         let listed: BTreeSet<&ExecutorName> =
             up.filter_map(|entry| entry.executor.as_ref()).collect();
@@ -160,7 +185,8 @@
             .map(|(executor, _)| executor.clone())
             .collect();
         for executor in over {
-            self.life_over(&executor, "no host has it");
+            let fate = self.fleet.fate_of(before, &executor);
+            self.life_over(now, &executor, Ending::Unlisted(fate));
         }
     }
 
@@ -303,7 +329,7 @@
                 // Not whichever executor the host has now: after an answer that was lost, that is
                 // the one that came with the order. Taken for ended, its tasks would run twice.
                 if let Some(executor) = emptied {
-                    self.life_over(&executor, "its host was taken away");
+                    self.life_over(now, &executor, Ending::HostTaken);
                 }
             }
             HostAnswer::Lost | HostAnswer::TooMany => {
--- a/crates/borageswitch_scheduler/src/reducer/lapses.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lapses.rs
@@ -9,7 +9,11 @@
 use crate::{
     event::Now,
     ledger::record::Record,
-    reducer::{Scheduler, executors::Phase},
+    reducer::{
+        Scheduler,
+        crashes::{EndedExecutor, Ending, lost_runs},
+        executors::Phase,
+    },
     task::TaskKey,
 };
 
@@ -24,11 +28,11 @@
             .map(|(executor, _)| executor.clone())
             .collect();
         for executor in lapsed {
-            self.release_sent(&executor);
+            self.release_sent(now, &executor);
         }
     }
 
-    fn release_sent(&mut self, executor: &ExecutorName) {
+    fn release_sent(&mut self, now: Now, executor: &ExecutorName) {
         let Some(known) = self.executors.get_mut(executor) else { return };
         let tasks: Vec<TaskKey> = known
             .runs
@@ -41,6 +45,8 @@
         }
         // What it runs must be looked up before it is used again.
         known.fenced = false;
+        let lost = lost_runs(known, now.time);
+        known.lapsed.extend(lost);
         self.log("lease-ended", executor, || format!("runs={}", tasks.len()));
         for task in tasks {
             self.release(executor, &task, "lease ended");
@@ -48,11 +54,14 @@
     }
 
     /// An executor's life is over for certain: nothing of it runs or will run.
-    pub(super) fn life_over(&mut self, executor: &ExecutorName, why: &'static str) {
+    pub(super) fn life_over(&mut self, now: Now, executor: &ExecutorName, ending: Ending) {
         let Some(known) = self.executors.get_mut(executor) else { return };
         known.present = false;
+        let ended = EndedExecutor::new(known, ending, now.time);
+        let why = ended.why();
         let tasks: Vec<TaskKey> = known.runs.keys().cloned().collect();
-        self.log("executor-ended", executor, || format!("runs={} why={why}", tasks.len()));
+        self.log("executor-ended", executor, || ended.to_string());
+        self.ended_executors.push(ended);
         for task in tasks {
             self.release(executor, &task, why);
         }
@@ -61,15 +70,19 @@
     }
 
     /// Drops executors that have gone and have nothing any more.
-    pub(super) fn forget_executors(&mut self) {
-        let gone: Vec<ExecutorName> = self
+    pub(super) fn forget_executors(&mut self, now: Now) {
+        let gone: Vec<(ExecutorName, bool)> = self
             .executors
             .iter()
             .filter(|(_, known)| !known.present && known.runs.is_empty())
             .filter(|(_, known)| known.acknowledged >= known.taken_end)
-            .map(|(executor, _)| executor.clone())
+            .map(|(executor, known)| (executor.clone(), !known.lapsed.is_empty()))
             .collect();
-        for executor in gone {
+        for (executor, lapsed) in gone {
+            if lapsed {
+                self.life_over(now, &executor, Ending::Expired);
+                continue;
+            }
             self.executors.remove(&executor);
             self.forget_ends(&executor);
         }
--- a/crates/borageswitch_scheduler/src/reducer/looks.rs
+++ b/crates/borageswitch_scheduler/src/reducer/looks.rs
@@ -14,6 +14,7 @@
     executor::{ActiveRun, Report},
     reducer::{
         Limits, Scheduler,
+        crashes::Ending,
         executors::{Executor, Held, Phase},
     },
     task::TaskKey,
@@ -94,7 +95,7 @@
                 self.log("leader-fenced", executor, || "a look met a higher token".to_owned());
                 self.effects.push(Effect::StepDown);
             }
-            LookAnswer::OtherLife => self.life_over(executor, "another life answered"),
+            LookAnswer::OtherLife => self.life_over(now, executor, Ending::OtherLifeAnswered),
             LookAnswer::Lost => self.look_lost(now, executor),
         }
     }
@@ -103,6 +104,7 @@
         let Some(known) = self.executors.get_mut(executor) else { return };
         let looking = &mut known.looking;
         looking.failures += 1;
+        looking.silent_since.get_or_insert(now.time);
         let pause = FIRST_PAUSE * (1 << (looking.failures - 1).min(4));
         looking.not_before = now.time + pause.min(LONGEST_PAUSE);
         if looking.failures == 1 {
@@ -114,6 +116,8 @@
         let Some(known) = self.executors.get_mut(executor) else { return };
         let recovered = known.looking.failures > 0;
         known.looking.failures = 0;
+        known.looking.silent_since = None;
+        known.lapsed.clear();
         known.read_clock(now.time, report.clock_ms);
         if !known.fenced {
             known.fenced = true;
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -10,6 +10,7 @@
 //! - [`jobs`]: jobs come, are cancelled, come due and end.
 //! - [`looks`]: executors are looked at, and what they say is compared with what is believed.
 //! - [`starts`]: answers to starts and stops.
+//! - [`crashes`]: executors that ended, and which of them crashed.
 //! - [`stragglers`]: runs that fall far behind are given up.
 //! - [`lapses`]: runs on executors that cannot be reached.
 //! - [`waiting`]: which steps wait, most urgent first; [`rooms`]: what executors have left.
@@ -25,6 +26,7 @@
 
 pub mod advice;
 pub mod clock;
+pub mod crashes;
 pub mod emptying;
 pub mod evict;
 pub mod executor_table;
@@ -71,9 +73,9 @@
     ledger::{Ledger, record::Record},
     policy::{learned::Learned, shares::JobRate},
     reducer::{
-        advice::Advice, executor_table::ExecutorTable, hosts::Fleet, jobs::JobTimes,
-        kept_room::KeptRoom, lending::Lending, outbox::Outbox, rooms::Rooms, waiting::Waiting,
-        waves::Waves,
+        advice::Advice, crashes::EndedExecutor, executor_table::ExecutorTable, hosts::Fleet,
+        jobs::JobTimes, kept_room::KeptRoom, lending::Lending, outbox::Outbox, rooms::Rooms,
+        waiting::Waiting, waves::Waves,
     },
     task::{StepKey, TaskKey},
 };
@@ -144,6 +146,8 @@
     touched: BTreeSet<JobName>,
     /// Jobs whose end is being stored.
     ending: BTreeMap<JobName, u64>,
+    /// Executors that ended since the last decision.
+    ended_executors: Vec<EndedExecutor>,
     last_sweep: Time,
     last_slow_sweep: Time,
     effects: Vec<Effect>,
@@ -199,6 +203,7 @@
             self.last_slow_sweep = now.time;
             self.sweep_runs(now);
         }
+        self.note_crashes();
         self.finish_jobs(now);
         self.renew_rooms(now, sweep);
         self.renew_waiting(now, sweep);
@@ -218,7 +223,7 @@
         self.release_lapsed(now);
         self.begin_due(now);
         self.stirred.extend(self.executors.pools().cloned());
-        self.forget_executors();
+        self.forget_executors(now);
     }
 
     /// Looks through runs, and drops what is not needed any more.
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -71,6 +71,7 @@
             stirred: Default::default(),
             touched: Default::default(),
             ending: Default::default(),
+            ended_executors: Vec::new(),
             last_sweep: Time::ZERO,
             last_slow_sweep: Time::ZERO,
             effects: Vec::new(),
--- a/crates/borageswitch_scheduler/src/reducer/registrations.rs
+++ b/crates/borageswitch_scheduler/src/reducer/registrations.rs
@@ -7,7 +7,7 @@
 use crate::{
     event::{Now, Seen},
     executor::Registration,
-    reducer::{Scheduler, executors::Executor},
+    reducer::{Scheduler, crashes::Ending, executors::Executor},
     task::TaskKey,
 };
 
@@ -41,7 +41,7 @@
     fn registered(&mut self, now: Now, registration: Registration) {
         let executor = registration.executor.clone();
         self.stirred.insert(registration.pool.clone());
-        self.end_life_before(&registration);
+        self.end_life_before(now, &registration);
         match self.executors.get(&executor) {
             Some(known) => {
                 let drains = registration.draining && !known.registration.draining;
@@ -68,7 +68,7 @@
 
     /// An address has one executor at a time: whoever was registered there before has ended, and
     /// its tasks need not wait for its lease.
-    fn end_life_before(&mut self, registration: &Registration) {
+    fn end_life_before(&mut self, now: Now, registration: &Registration) {
         let same_place = |known: &&Executor| {
             known.registration.address == registration.address
                 && known.registration.executor != registration.executor
@@ -76,7 +76,7 @@
         };
         let before = self.executors.values().find(same_place);
         if let Some(executor) = before.map(|known| known.registration.executor.clone()) {
-            self.life_over(&executor, "another life is registered at its address");
+            self.life_over(now, &executor, Ending::OtherLifeRegistered);
         }
     }
 
--- a/crates/borageswitch_scheduler/src/reducer/starts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/starts.rs
@@ -16,7 +16,7 @@
     effect::{Effect, StartOrder},
     event::{Now, OrderAnswer, StartAnswer},
     executor::EndKind,
-    reducer::{Scheduler, executors::Phase},
+    reducer::{Scheduler, crashes::Ending, executors::Phase},
     task::TaskKey,
 };
 
@@ -53,6 +53,7 @@
         if let Some(held) = known.runs.get_mut(task) {
             held.phase = Phase::Sent;
             held.since = now.time;
+            held.ordered = Some(now.time);
         }
         self.log("run-sent", task, || format!("run={run} executor={executor}"));
         self.effects.push(Effect::Start(recipient, order));
@@ -111,7 +112,7 @@
             StartAnswer::Started => self.run_confirmed(now, executor, task),
             StartAnswer::Lost => self.start_lost(now, executor, task),
             StartAnswer::Fenced => self.effects.push(Effect::StepDown),
-            StartAnswer::OtherLife => self.life_over(executor, "another life answered"),
+            StartAnswer::OtherLife => self.life_over(now, executor, Ending::OtherLifeAnswered),
             StartAnswer::NoRoom => self.close(now, executor, task, FULL_PAUSE, "no room"),
             StartAnswer::Malformed => {
                 self.close(now, executor, task, MALFORMED_PAUSE, "malformed");
@@ -153,6 +154,7 @@
 
     fn start_lost(&mut self, now: Now, executor: &ExecutorName, task: &TaskKey) {
         let Some(known) = self.executors.get_mut(executor) else { return };
+        known.looking.silent_since.get_or_insert(now.time);
         let Some(held) = known.runs.get_mut(task) else { return };
         if held.phase == Phase::Sent {
             held.phase = Phase::Unsure;
@@ -220,7 +222,7 @@
                 }
             }
             OrderAnswer::Fenced => self.effects.push(Effect::StepDown),
-            OrderAnswer::OtherLife => self.life_over(executor, "another life answered"),
+            OrderAnswer::OtherLife => self.life_over(now, executor, Ending::OtherLifeAnswered),
             // Sent again from the sweep.
             OrderAnswer::Refused | OrderAnswer::Lost => {}
         }
