--- a/crates/borageswitch_scheduler/tests/randomised.rs
+++ b/crates/borageswitch_scheduler/tests/randomised.rs
@@ -182,6 +182,7 @@
         executor_cut: 1,
         store_away: 1,
         cancel: 2,
+        ..Faults::default()
     };
     for seed in seeds() {
         let world = play(seed, true, faults);
--- a/crates/borageswitch_scheduler/tests/support/world.rs
+++ b/crates/borageswitch_scheduler/tests/support/world.rs
@@ -1,9 +1,13 @@
 //! Carries effects out with delays and faults, and checks what must hold.
 //!
 //! - [`orders`]: what reaches executors, and when their answers come back.
+//! - [`hosts`]: hosts that crash, shrink, leave and are maintained.
+//! - [`culprits`]: tasks that crash whatever runs them.
 //! - [`checks`]: what must hold.
 
 mod checks;
+pub mod culprits;
+mod hosts;
 mod orders;
 
 use std::{
@@ -28,7 +32,7 @@
 };
 use borageswitch_types::{
     Time,
-    names::{CallerName, DataCentreName, ExecutorName, JobName},
+    names::{CallerName, DataCentreName, ExecutorName, HostName, JobName},
     time::UnixMillis,
 };
 use fastrand::Rng;
@@ -37,6 +41,8 @@
     executor::SimExecutor,
     fixtures::{config, cores, queue},
 };
+use culprits::Culprits;
+use hosts::Hosts;
 
 /// One step of the world, in milliseconds.
 const STEP: u64 = 5;
@@ -58,11 +64,22 @@
     pub executor_cut: u32,
     pub store_away: u32,
     pub cancel: u32,
+    /// Hosts of one rack go at once; needs hosts, as all that follow.
+    pub rack_lost: u32,
+    /// A host shrinks, down to nothing at times, and grows again.
+    pub shrinks: u32,
+    /// A host is removed for good after a notice, and another one comes.
+    pub leaves: u32,
+    /// Some hosts are due for maintenance.
+    pub wave: u32,
+    /// The platform's list of hosts is away for some seconds.
+    pub list_away: u32,
 }
 
 enum Due {
     Order { token: u64, effect: Effect, answered: bool },
     Event { token: u64, event: Event },
+    Departure { host: HostName, executor: Option<ExecutorName>, guards: bool },
 }
 
 /// The world: executors, a store and whoever leads.
@@ -90,6 +107,8 @@
     earlier_quotas: Vec<(u64, CallerName, Size)>,
     pub shown: BTreeMap<JobName, Outcome>,
     pub broken: Vec<String>,
+    hosts: Option<Hosts>,
+    pub culprits: Culprits,
 }
 
 impl World {
@@ -117,6 +136,8 @@
             earlier_quotas: Vec::new(),
             shown: BTreeMap::new(),
             broken: Vec::new(),
+            hosts: None,
+            culprits: Culprits::default(),
         };
         for _ in 0..hosts {
             world.add_executor(guards);
@@ -124,12 +145,23 @@
         world
     }
 
-    fn add_executor(&mut self, guards: bool) {
+    /// A world whose executors run on hosts that the platform lists.
+    pub fn with_hosts(seed: u64, hosts: usize, guards: bool, faults: Faults) -> Self {
+        let mut world = Self::new(seed, 0, guards, faults);
+        world.hosts = Some(Hosts::default());
+        for _ in 0..hosts {
+            world.add_host(guards);
+        }
+        world
+    }
+
+    fn add_executor(&mut self, guards: bool) -> ExecutorName {
         self.next_executor += 1;
         let name = ExecutorName::from(format!("e{}", self.next_executor));
         let ahead = self.rng.u64(..1_000_000);
         let slow = self.rng.bool();
-        self.executors.insert(name, SimExecutor::new(cores(16), guards, ahead, slow));
+        self.executors.insert(name.clone(), SimExecutor::new(cores(16), guards, ahead, slow));
+        name
     }
 
     fn moment(&self) -> Now {
@@ -137,6 +169,9 @@
     }
 
     fn registrations(&self) -> Vec<Registration> {
+        if let Some(hosts) = &self.hosts {
+            return hosts.registrations(self.now);
+        }
         let alive = self.executors.keys().filter(|name| !self.dead.contains(*name));
         alive
             .map(|name| Registration {
@@ -248,6 +283,9 @@
         self.strike();
         self.lead();
         self.deliver();
+        self.crash_culprits();
+        self.advance_hosts();
+        self.hold_gangs();
         for (name, executor) in &mut self.executors {
             if !self.dead.contains(name) {
                 executor.advance(self.now);
@@ -281,12 +319,20 @@
         if self.chance(self.faults.cancel) {
             self.cancel_one();
         }
+        self.strike_hosts();
     }
 
     fn kill_executor(&mut self) {
         let alive: Vec<_> =
             self.executors.keys().filter(|name| !self.dead.contains(*name)).cloned().collect();
+        if alive.is_empty() {
+            return;
+        }
         let victim = alive[self.rng.usize(..alive.len())].clone();
+        if self.hosts.is_some() {
+            self.crash(&victim);
+            return;
+        }
         let guards = self.executors[&victim].guards;
         self.executors.get_mut(&victim).unwrap().active.clear();
         self.dead.insert(victim);
@@ -374,8 +420,11 @@
                 }
                 Effect::Start(..) | Effect::Stop(..) | Effect::Look(..) => self.send(token, effect),
                 Effect::ListHosts => {
-                    self.due.push((self.now + 10, Due::Event { token, event: Event::Hosts(None) }));
+                    let event = Event::Hosts(self.list_hosts());
+                    self.due.push((self.now + 10, Due::Event { token, event }));
                 }
+                Effect::Host(host, order) => self.order_host(token, &host, &order),
+                Effect::ReportWave { .. } => {}
                 Effect::StoreSnapshot { snapshot, remove } => {
                     self.snapshot = *snapshot;
                     self.appends.retain(|number, _| !remove.contains(number));
--- a/crates/borageswitch_scheduler/tests/support/world/checks.rs
+++ b/crates/borageswitch_scheduler/tests/support/world/checks.rs
@@ -40,7 +40,7 @@
         }
         self.check_quota(task);
         let known = &self.executors[executor];
-        if !known.capacity.holds(&known.taken()) {
+        if !self.lately_had(executor).holds(&known.taken()) {
             self.broken.push(format!("{executor} is over its capacity"));
         }
     }
@@ -77,6 +77,7 @@
     }
 
     pub(super) fn check(&mut self) {
+        self.check_failed();
         if let Some((job, outcome)) = self.shown.iter().find(|(job, outcome)| {
             **outcome == Outcome::Cancelled && !self.cancelled.contains_key(*job)
         }) {
@@ -94,7 +95,9 @@
     /// Jobs that were neither cancelled nor have ended.
     pub fn open_jobs(&self) -> Vec<&JobName> {
         let open = |job: &&JobName| !self.shown.contains_key(*job);
-        let lasts = |job: &&JobName| self.submissions[*job].spec.is_lasting();
+        let lasts = |job: &&JobName| {
+            self.submissions[*job].spec.is_lasting() && !self.culprits.is_culprit(job)
+        };
         self.submissions.keys().filter(open).filter(|job| !lasts(job)).collect()
     }
 
@@ -113,7 +116,8 @@
         let mut wanted = 0;
         let mut running = 0;
         for (name, submission) in &self.submissions {
-            if !submission.spec.is_lasting() || self.cancelled.contains_key(name) {
+            let over = self.cancelled.contains_key(name) || self.culprits.is_culprit(name);
+            if !submission.spec.is_lasting() || over {
                 continue;
             }
             wanted += submission.spec.steps[0].count as usize;
--- /dev/null
+++ b/crates/borageswitch_scheduler/tests/support/world/hosts.rs
@@ -0,0 +1,338 @@
+//! Hosts that crash, shrink, leave and are maintained, and gangs, which span hosts.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use borageswitch_scheduler::{
+    effect::HostOrder,
+    event::{Event, HostAnswer},
+    executor::Registration,
+    fleet::{HostEntry, HostState, WaveRequest},
+    job::Size,
+    task::TaskKey,
+};
+use borageswitch_types::names::{DataCentreName, ExecutorName, HostName};
+
+use super::{Due, World};
+use crate::support::fixtures::{cores, queue};
+
+/// How long an executor that crashed stays registered, in milliseconds.
+const REGISTERED: u64 = 4_500;
+/// How long a host is away for maintenance.
+const MAINTENANCE: u64 = 2_000;
+/// How long after a host has shrunk a start may still go by what it had before.
+const SHRINK_SLACK: u64 = 4_500;
+/// How many racks there are.
+const RACKS: usize = 3;
+
+#[derive(Clone, Debug)]
+struct SimHost {
+    rack: usize,
+    port: u16,
+    guards: bool,
+    state: HostState,
+    executor: Option<ExecutorName>,
+    back_at: u64,
+    draining: bool,
+    capacity: Size,
+    /// When it shrank, and to what it had before that.
+    shrunk: Option<(u64, Size)>,
+    grows_at: u64,
+}
+
+/// The hosts of a world, and who is registered.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Hosts {
+    all: BTreeMap<HostName, SimHost>,
+    /// Executors whose life is over, and until when they stay registered.
+    expiring: Vec<(u64, Registration)>,
+    away_until: u64,
+    waves: u64,
+    next_host: u32,
+}
+
+impl SimHost {
+    fn labels(&self) -> Vec<std::sync::Arc<str>> {
+        vec!["a".into(), format!("r{}", self.rack).into()]
+    }
+
+    fn registration(&self) -> Option<Registration> {
+        Some(Registration {
+            executor: self.executor.clone()?,
+            pool: queue().pool,
+            address: SocketAddr::from(([127, 0, 0, 1], self.port)),
+            data_centre: DataCentreName::from("dc"),
+            draining: self.draining,
+            remaining: self.draining.then_some(Duration::ZERO),
+            capacity: self.capacity,
+            labels: self.labels(),
+        })
+    }
+}
+
+impl Hosts {
+    pub(super) fn registrations(&self, now: u64) -> Vec<Registration> {
+        let live = self.all.values().filter_map(SimHost::registration);
+        let expiring = self.expiring.iter().filter(|(until, _)| *until > now);
+        live.chain(expiring.map(|(_, registration)| registration.clone())).collect()
+    }
+
+    fn of(&self, executor: &ExecutorName) -> Option<&SimHost> {
+        self.all.values().find(|host| host.executor.as_ref() == Some(executor))
+    }
+}
+
+impl World {
+    pub(super) fn add_host(&mut self, guards: bool) {
+        let executor = self.add_executor(guards);
+        let Some(hosts) = &mut self.hosts else { return };
+        hosts.next_host += 1;
+        let name = HostName::from(format!("h{}", hosts.next_host));
+        let host = SimHost {
+            rack: hosts.next_host as usize % RACKS,
+            port: 1_000 + hosts.next_host as u16,
+            guards,
+            state: HostState::Up,
+            executor: Some(executor),
+            back_at: 0,
+            draining: false,
+            capacity: cores(16),
+            shrunk: None,
+            grows_at: 0,
+        };
+        hosts.all.insert(name, host);
+    }
+
+    /// An executor goes with all that it runs; its host comes back some seconds later.
+    pub(super) fn crash(&mut self, executor: &ExecutorName) {
+        let back_at = self.now + self.rng.u64(2_000..5_000);
+        self.end_life(executor, HostState::Down, back_at);
+    }
+
+    fn end_life(&mut self, executor: &ExecutorName, state: HostState, back_at: u64) {
+        let now = self.now;
+        let Some(hosts) = &mut self.hosts else { return };
+        let of = |host: &&mut SimHost| host.executor.as_ref() == Some(executor);
+        let Some(host) = hosts.all.values_mut().find(of) else { return };
+        let registration = host.registration();
+        host.executor = None;
+        host.state = state;
+        host.back_at = back_at;
+        host.draining = false;
+        host.shrunk = None;
+        host.capacity = cores(16);
+        // Only what crashes leaves its registration behind.
+        if let Some(registration) = registration.filter(|_| state == HostState::Down) {
+            hosts.expiring.push((now + REGISTERED, registration));
+        }
+        if let Some(known) = self.executors.get_mut(executor) {
+            known.active.clear();
+        }
+        self.dead.insert(executor.clone());
+        if state != HostState::Down {
+            self.tell_registrations();
+        }
+    }
+
+    pub(super) fn advance_hosts(&mut self) {
+        let now = self.now;
+        let Some(hosts) = &mut self.hosts else { return };
+        let before = hosts.expiring.len();
+        hosts.expiring.retain(|(until, _)| *until > now);
+        let mut changed = hosts.expiring.len() != before;
+        let is_back = |host: &SimHost| host.state != HostState::Up && host.back_at <= now;
+        let back: Vec<HostName> =
+            hosts.all.iter().filter(|(_, h)| is_back(h)).map(|(name, _)| name.clone()).collect();
+        let grows = |host: &SimHost| host.shrunk.is_some() && host.grows_at <= now;
+        for host in hosts.all.values_mut().filter(|host| grows(host)) {
+            host.shrunk = None;
+            host.capacity = cores(16);
+            changed = true;
+        }
+        for name in &back {
+            let guards = self.hosts.as_ref().is_some_and(|hosts| hosts.all[name].guards);
+            let executor = self.add_executor(guards);
+            // Some come back at the same address, some at another one.
+            let port = self.rng.u16(2_000..60_000);
+            let moves = self.rng.bool();
+            let host = self.hosts.as_mut().and_then(|hosts| hosts.all.get_mut(name));
+            let Some(host) = host else { continue };
+            host.state = HostState::Up;
+            host.executor = Some(executor);
+            host.port = if moves { port } else { host.port };
+        }
+        if changed || !back.is_empty() {
+            self.tell_registrations();
+        }
+        self.sync_capacities();
+    }
+
+    /// Executors guard what their hosts have at this moment.
+    fn sync_capacities(&mut self) {
+        let Some(hosts) = &self.hosts else { return };
+        for host in hosts.all.values() {
+            let known = host.executor.as_ref().and_then(|name| self.executors.get_mut(name));
+            if let Some(known) = known {
+                known.capacity = host.capacity;
+            }
+        }
+    }
+
+    pub(super) fn strike_hosts(&mut self) {
+        if self.hosts.is_none() {
+            return;
+        }
+        if self.chance(self.faults.rack_lost) {
+            let rack = self.rng.usize(..RACKS);
+            for executor in self.executors_where(|host| host.rack == rack) {
+                self.crash(&executor);
+            }
+        }
+        if self.chance(self.faults.shrinks) {
+            self.shrink();
+        }
+        if self.chance(self.faults.leaves) {
+            self.leave();
+        }
+        if self.chance(self.faults.wave) {
+            self.ask_for_wave();
+        }
+        if self.chance(self.faults.list_away) {
+            let until = self.now + self.rng.u64(500..6_000);
+            if let Some(hosts) = &mut self.hosts {
+                hosts.away_until = until;
+            }
+        }
+    }
+
+    fn executors_where<F>(&self, wanted: F) -> Vec<ExecutorName>
+    where
+        F: Fn(&SimHost) -> bool,
+    {
+        let hosts = self.hosts.iter().flat_map(|hosts| hosts.all.values());
+        hosts.filter(|host| wanted(host)).filter_map(|host| host.executor.clone()).collect()
+    }
+
+    fn some_host(&mut self) -> Option<HostName> {
+        let hosts = self.hosts.as_ref()?;
+        let up = hosts.all.iter().filter(|(_, host)| host.executor.is_some() && !host.draining);
+        let up: Vec<HostName> = up.map(|(name, _)| name.clone()).collect();
+        if up.is_empty() { None } else { Some(up[self.rng.usize(..up.len())].clone()) }
+    }
+
+    fn shrink(&mut self) {
+        let Some(name) = self.some_host() else { return };
+        let left = if self.rng.u32(..4) == 0 { 0 } else { self.rng.u64(1..12) };
+        let grows_at = self.now + self.rng.u64(1_000..8_000);
+        let now = self.now;
+        let host = self.hosts.as_mut().and_then(|hosts| hosts.all.get_mut(&name));
+        if let Some(host) = host.filter(|host| host.shrunk.is_none()) {
+            host.shrunk = Some((now, host.capacity));
+            host.capacity = cores(left);
+            host.grows_at = grows_at;
+            self.tell_registrations();
+        }
+    }
+
+    /// A host says that it leaves, and has left some seconds later; another one comes.
+    fn leave(&mut self) {
+        let Some(name) = self.some_host() else { return };
+        let at = self.now + self.rng.u64(2_000..4_000);
+        let host = self.hosts.as_mut().and_then(|hosts| hosts.all.get_mut(&name));
+        let Some(host) = host else { return };
+        host.draining = true;
+        let (guards, executor) = (host.guards, host.executor.clone());
+        self.tell_registrations();
+        self.due.push((at, Due::Departure { host: name, executor, guards }));
+    }
+
+    pub(super) fn depart(
+        &mut self,
+        name: &HostName,
+        executor: Option<&ExecutorName>,
+        guards: bool,
+    ) {
+        let there = self.hosts.as_ref().and_then(|hosts| hosts.all.get(name));
+        if there.is_none_or(|host| host.executor.as_ref() != executor) {
+            return;
+        }
+        if let Some(executor) = executor {
+            self.end_life(executor, HostState::Moving, u64::MAX);
+        }
+        if let Some(hosts) = &mut self.hosts {
+            hosts.all.remove(name);
+        }
+        self.add_host(guards);
+        self.tell_registrations();
+    }
+
+    fn ask_for_wave(&mut self) {
+        let Some(hosts) = &mut self.hosts else { return };
+        hosts.waves += 1;
+        let wave = hosts.waves;
+        let due: Vec<HostName> = hosts.all.keys().step_by(2).cloned().collect();
+        let request =
+            WaveRequest { wave, hosts: due, allowed: Duration::from_secs(20), max_down: 2 };
+        let moment = self.moment();
+        if let Some(leader) = &mut self.leader {
+            leader.handle(moment, Event::Wave(request));
+        }
+    }
+
+    pub(super) fn list_hosts(&self) -> Option<Vec<HostEntry>> {
+        let hosts = self.hosts.as_ref().filter(|hosts| hosts.away_until <= self.now)?;
+        let entries = hosts.all.iter().map(|(name, host)| HostEntry {
+            host: name.clone(),
+            pool: queue().pool,
+            state: host.state,
+            labels: host.labels(),
+            capacity: host.capacity,
+            executor: host.executor.clone(),
+        });
+        Some(entries.collect())
+    }
+
+    pub(super) fn order_host(&mut self, token: u64, name: &HostName, order: &HostOrder) {
+        let host = self.hosts.as_ref().and_then(|hosts| hosts.all.get(name));
+        let up = host.filter(|host| host.state == HostState::Up && !host.draining);
+        let answer = match (up.and_then(|host| host.executor.clone()), order) {
+            (Some(executor), HostOrder::Maintain(_)) => {
+                self.end_life(&executor, HostState::InMaintenance, self.now + MAINTENANCE);
+                HostAnswer::Done
+            }
+            _ => HostAnswer::Busy,
+        };
+        let event = Event::HostAnswered { host: name.clone(), answer };
+        self.due.push((self.now + 10, Due::Event { token, event }));
+    }
+
+    /// The most that a start may rely on: what a host has, or had until not long ago.
+    pub(super) fn lately_had(&self, executor: &ExecutorName) -> Size {
+        let host = self.hosts.as_ref().and_then(|hosts| hosts.of(executor));
+        let lately =
+            host.and_then(|host| host.shrunk).filter(|(at, _)| self.now - at < SHRINK_SLACK);
+        lately.map_or(self.executors[executor].capacity, |(_, before)| before)
+    }
+
+    /// A member of a gang works on until all members of the same run are there.
+    pub(super) fn hold_gangs(&mut self) {
+        if self.hosts.is_none() {
+            return;
+        }
+        let mut present: BTreeMap<(TaskKey, u32), u32> = BTreeMap::new();
+        let first = |task: &TaskKey| TaskKey { index: 0, ..task.clone() };
+        let alive = self.executors.iter().filter(|(name, _)| !self.dead.contains(*name));
+        for (task, run) in alive.flat_map(|(_, known)| &known.active) {
+            *present.entry((first(task), run.run)).or_default() += 1;
+        }
+        let submissions = &self.submissions;
+        for known in self.executors.values_mut() {
+            for (task, run) in &mut known.active {
+                let step = &submissions[&task.job].spec.steps[usize::from(task.step)];
+                let whole = present.get(&(first(task), run.run)) == Some(&step.count);
+                if step.gang && !whole {
+                    run.ends = run.ends.max(self.now + 50);
+                }
+            }
+        }
+    }
+}
--- a/crates/borageswitch_scheduler/tests/support/world/orders.rs
+++ b/crates/borageswitch_scheduler/tests/support/world/orders.rs
@@ -25,6 +25,9 @@
                     }
                 }
                 Due::Order { token, effect, answered } => self.execute(token, effect, answered),
+                Due::Departure { host, executor, guards } => {
+                    self.depart(&host, executor.as_ref(), guards);
+                }
             }
         }
     }
@@ -35,7 +38,9 @@
     }
 
     pub(super) fn is_reachable(&self, executor: &ExecutorName) -> bool {
-        !self.dead.contains(executor) && self.cut.get(executor).is_none_or(|end| *end <= self.now)
+        self.executors.contains_key(executor)
+            && !self.dead.contains(executor)
+            && self.cut.get(executor).is_none_or(|end| *end <= self.now)
     }
 
     /// An order arrives.
@@ -57,6 +62,7 @@
                 let clock_ms = Some(executor.clock(self.now));
                 if answer == StartAnswer::Started {
                     self.check_started(&to.executor, &order.task);
+                    self.culprit_started(&to.executor, &order, sent);
                 }
                 if answered {
                     let (task, run, executor) = (order.task, order.run, to.executor);
