Pause starts that come to nothing again and again

A start that every executor refuses as malformed, late or outdated, or that none answers, was given again with each decision: 250 times in 10 s with answers 'outdated' and decisions every 20 ms, each with a write to the store; 750 for a gang of three. A malformed order closed each executor of its pool for two seconds in turn.

Two starts follow at once, as most failures are the executor's; then pauses of 100 ms that double up to 1 s, until a run is confirmed. Members of a gang that end alone count too. At most 17 starts in 10 s after it (test, which failed before). explain says that tasks wait for this.

--- a/crates/borageswitch_scheduler/src/reducer/explain.rs
+++ b/crates/borageswitch_scheduler/src/reducer/explain.rs
@@ -210,6 +210,11 @@
             Some(format!("step {number}: task {index} is run {run} on {executor}"))
         });
         lines.extend(assigned.take(MOST_RUNS));
+        let held_back = |index: &u32| self.failed_starts.holds_back(now.time, &key.task(*index));
+        let held_back = (0..step.count).filter(held_back).count();
+        if held_back > 0 {
+            lines.push(format!("step {number}: {held_back} tasks wait after starts that failed"));
+        }
         if waiting > 0 {
             lines.push(self.explain_waiting(now, key, step));
         }
--- a/crates/borageswitch_scheduler/src/reducer/looks.rs
+++ b/crates/borageswitch_scheduler/src/reducer/looks.rs
@@ -160,6 +160,7 @@
             let held = self.executors.get(executor).and_then(|known| known.runs.get(&active.task));
             if held.is_some_and(|held| held.run == active.run && !held.confirmed) {
                 self.executors.confirm(executor, &active.task);
+                self.failed_starts.confirmed(&active.task);
             }
         }
         let Some(known) = self.executors.get_mut(executor) else { return };
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -9,7 +9,8 @@
 //! - [`outbox`]: what waits until its records are stored.
 //! - [`jobs`]: jobs come, are cancelled, come due and end.
 //! - [`looks`]: executors are looked at, and what they say is compared with what is believed.
-//! - [`starts`]: answers to starts and stops.
+//! - [`ends`]: runs end, or are known never to have begun.
+//! - [`starts`]: answers to starts and stops; [`failed_starts`] are not repeated at once for ever.
 //! - [`crashes`]: executors that ended, and which of them crashed.
 //! - [`suspects`]: tasks under which executors have crashed.
 //! - [`stragglers`]: runs that fall far behind are given up.
@@ -29,10 +30,12 @@
 pub mod clock;
 pub mod crashes;
 pub mod emptying;
+pub mod ends;
 pub mod evict;
 pub mod executor_table;
 pub mod executors;
 pub mod explain;
+pub mod failed_starts;
 pub mod gangs;
 pub mod hosts;
 pub mod jobs;
@@ -71,15 +74,15 @@
     config::Config,
     effect::{Effect, LogLine},
     event::{Event, Now},
-    executor::EndKind,
     ledger::{Ledger, record::Record},
     policy::{learned::Learned, shares::JobRate},
     reducer::{
-        advice::Advice, crashes::EndedExecutor, executor_table::ExecutorTable, hosts::Fleet,
-        jobs::JobTimes, kept_room::KeptRoom, lending::Lending, outbox::Outbox, rooms::Rooms,
-        suspects::Suspects, waiting::Waiting, waves::Waves,
+        advice::Advice, crashes::EndedExecutor, executor_table::ExecutorTable,
+        failed_starts::FailedStarts, hosts::Fleet, jobs::JobTimes, kept_room::KeptRoom,
+        lending::Lending, outbox::Outbox, rooms::Rooms, suspects::Suspects, waiting::Waiting,
+        waves::Waves,
     },
-    task::{StepKey, TaskKey},
+    task::StepKey,
 };
 
 /// What the operator's platform promises, and how the leader uses it.
@@ -151,6 +154,7 @@
     /// Executors that ended since the last decision.
     ended_executors: Vec<EndedExecutor>,
     suspects: Suspects,
+    failed_starts: FailedStarts,
     last_sweep: Time,
     last_slow_sweep: Time,
     effects: Vec<Effect>,
@@ -237,6 +241,7 @@
         self.forget_outcomes(now);
         self.forget_advice();
         self.forget_gangs();
+        self.forget_failed_starts();
         let jobs = &self.ledger.jobs;
         self.lasting_missed.retain(|step, _| jobs.contains_key(&step.job));
     }
@@ -270,81 +275,6 @@
         }
     }
 
-    /// Frees a task that certainly does not run on an executor and never will.
-    fn release(&mut self, executor: &ExecutorName, task: &TaskKey, why: &'static str) {
-        let Some(held) = self.executors.drop_run(executor, task) else { return };
-        let Some(known) = self.executors.get(executor) else { return };
-        self.stirred.insert(known.registration.pool.clone());
-        self.log("run-released", task, || {
-            format!("run={} executor={executor} why={why}", held.run)
-        });
-        let assigned = self.ledger.task(task).and_then(|state| state.assigned.as_ref());
-        let is_left = self.ledger.leftovers.get(task).is_some_and(|left| left.run == held.run);
-        if is_left || assigned.is_some_and(|a| a.run == held.run && a.executor == *executor) {
-            self.record(Record::Released { task: task.clone(), run: held.run });
-        }
-    }
-
-    /// Takes in the end of a run, whoever told of it.
-    fn ended(&mut self, now: Now, executor: &ExecutorName, ended: &crate::executor::EndedRun) {
-        let Some(known) = self.executors.get(executor) else { return };
-        let is_held = known.runs.get(&ended.task).is_some_and(|held| held.run == ended.run);
-        let held = is_held.then(|| self.executors.drop_run(executor, &ended.task)).flatten();
-        let Some(known) = self.executors.get_mut(executor) else { return };
-        if known.runs.is_empty() {
-            known.idle_since = now.time;
-        }
-        let pool = known.registration.pool.clone();
-        match ended.how {
-            EndKind::Done => known.trust.succeeded(),
-            EndKind::Failed => self.note_failure(now, executor, &ended.task),
-            _ => {}
-        }
-        if let Some(held) = held.filter(|_| ended.how == EndKind::Done) {
-            self.learn(now, &ended.task, &held);
-        }
-        self.stirred.insert(pool);
-        self.touched.insert(ended.task.job.clone());
-        if let Some(times) = self.times.get_mut(&ended.task.job) {
-            times.begun = true;
-        }
-        self.log("run-ended", &ended.task, || {
-            format!("run={} executor={executor} how={}", ended.run, ended.how)
-        });
-        self.record(Record::Ended {
-            executor: executor.clone(),
-            number: ended.number,
-            task: ended.task.clone(),
-            run: ended.run,
-            how: ended.how,
-            checkpoint: ended.checkpoint.clone(),
-        });
-        self.outbox.then_acknowledge(executor.clone(), ended.number);
-        self.stop_leftovers(now, &ended.task, ended.how);
-    }
-
-    /// A failure counts against an executor unless the task has failed on another one before: then
-    /// the task itself is the likelier cause.
-    fn note_failure(&mut self, now: Now, executor: &ExecutorName, task: &TaskKey) {
-        let failed_before = self.ledger.task(task).is_some_and(|state| state.failures > 0);
-        let job_doubted = self
-            .times
-            .get(&task.job)
-            .is_some_and(|times| times.failed_on.as_ref().is_some_and(|other| other != executor));
-        if let Some(times) = self.times.get_mut(&task.job) {
-            times.failed_on.get_or_insert_with(|| executor.clone());
-        }
-        if failed_before || job_doubted {
-            return;
-        }
-        if let Some(known) = self.executors.get_mut(executor) {
-            known.trust.failed(now.time);
-            if known.trust.is_doubted() {
-                self.log("executor-distrusted", executor, || format!("after a failure of {task}"));
-            }
-        }
-    }
-
     fn log<S, D>(&mut self, kind: &'static str, subject: S, detail: D)
     where
         S: std::fmt::Display,
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -157,6 +157,9 @@
         let Some(job) = self.ledger.jobs.get(&waiting.key.job) else { return Placed::Done };
         let Some(step) = job.step(waiting.key.step).cloned() else { return Placed::Done };
         let needs_ticket = self.needs_ticket(job);
+        if step.gang && self.failed_starts.holds_back_gang(now.time, waiting) {
+            return Placed::Done;
+        }
         if step.gang {
             let placed = self.place_gang(now, pool, waiting, &step, room);
             if needs_ticket && !placed {
@@ -170,7 +173,7 @@
         for &index in waiting.waiting.iter().take(self.startable(waiting)) {
             let task = waiting.key.task(index);
             let standing = self.standing(&task);
-            if standing == Standing::Culprit {
+            if standing == Standing::Culprit || self.failed_starts.holds_back(now.time, &task) {
                 continue;
             }
             let Some(executor) = places.take(&size, standing) else {
--- a/crates/borageswitch_scheduler/src/reducer/starts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/starts.rs
@@ -104,6 +104,7 @@
         if known.runs.get(task).is_none_or(|held| held.run != run) {
             return;
         }
+        self.note_start(now, task, answer);
         if answer != StartAnswer::Started {
             self.log("start-refused", task, || {
                 let age = now.time.since(sent).as_millis();
