Repeat orders for hosts with growing pauses, and count on no host that does not come back

A host that was on its way into another pool and never came was counted on for ever, so that the pool was given no other; after 30 s it is told as overdue and let go.

--- /dev/null
+++ b/crates/borageswitch_scheduler/src/reducer/host_list.rs
@@ -0,0 +1,157 @@
+//! The platform's list of hosts, and the executors that it names no more.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use borageswitch_types::{
+    Time,
+    names::{ExecutorName, HostName},
+};
+
+use crate::{
+    effect::Effect,
+    event::Now,
+    fleet::{HostEntry, HostState},
+    reducer::{
+        Scheduler,
+        crashes::{Ending, HostFate},
+        hosts::Withdrawal,
+    },
+};
+
+/// How often the hosts are listed while something is going on with them.
+const LIST_INTERVAL: Duration = Duration::from_millis(700);
+/// How often they are listed otherwise.
+const QUIET_LIST_INTERVAL: Duration = Duration::from_millis(1_500);
+/// A list that has not come after this time is asked for again.
+const LIST_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// An executor that the platform's list does not name has ended, if it was known for so long
+/// before the list was asked for: a new one appears there a moment after it has registered.
+const LIST_LAG: Duration = Duration::from_millis(1_500);
+
+/// The executors of one list of hosts.
+#[derive(Debug, Default)]
+struct Listing {
+    /// When the call that brought it left.
+    at: Option<Time>,
+    host_of: BTreeMap<ExecutorName, HostName>,
+}
+
+/// The hosts as they are known.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    /// The platform's list.
+    pub hosts: BTreeMap<HostName, HostEntry>,
+    /// When the call that brought it left.
+    pub listed: Option<Time>,
+    /// The hosts that are taken out of service.
+    pub withdrawals: BTreeMap<HostName, Withdrawal>,
+    listing: Listing,
+    listing_before: Listing,
+    asked: Option<Time>,
+    /// Kinds of which there are few.
+    scarce: BTreeSet<Arc<str>>,
+}
+
+impl Fleet {
+    /// The host that has an executor by the platform's list, or had it by the one before.
+    pub(super) fn host_of(&self, executor: &ExecutorName) -> Option<&HostName> {
+        let Listing { host_of, .. } = self.listing_with(executor)?;
+        host_of.get(executor)
+    }
+
+    /// When the platform listed an executor last.
+    pub(super) fn seen_up(&self, executor: &ExecutorName) -> Option<Time> {
+        self.listing_with(executor)?.at
+    }
+
+    fn listing_with(&self, executor: &ExecutorName) -> Option<&Listing> {
+        let has = |listing: &&Listing| listing.host_of.contains_key(executor);
+        [&self.listing, &self.listing_before].into_iter().find(has)
+    }
+
+    /// Takes in a list that was asked for at that time.
+    fn take_list(&mut self, asked: Time, hosts: Vec<HostEntry>) {
+        self.listed = Some(asked);
+        self.hosts = hosts.into_iter().map(|entry| (entry.host.clone(), entry)).collect();
+        let up = self.hosts.values().filter(|entry| entry.state == HostState::Up);
+        let host_of =
+            up.filter_map(|entry| Some((entry.executor.clone()?, entry.host.clone()))).collect();
+        let fresh = Listing { at: Some(asked), host_of };
+        self.listing_before = std::mem::replace(&mut self.listing, fresh);
+        self.find_scarce();
+    }
+
+    /// What has become of the host of an executor that is listed no more.
+    fn fate_of(&self, executor: &ExecutorName) -> HostFate {
+        let Some(host) = self.host_of(executor).cloned() else { return HostFate::Unknown };
+        if self.withdrawals.get(&host).is_some_and(Withdrawal::is_under_way) {
+            return HostFate::Ordered(host);
+        }
+        match self.hosts.get(&host).map(|entry| entry.state) {
+            Some(HostState::Moving | HostState::InMaintenance) => HostFate::Ordered(host),
+            Some(state @ (HostState::Up | HostState::Down)) => HostFate::Stays(host, state),
+            None => HostFate::Removed(host),
+        }
+    }
+
+    /// Whether hosts with these labels are of a kind of which there are few.
+    pub(super) fn is_scarce(&self, labels: &[Arc<str>]) -> bool {
+        labels.first().is_some_and(|kind| self.scarce.contains(kind))
+    }
+
+    /// A kind is scarce with less than half of its even share of the hosts.
+    fn find_scarce(&mut self) {
+        let mut kinds: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
+        for kind in self.hosts.values().filter_map(|entry| entry.labels.first()) {
+            *kinds.entry(kind).or_default() += 1;
+        }
+        let even = self.hosts.len() / kinds.len().max(1);
+        let scarce = kinds.into_iter().filter(|(_, count)| count * 2 < even);
+        self.scarce = scarce.map(|(kind, _)| kind.clone()).collect();
+    }
+}
+
+impl Scheduler {
+    pub(super) fn list_hosts(&mut self, now: Now) {
+        let busy = self.waves.is_open() || !self.fleet.withdrawals.is_empty();
+        let interval = if busy { LIST_INTERVAL } else { QUIET_LIST_INTERVAL };
+        let fresh = self.fleet.listed.is_some_and(|at| now.time.since(at) < interval);
+        let asked = self.fleet.asked.is_some_and(|at| now.time.since(at) < LIST_TIMEOUT);
+        if !fresh && !asked {
+            self.fleet.asked = Some(now.time);
+            self.effects.push(Effect::ListHosts);
+        }
+    }
+
+    pub(super) fn listed(&mut self, now: Now, hosts: Option<Vec<HostEntry>>) {
+        let Some(asked) = self.fleet.asked.take() else { return };
+        let Some(hosts) = hosts else {
+            self.fleet.asked = Some(now.time);
+            return;
+        };
+        self.fleet.take_list(asked, hosts);
+        self.end_unlisted(now, asked);
+        self.take_back(asked);
+    }
+
+    /// Executors that no host has any more have ended: what they ran need not wait for their lease.
+    fn end_unlisted(&mut self, now: Now, asked: Time) {
+        let listed = &self.fleet.listing.host_of;
+        let over: Vec<ExecutorName> = self
+            .executors
+            .iter()
+            .filter(|(executor, known)| {
+                asked.since(known.known_since) > LIST_LAG && !listed.contains_key(*executor)
+            })
+            .map(|(executor, _)| executor.clone())
+            .collect();
+        for executor in over {
+            let fate = self.fleet.fate_of(&executor);
+            self.life_over(now, &executor, Ending::Unlisted(fate));
+        }
+    }
+}
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -3,11 +3,7 @@
 //! An order ends everything that runs on its host, so a host is emptied first: nothing new is
 //! placed on it, short runs end by themselves, lasting ones move one after the other.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::time::Duration;
 
 use borageswitch_types::{
     Time,
@@ -19,25 +15,17 @@
     event::{HostAnswer, Now},
     fleet::{HostEntry, HostState},
     ledger::record::Record,
-    reducer::{
-        Scheduler,
-        crashes::{Ending, HostFate},
-    },
+    reducer::{Scheduler, crashes::Ending},
 };
 
-/// How often the hosts are listed while something is going on with them.
-const LIST_INTERVAL: Duration = Duration::from_millis(700);
-/// How often they are listed otherwise.
-const QUIET_LIST_INTERVAL: Duration = Duration::from_millis(1_500);
-/// A list that has not come after this time is asked for again.
-const LIST_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long after an order without an answer, or one that was refused for the moment, it is given
-/// again.
+/// again; the pause doubles with each order after the second.
 const REPEAT_ORDER: Duration = Duration::from_millis(500);
-
-/// An executor that the platform's list does not name has ended, if it was known for so long
-/// before the list was asked for: a new one appears there a moment after it has registered.
-const LIST_LAG: Duration = Duration::from_millis(1_500);
+/// The longest pause between two orders for a host: a platform that is back is used soon after.
+const LONGEST_REPEAT: Duration = Duration::from_millis(4_000);
+/// A host that has not come back from a move after this time, many times what a move takes, is not
+/// counted on any more.
+const MOVE_OVERDUE: Duration = Duration::from_secs(30);
 
 /// What a host is emptied for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -79,95 +67,19 @@
     pub stage: Stage,
     /// The executor that was emptied for the order.
     pub emptied: Option<ExecutorName>,
+    /// How many orders in a row have come to nothing.
+    pub failed: u32,
 }
 
 impl Withdrawal {
-    /// Whether an order for the host has left, answered or not.
-    fn is_under_way(&self) -> bool {
-        !matches!(self.stage, Stage::Emptying { .. })
+    /// The pause before the next order.
+    fn pause(&self) -> Duration {
+        (REPEAT_ORDER * (1 << self.failed.saturating_sub(2).min(3))).min(LONGEST_REPEAT)
     }
-}
 
-/// The executors of one list of hosts.
-#[derive(Debug, Default)]
-struct Listing {
-    /// When the call that brought it left.
-    at: Option<Time>,
-    host_of: BTreeMap<ExecutorName, HostName>,
-}
-
-/// The hosts as they are known.
-#[derive(Debug, Default)]
-pub struct Fleet {
-    /// The platform's list.
-    pub hosts: BTreeMap<HostName, HostEntry>,
-    /// When the call that brought it left.
-    pub listed: Option<Time>,
-    /// The hosts that are taken out of service.
-    pub withdrawals: BTreeMap<HostName, Withdrawal>,
-    listing: Listing,
-    listing_before: Listing,
-    asked: Option<Time>,
-    /// Kinds of which there are few.
-    scarce: BTreeSet<Arc<str>>,
-}
-
-impl Fleet {
-    /// The host that has an executor by the platform's list, or had it by the one before.
-    pub(super) fn host_of(&self, executor: &ExecutorName) -> Option<&HostName> {
-        let Listing { host_of, .. } = self.listing_with(executor)?;
-        host_of.get(executor)
-    }
-
-    /// When the platform listed an executor last.
-    pub(super) fn seen_up(&self, executor: &ExecutorName) -> Option<Time> {
-        self.listing_with(executor)?.at
-    }
-
-    fn listing_with(&self, executor: &ExecutorName) -> Option<&Listing> {
-        let has = |listing: &&Listing| listing.host_of.contains_key(executor);
-        [&self.listing, &self.listing_before].into_iter().find(has)
-    }
-
-    /// Takes in a list that was asked for at that time.
-    fn take_list(&mut self, asked: Time, hosts: Vec<HostEntry>) {
-        self.listed = Some(asked);
-        self.hosts = hosts.into_iter().map(|entry| (entry.host.clone(), entry)).collect();
-        let up = self.hosts.values().filter(|entry| entry.state == HostState::Up);
-        let host_of =
-            up.filter_map(|entry| Some((entry.executor.clone()?, entry.host.clone()))).collect();
-        let fresh = Listing { at: Some(asked), host_of };
-        self.listing_before = std::mem::replace(&mut self.listing, fresh);
-        self.find_scarce();
-    }
-
-    /// What has become of the host of an executor that is listed no more.
-    fn fate_of(&self, executor: &ExecutorName) -> HostFate {
-        let Some(host) = self.host_of(executor).cloned() else { return HostFate::Unknown };
-        if self.withdrawals.get(&host).is_some_and(Withdrawal::is_under_way) {
-            return HostFate::Ordered(host);
-        }
-        match self.hosts.get(&host).map(|entry| entry.state) {
-            Some(HostState::Moving | HostState::InMaintenance) => HostFate::Ordered(host),
-            Some(state @ (HostState::Up | HostState::Down)) => HostFate::Stays(host, state),
-            None => HostFate::Removed(host),
-        }
-    }
-
-    /// Whether hosts with these labels are of a kind of which there are few.
-    pub(super) fn is_scarce(&self, labels: &[Arc<str>]) -> bool {
-        labels.first().is_some_and(|kind| self.scarce.contains(kind))
-    }
-
-    /// A kind is scarce with less than half of its even share of the hosts.
-    fn find_scarce(&mut self) {
-        let mut kinds: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
-        for kind in self.hosts.values().filter_map(|entry| entry.labels.first()) {
-            *kinds.entry(kind).or_default() += 1;
-        }
-        let even = self.hosts.len() / kinds.len().max(1);
-        let scarce = kinds.into_iter().filter(|(_, count)| count * 2 < even);
-        self.scarce = scarce.map(|(kind, _)| kind.clone()).collect();
+    /// Whether an order for the host has left, answered or not.
+    pub(super) fn is_under_way(&self) -> bool {
+        !matches!(self.stage, Stage::Emptying { .. })
     }
 }
 
@@ -183,47 +95,8 @@
         }
     }
 
-    fn list_hosts(&mut self, now: Now) {
-        let busy = self.waves.is_open() || !self.fleet.withdrawals.is_empty();
-        let interval = if busy { LIST_INTERVAL } else { QUIET_LIST_INTERVAL };
-        let fresh = self.fleet.listed.is_some_and(|at| now.time.since(at) < interval);
-        let asked = self.fleet.asked.is_some_and(|at| now.time.since(at) < LIST_TIMEOUT);
-        if !fresh && !asked {
-            self.fleet.asked = Some(now.time);
-            self.effects.push(Effect::ListHosts);
-        }
-    }
-
-    pub(super) fn listed(&mut self, now: Now, hosts: Option<Vec<HostEntry>>) {
-        let Some(asked) = self.fleet.asked.take() else { return };
-        let Some(hosts) = hosts else {
-            self.fleet.asked = Some(now.time);
-            return;
-        };
-        self.fleet.take_list(asked, hosts);
-        self.end_unlisted(now, asked);
-        self.take_back(asked);
-    }
-
-    /// Executors that no host has any more have ended: what they ran need not wait for their lease.
-    fn end_unlisted(&mut self, now: Now, asked: Time) {
-        let listed = &self.fleet.listing.host_of;
-        let over: Vec<ExecutorName> = self
-            .executors
-            .iter()
-            .filter(|(executor, known)| {
-                asked.since(known.known_since) > LIST_LAG && !listed.contains_key(*executor)
-            })
-            .map(|(executor, _)| executor.clone())
-            .collect();
-        for executor in over {
-            let fate = self.fleet.fate_of(&executor);
-            self.life_over(now, &executor, Ending::Unlisted(fate));
-        }
-    }
-
     /// Hosts that were away and are listed as up again are in service.
-    fn take_back(&mut self, listed: Time) {
+    pub(super) fn take_back(&mut self, listed: Time) {
         let hosts = &self.fleet.hosts;
         let back = |host: &HostName, withdrawal: &Withdrawal| {
             let entry = hosts.get(host);
@@ -260,21 +133,27 @@
             format!("for={purpose:?} executor={executor}")
         });
         let stage = Stage::Emptying { not_before: now.time };
-        let withdrawal = Withdrawal { purpose, stage, emptied: None };
+        let withdrawal = Withdrawal { purpose, stage, emptied: None, failed: 0 };
         self.fleet.withdrawals.insert(host.clone(), withdrawal);
         self.step_host(now, host);
     }
 
     fn step_host(&mut self, now: Now, host: &HostName) {
         let Some(withdrawal) = self.fleet.withdrawals.get(host) else { return };
-        let Some(entry) = self.fleet.hosts.get(host) else {
+        let Some(entry) = self.fleet.hosts.get(host).cloned() else {
             self.fleet.withdrawals.remove(host);
             return;
         };
         match withdrawal.stage {
-            Stage::Away { .. } => {}
+            Stage::Away { since } => {
+                let moves = matches!(withdrawal.purpose, Purpose::Move(_));
+                if moves && now.time.since(since) >= MOVE_OVERDUE {
+                    self.fleet.withdrawals.remove(host);
+                    self.log("host-overdue", host, || format!("state={}", entry.state));
+                }
+            }
             Stage::Ordered { at, answered } => {
-                if answered && now.time.since(at) >= REPEAT_ORDER {
+                if answered && now.time.since(at) >= withdrawal.pause() {
                     self.repeat_order(now, host);
                 }
             }
@@ -365,10 +244,13 @@
                 }
             }
             HostAnswer::Lost | HostAnswer::TooMany => {
+                withdrawal.failed += 1;
                 withdrawal.stage = Stage::Ordered { at: now.time, answered: true };
             }
             HostAnswer::Busy => {
-                withdrawal.stage = Stage::Emptying { not_before: now.time + REPEAT_ORDER };
+                withdrawal.failed += 1;
+                let not_before = now.time + withdrawal.pause();
+                withdrawal.stage = Stage::Emptying { not_before };
             }
             HostAnswer::Impossible => {
                 if let (Purpose::Move(pool), Some(entry)) = (&purpose, self.fleet.hosts.get(host)) {
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -21,6 +21,7 @@
 //! - [`quotas`]: callers are held to what their tasks may use at once.
 //! - [`pace`]: work that fills gaps is slowed beside work that serves.
 //! - [`registrations`]: executors come, drain and go.
+//! - [`host_list`]: the platform's list of hosts.
 //! - [`hosts`]: orders for hosts, which are emptied before ([`emptying`]); [`waves`] maintain them,
 //!   [`lending`] moves them, also for what [`lasting`] tasks need.
 //! - [`recovery`]: a new leader takes over.
@@ -37,6 +38,7 @@
 pub mod explain;
 pub mod failed_starts;
 pub mod gangs;
+pub mod host_list;
 pub mod hosts;
 pub mod jobs;
 pub mod kept_room;
@@ -78,7 +80,7 @@
     policy::{learned::Learned, shares::JobRate},
     reducer::{
         advice::Advice, crashes::EndedExecutor, executor_table::ExecutorTable,
-        failed_starts::FailedStarts, hosts::Fleet, jobs::JobTimes, kept_room::KeptRoom,
+        failed_starts::FailedStarts, host_list::Fleet, jobs::JobTimes, kept_room::KeptRoom,
         lending::Lending, outbox::Outbox, rooms::Rooms, suspects::Suspects, waiting::Waiting,
         waves::Waves,
     },
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -24,7 +24,7 @@
         advice::Advice,
         executors::{Executor, Held, Phase},
         failed_starts::FailedStarts,
-        hosts::Fleet,
+        host_list::Fleet,
         kept_room::KeptRoom,
         lending::Lending,
         outbox::Outbox,
--- a/crates/borageswitch_scheduler/tests/host_orders.rs
+++ b/crates/borageswitch_scheduler/tests/host_orders.rs
@@ -71,3 +71,38 @@
     let runs: Vec<_> = session.scheduler.executors().flat_map(|e| e.runs.keys()).collect();
     assert_eq!(runs, [&key("j", 0)], "{effects:?}");
 }
+
+/// Asks for the maintenance of the only host, and gives how many orders for it leave in that time
+/// while each gets this answer.
+fn orders_answered(with: HostAnswer, millis: u64) -> usize {
+    let mut session = Session::new(&["e"]);
+    let request = WaveRequest {
+        wave: 1,
+        hosts: vec![HostName::from("h")],
+        allowed: Duration::from_secs(20),
+        max_down: 1,
+    };
+    session.handle(Event::Wave(request));
+    let mut orders = 0;
+    for _ in 0..millis / 200 {
+        let effects = pass(&mut session, "e");
+        let ordered = effects.iter().filter(|effect| matches!(effect, Effect::Host(..))).count();
+        orders += ordered;
+        if ordered > 0 {
+            answer(&mut session, with);
+        }
+    }
+    orders
+}
+
+#[test]
+fn an_order_for_a_host_that_comes_to_nothing_is_repeated_with_growing_pauses() {
+    // Guards against orders for hosts that use up what the platform takes from all daemons, for as
+    // long as one host is stuck.
+    for refusal in [HostAnswer::Lost, HostAnswer::TooMany, HostAnswer::Busy] {
+        let orders = orders_answered(refusal, 60_000);
+
+        // Six pauses until the longest, then one every four seconds and the time of a pass.
+        assert!((10..=6 + 15).contains(&orders), "{refusal}: {orders} orders in a minute");
+    }
+}
