Count a crash that is learned of late for the bound on restarts

Cause: five crashes 'soon after the start' end a task whatever the evidence. Now the shortest counts: what the run is known to have lived.

--- a/crates/borageswitch_scheduler/src/policy/blame.rs
+++ b/crates/borageswitch_scheduler/src/policy/blame.rs
@@ -21,7 +21,8 @@
 const CERTAIN: u32 = 7_000;
 /// A task is never given up after fewer crashes.
 const LEAST_CRASHES: usize = 2;
-/// A task is given up after so many crashes soon after its start, whatever the evidence.
+/// A task is given up after so many crashes that may have come soon after its start, whatever the
+/// evidence.
 const MOST_CRASHES: usize = 5;
 /// A crash so soon after a start may have been caused by the start.
 pub const SOON: Duration = Duration::from_millis(1_000);
@@ -53,7 +54,8 @@
     /// By the crashes under a task since it last ran for long enough without one.
     pub fn of(crashes: &[Crash]) -> Standing {
         let evidence: u32 = crashes.iter().map(|crash| crash.evidence).sum();
-        let soon = crashes.iter().filter(|crash| u128::from(crash.age_ms) <= SOON.as_millis());
+        // Crashes are learned of late: only what the run has lived for certain acquits the start.
+        let soon = crashes.iter().filter(|crash| is_soon(Duration::from_millis(crash.lived_ms)));
         match crashes.len() {
             0 => Standing::Clear,
             _ if soon.count() >= MOST_CRASHES => Standing::Culprit,
@@ -80,6 +82,12 @@
     moments.len() >= LEAST_CRASHES && moments.values().sum::<u32>() >= CERTAIN
 }
 
+/// Whether a crash may have been caused by the start of a run that is known to have lived for so
+/// long.
+pub fn is_soon(lived: Duration) -> bool {
+    lived <= SOON
+}
+
 /// Whether a run that has lived for so long shows that the start had not caused an earlier crash.
 pub fn refutes(lived: Duration, crash: &Crash) -> bool {
     lived >= 2 * Duration::from_millis(crash.age_ms) + MARGIN
--- a/crates/borageswitch_scheduler/src/policy/blame/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/blame/tests.rs
@@ -52,6 +52,16 @@
     assert_eq!(crashes_until_given_up(millis(800), 12, BAD), MOST_CRASHES);
 }
 
+#[test]
+fn a_crash_that_is_learned_of_late_counts_for_the_bound() {
+    // Guards against a culprit whose crashes are noticed only when a look has run out of time.
+    let late = |number| crash(number, 5_000, 0);
+    let long_lived = |number| Crash { lived_ms: 4_000, ..late(number) };
+
+    assert_eq!(Standing::of(&(1..=5).map(late).collect::<Vec<_>>()), Standing::Culprit);
+    assert_eq!(Standing::of(&(1..=9).map(long_lived).collect::<Vec<_>>()), Standing::Isolated);
+}
+
 #[test]
 fn a_task_that_goes_along_with_a_culprit_is_not_given_up_in_its_place() {
     // Both are on each executor that crashes, as one host after the other has room for both: nothing
--- a/crates/borageswitch_scheduler/src/reducer/suspects.rs
+++ b/crates/borageswitch_scheduler/src/reducer/suspects.rs
@@ -112,7 +112,7 @@
                 let evidence = self.evidence(now, ended, lost, shares[job]);
                 return Some(suspicion(now, ended, lost, evidence));
             }
-            is_soon(lost).then(|| suspicion(now, ended, lost, 0))
+            blame::is_soon(lost.lived).then(|| suspicion(now, ended, lost, 0))
         });
         let suspicions: Vec<Suspicion> = suspicions.collect();
         self.suspects.history.note(now.time, ended.host().cloned(), jobs);
@@ -123,7 +123,7 @@
     /// were started there. It says nothing against them, but counts for the bound on restarts: a
     /// crash may be hidden by a drain, or have been seen by a leader that could not store it.
     pub(super) fn take_loss(&mut self, now: Now, ended: &EndedExecutor) {
-        let soon = ended.runs.iter().filter(|lost| is_soon(lost));
+        let soon = ended.runs.iter().filter(|lost| blame::is_soon(lost.lived));
         let suspicions = soon.map(|lost| suspicion(now, ended, lost, 0));
         self.suspect(suspicions.collect());
     }
@@ -236,10 +236,6 @@
     }
 }
 
-fn is_soon(lost: &LostRun) -> bool {
-    lost.age.unwrap_or(UNKNOWN_AGE) <= blame::SOON
-}
-
 fn suspicion(now: Now, ended: &EndedExecutor, lost: &LostRun, evidence: u32) -> Suspicion {
     let crash = Crash {
         executor: ended.executor.clone(),
--- a/crates/borageswitch_scheduler/tests/culprits.rs
+++ b/crates/borageswitch_scheduler/tests/culprits.rs
@@ -217,6 +217,32 @@
     }
 }
 
+#[test]
+fn crashes_that_are_learned_of_late_count_for_the_bound_on_restarts() {
+    // Seeds in which a task was started once too often: a crash at its start was noticed more than a
+    // second later, and passed for one that the start had not caused.
+    let crashes_and_lost_orders = Faults {
+        executor_dies: 1,
+        rack_lost: 1,
+        leaves: 1,
+        wave: 1,
+        lost_answer: 20,
+        lost_order: 10,
+        ..Faults::default()
+    };
+    let shrinks = Faults { shrinks: 4, executor_dies: 1, late_order: 10, ..Faults::default() };
+    let plays = [
+        (54, true, Faults::default(), 9),
+        (63, false, shrinks, 1),
+        (98, true, crashes_and_lost_orders, 3),
+    ];
+    for (seed, guards, faults, culprits) in plays {
+        let world = play(seed, guards, faults, culprits);
+
+        must_hold(seed, &world);
+    }
+}
+
 /// Prints what some plays cost; `BORAGESWITCH_REPORT` says of which kind.
 #[test]
 fn report() {
