Tell the lives of an executor apart that starts again under its name

On the code before, such an executor is taken for the one that was there. By reading, its tasks would be believed to run until a look does not list them, and ends of the new life would be dropped as their numbers were acknowledged before, so that jobs never end; a start that is answered by the new life passes for one of the old.

Now the name of a life has the moment of its start in it, so ledger, crashes and acknowledgements are a life's own. Calls, tickets and the list of hosts go by the registered name. A start that may have met the later life, by the clock in its answer or for want of one, is looked for there before its task is started anywhere else. An entry without 'born', with one that is no moment or from the past, over an executor that tells it, names none to use.

Weighed: a field beside the name (each map by name and the ledger's acknowledgements would need it too); names in the adapter alone (the reducer could not tell that two lives share an address and orders).

--- a/crates/borageswitch_scheduler/src/executor.rs
+++ b/crates/borageswitch_scheduler/src/executor.rs
@@ -1,7 +1,8 @@
 //! What an executor tells of itself and of what it runs.
 //!
 //! An executor is one life of the program that runs tasks on a host. A host that crashes or is
-//! maintained comes back as another executor, which runs nothing.
+//! maintained comes back as another executor, which runs nothing; where it is registered under the
+//! same name as before, its [`life`](crate::life) tells the two apart.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
--- a/crates/borageswitch_scheduler/src/lib.rs
+++ b/crates/borageswitch_scheduler/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`job`]: what callers hand in, and the checks that it passes.
 //! - [`config`]: queues and pools as the operator declares them.
 //! - [`task`]: how tasks and their runs are named.
-//! - [`executor`]: what an executor tells of itself and of what it runs.
+//! - [`executor`]: what an executor tells of itself and of what it runs; [`life`] how its lives are named.
 //! - [`fleet`]: hosts, pools and maintenance waves as the platform lists them.
 //! - [`ledger`]: jobs, runs and ends, rebuilt from stored records after a change of leader.
 //! - [`policy`]: whom to serve first, where to place, whom to distrust; pure functions.
@@ -22,6 +22,7 @@
 pub mod fleet;
 pub mod job;
 pub mod ledger;
+pub mod life;
 pub mod policy;
 pub mod reducer;
 pub mod task;
--- a/crates/borageswitch_scheduler/src/reducer/clock.rs
+++ b/crates/borageswitch_scheduler/src/reducer/clock.rs
@@ -12,6 +12,8 @@
 const DRIFT_PER_MILLE: u64 = 20;
 /// Added to every latest end: rounding to milliseconds and late timers on the executor's side.
 const LATE_TIMER: Duration = Duration::from_millis(150);
+/// How much lower than expected a reading of the same clock may be: answers overtake each other.
+const READING_SLACK: Duration = Duration::from_millis(200);
 
 /// A reading of an executor's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +30,13 @@
         self.clock_ms + now.since(self.received).as_millis() as u64
     }
 
+    /// The least that the clock showed when a call that left at `sent` was answered.
+    pub fn earliest(&self, sent: Time) -> u64 {
+        let later = sent.since(self.received).as_millis() as u64;
+        let earlier = (self.received.since(sent) + READING_SLACK).as_millis() as u64;
+        (self.clock_ms + later - later * DRIFT_PER_MILLE / 1_000).saturating_sub(earlier)
+    }
+
     /// The latest moment at which the executor's clock reaches `until_ms`.
     ///
     /// A task may be started elsewhere only after that: on an executor that cannot be reached but
--- a/crates/borageswitch_scheduler/src/reducer/crashes.rs
+++ b/crates/borageswitch_scheduler/src/reducer/crashes.rs
@@ -35,14 +35,51 @@
     OtherLifeAnswered,
     /// Another life is registered at its address.
     OtherLifeRegistered,
+    /// It is registered again under its name, as a later life.
+    Restarted(HostFate),
     /// No host of the platform's list has it.
-    Unlisted(HostFate),
+    Unlisted {
+        /// When the list was asked for.
+        asked: Time,
+        /// What has become of its host.
+        fate: HostFate,
+    },
     /// The platform has carried out an order for its host.
     HostTaken,
     /// It is registered no more and its lease has ended.
     Expired,
 }
 
+impl Ending {
+    /// How it was learned.
+    pub fn why(&self) -> &'static str {
+        match self {
+            Ending::OtherLifeAnswered => "another life answered",
+            Ending::OtherLifeRegistered => "another life is registered at its address",
+            Ending::Restarted(_) => "it has started again",
+            Ending::Unlisted { .. } => "no host has it",
+            Ending::HostTaken => "its host was taken away",
+            Ending::Expired => "registration and lease ended",
+        }
+    }
+
+    /// When nobody was there under the executor's name, if that is known.
+    pub fn away(&self) -> Option<Time> {
+        match self {
+            Ending::Unlisted { asked, .. } => Some(*asked),
+            _ => None,
+        }
+    }
+
+    /// What has become of its host, as far as it is known.
+    fn fate(&self) -> Option<&HostFate> {
+        match self {
+            Ending::Unlisted { fate, .. } | Ending::Restarted(fate) => Some(fate),
+            _ => None,
+        }
+    }
+}
+
 /// What has become of the host of an executor that has ended.
 #[derive(Clone, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum HostFate {
@@ -133,21 +170,10 @@
         }
     }
 
-    /// How it was learned.
-    pub(super) fn why(&self) -> &'static str {
-        match self.ending {
-            Ending::OtherLifeAnswered => "another life answered",
-            Ending::OtherLifeRegistered => "another life is registered at its address",
-            Ending::Unlisted(_) => "no host has it",
-            Ending::HostTaken => "its host was taken away",
-            Ending::Expired => "registration and lease ended",
-        }
-    }
-
     /// Its host, if a list told which it was.
     pub(super) fn host(&self) -> Option<&HostName> {
-        match &self.ending {
-            Ending::Unlisted(HostFate::Stays(host, _)) => Some(host),
+        match self.ending.fate() {
+            Some(HostFate::Stays(host, _)) => Some(host),
             _ => None,
         }
     }
@@ -161,10 +187,10 @@
 
 impl fmt::Display for EndedExecutor {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "runs={} why={} cause={}", self.runs.len(), self.why(), self.cause)?;
-        match &self.ending {
-            Ending::Unlisted(fate) => write!(f, " host={fate}"),
-            _ => Ok(()),
+        write!(f, "runs={} why={} cause={}", self.runs.len(), self.ending.why(), self.cause)?;
+        match self.ending.fate() {
+            Some(fate) => write!(f, " host={fate}"),
+            None => Ok(()),
         }
     }
 }
@@ -196,10 +222,10 @@
 }
 
 fn cause(known: &Executor, ending: &Ending, runs: &[LostRun]) -> Cause {
-    match ending {
-        Ending::HostTaken | Ending::Unlisted(HostFate::Ordered(_)) => Cause::Order,
+    match (ending, ending.fate()) {
+        (Ending::HostTaken, _) | (_, Some(HostFate::Ordered(_))) => Cause::Order,
         _ if known.registration.draining => Cause::Drain,
-        Ending::Unlisted(HostFate::Removed(_)) => Cause::Removal,
+        (_, Some(HostFate::Removed(_))) => Cause::Removal,
         _ if known.hearsay => Cause::Unknown,
         // A registration outlives its executor, and may be read again after the crash was noted.
         _ if known.clock.is_none() && runs.is_empty() => Cause::Unknown,
--- a/crates/borageswitch_scheduler/src/reducer/executor_table.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executor_table.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     executor::Registration,
+    life,
     policy::quotas::Usage,
     reducer::executors::{Executor, Held},
     task::TaskKey,
@@ -21,6 +22,8 @@
 pub struct ExecutorTable {
     all: BTreeMap<ExecutorName, Executor>,
     by_pool: BTreeMap<PoolName, BTreeSet<ExecutorName>>,
+    /// The latest known life of each executor whose lives are told apart, by its registered name.
+    lives: BTreeMap<ExecutorName, ExecutorName>,
     /// What callers' runs use on all of them.
     usage: Usage,
     /// Where a job's tasks have runs, or may have.
@@ -37,6 +40,13 @@
         self.all.get(executor)
     }
 
+    /// The latest known life of the executor that is registered under the same name as `executor`.
+    pub fn latest_life(&self, executor: &ExecutorName) -> Option<&ExecutorName> {
+        let registered = life::registered(executor);
+        let known = self.lives.get(registered);
+        known.or_else(|| self.all.get_key_value(registered).map(|(name, _)| name))
+    }
+
     /// One of them, to be changed. Its runs and its registration are changed by [`Self::hold`],
     /// [`Self::confirm`], [`Self::drop_run`] and [`Self::register`] instead, which keep the indices.
     pub fn get_mut(&mut self, executor: &ExecutorName) -> Option<&mut Executor> {
@@ -142,12 +152,17 @@
         }
         executor.is_noted = true;
         self.changed.push(name.clone());
+        self.note_life(&name);
         self.all.insert(name, executor);
     }
 
     /// Drops an executor.
     pub fn remove(&mut self, executor: &ExecutorName) {
         let Some(known) = self.all.remove(executor) else { return };
+        let registered = life::registered(executor);
+        if self.lives.get(registered) == Some(executor) {
+            self.lives.remove(registered);
+        }
         self.leave_pool(&known.registration.pool, executor);
         for (task, held) in &known.runs {
             discharge(&mut self.usage, held);
@@ -183,6 +198,14 @@
         Some(held)
     }
 
+    fn note_life(&mut self, executor: &ExecutorName) {
+        let Some(born) = life::born(executor) else { return };
+        let latest = self.latest_life(executor).and_then(life::born);
+        if latest.is_none_or(|latest| latest <= born) {
+            self.lives.insert(ExecutorName::from(life::registered(executor)), executor.clone());
+        }
+    }
+
     fn forget_holder(&mut self, executor: &ExecutorName, task: &TaskKey) {
         let Some(holders) = self.holders.get_mut(&task.job) else { return };
         holders.remove(&(executor.clone(), task.clone()));
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -8,6 +8,7 @@
     effect::Recipient,
     executor::Registration,
     job::Size,
+    life,
     policy::{quotas::Charge, trust::Trust},
     reducer::{clock::ClockReading, crashes::LostRun, pace::FULL_PACE},
     task::TaskKey,
@@ -108,6 +109,38 @@
         }
     }
 
+    /// Whether the order to start the run may yet be carried out by a later life of its executor,
+    /// which was seen to be away at `away`, if it was.
+    ///
+    /// A confirmed start went to the life that confirmed it. A call that had ended while nobody was
+    /// there came to nothing, and so has whatever an earlier leader had sent.
+    pub fn may_come_later(&self, away: Option<Time>) -> bool {
+        match self.phase {
+            Phase::Recorded | Phase::Active => false,
+            Phase::Sent => true,
+            Phase::Inherited => away.is_none(),
+            Phase::Unsure => away.is_none_or(|away| self.since >= away),
+            Phase::Stopping => !self.confirmed,
+        }
+    }
+
+    /// The same run, as it may be on a later life of its executor.
+    pub(super) fn carried_over(&self, now: Time) -> Self {
+        let phase = match self.phase {
+            Phase::Inherited | Phase::Stopping => self.phase,
+            Phase::Recorded | Phase::Sent | Phase::Active | Phase::Unsure => Phase::Unsure,
+        };
+        Self {
+            phase,
+            since: now,
+            pace: None,
+            confirmed: false,
+            stop_sent: None,
+            barred: None,
+            ..self.clone()
+        }
+    }
+
     /// Whether the run does its work at this moment.
     pub fn is_at_work(&self) -> bool {
         self.phase == Phase::Active && (!self.lasting || self.percent >= 100)
@@ -140,6 +173,8 @@
     pub present: bool,
     /// It is known by an earlier leader's orders alone, and has never been registered since.
     pub hearsay: bool,
+    /// Its life is over. It is kept for runs that a later life under its name may yet start.
+    pub ended: bool,
     /// Since when it is known.
     pub known_since: Time,
     /// It has answered a look under this leader's fencing token, so every older order that is
@@ -190,6 +225,7 @@
             registration,
             present: true,
             hearsay: false,
+            ended: false,
             known_since: now,
             fenced: false,
             clock: None,
@@ -287,6 +323,13 @@
         }
     }
 
+    /// Whether an answer to a call that left at `sent` shows that a later life gave it: the clock
+    /// of each life begins anew.
+    pub fn is_other_life(&self, sent: Time, clock_ms: u64) -> bool {
+        let may_return = life::born(&self.registration.executor).is_some();
+        may_return && self.clock.is_some_and(|clock| clock_ms < clock.earliest(sent))
+    }
+
     /// Takes in a reading of its clock.
     pub fn read_clock(&mut self, now: Time, clock_ms: u64) {
         self.clock = Some(ClockReading { received: now, clock_ms });
--- a/crates/borageswitch_scheduler/src/reducer/host_list.rs
+++ b/crates/borageswitch_scheduler/src/reducer/host_list.rs
@@ -15,6 +15,7 @@
     effect::Effect,
     event::Now,
     fleet::{HostEntry, HostState},
+    life,
     reducer::{
         Scheduler,
         crashes::{Ending, HostFate},
@@ -32,7 +33,7 @@
 /// before the list was asked for: a new one appears there a moment after it has registered.
 const LIST_LAG: Duration = Duration::from_millis(1_500);
 
-/// The executors of one list of hosts.
+/// The executors of one list of hosts, by their registered names.
 #[derive(Debug, Default)]
 struct Listing {
     /// When the call that brought it left.
@@ -40,6 +41,12 @@
     host_of: BTreeMap<ExecutorName, HostName>,
 }
 
+impl Listing {
+    fn host_of(&self, executor: &ExecutorName) -> Option<&HostName> {
+        self.host_of.get(life::registered(executor))
+    }
+}
+
 /// The hosts as they are known.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -59,8 +66,7 @@
 impl Fleet {
     /// The host that has an executor by the platform's list, or had it by the one before.
     pub(super) fn host_of(&self, executor: &ExecutorName) -> Option<&HostName> {
-        let Listing { host_of, .. } = self.listing_with(executor)?;
-        host_of.get(executor)
+        self.listing_with(executor)?.host_of(executor)
     }
 
     /// When the platform listed an executor last.
@@ -69,7 +75,7 @@
     }
 
     fn listing_with(&self, executor: &ExecutorName) -> Option<&Listing> {
-        let has = |listing: &&Listing| listing.host_of.contains_key(executor);
+        let has = |listing: &&Listing| listing.host_of(executor).is_some();
         [&self.listing, &self.listing_before].into_iter().find(has)
     }
 
@@ -85,8 +91,18 @@
         self.find_scarce();
     }
 
-    /// What has become of the host of an executor that is listed no more.
-    fn fate_of(&self, executor: &ExecutorName) -> HostFate {
+    /// An executor has begun a life; the platform lists hosts with registered names.
+    pub(super) fn note_life(&mut self, executor: &ExecutorName) {
+        let Some(host) = self.listing.host_of(executor) else { return };
+        let Some(entry) = self.hosts.get_mut(host) else { return };
+        let listed = entry.executor.as_ref().map(life::registered);
+        if listed == Some(life::registered(executor)) {
+            entry.executor = Some(executor.clone());
+        }
+    }
+
+    /// What has become of the host of an executor that is listed no more, or has started again.
+    pub(super) fn fate_of(&self, executor: &ExecutorName) -> HostFate {
         let Some(host) = self.host_of(executor).cloned() else { return HostFate::Unknown };
         if self.withdrawals.get(&host).is_some_and(Withdrawal::is_under_way) {
             return HostFate::Ordered(host);
@@ -134,24 +150,30 @@
             return;
         };
         self.fleet.take_list(asked, hosts);
+        for entry in self.fleet.hosts.values_mut() {
+            let life = entry.executor.as_ref().and_then(|name| self.executors.latest_life(name));
+            if let Some(life) = life {
+                entry.executor = Some(life.clone());
+            }
+        }
         self.end_unlisted(now, asked);
         self.take_back(asked);
     }
 
     /// Executors that no host has any more have ended: what they ran need not wait for their lease.
     fn end_unlisted(&mut self, now: Now, asked: Time) {
-        let listed = &self.fleet.listing.host_of;
+        let listed = &self.fleet.listing;
         let over: Vec<ExecutorName> = self
             .executors
             .iter()
             .filter(|(executor, known)| {
-                asked.since(known.known_since) > LIST_LAG && !listed.contains_key(*executor)
+                asked.since(known.known_since) > LIST_LAG && listed.host_of(executor).is_none()
             })
             .map(|(executor, _)| executor.clone())
             .collect();
         for executor in over {
             let fate = self.fleet.fate_of(&executor);
-            self.life_over(now, &executor, Ending::Unlisted(fate));
+            self.life_over(now, &executor, Ending::Unlisted { asked, fate });
         }
     }
 }
--- a/crates/borageswitch_scheduler/src/reducer/lapses.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lapses.rs
@@ -9,10 +9,11 @@
 use crate::{
     event::Now,
     ledger::record::Record,
+    life,
     reducer::{
         Scheduler,
         crashes::{EndedExecutor, Ending, lost_runs},
-        executors::Phase,
+        executors::{Held, Phase},
     },
     task::TaskKey,
 };
@@ -54,21 +55,79 @@
         }
     }
 
-    /// An executor's life is over for certain: nothing of it runs or will run.
+    /// An executor's life is over for certain: nothing of it runs any more.
+    ///
+    /// Where it may start again under its name, an order that is still on its way may be carried
+    /// out by its next life. Such runs are kept until that one is known or their lease has ended;
+    /// started elsewhere before, they would run twice.
     pub(super) fn life_over(&mut self, now: Now, executor: &ExecutorName, ending: Ending) {
+        let (why, away) = (ending.why(), ending.away());
+        self.note_end(now, executor, ending);
+        let Some(known) = self.executors.get(executor) else { return };
+        let may_return = life::born(executor).is_some();
+        let over = known.runs.iter().filter(|(_, h)| !may_return || !h.may_come_later(away));
+        let over: Vec<TaskKey> = over.map(|(task, _)| task.clone()).collect();
+        for task in over {
+            self.release(executor, &task, why);
+        }
+        if self.executors.get(executor).is_some_and(|known| known.runs.is_empty()) {
+            self.executors.remove(executor);
+            self.forget_ends(executor);
+        }
+    }
+
+    /// Notes once how an executor's life has ended, and what it ran.
+    fn note_end(&mut self, now: Now, executor: &ExecutorName, ending: Ending) {
         let seen_up = self.fleet.seen_up(executor);
-        let Some(known) = self.executors.get_mut(executor) else { return };
+        let known = self.executors.get_mut(executor).filter(|known| !known.ended);
+        let Some(known) = known else { return };
         known.present = false;
+        known.ended = true;
         let ended = EndedExecutor::new(known, ending, seen_up, now.time);
-        let why = ended.why();
-        let tasks: Vec<TaskKey> = known.runs.keys().cloned().collect();
         self.log("executor-ended", executor, || ended.to_string());
         self.ended_executors.push(ended);
-        for task in tasks {
-            self.release(executor, &task, why);
+    }
+
+    /// An executor has started again under its name. Runs whose start may have met the later life
+    /// are looked for there, all others of the earlier one are over.
+    pub(super) fn carry_over(&mut self, now: Now, before: &ExecutorName, next: &ExecutorName) {
+        let fate = self.fleet.fate_of(before);
+        self.note_end(now, before, Ending::Restarted(fate.clone()));
+        let Some(known) = self.executors.get(before) else { return };
+        let inherited_until = known.inherited_until;
+        let runs = known.runs.iter().filter(|(_, held)| held.may_come_later(None));
+        let runs: Vec<(TaskKey, Held)> =
+            runs.map(|(task, held)| (task.clone(), held.carried_over(now.time))).collect();
+        if let Some(later) = self.executors.get_mut(next).filter(|_| !runs.is_empty()) {
+            let lease = now.time + self.limits.inherited_lease;
+            later.inherited_until = later.inherited_until.max(inherited_until).max(Some(lease));
+        }
+        for (task, held) in runs {
+            self.carry_run(now, before, next, &task, held);
+        }
+        self.life_over(now, before, Ending::Restarted(fate));
+    }
+
+    fn carry_run(
+        &mut self,
+        now: Now,
+        before: &ExecutorName,
+        next: &ExecutorName,
+        task: &TaskKey,
+        held: Held,
+    ) {
+        let run = held.run;
+        let stops = held.phase == Phase::Stopping;
+        self.executors.drop_run(before, task);
+        self.executors.hold(next, task, held);
+        let assigned = self.ledger.task(task).and_then(|state| state.assigned.as_ref());
+        if assigned.is_some_and(|assigned| assigned.run == run && assigned.executor == *before) {
+            let executor = next.clone();
+            self.record(Record::Assigned { task: task.clone(), run, executor });
+        }
+        if stops {
+            self.send_stop(now, next, task);
         }
-        self.executors.remove(executor);
-        self.forget_ends(executor);
     }
 
     /// Drops executors that have gone and have nothing any more.
@@ -77,8 +136,8 @@
             .executors
             .iter()
             .filter(|(_, known)| !known.present && known.runs.is_empty())
-            .filter(|(_, known)| known.acknowledged >= known.taken_end)
-            .map(|(executor, known)| (executor.clone(), !known.lapsed.is_empty()))
+            .filter(|(_, known)| known.ended || known.acknowledged >= known.taken_end)
+            .map(|(executor, known)| (executor.clone(), !known.ended && !known.lapsed.is_empty()))
             .collect();
         for (executor, lapsed) in gone {
             if lapsed {
--- a/crates/borageswitch_scheduler/src/reducer/looks.rs
+++ b/crates/borageswitch_scheduler/src/reducer/looks.rs
@@ -121,8 +121,8 @@
         known.read_clock(now.time, report.clock_ms);
         if !known.fenced {
             known.fenced = true;
-            if !report.active.is_empty() {
-                // What it runs holds a lease that somebody else gave.
+            if !report.active.is_empty() || !known.runs.is_empty() {
+                // What it runs, or may yet run, holds a lease that somebody else gave.
                 let lease = self.limits.inherited_lease.as_millis() as u64;
                 known.lease_ms = known.lease_ms.max(report.clock_ms + lease);
             }
@@ -226,7 +226,7 @@
 
 fn due_look(known: &Executor, now: Time, limits: &Limits) -> Option<LookOrder> {
     let looking = &known.looking;
-    if now < looking.not_before || looking.at_once {
+    if now < looking.not_before || looking.at_once || known.ended {
         return None;
     }
     if !known.present && looking.failures >= GIVE_UP_AFTER {
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -122,6 +122,19 @@
             self.inherit_run(now, &left.executor, PoolName::from(""), &task, held, until);
             self.order_stop(now, &left.executor, &task);
         }
+        self.inherit_restarts(now);
+    }
+
+    /// Executors that have started again since an earlier leader gave them their runs.
+    fn inherit_restarts(&mut self, now: Now) {
+        let later = |name: &ExecutorName| {
+            let latest = self.executors.latest_life(name).filter(|latest| *latest != name);
+            Some((name.clone(), latest?.clone()))
+        };
+        let restarted: Vec<_> = self.executors.keys().filter_map(later).collect();
+        for (before, next) in restarted {
+            self.carry_over(now, &before, &next);
+        }
     }
 
     /// Takes in a run that an earlier leader has ordered. Its executor may not be registered any
--- a/crates/borageswitch_scheduler/src/reducer/registrations.rs
+++ b/crates/borageswitch_scheduler/src/reducer/registrations.rs
@@ -7,6 +7,7 @@
 use crate::{
     event::{Now, Seen},
     executor::Registration,
+    life,
     reducer::{Scheduler, crashes::Ending, executors::Executor},
     task::TaskKey,
 };
@@ -16,12 +17,7 @@
         match seen {
             Seen::There(registration) => self.registered(now, registration),
             Seen::Gone(executor) => self.unregistered(&executor),
-            Seen::Unreadable(executor) => {
-                self.log("registration-unreadable", &executor, || {
-                    "no use is made of it".to_owned()
-                });
-                self.unregistered(&executor);
-            }
+            Seen::Unreadable(executor) => self.unreadable(&executor),
         }
     }
 
@@ -38,11 +34,43 @@
         }
     }
 
+    /// An entry that no executor can have written names none to use.
+    fn unreadable(&mut self, executor: &ExecutorName) {
+        self.log("registration-unreadable", executor, || "no use is made of it".to_owned());
+        self.unregistered(executor);
+    }
+
     fn registered(&mut self, now: Now, registration: Registration) {
+        let executor = registration.executor.clone();
+        let before = self.executors.latest_life(&executor).cloned();
+        match before.filter(|before| *before != executor) {
+            // Whoever tells of its start tells it always, and nobody starts again in the past.
+            Some(before) if life::born(&before) > life::born(&executor) => {
+                self.unreadable(&executor);
+            }
+            Some(before) => self.restarted(now, &before, registration),
+            None => self.seen_alive(now, registration),
+        }
+    }
+
+    /// An executor is registered under the name of one that is known, as a later life.
+    fn restarted(&mut self, now: Now, before: &ExecutorName, registration: Registration) {
+        let next = registration.executor.clone();
+        self.stirred.insert(registration.pool.clone());
+        self.end_life_before(now, &registration);
+        self.log("executor-restarted", &next, || format!("pool={}", registration.pool));
+        self.executors.insert(Executor::new(registration, now.time));
+        self.fleet.note_life(&next);
+        self.carry_over(now, before, &next);
+    }
+
+    fn seen_alive(&mut self, now: Now, registration: Registration) {
         let executor = registration.executor.clone();
         self.stirred.insert(registration.pool.clone());
         self.end_life_before(now, &registration);
         match self.executors.get(&executor) {
+            // A registration outlives its executor.
+            Some(known) if known.ended => {}
             Some(known) => {
                 let drains = registration.draining && !known.registration.draining;
                 let returns = !known.present;
@@ -63,6 +91,7 @@
                     format!("pool={} draining={}", registration.pool, registration.draining)
                 });
                 self.executors.insert(Executor::new(registration, now.time));
+                self.fleet.note_life(&executor);
             }
         }
     }
@@ -82,11 +111,14 @@
     }
 
     fn unregistered(&mut self, executor: &ExecutorName) {
-        let Some(known) = self.executors.get_mut(executor) else { return };
+        let known = self.executors.get(executor).map(|_| executor);
+        let known = known.or_else(|| self.executors.latest_life(executor)).cloned();
+        let Some(executor) = known else { return };
+        let Some(known) = self.executors.get_mut(&executor) else { return };
         if known.present {
             known.present = false;
             let runs = known.runs.len();
-            self.log("executor-gone", executor, || format!("runs={runs}"));
+            self.log("executor-gone", &executor, || format!("runs={runs}"));
         }
     }
 
--- a/crates/borageswitch_scheduler/src/reducer/starts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/starts.rs
@@ -99,6 +99,12 @@
     ) {
         let Some(known) = self.executors.get_mut(executor) else { return };
         if let Some(clock_ms) = clock_ms {
+            if known.is_other_life(sent, clock_ms) {
+                // It may run there: it is looked for once that life is registered.
+                self.start_lost(now, executor, task);
+                self.life_over(now, executor, Ending::OtherLifeAnswered);
+                return;
+            }
             known.read_clock(now.time, clock_ms);
         }
         if known.runs.get(task).is_none_or(|held| held.run != run) {
--- a/crates/borageswitch_scheduler/tests/culprits.rs
+++ b/crates/borageswitch_scheduler/tests/culprits.rs
@@ -206,6 +206,25 @@
     }
 }
 
+#[test]
+fn executors_that_start_again_under_their_names_double_and_lose_nothing() {
+    // Guards against orders, ends and blame that are taken for those of another life.
+    let faults = Faults {
+        same_names: true,
+        executor_dies: 1,
+        leader_dies: 1,
+        wave: 1,
+        lost_answer: 20,
+        late_order: 10,
+        ..Faults::default()
+    };
+    for seed in seeds() {
+        let world = play(seed, true, faults, 1);
+
+        must_hold(seed, &world);
+    }
+}
+
 #[test]
 fn hosts_that_shrink_and_guard_nothing_are_not_overfilled() {
     // Guards against starts by a capacity that a host has no more.
