Give runs up ever more seldom, and ask a store that is away ever more seldom

A run that stands still or falls behind is stopped for a fresh one; a task that does so wherever it runs, or takes far longer than its queue's others, was stopped each 1.2 s and could never be done (by arithmetic 500 stops in ten minutes; the test allows 9, and fails without the doubling). The patience with a task's runs doubles with each one given up. A daemon that the store turns away asked it every 100 and 150 ms for configuration and leader, so that at 583 daemons these calls alone make 9,700 a second of the 16,000 that the store takes; the pauses double to 400 and 600 ms.

--- a/crates/borageswitch_runtime/src/election.rs
+++ b/crates/borageswitch_runtime/src/election.rs
@@ -19,6 +19,7 @@
     ports::{
         Change, Committed, Item, LeaseId, Platform, Revision, StoreError, StoreResult, Transaction,
     },
+    retry::Pauses,
     takeover, watching,
 };
 
@@ -62,12 +63,13 @@
 where
     P: Platform,
 {
+    let mut pauses = Pauses::new(RETRY_PAUSE);
     while !shared.is_stopping() {
-        let vacant_at = match wait_for_vacancy(&shared).await {
+        let vacant_at = match wait_for_vacancy(&shared, &mut pauses).await {
             Ok(at) => at,
             Err(err) => {
                 log::debug!("who leads cannot be read: {err}");
-                Timer::after(RETRY_PAUSE).await;
+                Timer::after(pauses.failed()).await;
                 continue;
             }
         };
@@ -124,11 +126,12 @@
 }
 
 /// Returns once nobody leads, and keeps in mind who does until then. Gives as of when that was so.
-async fn wait_for_vacancy<P>(shared: &Arc<Shared<P>>) -> StoreResult<Revision>
+async fn wait_for_vacancy<P>(shared: &Arc<Shared<P>>, pauses: &mut Pauses) -> StoreResult<Revision>
 where
     P: Platform,
 {
     let reading = shared.platform.read(keys::LEADER).await?;
+    pauses.answered();
     let mut at = reading.at;
     let Some(item) = reading.item else {
         shared.set_leader(None);
--- a/crates/borageswitch_runtime/src/lib.rs
+++ b/crates/borageswitch_runtime/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod peers;
 pub mod ports;
 pub mod reloading;
+pub mod retry;
 pub mod settings;
 pub mod store_health;
 pub mod takeover;
--- a/crates/borageswitch_runtime/src/watching.rs
+++ b/crates/borageswitch_runtime/src/watching.rs
@@ -18,6 +18,7 @@
     daemon::Shared,
     keys,
     ports::{Change, Item, Platform, Revision, StoreError, StoreResult},
+    retry::Pauses,
     takeover::read_all,
 };
 
@@ -49,6 +50,7 @@
     let key = shared.platform.places().config.clone();
     let mut at: Option<Revision> = None;
     let mut lost = false;
+    let mut pauses = Pauses::new(RETRY_PAUSE);
     loop {
         let sent = clock::time();
         let outcome = match at {
@@ -59,6 +61,7 @@
             Ok(next) => {
                 shared.store_health.answered();
                 shared.confirm_config(sent);
+                pauses.answered();
                 if std::mem::take(&mut lost) {
                     log::info!("config-watch-regained");
                 }
@@ -73,7 +76,7 @@
                 }
                 // Reading the key is as cheap as a watch and cannot miss a change.
                 at = None;
-                Timer::after(RETRY_PAUSE).await;
+                Timer::after(pauses.failed()).await;
             }
         }
     }
--- a/crates/borageswitch_scheduler/src/policy/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/tests.rs
@@ -9,7 +9,7 @@
     order::{Class, JobView, Urgency},
     pacing,
     placing::{self, Candidate},
-    stragglers,
+    stragglers::{self, ShortRun},
     trust::Trust,
 };
 use crate::job::Size;
@@ -193,17 +193,47 @@
     assert!(back > 0 && back < 50, "{back}");
 }
 
+/// Whether a run is given up of whose kind most take a second.
+fn gives_up(millis: u64, percent: u8, given_up: u32) -> bool {
+    stragglers::gives_up(&ShortRun {
+        elapsed: Duration::from_millis(millis),
+        percent,
+        expected: Duration::from_millis(1_000),
+        kept: 0.0,
+        given_up,
+    })
+}
+
 #[test]
 fn a_run_that_stands_still_is_given_up_soon_and_a_slow_estimate_is_not() {
     // A host stands still for six seconds without a sign of it. Waited for, each of its runs makes
     // its job late; but runs that are merely longer than declared must not be thrown away.
-    let expected = Duration::from_millis(1_000);
-    let after = Duration::from_millis;
+    assert!(gives_up(1_500, 5, 0));
+    assert!(gives_up(1_500, 0, 0));
+    assert!(!gives_up(1_500, 60, 0));
+    assert!(!gives_up(900, 0, 0));
+}
+
+#[test]
+fn a_task_that_stands_still_wherever_it_runs_is_given_up_ever_more_seldom() {
+    // Guards against a task that is much longer than declared and is stopped each time before it
+    // could be done, so that its job never ends.
+    let stops_in = |millis: u64| {
+        let (mut at, mut stops) = (0, 0);
+        while let Some(after) = (1..).map(|n| n * 100).find(|&after| gives_up(after, 0, stops)) {
+            at += after;
+            if at > millis {
+                break;
+            }
+            stops += 1;
+        }
+        stops
+    };
 
-    assert!(stragglers::gives_up(after(1_500), 5, expected, 0.0));
-    assert!(stragglers::gives_up(after(1_500), 0, expected, 0.0));
-    assert!(!stragglers::gives_up(after(1_500), 60, expected, 0.0));
-    assert!(!stragglers::gives_up(after(900), 0, expected, 0.0));
+    assert!(stops_in(10_000) <= 3);
+    assert!(stops_in(600_000) <= 9);
+    assert!(!stragglers::gives_up_lasting(Duration::from_secs(6), 0, 1));
+    assert!(stragglers::gives_up_lasting(Duration::from_secs(8), 0, 1));
 }
 
 #[test]
@@ -213,11 +243,11 @@
     // where one may be.
     let after = Duration::from_millis;
 
-    assert!(!stragglers::gives_up_lasting(after(3_848), 84));
-    assert!(!stragglers::gives_up_lasting(after(3_844), 67));
-    assert!(stragglers::gives_up_lasting(after(3_844), 20));
-    assert!(stragglers::gives_up_lasting(after(3_844), 0));
-    assert!(!stragglers::gives_up_lasting(after(3_000), 0));
+    assert!(!stragglers::gives_up_lasting(after(3_848), 84, 0));
+    assert!(!stragglers::gives_up_lasting(after(3_844), 67, 0));
+    assert!(stragglers::gives_up_lasting(after(3_844), 20, 0));
+    assert!(stragglers::gives_up_lasting(after(3_844), 0, 0));
+    assert!(!stragglers::gives_up_lasting(after(3_000), 0, 0));
 }
 
 #[test]
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -81,8 +81,8 @@
     reducer::{
         advice::Advice, crashes::EndedExecutor, executor_table::ExecutorTable,
         failed_starts::FailedStarts, host_list::Fleet, jobs::JobTimes, kept_room::KeptRoom,
-        lending::Lending, outbox::Outbox, rooms::Rooms, suspects::Suspects, waiting::Waiting,
-        waves::Waves,
+        lending::Lending, outbox::Outbox, rooms::Rooms, stragglers::Stragglers, suspects::Suspects,
+        waiting::Waiting, waves::Waves,
     },
     task::StepKey,
 };
@@ -157,6 +157,7 @@
     ended_executors: Vec<EndedExecutor>,
     suspects: Suspects,
     failed_starts: FailedStarts,
+    stragglers: Stragglers,
     last_sweep: Time,
     last_slow_sweep: Time,
     effects: Vec<Effect>,
@@ -244,6 +245,7 @@
         self.forget_advice();
         self.forget_gangs();
         self.forget_failed_starts();
+        self.forget_stragglers();
         let jobs = &self.ledger.jobs;
         self.lasting_missed.retain(|step, _| jobs.contains_key(&step.job));
     }
--- a/crates/borageswitch_scheduler/src/reducer/stragglers.rs
+++ b/crates/borageswitch_scheduler/src/reducer/stragglers.rs
@@ -1,12 +1,12 @@
 //! Runs that fall far behind are given up; the decision is in [`crate::policy::stragglers`].
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use borageswitch_types::names::ExecutorName;
 
 use crate::{
     event::Now,
-    policy::stragglers,
+    policy::stragglers::{self, ShortRun},
     reducer::{
         Scheduler,
         executors::{Executor, Held, Phase},
@@ -14,6 +14,18 @@
     task::TaskKey,
 };
 
+/// How many runs of each task have been given up.
+#[derive(Debug, Default)]
+pub struct Stragglers {
+    given_up: BTreeMap<TaskKey, u32>,
+}
+
+impl Stragglers {
+    fn given_up(&self, task: &TaskKey) -> u32 {
+        self.given_up.get(task).copied().unwrap_or(0)
+    }
+}
+
 /// A report older than this says too little of a run's progress.
 const FRESH_REPORT: Duration = Duration::from_millis(1_500);
 
@@ -47,11 +59,15 @@
         let told = known.clock.map_or(held.started, |clock| clock.received);
         let elapsed = told.since(held.started);
         if held.lasting {
-            return held.percent < 100 && stragglers::gives_up_lasting(elapsed, held.percent);
+            let given_up = self.stragglers.given_up(task);
+            return held.percent < 100
+                && stragglers::gives_up_lasting(elapsed, held.percent, given_up);
         }
         let expected = self.learned.expect(&job.submission.queue.name, step.estimate);
         let kept = if step.checkpointing { f64::from(held.percent) / 200.0 } else { 0.0 };
-        stragglers::gives_up(elapsed, held.percent, expected, kept)
+        let given_up = self.stragglers.given_up(task);
+        let percent = held.percent;
+        stragglers::gives_up(&ShortRun { elapsed, percent, expected, kept, given_up })
     }
 
     fn give_up(&mut self, now: Now, executor: &ExecutorName, task: &TaskKey) {
@@ -63,6 +79,13 @@
         self.log("run-given-up", task, || {
             format!("run={run} executor={executor} percent={percent} after_ms={elapsed}")
         });
+        *self.stragglers.given_up.entry(task.clone()).or_default() += 1;
         self.order_stop(now, executor, task);
     }
+
+    /// Drops what was noted of jobs that have ended.
+    pub(super) fn forget_stragglers(&mut self) {
+        let jobs = &self.ledger.jobs;
+        self.stragglers.given_up.retain(|task, _| jobs.contains_key(&task.job));
+    }
 }
