Keep on what the last rush needed where moves are dear, and order hosts within the platform's calls

Hypothesis: what a move costs grows with the hosts and falls with the calls that the platform takes: the time to move every host once, 0.8 s on the small sites, 1.6 to 1.9 on the grown and large ones, 10.2 here. So (1) a pool keeps the most hosts that it needed within twice that time, less what one move takes; before it has been watched for so long, the most that any pool needed. (2) Orders leave within nine tenths of the platform's calls, half a burst of which is left to hosts that are needed. (3) Where the surplus takes longer to send away than the load takes to learn, that begins with the first work. (4) A job's work is spread over the time that it takes, up to (1), before it is taken for a rate: 800 core-seconds in a quiet pool asked for 2,500 cores and more.

Rates of several widths were weighed against a count of jobs below which none is believed, which would leave the first jobs of a turn out on small sites.

--- a/crates/borageswitch_runtime/src/settings.rs
+++ b/crates/borageswitch_runtime/src/settings.rs
@@ -44,12 +44,16 @@
 }
 
 /// What the platform promises of times, in milliseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Promises {
     /// The longest lease that an executor takes.
     pub longest_lease: Duration,
     /// How long a new leader gives no order for hosts.
     pub host_order_pause: Duration,
+    /// How many orders for hosts it takes in a second, from all daemons together.
+    pub host_calls_per_s: f64,
+    /// How long a host is away for a move.
+    pub host_move: Duration,
     /// How long a process has to end after it was told to.
     pub stop: Duration,
     /// A daemon that has not heard for so long whether a key was taken away lets nobody in by it;
@@ -82,8 +86,15 @@
         let lease = EXECUTOR_LEASE.min(self.promises.longest_lease);
         // The predecessor may have prolonged leases until the end of its own and a while longer.
         let inherited_lease = KEEP_ALIVE_GRACE + lease + lease / 20;
-        let host_order_pause = self.promises.host_order_pause;
-        Limits { lease, inherited_lease, host_order_pause, ..Limits::default() }
+        let Promises { host_order_pause, host_calls_per_s, host_move, .. } = self.promises;
+        Limits {
+            lease,
+            inherited_lease,
+            host_order_pause,
+            host_calls_per_s,
+            host_move,
+            ..Limits::default()
+        }
     }
 
     /// How long callers are served on after the daemon was told to end.
@@ -147,12 +158,16 @@
 fn read_promises(reader: &mut ObjectReader) -> Option<Promises> {
     let longest_lease = reader.decimal_or("longest_lease_ms", 10_000.0, 100.0, 1e7);
     let host_order_pause = reader.decimal_or("host_order_pause_ms", 3_000.0, 0.0, 1e7);
+    let host_calls_per_s = reader.decimal_or("host_calls_per_s", 64.0, 0.1, 1e6);
+    let host_move = reader.decimal_or("host_move_s", 1.5, 0.0, 1e5);
     let stop = reader.decimal_or("stop_s", 6.0, 0.0, 1e5);
     let keys_strict = reader.flag_or("keys_strict", false);
     let keys_hold = reader.decimal_or("keys_hold_ms", 5_000.0, 0.0, 1e7);
     Some(Promises {
         longest_lease: Duration::from_secs_f64(longest_lease? / 1_000.0),
         host_order_pause: Duration::from_secs_f64(host_order_pause? / 1_000.0),
+        host_calls_per_s: host_calls_per_s?,
+        host_move: Duration::from_secs_f64(host_move?),
         stop: Duration::from_secs_f64(stop?),
         keys_hold: keys_strict?.then_some(Duration::from_secs_f64(keys_hold? / 1_000.0)),
     })
--- a/crates/borageswitch_scheduler/src/policy/lending.rs
+++ b/crates/borageswitch_scheduler/src/policy/lending.rs
@@ -25,8 +25,8 @@
 
 /// How full hosts can be packed, in percent: tasks of several cores leave gaps.
 const FILL_PERCENT: u64 = 85;
-/// A host is switched off after so long without work. A move back costs about as much as the host
-/// does in a second, and a host that has just been switched off is missed by the next jobs.
+/// A host is switched off after so long without work: one that has just been is missed by the next
+/// jobs. How many a pool keeps on for longer, [`peaks`](super::peaks) says.
 pub const IDLE_BEFORE_OFF: Duration = Duration::from_millis(2_000);
 /// How many idle hosts a pool keeps that has had short work.
 const KEEP_WARM: usize = 2;
@@ -42,7 +42,7 @@
 
 impl Need {
     /// How many hosts like `host` that takes.
-    fn hosts(&self, host: &Size) -> usize {
+    pub fn hosts(&self, host: &Size) -> usize {
         let by_cpu = share(self.demand.cpu_milli, host.cpu_milli);
         let by_memory = share(self.demand.memory_mb, host.memory_mb);
         let by_accelerators = share(self.demand.accelerators, host.accelerators);
@@ -115,8 +115,9 @@
     pub host: Size,
     /// Short work has been seen here.
     pub has_short_work: bool,
-    /// Its load is not known yet: none of its hosts is switched off.
-    pub is_learning: bool,
+    /// So many of its hosts stay on whatever it needs now: its load is not known yet, or its next
+    /// rush is expected. Other pools may have them.
+    pub kept_on: usize,
 }
 
 impl<T> PoolLoad<T> {
@@ -185,8 +186,9 @@
     pub to: PoolName,
 }
 
-/// Decides the moves. `may_move` says whether a host can be in a pool at all.
-pub fn decide<T, F>(pools: &[PoolLoad<T>], may_move: F) -> Vec<Move<T>>
+/// Decides the moves, of which `limit` at most switch a host off. `may_move` says whether a host can
+/// be in a pool at all.
+pub fn decide<T, F>(pools: &[PoolLoad<T>], limit: usize, may_move: F) -> Vec<Move<T>>
 where
     T: Clone + PartialEq,
     F: Fn(&T, &PoolName) -> bool,
@@ -224,17 +226,40 @@
         }
     }
     if let Some(standby) = pools.iter().find(|pool| pool.standby) {
-        let off = spare.into_iter().filter(|s| {
-            !s.from.standby
-                && !s.from.is_learning
-                && s.host.idle >= IDLE_BEFORE_OFF
-                && may_move(&s.host.host, &standby.pool)
-        });
-        moves.extend(off.map(|s| Move { host: s.host.host.clone(), to: standby.pool.clone() }));
+        moves.extend(switched_off(spare, standby, limit, may_move));
     }
     moves
 }
 
+/// Hosts that nobody needs, those idle longest first, `limit` at most.
+fn switched_off<'a, T, F>(
+    mut spare: Vec<Spare<'a, T>>,
+    standby: &PoolLoad<T>,
+    limit: usize,
+    may_move: F,
+) -> Vec<Move<T>>
+where
+    T: Clone,
+    F: Fn(&T, &PoolName) -> bool,
+{
+    let mut left: BTreeMap<&PoolName, usize> = BTreeMap::new();
+    for s in &spare {
+        left.insert(&s.from.pool, s.from.hosts);
+    }
+    spare.retain(|s| {
+        !s.from.standby
+            && s.host.idle >= IDLE_BEFORE_OFF
+            && may_move(&s.host.host, &standby.pool)
+            && left.get_mut(&s.from.pool).is_some_and(|left| {
+                let given = *left > s.from.kept_on;
+                *left -= usize::from(given);
+                given
+            })
+    });
+    let off = spare.into_iter().take(limit);
+    off.map(|s| Move { host: s.host.host.clone(), to: standby.pool.clone() }).collect()
+}
+
 /// One host that a pool lacks.
 struct Want<'a, T> {
     pool: &'a PoolLoad<T>,
--- a/crates/borageswitch_scheduler/src/policy/lending/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/lending/tests.rs
@@ -45,7 +45,7 @@
         arriving_cores: 0.0,
         host: cores(64),
         has_short_work: true,
-        is_learning: false,
+        kept_on: 0,
     }
 }
 
@@ -61,7 +61,7 @@
     let idle = load("tender", 5, &hosts);
     let off = PoolLoad { standby: true, ..load("spare", 1, &[("s1", 0, "a")]) };
 
-    let moves = lending::decide(&[busy, idle, off], |_, _| true);
+    let moves = lending::decide(&[busy, idle, off], usize::MAX, |_, _| true);
 
     let hosts: Vec<&str> = moves.iter().map(|m| m.host).collect();
     assert_eq!(hosts, ["s1", "t1", "t2"]);
@@ -74,7 +74,7 @@
     let idle = load("tender", 4, &hosts);
     let off = PoolLoad { standby: true, ..load("spare", 0, &[]) };
 
-    let moves = lending::decide(&[idle, off], |_, _| true);
+    let moves = lending::decide(&[idle, off], usize::MAX, |_, _| true);
 
     assert_eq!(moves.len(), 2);
     assert!(moves.iter().all(|m| m.to.as_str() == "spare"));
@@ -85,7 +85,7 @@
     let busy = PoolLoad { need: wanting(1), ..load("roster", 0, &[]) };
     let off = PoolLoad { standby: true, ..load("spare", 1, &[("s1", 0, "a")]) };
 
-    let moves = lending::decide(&[busy, off], |_, _| false);
+    let moves = lending::decide(&[busy, off], usize::MAX, |_, _| false);
 
     assert!(moves.is_empty());
 }
@@ -99,7 +99,7 @@
     let wants = PoolLoad { need, labelled: vec![label], ..load("roster", 3, &[]) };
     let off = PoolLoad { standby: true, ..load("spare", 2, &[("s1", 0, "a"), ("s2", 0, "b")]) };
 
-    let moves = lending::decide(&[wants, off], |_, _| true);
+    let moves = lending::decide(&[wants, off], usize::MAX, |_, _| true);
 
     assert_eq!(moves, [Move { host: "s2", to: PoolName::from("roster") }]);
 }
@@ -111,7 +111,7 @@
     let busy = PoolLoad { need: wanting(1), ..load("roster", 0, &[]) };
     let off = PoolLoad { standby: true, ..load("spare", 2, &[("s1", 0, "b"), ("s2", 0, "a")]) };
 
-    let moves = lending::decide(&[busy, off], |_, _| true);
+    let moves = lending::decide(&[busy, off], usize::MAX, |_, _| true);
 
     assert_eq!(moves, [Move { host: "s2", to: PoolName::from("roster") }]);
 }
@@ -124,7 +124,7 @@
     let rests = PoolLoad { labelled: vec![label], ..load("tender", 4, &idle) };
     let off = PoolLoad { standby: true, ..load("spare", 0, &[]) };
 
-    let moves = lending::decide(&[rests, off], |_, _| true);
+    let moves = lending::decide(&[rests, off], usize::MAX, |_, _| true);
 
     assert!(!moves.is_empty());
     assert!(moves.iter().all(|m| m.host != "t1"), "{moves:?}");
@@ -140,7 +140,7 @@
     let rests = load("tender", 2, &[("t1", 9_000, "a"), ("t2", 9_000, "b")]);
     let off = PoolLoad { standby: true, ..load("spare", 1, &[("s1", 0, "a")]) };
 
-    let moves = lending::decide(&[wants, rests, off], |_, _| true);
+    let moves = lending::decide(&[wants, rests, off], usize::MAX, |_, _| true);
 
     assert_eq!(moves, [Move { host: "t2", to: PoolName::from("roster") }]);
 }
@@ -155,7 +155,7 @@
     let rushes = PoolLoad { labelled: vec![label], busy, ..load("tender", 1, &[]) };
     let wants = PoolLoad { lasting: vec![Some("b".into())], ..load("roster", 3, &[]) };
 
-    let moves = lending::decide(&[rushes, wants], |_, _| true);
+    let moves = lending::decide(&[rushes, wants], usize::MAX, |_, _| true);
 
     assert_eq!(moves, [Move { host: "t1", to: PoolName::from("roster") }]);
 }
@@ -174,22 +174,48 @@
         ..load("tender", 5, &[])
     };
 
-    let moves = lending::decide(&[starved, content], |_, _| true);
+    let moves = lending::decide(&[starved, content], usize::MAX, |_, _| true);
 
     assert_eq!(moves, [Move { host: "h", to: PoolName::from("roster") }]);
 }
 
+#[test]
+fn a_pool_keeps_on_what_its_next_rush_will_need() {
+    // A fleet of thousands of hosts between two rushes of one queue.
+    let hosts = [("t1", 9_000, "a"), ("t2", 8_000, "a"), ("t3", 7_000, "a"), ("t4", 6_000, "a")];
+    let rests = PoolLoad { kept_on: 3, has_short_work: false, ..load("tender", 4, &hosts) };
+    let off = PoolLoad { standby: true, ..load("spare", 0, &[]) };
+
+    let moves = lending::decide(&[rests, off], usize::MAX, |_, _| true);
+
+    assert_eq!(moves, [Move { host: "t1", to: PoolName::from("spare") }]);
+}
+
+#[test]
+fn no_more_hosts_are_switched_off_at_once_than_calls_are_left_for() {
+    let hosts = [("t1", 9_000, "a"), ("t2", 8_000, "a"), ("t3", 7_000, "a"), ("t4", 6_000, "a")];
+    let rests = PoolLoad { has_short_work: false, ..load("tender", 4, &hosts) };
+    let wants = PoolLoad { need: wanting(2), ..load("roster", 0, &[]) };
+    let off = PoolLoad { standby: true, ..load("spare", 0, &[]) };
+
+    let moves = lending::decide(&[rests, wants, off], 1, |_, _| true);
+
+    let switched_off = moves.iter().filter(|m| m.to.as_str() == "spare").count();
+    assert_eq!((moves.len(), switched_off), (3, 1));
+}
+
 #[test]
 fn a_new_leader_keeps_hosts_on_until_it_knows_the_load() {
     // The site starts, and nothing comes for some seconds. Then the first turn begins at full rate.
     // With its hosts switched off, the first seconds of jobs wait until they are back, and all that
     // comes behind them is late as well.
     let hosts = [("t1", 9_000, "a"), ("t2", 9_000, "a"), ("t3", 9_000, "a"), ("t4", 9_000, "a")];
-    let silent = PoolLoad { is_learning: true, has_short_work: false, ..load("tender", 4, &hosts) };
+    let silent =
+        PoolLoad { kept_on: usize::MAX, has_short_work: false, ..load("tender", 4, &hosts) };
     let off = PoolLoad { standby: true, ..load("spare", 0, &[]) };
     let busy = PoolLoad { need: wanting(2), ..load("roster", 1, &[]) };
 
-    assert_eq!(lending::decide(&[silent.clone(), off], |_, _| true), []);
+    assert_eq!(lending::decide(&[silent.clone(), off], usize::MAX, |_, _| true), []);
     // Another pool that lacks them gets them all the same.
-    assert_eq!(lending::decide(&[silent, busy], |_, _| true).len(), 1);
+    assert_eq!(lending::decide(&[silent, busy], usize::MAX, |_, _| true).len(), 1);
 }
--- a/crates/borageswitch_scheduler/src/policy/mod.rs
+++ b/crates/borageswitch_scheduler/src/policy/mod.rs
@@ -8,6 +8,8 @@
 //! - [`placing`]: which host a task goes to.
 //! - [`learned`]: what tasks really take, since declared run times are far off.
 //! - [`lending`]: which hosts change their pool, by the work that [`arrivals`] tells of.
+//! - [`peaks`]: how many hosts a pool keeps on between two rushes.
+//! - [`call_budget`]: how many orders for hosts are given a second.
 //! - [`gangs`]: which hosts are kept free for tasks that work only together.
 //! - [`label_shares`]: how pools share the hosts with a label of which there are too few.
 //! - [`lasting`]: which more hosts lasting tasks need.
@@ -22,6 +24,7 @@
 
 pub mod arrivals;
 pub mod blame;
+pub mod call_budget;
 pub mod crash_rate;
 pub mod gangs;
 pub mod label_shares;
@@ -31,6 +34,7 @@
 pub mod lending;
 pub mod order;
 pub mod pacing;
+pub mod peaks;
 pub mod placing;
 pub mod quotas;
 pub mod shares;
--- a/crates/borageswitch_scheduler/src/reducer/lending.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lending.rs
@@ -17,7 +17,9 @@
     job::{Size, Step, Submission},
     policy::{
         arrivals::{self, ArrivalRate},
+        call_budget::CallBudget,
         lending::{self, IdleHost, LabelNeed, Need, PoolLoad},
+        peaks::{self, Peak},
     },
     reducer::{
         Scheduler, executors::Executor, hosts::Purpose, places::reserved, waiting::unblocked_steps,
@@ -28,6 +30,12 @@
 #[derive(Debug, Default)]
 pub struct Lending {
     arrivals: BTreeMap<PoolName, ArrivalRate>,
+    /// What pools have needed of late.
+    peaks: BTreeMap<PoolName, Peak>,
+    /// When the first short work came.
+    first_work: Option<Time>,
+    /// The calls about hosts that may leave.
+    budget: Option<CallBudget>,
     /// Kinds of hosts that cannot be in a pool.
     unfit: BTreeSet<(Arc<str>, PoolName)>,
 }
@@ -68,6 +76,11 @@
 }
 
 impl Lending {
+    /// The most hosts that any pool has needed of late.
+    fn largest_peak(&self) -> usize {
+        self.peaks.values().map(Peak::hosts).max().unwrap_or(0)
+    }
+
     /// The platform refused to have a host of this kind in a pool.
     pub(super) fn note_unfit(&mut self, entry: &HostEntry, pool: &PoolName) {
         if let Some(kind) = entry.labels.first() {
@@ -83,17 +96,58 @@
             return;
         }
         let queue = &submission.queue.name;
-        let work: f64 = submission
-            .spec
-            .steps
-            .iter()
-            .map(|step| {
-                let cores = step.size.cpu_milli as f64 / 1_000.0;
-                let each = self.learned.expect(queue, step.estimate).as_secs_f64();
-                f64::from(step.count) * cores * each
-            })
-            .sum();
-        self.lending.arrivals.entry(pool.clone()).or_default().arrived(now.time, work);
+        let (mut work, mut takes) = (0.0, Duration::ZERO);
+        for step in &submission.spec.steps {
+            let cores = step.size.cpu_milli as f64 / 1_000.0;
+            let each = self.learned.expect(queue, step.estimate);
+            work += f64::from(step.count) * cores * each.as_secs_f64();
+            takes += each;
+        }
+        let spread = takes.min(peaks::horizon(self.all_moved(), self.limits.host_move));
+        self.lending.arrivals.entry(pool.clone()).or_default().arrived(now.time, work, spread);
+        self.lending.first_work.get_or_insert(now.time);
+    }
+
+    /// Whether an order for a host may leave now; if so, its call is taken out of the budget.
+    pub(super) fn may_call_hosts(&mut self, now: Time) -> bool {
+        self.call_budget(now).take(now)
+    }
+
+    fn call_budget(&mut self, now: Time) -> &mut CallBudget {
+        let calls = self.limits.host_calls_per_s;
+        self.lending.budget.get_or_insert_with(|| CallBudget::new(calls, now))
+    }
+
+    /// How long the platform would take to move every host once.
+    fn all_moved(&self) -> Duration {
+        let hosts = self.fleet.hosts.len() as f64;
+        Duration::from_secs_f64(hosts / self.limits.host_calls_per_s)
+    }
+
+    /// Notes what pools need, and says how many of their hosts stay on.
+    fn keep_on(&mut self, now: Now, loads: &mut [PoolLoad<HostName>]) {
+        let all_moved = self.all_moved();
+        let horizon = peaks::horizon(all_moved, self.limits.host_move);
+        for load in loads.iter().filter(|load| !load.standby) {
+            let peak = self.lending.peaks.entry(load.pool.clone()).or_default();
+            peak.note(now.time, load.need.hosts(&load.host), horizon);
+        }
+        let largest = self.lending.largest_peak();
+        let begun = self.lending.first_work;
+        let unseen = begun.is_none_or(|first| now.time.since(first) < horizon);
+        let led = now.time.since(self.began);
+        for load in loads {
+            let peak = self.lending.peaks.get(&load.pool).map_or(0, Peak::hosts);
+            let rate = self.lending.arrivals.get(&load.pool);
+            let is_learning = arrivals::is_learning(led, rate, now.time);
+            load.kept_on = if is_learning {
+                peaks::kept_while_learning(all_moved, begun.is_some().then_some(largest))
+            } else if unseen {
+                largest
+            } else {
+                peak
+            };
+        }
     }
 
     /// Moves hosts to where the work is.
@@ -102,6 +156,8 @@
             return;
         }
         let mut loads = self.pool_loads(now);
+        self.keep_on(now, &mut loads);
+        let spare_calls = self.call_budget(now.time).spare(now.time);
         // Busy hosts are lent only for a label that is short.
         if loads.iter().any(PoolLoad::lacks_label) {
             for load in &mut loads {
@@ -114,7 +170,7 @@
             let kind = hosts.get(host).and_then(|entry| entry.labels.first());
             kind.is_none_or(|kind| !unfit.contains(&(kind.clone(), pool.clone())))
         };
-        for chosen in lending::decide(&loads, may_move) {
+        for chosen in lending::decide(&loads, spare_calls, may_move) {
             self.withdraw(now, &chosen.host, Purpose::Move(chosen.to));
         }
     }
@@ -122,7 +178,6 @@
     fn pool_loads(&self, now: Now) -> Vec<PoolLoad<HostName>> {
         let Some(config) = &self.config else { return Vec::new() };
         let mut needs = self.needs();
-        let led = now.time.since(self.began);
         config
             .pools
             .values()
@@ -159,7 +214,7 @@
                     arriving_cores: rate.map_or(0.0, |rate| rate.cores(now.time)),
                     host,
                     has_short_work: rate.is_some(),
-                    is_learning: arrivals::is_learning(led, rate, now.time),
+                    kept_on: 0,
                 }
             })
             .collect()
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -99,6 +99,10 @@
     pub look_wait: Duration,
     /// How old an earlier leader's order for a host must be before a new leader gives one.
     pub host_order_pause: Duration,
+    /// How many orders for hosts the platform takes in a second, from all daemons together.
+    pub host_calls_per_s: f64,
+    /// How long a host is away for a move.
+    pub host_move: Duration,
     /// The shortest time between two appends.
     pub append_interval: Duration,
 }
@@ -110,6 +114,8 @@
             inherited_lease: Duration::from_millis(12_000),
             look_wait: Duration::from_millis(1_000),
             host_order_pause: Duration::from_millis(3_500),
+            host_calls_per_s: 64.0,
+            host_move: Duration::from_millis(1_500),
             append_interval: Duration::from_millis(15),
         }
     }
