--- a/crates/borageswitch_scheduler/src/policy/peaks.rs
+++ b/crates/borageswitch_scheduler/src/policy/peaks.rs
@@ -12,8 +12,8 @@
 
 use crate::policy::arrivals;
 
-/// A move away and one back.
-const MOVES: u32 = 2;
+/// A move away and one back, and about as much again for the jobs that wait until the host is back.
+const MOVES: u32 = 3;
 /// How much more than any pool has needed one may need whose first rush has yet to come.
 const UNSEEN_FACTOR: usize = 2;
 
--- a/crates/borageswitch_scheduler/src/policy/peaks/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/peaks/tests.rs
@@ -17,7 +17,7 @@
         assert!(peak.hosts() >= 200, "after {at} s");
     }
 
-    (20..40).for_each(|at| peak.note(Time::from_millis(at * 1_000), 10, horizon));
+    (20..50).for_each(|at| peak.note(Time::from_millis(at * 1_000), 10, horizon));
 
     assert_eq!(peak.hosts(), 10);
 }
