Have another daemon end the lease of a leader that the store turns away

Now questions to the leader tell where their sender can be asked, and answers name a few others who asked (a header each way, so that older daemons understand them). A leader whose renewals have failed for 0.4 s asks such a daemon who leads; if the store serves that one and shows this term, it gives up its authority, as on any orderly end, and has the other end the lease. In an outage for all nobody is found, and it leads on as before. A daemon that cannot hand a job on asks the same way who leads now.

Ruled out: a shorter lease (ends sound leaders in pauses); giving the lease up first (in an outage for all, nobody could lead).

Two tests with real daemons.

--- a/crates/borageswitch_fakes/src/platform/mod.rs
+++ b/crates/borageswitch_fakes/src/platform/mod.rs
@@ -320,6 +320,11 @@
         self.hung.load(Ordering::SeqCst)
     }
 
+    /// How many leases in the store have run out instead of being ended.
+    pub fn expired_leases(&self) -> usize {
+        self.lock().store.expired()
+    }
+
     /// Lets a call to the store take its time.
     async fn pass(&self) -> StoreResult<()> {
         let (delay, hangs) = {
--- a/crates/borageswitch_fakes/src/platform/store.rs
+++ b/crates/borageswitch_fakes/src/platform/store.rs
@@ -30,9 +30,15 @@
     leases: BTreeMap<u64, Lease>,
     revision: Revision,
     next_lease: u64,
+    expired: usize,
 }
 
 impl MemoryStore {
+    /// How many leases have run out.
+    pub(super) fn expired(&self) -> usize {
+        self.expired
+    }
+
     pub(super) fn revision(&self) -> Revision {
         self.revision
     }
@@ -137,6 +143,7 @@
     pub(super) fn expire(&mut self, now: Instant) {
         let over = self.leases.iter().filter(|(_, lease)| lease.ends <= now);
         let over: Vec<u64> = over.map(|(id, _)| *id).collect();
+        self.expired += over.len();
         for id in over {
             self.revoke(LeaseId(id));
         }
--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -299,8 +299,8 @@
                     Answer::NotLeading
                 }
             },
-            // Stored by the traffic thread, whoever leads.
-            Question::Submit(_) => Answer::Refused,
+            // Answered by the traffic thread, whoever leads.
+            Question::Submit(_) | Question::Leader | Question::Relieve(_) => Answer::Refused,
             Question::Stored(submission) => {
                 let token = leading.token;
                 self.event(token, Event::Submitted(submission));
--- a/crates/borageswitch_runtime/src/daemon.rs
+++ b/crates/borageswitch_runtime/src/daemon.rs
@@ -28,7 +28,7 @@
     instruments::Instruments,
     keys::LeaderRecord,
     orders::{self, Lanes},
-    peers::{self, Answer, Client, Question},
+    peers::{self, Acquaintances, Answer, Client, Question},
     ports::{Platform, Revision},
     store_health::StoreHealth,
     watching,
@@ -70,6 +70,7 @@
     pub(crate) store_health: StoreHealth,
     pub(crate) lanes: Lanes,
     client: Client,
+    pub(crate) acquaintances: Arc<Acquaintances>,
     pub(crate) peer_bytes: ByteCounter,
     config: Mutex<Option<Arc<Config>>>,
     /// When the store last showed that no later configuration is there.
@@ -171,6 +172,25 @@
         self.client.ask(address, question).await
     }
 
+    /// Asks daemons that this one has met who leads, while the store does not tell. Gives whether
+    /// somebody else leads than was known.
+    pub(crate) async fn find_leader(&self) -> bool {
+        let known = self.leader();
+        let leader = known.as_ref().map(|(record, _)| record.address);
+        for other in self.acquaintances.some_but(leader) {
+            let Some(Answer::Leader(Some(found))) = self.ask_at(other, &Question::Leader).await
+            else {
+                continue;
+            };
+            if known.as_ref().is_none_or(|(_, token)| found.1 > *token) {
+                self.set_leader(Some(found));
+                return true;
+            }
+            return false;
+        }
+        false
+    }
+
     /// Asks this daemon's control thread.
     pub(crate) async fn ask_own(&self, question: Question) -> Option<Answer> {
         let (answer, answered) = async_channel::bounded(1);
@@ -228,15 +248,21 @@
     let peer_bytes = ByteCounter::new(&cfg.meter);
     let thread = Control::new(cfg.limits.clone(), messages, work_tx, instruments.clone());
     thread::Builder::new().name("control".to_owned()).spawn(|| smol::block_on(thread.run()))?;
+    let acquaintances = Arc::new(Acquaintances::default());
     let shared = Arc::new(Shared {
-        cfg,
         platform,
         authority: Authority::default(),
         control,
         instruments,
         store_health: StoreHealth::default(),
         lanes: Lanes::default(),
-        client: Client::new(ex.clone(), peer_bytes.clone()),
+        client: Client::new(
+            cfg.peer_address,
+            acquaintances.clone(),
+            ex.clone(),
+            peer_bytes.clone(),
+        ),
+        acquaintances,
         peer_bytes,
         config: Mutex::default(),
         config_confirmed: Mutex::new(clock::time()),
@@ -244,6 +270,7 @@
         stopping: AtomicBool::new(false),
         stop: async_channel::bounded(1),
         ex: ex.clone(),
+        cfg,
     });
     ex.spawn(peers::serve(listener.into(), shared.clone())).detach();
     ex.spawn(watching::config(shared.clone())).detach();
--- a/crates/borageswitch_runtime/src/election.rs
+++ b/crates/borageswitch_runtime/src/election.rs
@@ -4,7 +4,11 @@
 //! rises with each leader: it is the fencing token of all orders. A write whose answer was lost is
 //! settled by reading the key back and comparing the nonce.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use async_channel::Sender;
 use borageswitch_types::Time;
@@ -16,6 +20,7 @@
     control::Message,
     daemon::Shared,
     keys::{self, LeaderRecord},
+    peers::{Answer, Question},
     ports::{
         Change, Committed, Item, LeaseId, Platform, Revision, StoreError, StoreResult, Transaction,
     },
@@ -28,6 +33,9 @@
 const LEADER_TTL: Duration = Duration::from_millis(1_600);
 /// How often it is renewed: two renewals may be lost before it ends. Renewals cost little.
 const RENEW_EVERY: Duration = Duration::from_millis(400);
+/// After the store has turned a leader away for so long, it has another daemon end its lease, if the
+/// store serves that one: two renewals have failed, and nothing that was decided can be stored.
+const HAND_OVER_AFTER: Duration = Duration::from_millis(400);
 /// How long a watch for the leader's end waits on the store.
 const WATCH_WAIT: Duration = Duration::from_millis(4_000);
 /// The pause after a call that failed.
@@ -165,6 +173,25 @@
     }
 }
 
+/// Who leads by the store, and since which revision.
+///
+/// # Errors
+///
+/// Those of the store.
+pub async fn leader_by_store<P>(
+    shared: &Arc<Shared<P>>,
+) -> StoreResult<Option<(LeaderRecord, Revision)>>
+where
+    P: Platform,
+{
+    let Some(item) = shared.platform.read(keys::LEADER).await?.item else { return Ok(None) };
+    let record = codec::decode("leader", &item.value).map_err(|err| {
+        log::error!("{err}");
+        StoreError::Unreadable
+    })?;
+    Ok(Some((record, item.revision)))
+}
+
 /// Tries to create the leader's key.
 async fn campaign<P>(shared: &Arc<Shared<P>>) -> StoreResult<Option<Term>>
 where
@@ -233,7 +260,8 @@
 {
     log::info!(token = term.token, name = &*shared.cfg.name; "leader-begins");
     let (ended_tx, ended) = async_channel::bounded(1);
-    let renewing = renew(shared, term);
+    let relief: Mutex<Option<SocketAddr>> = Mutex::default();
+    let renewing = renew(shared, term, &relief);
     let working = work(shared, term, ended_tx);
     let stepped_down = async {
         match ended.recv().await {
@@ -251,11 +279,38 @@
     let _ = shared.control.send(Message::EndTerm { token: term.token }).await;
     log::info!(token = term.token, why = why; "leader-ends");
     // Everyone else hears at once that nobody leads, instead of after the rest of the lease.
-    give_back(shared, term.lease).await;
+    let helper = *relief.lock().unwrap_or_else(PoisonError::into_inner);
+    match helper {
+        Some(helper) => {
+            let answer = shared.ask_at(helper, &Question::Relieve(term.lease)).await;
+            let relieved = answer == Some(Answer::Relieved);
+            log::info!(token = term.token, relieved = relieved; "leader-relieved");
+        }
+        None => give_back(shared, term.lease).await,
+    }
 }
 
-/// Renews the lease until it has ended.
-async fn renew<P>(shared: &Arc<Shared<P>>, term: Term) -> &'static str
+/// A daemon that the store serves, to whom it shows this term as the one in force.
+async fn find_relief<P>(shared: &Arc<Shared<P>>, term: Term) -> Option<SocketAddr>
+where
+    P: Platform,
+{
+    for other in shared.acquaintances.some_but(Some(shared.cfg.peer_address)) {
+        let answer = shared.ask_at(other, &Question::Leader).await;
+        if matches!(answer, Some(Answer::Leader(Some((_, token)))) if token == term.token) {
+            return Some(other);
+        }
+    }
+    None
+}
+
+/// Renews the lease until it has ended, or another daemon is found to end it as the store turns this
+/// one away.
+async fn renew<P>(
+    shared: &Arc<Shared<P>>,
+    term: Term,
+    relief: &Mutex<Option<SocketAddr>>,
+) -> &'static str
 where
     P: Platform,
 {
@@ -278,6 +333,12 @@
                     log::warn!(token = term.token, reason = err.to_string().as_str(); "store-lost");
                     failing = Some(sent);
                 }
+                let turned_away =
+                    failing.is_some_and(|since| clock::time().since(since) >= HAND_OVER_AFTER);
+                if turned_away && let Some(helper) = find_relief(shared, term).await {
+                    *relief.lock().unwrap_or_else(PoisonError::into_inner) = Some(helper);
+                    return "the store turns this daemon away and serves others";
+                }
             }
         }
     }
--- a/crates/borageswitch_runtime/src/intake.rs
+++ b/crates/borageswitch_runtime/src/intake.rs
@@ -116,11 +116,30 @@
     submission: Submission,
     own: Failure,
 ) -> Served<()>
+where
+    P: Platform,
+{
+    let question = Question::Submit(Box::new(submission));
+    let mut outcome = submit_at_leader(shared, &question, own).await;
+    // One that was met before may know of another leader, who can store it whatever became of the
+    // first try: it remains one job.
+    if outcome.is_err() && shared.find_leader().await {
+        let failure = outcome.err().unwrap_or(Failure::StoreSilent);
+        outcome = submit_at_leader(shared, &question, failure).await;
+    }
+    outcome
+}
+
+async fn submit_at_leader<P>(
+    shared: &Arc<Shared<P>>,
+    question: &Question,
+    own: Failure,
+) -> Served<()>
 where
     P: Platform,
 {
     let Some(leader) = shared.leader_elsewhere() else { return Err(own) };
-    match shared.ask_at(leader, &Question::Submit(Box::new(submission))).await {
+    match shared.ask_at(leader, question).await {
         Some(Answer::Accepted) => Ok(()),
         Some(Answer::Refused) => Err(own),
         _ => Err(Failure::StoreSilent),
@@ -264,6 +283,9 @@
             None | Some(Answer::NotLeading) => {}
             answer => return answer,
         }
+        if shared.store_is_away() && shared.find_leader().await {
+            continue;
+        }
         if clock::time() >= give_up || shared.is_stopping() {
             return None;
         }
--- a/crates/borageswitch_runtime/src/peers/client.rs
+++ b/crates/borageswitch_runtime/src/peers/client.rs
@@ -12,7 +12,10 @@
 use http::Request;
 use smol::net::TcpStream;
 
-use super::{Answer, MAX_MESSAGE, Question};
+use super::{
+    Acquaintances, Answer, MAX_MESSAGE, Question,
+    acquaintances::{ASKER, OTHERS},
+};
 use crate::{codec, orders::within};
 
 /// How long a question may take; an answer that waits for the store takes some 10 ms.
@@ -27,6 +30,9 @@
 
 /// Asks the daemon that leads, over one connection that is kept.
 pub struct Client {
+    /// Where this daemon answers others.
+    own: SocketAddr,
+    acquaintances: Arc<Acquaintances>,
     connection: Mutex<Option<Connection>>,
     bytes: ByteCounter,
     ex: Arc<smol::Executor<'static>>,
@@ -34,8 +40,13 @@
 
 impl Client {
     /// A client without a connection.
-    pub fn new(ex: Arc<smol::Executor<'static>>, bytes: ByteCounter) -> Self {
-        Self { connection: Mutex::default(), bytes, ex }
+    pub fn new(
+        own: SocketAddr,
+        acquaintances: Arc<Acquaintances>,
+        ex: Arc<smol::Executor<'static>>,
+        bytes: ByteCounter,
+    ) -> Self {
+        Self { own, acquaintances, connection: Mutex::default(), bytes, ex }
     }
 
     /// Asks the daemon at an address. Nothing is answered if it cannot be reached in time.
@@ -54,10 +65,15 @@
             None => self.connect(address).await?,
         };
         let mut ready = sender.ready().await.ok()?;
-        let req = Request::post("http://leader/ask").body(()).ok()?;
+        let req = Request::post("http://leader/ask").header(ASKER, self.own.to_string());
+        let req = req.body(()).ok()?;
         let (response, mut body) = ready.send_request(req, false).ok()?;
         body.send_data(Bytes::from(codec::encode(question)), true).ok()?;
-        let mut stream = response.await.ok()?.into_body();
+        let response = response.await.ok()?;
+        if let Some(told) = response.headers().get(OTHERS).and_then(|told| told.to_str().ok()) {
+            self.acquaintances.take_told(told);
+        }
+        let mut stream = response.into_body();
         let mut bytes = Vec::new();
         while let Some(part) = stream.data().await {
             let part = part.ok()?;
--- a/crates/borageswitch_runtime/src/peers/mod.rs
+++ b/crates/borageswitch_runtime/src/peers/mod.rs
@@ -1,8 +1,10 @@
 //! Carries questions from any daemon to the one that leads.
 //!
 //! Callers reach any daemon, but only the leader knows how jobs stand. A daemon keeps one `h2`
-//! connection to the leader; each question is a stream with a `bincode` message either way.
+//! connection to the leader; each question is a stream with a `bincode` message either way. Whom the
+//! store turns away asks other daemons that it has met ([`acquaintances`]).
 
+pub mod acquaintances;
 mod client;
 mod server;
 
@@ -14,7 +16,12 @@
 };
 use borageswitch_types::names::{CallerName, JobName, QueueName};
 
-pub use self::{client::Client, server::serve};
+use crate::{
+    keys::LeaderRecord,
+    ports::{LeaseId, Revision},
+};
+
+pub use self::{acquaintances::Acquaintances, client::Client, server::serve};
 
 /// The largest message, in bytes: a job as large as the operator's usual limit for a body.
 const MAX_MESSAGE: usize = 512 << 10;
@@ -53,6 +60,10 @@
     Explain(Subject),
     /// What the leader believes.
     Dump,
+    /// Who leads, and whether the store serves whoever is asked.
+    Leader,
+    /// End the lease of a leader that the store turns away, and that gives no orders any more.
+    Relieve(LeaseId),
 }
 
 /// What the leader answers.
@@ -78,4 +89,8 @@
     Dumped(String),
     /// This daemon does not lead.
     NotLeading,
+    /// Who leads by the store, and since which revision.
+    Leader(Option<(LeaderRecord, Revision)>),
+    /// The lease is ended.
+    Relieved,
 }
--- a/crates/borageswitch_runtime/src/peers/server.rs
+++ b/crates/borageswitch_runtime/src/peers/server.rs
@@ -11,8 +11,11 @@
     net::{TcpListener, TcpStream},
 };
 
-use super::{Answer, MAX_MESSAGE, Question};
-use crate::{answers::Failure, codec, daemon::Shared, intake, ports::Platform};
+use super::{
+    Answer, MAX_MESSAGE, Question,
+    acquaintances::{ASKER, OTHERS},
+};
+use crate::{answers::Failure, codec, daemon::Shared, election, intake, ports::Platform};
 
 /// How long to wait before accepting again after the process ran out of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -71,6 +74,8 @@
 where
     P: Platform,
 {
+    let asker = req.headers().get(ASKER).and_then(|asker| asker.to_str().ok()?.parse().ok());
+    asker.into_iter().for_each(|asker| shared.acquaintances.note(asker));
     let bytes = read(req.into_body()).await?;
     let question: Question = codec::decode("question", &bytes).map_err(io::Error::other)?;
     let answer = match question {
@@ -79,9 +84,22 @@
             Err(Failure::StoreAway) => Answer::Refused,
             Err(_) => Answer::Unsettled,
         },
+        Question::Leader => match election::leader_by_store(shared).await {
+            Ok(leader) => Answer::Leader(leader),
+            Err(_) => Answer::NotLeading,
+        },
+        Question::Relieve(lease) => match shared.platform.revoke(lease).await {
+            Ok(()) => Answer::Relieved,
+            Err(err) => {
+                log::info!(reason = err.to_string().as_str(); "relief-failed");
+                Answer::Refused
+            }
+        },
         question => shared.ask_own(question).await.unwrap_or(Answer::NotLeading),
     };
-    let mut stream = respond.send_response(Response::new(()), false).map_err(io::Error::other)?;
+    let res = Response::builder().header(OTHERS, shared.acquaintances.to_tell(asker));
+    let res = res.body(()).map_err(io::Error::other)?;
+    let mut stream = respond.send_response(res, false).map_err(io::Error::other)?;
     stream.send_data(Bytes::from(codec::encode(&answer)), true).map_err(io::Error::other)
 }
 
--- a/crates/borageswitch_runtime/src/ports.rs
+++ b/crates/borageswitch_runtime/src/ports.rs
@@ -18,7 +18,7 @@
 pub type Revision = u64;
 
 /// A lease in the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct LeaseId(pub u64);
 
 /// Something that is stored.
--- a/crates/borageswitch_runtime/tests/daemons.rs
+++ b/crates/borageswitch_runtime/tests/daemons.rs
@@ -16,6 +16,7 @@
     answers::{Effective, Failure},
     daemon::{self, DaemonConfig, Shared},
     intake,
+    keys::LEADER,
 };
 use borageswitch_scheduler::{
     config::Queue,
@@ -332,3 +333,50 @@
         assert_eq!(outcome(&second, "00000000000000cc").await, Outcome::Completed);
     });
 }
+
+/// Two daemons of which the first leads and the second has asked it, each with a handle of its own.
+async fn acquainted(platform: &MemoryPlatform, ex: &Arc<Executor<'static>>) -> [Daemon; 2] {
+    let first = start("d1", &platform.another_handle(), ex);
+    serves(&first, "00000000000000aa").await;
+    let second = start("d2", &platform.another_handle(), ex);
+    ready(&[&second]).await;
+    submit(&second, "00000000000000bb").await;
+    assert_eq!(outcome(&second, "00000000000000bb").await, Outcome::Completed);
+    [first, second]
+}
+
+#[test]
+fn a_leader_that_the_store_turns_away_hands_over() {
+    // The store turns the leader away and serves all others. Until its lease ran out, nothing would
+    // be started anywhere.
+    let ex = Arc::new(Executor::new());
+    let platform = platform();
+    run(&ex, async {
+        let [first, second] = acquainted(&platform, &ex).await;
+        first.platform.turn_away(true);
+
+        let led = platform.get(LEADER).map(|item| item.revision);
+        until(async || (platform.get(LEADER).map(|item| item.revision) != led).then_some(())).await;
+
+        assert_eq!(platform.expired_leases(), 0);
+        submit(&second, "00000000000000cc").await;
+        assert_eq!(outcome(&second, "00000000000000cc").await, Outcome::Completed);
+    });
+}
+
+#[test]
+fn a_daemon_that_the_store_turns_away_finds_the_next_leader() {
+    // The leader changes while the store turns a daemon away: by the store it would know no other
+    // than the one before, and refuse its callers for as long as that lasts.
+    let ex = Arc::new(Executor::new());
+    let platform = platform();
+    run(&ex, async {
+        let [first, second] = acquainted(&platform, &ex).await;
+        first.platform.turn_away(true);
+
+        submit(&first, "00000000000000cc").await;
+
+        assert_eq!(outcome(&first, "00000000000000cc").await, Outcome::Completed);
+        assert_eq!(outcome(&second, "00000000000000cc").await, Outcome::Completed);
+    });
+}
