Decide no more starts than the leader's link carries, and let a takeover go on from where it was

Lines by second: starts got no answer in 450 ms or did not leave, were released and sent again, 80 to 100 a second were done where 140 are once the rush is over.

Now starts that are decided and not answered are bounded by a window that shrinks while answers come late and grows while they come at once; calls without an answer say nothing. A list or value of the store is waited for as long as its parts keep coming, and a takeover goes on from the page it has reached.

--- a/crates/borageswitch_http/src/client.rs
+++ b/crates/borageswitch_http/src/client.rs
@@ -6,11 +6,11 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_lite::future;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1;
+use hyper::{body::Incoming, client::conn::http1};
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
@@ -45,6 +45,23 @@
     },
 }
 
+/// How long a call may take.
+#[derive(Clone, Copy, Debug)]
+enum Patience {
+    /// Until then in all.
+    Until(Instant),
+    /// Until then for the head of the answer, and so long for each further part of it.
+    Parts(Instant, Duration),
+}
+
+impl Patience {
+    fn head(self) -> Instant {
+        match self {
+            Patience::Until(deadline) | Patience::Parts(deadline, _) => deadline,
+        }
+    }
+}
+
 /// Makes calls and keeps their connections.
 pub struct Client {
     connections: Connections,
@@ -70,12 +87,36 @@
     pub async fn call(
         &self,
         address: SocketAddr,
-        mut req: WholeRequest,
+        req: WholeRequest,
+        timeout: Duration,
+    ) -> Result<Answer, CallError> {
+        self.call_with(address, req, Patience::Until(Instant::now() + timeout)).await
+    }
+
+    /// Makes a call whose answer may be large: it may take as long as its parts keep coming, each
+    /// within `timeout`. Bounded in all, an answer that fits no small link would be asked for again
+    /// and again and never come.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::call`].
+    pub async fn call_large(
+        &self,
+        address: SocketAddr,
+        req: WholeRequest,
         timeout: Duration,
     ) -> Result<Answer, CallError> {
-        let deadline = Instant::now() + timeout;
+        self.call_with(address, req, Patience::Parts(Instant::now() + timeout, timeout)).await
+    }
+
+    async fn call_with(
+        &self,
+        address: SocketAddr,
+        mut req: WholeRequest,
+        patience: Patience,
+    ) -> Result<Answer, CallError> {
         while let Some(conn) = self.connections.take(address) {
-            match self.exchange(address, conn, req, true, deadline).await {
+            match self.exchange(address, conn, req, true, patience).await {
                 Ok(answer) => return Ok(answer),
                 // The other end closed the connection while it was unused: another one is tried,
                 // with the very request that came back unsent.
@@ -83,7 +124,7 @@
                 Err(Failed::Call(err)) => return Err(err),
             }
         }
-        self.call_anew(address, req, deadline).await
+        self.connect_and_call(address, req, patience).await
     }
 
     /// Makes a call on a connection of its own, whatever connections are kept.
@@ -97,8 +138,17 @@
         req: WholeRequest,
         deadline: Instant,
     ) -> Result<Answer, CallError> {
-        let conn = self.connect(address, deadline).await.ok_or(CallError::NotSent)?;
-        match self.exchange(address, conn, req, false, deadline).await {
+        self.connect_and_call(address, req, Patience::Until(deadline)).await
+    }
+
+    async fn connect_and_call(
+        &self,
+        address: SocketAddr,
+        req: WholeRequest,
+        patience: Patience,
+    ) -> Result<Answer, CallError> {
+        let conn = self.connect(address, patience.head()).await.ok_or(CallError::NotSent)?;
+        match self.exchange(address, conn, req, false, patience).await {
             Ok(answer) => Ok(answer),
             Err(Failed::Unsent(_)) => Err(CallError::NotSent),
             Err(Failed::Call(err)) => Err(err),
@@ -129,32 +179,42 @@
         mut conn: Connection,
         req: WholeRequest,
         reused: bool,
-        deadline: Instant,
+        patience: Patience,
     ) -> Result<Answer, Failed> {
-        let lost = Failed::Call(CallError::Lost { reused });
-        let exchange = async {
-            let response = match conn.sender.try_send_request(req).await {
-                Ok(response) => response,
-                Err(mut err) => {
-                    return Err(match err.take_message() {
-                        Some(back) => Failed::Unsent(Box::new(back)),
-                        None => Failed::Call(CallError::Lost { reused }),
-                    });
-                }
-            };
-            let (head, body) = response.into_parts();
-            let body = Limited::new(body, MAX_ANSWER).collect().await;
-            let body = body.map_err(|_| Failed::Call(CallError::Lost { reused }))?.to_bytes();
-            Ok(Answer { status: head.status, headers: head.headers, body })
+        let sending = conn.sender.try_send_request(req);
+        let Some(sent) = before_or_late(patience.head(), sending).await else {
+            self.connections.forget(address);
+            return Err(Failed::Call(CallError::Lost { reused }));
         };
-        let Some(outcome) = before_or_late(deadline, exchange).await else {
+        let response = sent.map_err(|mut err| match err.take_message() {
+            Some(back) => Failed::Unsent(Box::new(back)),
+            None => Failed::Call(CallError::Lost { reused }),
+        })?;
+        let (head, body) = response.into_parts();
+        let Some(body) = read_body(Limited::new(body, MAX_ANSWER), patience).await else {
             self.connections.forget(address);
-            return Err(lost);
+            return Err(Failed::Call(CallError::Lost { reused }));
         };
-        let answer = outcome?;
         self.connections.keep(address, conn);
-        Ok(answer)
+        Ok(Answer { status: head.status, headers: head.headers, body })
+    }
+}
+
+/// The whole of a body, or nothing if it breaks off or does not come in time.
+async fn read_body(mut body: Limited<Incoming>, patience: Patience) -> Option<Bytes> {
+    let pause = match patience {
+        Patience::Until(deadline) => {
+            return Some(before_or_late(deadline, body.collect()).await?.ok()?.to_bytes());
+        }
+        Patience::Parts(_, pause) => pause,
+    };
+    let mut bytes = BytesMut::new();
+    while let Some(part) = before_or_late(Instant::now() + pause, body.frame()).await? {
+        if let Ok(data) = part.ok()?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
     }
+    Some(bytes.freeze())
 }
 
 enum Failed {
--- a/crates/borageswitch_runtime/src/election.rs
+++ b/crates/borageswitch_runtime/src/election.rs
@@ -36,6 +36,9 @@
 /// After the store has turned a leader away for so long, it has another daemon end its lease, if the
 /// store serves that one: two renewals have failed, and nothing that was decided can be stored.
 const HAND_OVER_AFTER: Duration = Duration::from_millis(400);
+/// Another daemon that takes longer to answer shows that this one's own link or processor is late:
+/// then so are its renewals, and the next leader would do no better.
+const PROMPT_PEER: Duration = Duration::from_millis(150);
 /// How long a watch for the leader's end waits on the store.
 const WATCH_WAIT: Duration = Duration::from_millis(4_000);
 /// The pause after a call that failed.
@@ -296,8 +299,11 @@
     P: Platform,
 {
     for other in shared.acquaintances.some_but(Some(shared.cfg.peer_address)) {
+        let asked = clock::time();
         let answer = shared.ask_at(other, &Question::Leader).await;
-        if matches!(answer, Some(Answer::Leader(Some((_, token)))) if token == term.token) {
+        let prompt = clock::time().since(asked) <= PROMPT_PEER;
+        let serves = matches!(answer, Some(Answer::Leader(Some((_, at)))) if at == term.token);
+        if prompt && serves {
             return Some(other);
         }
     }
@@ -333,9 +339,9 @@
                     log::warn!(token = term.token, reason = err.to_string().as_str(); "store-lost");
                     failing = Some(sent);
                 }
-                let turned_away =
+                let long =
                     failing.is_some_and(|since| clock::time().since(since) >= HAND_OVER_AFTER);
-                if turned_away && let Some(helper) = find_relief(shared, term).await {
+                if long && let Some(helper) = find_relief(shared, term).await {
                     *relief.lock().unwrap_or_else(PoisonError::into_inner) = Some(helper);
                     return "the store turns this daemon away and serves others";
                 }
@@ -350,8 +356,9 @@
     P: Platform,
 {
     let began = clock::time();
+    let mut reading = takeover::Reading::default();
     let (inheritance, executors) = loop {
-        match begin(shared).await {
+        match begin(shared, &mut reading).await {
             Ok(begun) => break begun,
             Err(err) => {
                 log::warn!(reason = err.to_string().as_str(); "takeover-delayed");
@@ -385,12 +392,13 @@
 
 type Begun = (takeover::Inheritance, watching::ExecutorList);
 
-async fn begin<P>(shared: &Arc<Shared<P>>) -> StoreResult<Begun>
+async fn begin<P>(shared: &Arc<Shared<P>>, reading: &mut takeover::Reading) -> StoreResult<Begun>
 where
     P: Platform,
 {
-    let inheritance = takeover::load(&shared.platform).await?;
+    // The executors first: a list of them that fails does not cost what was read of the ledger.
     let executors = watching::list_executors(&shared.platform).await?;
+    let inheritance = takeover::load(&shared.platform, reading).await?;
     Ok((inheritance, executors))
 }
 
--- a/crates/borageswitch_runtime/src/takeover.rs
+++ b/crates/borageswitch_runtime/src/takeover.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     codec, keys,
-    ports::{Item, Platform, Revision, StoreError, StoreResult},
+    ports::{Item, Page, Platform, Revision, StoreError, StoreResult},
 };
 
 /// What a new leader begins with.
@@ -31,6 +31,41 @@
     pub intake_at: Revision,
 }
 
+/// Items whose keys begin alike, as far as they have been read.
+#[derive(Debug, Default)]
+struct Listing {
+    items: Vec<Item>,
+    /// The revision at which that began.
+    at: Option<Revision>,
+    whole: bool,
+}
+
+impl Listing {
+    /// Reads what is missing. After an error the next call goes on from the page that was reached.
+    async fn read<P>(&mut self, platform: &P, prefix: &str) -> StoreResult<()>
+    where
+        P: Platform,
+    {
+        while !self.whole {
+            let page = platform.list(prefix, self.reached().as_deref()).await?;
+            self.take(page);
+        }
+        Ok(())
+    }
+
+    /// The key that the next page begins after.
+    fn reached(&self) -> Option<Arc<str>> {
+        self.items.last().map(|item| item.key.clone())
+    }
+
+    fn take(&mut self, page: Page) {
+        // Pages are not a snapshot: a watch from the first page's revision misses nothing.
+        self.at.get_or_insert(page.at);
+        self.whole = !page.more || page.items.is_empty();
+        self.items.extend(page.items);
+    }
+}
+
 /// Reads all items whose keys begin with `prefix`, and the revision at which that began.
 ///
 /// # Errors
@@ -40,43 +75,57 @@
 where
     P: Platform,
 {
-    let mut all: Vec<Item> = Vec::new();
-    let mut at = None;
-    loop {
-        let after = all.last().map(|item| item.key.clone());
-        let page = platform.list(prefix, after.as_deref()).await?;
-        // Pages are not a snapshot: a watch from the first page's revision misses nothing.
-        at.get_or_insert(page.at);
-        let end = !page.more || page.items.is_empty();
-        all.extend(page.items);
-        if end {
-            return Ok((all, at.unwrap_or_default()));
-        }
-    }
+    let mut listing = Listing::default();
+    listing.read(platform, prefix).await?;
+    Ok((listing.items, listing.at.unwrap_or_default()))
 }
 
-/// Rebuilds the ledger.
+/// What a new leader has read so far of what earlier ones stored.
+///
+/// Nothing but this leader adds to snapshot and log, so what was read stays right. Begun anew after
+/// each call that fails, a takeover over a slow link, or from a store that fails one call in three,
+/// might never end, while jobs go on being accepted.
+#[derive(Debug, Default)]
+pub struct Reading {
+    snapshot: Option<Snapshot>,
+    appends: Listing,
+    intake: Listing,
+}
+
+/// Rebuilds the ledger. After an error the next call goes on with what was read into `reading`.
 ///
 /// # Errors
 ///
 /// Those of the store, and [`StoreError::Unreadable`] when something stored cannot be decoded.
-pub async fn load<P>(platform: &P) -> StoreResult<Inheritance>
+pub async fn load<P>(platform: &P, reading: &mut Reading) -> StoreResult<Inheritance>
 where
     P: Platform,
 {
-    let snapshot = match platform.read(keys::SNAPSHOT).await?.item {
-        Some(item) => {
-            let younger = codec::YOUNGER_IN_SNAPSHOT;
-            let decoded = codec::decode_grown::<Snapshot>("snapshot", &item.value, younger);
-            readable(&item, decoded)?
-        }
-        None => Snapshot::default(),
+    if reading.snapshot.is_none() {
+        reading.snapshot = Some(read_snapshot(platform).await?);
+    }
+    reading.appends.read(platform, keys::LOG).await?;
+    reading.intake.read(platform, keys::INTAKE).await?;
+    let Reading { snapshot, appends, intake } = std::mem::take(reading);
+    rebuild(snapshot.unwrap_or_default(), &appends.items, &intake)
+}
+
+async fn read_snapshot<P>(platform: &P) -> StoreResult<Snapshot>
+where
+    P: Platform,
+{
+    let Some(item) = platform.read(keys::SNAPSHOT).await?.item else {
+        return Ok(Snapshot::default());
     };
-    let (appends, _) = read_all(platform, keys::LOG).await?;
-    let (intake, intake_at) = read_all(platform, keys::INTAKE).await?;
+    let younger = codec::YOUNGER_IN_SNAPSHOT;
+    readable(&item, codec::decode_grown::<Snapshot>("snapshot", &item.value, younger))
+}
+
+fn rebuild(snapshot: Snapshot, appends: &[Item], intake: &Listing) -> StoreResult<Inheritance> {
+    let intake_at = intake.at.unwrap_or_default();
     let mut submissions = Vec::new();
     let mut cancelled = Vec::new();
-    for item in &intake {
+    for item in &intake.items {
         if item.key.starts_with(keys::JOBS) {
             // One that cannot be read can never run. Given up for it, nobody would ever lead.
             match codec::decode_submission(&item.value) {
@@ -90,7 +139,7 @@
     let through = snapshot.through;
     let mut ledger = snapshot.restore(submissions.iter().cloned());
     let mut last = through;
-    for item in &appends {
+    for item in appends {
         let Some(number) = keys::append_number(&item.key) else { continue };
         if number <= through {
             continue;
@@ -111,3 +160,6 @@
         StoreError::Unreadable
     })
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/borageswitch_runtime/src/takeover/tests.rs
@@ -0,0 +1,35 @@
+//! A takeover from a store that fails now and then.
+
+use super::*;
+
+/// How many pages there are.
+const PAGES: usize = 9;
+
+fn page(number: usize) -> Page {
+    let key: Arc<str> = format!("log/{number}").into();
+    let item = Item { key, value: Vec::new(), revision: 1 };
+    Page { items: vec![item], more: number + 1 < PAGES, at: 100 + number as Revision }
+}
+
+fn number_after(after: Option<&str>) -> usize {
+    after.map_or(0, |key| key.trim_start_matches("log/").parse::<usize>().unwrap() + 1)
+}
+
+#[test]
+fn a_takeover_goes_on_from_the_page_that_it_has_reached() {
+    // Guards against a takeover that begins anew with each call that fails, and so never ends.
+    let mut listing = Listing::default();
+    let mut calls = 0;
+
+    while !listing.whole {
+        calls += 1;
+        let fails = calls % 3 == 0;
+        if !fails {
+            listing.take(page(number_after(listing.reached().as_deref())));
+        }
+        assert!(calls < 2 * PAGES, "it does not end");
+    }
+
+    assert_eq!(listing.items.len(), PAGES);
+    assert_eq!(listing.at, Some(100));
+}
--- a/crates/borageswitch_scheduler/src/policy/mod.rs
+++ b/crates/borageswitch_scheduler/src/policy/mod.rs
@@ -18,6 +18,7 @@
 //! - [`blame`]: which task brings executors down, and which merely ran beside it.
 //! - [`crash_rate`]: how often executors crash under tasks that have nothing to do with it.
 //! - [`trust`]: which executors get work although some of theirs failed.
+//! - [`start_window`]: how many starts are on their way at once.
 //! - [`start_pauses`]: how long a task waits after starts that came to nothing.
 //! - [`stragglers`]: which runs are given up for a new one elsewhere.
 //! - [`pacing`]: how fast work that fills gaps may run beside work that serves.
@@ -39,6 +40,7 @@
 pub mod quotas;
 pub mod shares;
 pub mod start_pauses;
+pub mod start_window;
 pub mod stragglers;
 pub mod trust;
 
--- a/crates/borageswitch_scheduler/src/reducer/ends.rs
+++ b/crates/borageswitch_scheduler/src/reducer/ends.rs
@@ -14,6 +14,7 @@
     /// Frees a task that certainly does not run on an executor and never will.
     pub(super) fn release(&mut self, executor: &ExecutorName, task: &TaskKey, why: &'static str) {
         let Some(held) = self.executors.drop_run(executor, task) else { return };
+        self.starting.over(task, held.run);
         let Some(known) = self.executors.get(executor) else { return };
         self.stirred.insert(known.registration.pool.clone());
         self.log("run-released", task, || {
@@ -29,6 +30,7 @@
     /// Takes in the end of a run, whoever told of it.
     pub(super) fn ended(&mut self, now: Now, executor: &ExecutorName, ended: &EndedRun) {
         let Some(known) = self.executors.get(executor) else { return };
+        self.starting.over(&ended.task, ended.run);
         let is_held = known.runs.get(&ended.task).is_some_and(|held| held.run == ended.run);
         let held = is_held.then(|| self.executors.drop_run(executor, &ended.task)).flatten();
         let Some(known) = self.executors.get_mut(executor) else { return };
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -10,7 +10,8 @@
 //! - [`jobs`]: jobs come, are cancelled, come due and end.
 //! - [`looks`]: executors are looked at, and what they say is compared with what is believed.
 //! - [`ends`]: runs end, or are known never to have begun.
-//! - [`starts`]: answers to starts and stops; [`failed_starts`] are not repeated at once for ever.
+//! - [`starts`]: answers to starts and stops; [`failed_starts`] are not repeated at once for ever, and
+//!   [`starting`] bounds those on their way.
 //! - [`crashes`]: executors that ended, and which of them crashed.
 //! - [`suspects`]: tasks under which executors have crashed.
 //! - [`stragglers`]: runs that fall far behind are given up.
@@ -54,6 +55,7 @@
 pub mod recovery;
 pub mod registrations;
 pub mod rooms;
+pub mod starting;
 pub mod starts;
 pub mod stragglers;
 pub mod suspects;
@@ -81,8 +83,8 @@
     reducer::{
         advice::Advice, crashes::EndedExecutor, executor_table::ExecutorTable,
         failed_starts::FailedStarts, host_list::Fleet, jobs::JobTimes, kept_room::KeptRoom,
-        lending::Lending, outbox::Outbox, rooms::Rooms, stragglers::Stragglers, suspects::Suspects,
-        waiting::Waiting, waves::Waves,
+        lending::Lending, outbox::Outbox, rooms::Rooms, starting::Starting, stragglers::Stragglers,
+        suspects::Suspects, waiting::Waiting, waves::Waves,
     },
     task::StepKey,
 };
@@ -164,6 +166,7 @@
     suspects: Suspects,
     failed_starts: FailedStarts,
     stragglers: Stragglers,
+    starting: Starting,
     last_sweep: Time,
     last_slow_sweep: Time,
     effects: Vec<Effect>,
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -95,6 +95,10 @@
                 }
                 continue;
             }
+            if self.starting.left() == 0 {
+                self.starting.hold_back(pool);
+                break;
+            }
             let own = step.urgency.is_lasting() || self.has_kept_room(pool, &step.key);
             if own {
                 self.place_own(now, pool, step, room);
@@ -170,7 +174,8 @@
         let size = waiting.size;
         let mut places = self.places(now, &waiting.key, &step, room);
         let mut without_host = None;
-        for &index in waiting.waiting.iter().take(self.startable(waiting)) {
+        let most = self.startable(waiting).min(self.starting.left());
+        for &index in waiting.waiting.iter().take(most) {
             let task = waiting.key.task(index);
             let standing = self.standing(&task);
             if standing == Standing::Culprit || self.failed_starts.holds_back(now.time, &task) {
@@ -230,6 +235,7 @@
         self.executors.hold(executor, task, held);
         let Some(known) = self.executors.get_mut(executor) else { return };
         known.trust.placed(now.time);
+        self.starting.decided(task, run);
         self.watch_suspect(now, executor, task);
         self.record(Record::Assigned { task: task.clone(), run, executor: executor.clone() });
         self.outbox.then_start(executor.clone(), task.clone(), run);
--- a/crates/borageswitch_scheduler/src/reducer/starts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/starts.rs
@@ -97,6 +97,8 @@
         clock_ms: Option<u64>,
         answer: StartAnswer,
     ) {
+        self.starting.answered(now.time, task, run, now.time.since(sent), answer);
+        self.stirred.extend(self.starting.take_held_back());
         let Some(known) = self.executors.get_mut(executor) else { return };
         if let Some(clock_ms) = clock_ms {
             if known.is_other_life(sent, clock_ms) {
