--- a/crates/borageswitch_runtime/src/election.rs
+++ b/crates/borageswitch_runtime/src/election.rs
@@ -123,13 +123,14 @@
 {
     let due = clock::time() + turn;
     let seen = shared.platform.watch(keys::LEADER, at, turn).await;
-    let begun = seen.iter().flat_map(|seen| &seen.changes).any(|change| match change {
-        Change::Written(item) => {
-            note_leader(shared, item);
+    // Only the last change tells how it is now: the first ones may be of leaders that have gone.
+    let begun = match seen.ok().and_then(|seen| seen.changes.into_iter().last()) {
+        Some(Change::Written(item)) => {
+            note_leader(shared, &item);
             true
         }
-        Change::Removed(_) => false,
-    });
+        Some(Change::Removed(_)) | None => false,
+    };
     if !begun {
         Timer::after(due.since(clock::time())).await;
     }
--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -11,7 +11,7 @@
 };
 
 use borageswitch_fakes::{
-    platform::{FAILING_TEXT, LASTING_TEXT, example},
+    platform::{CRASHING_TEXT, FAILING_TEXT, LASTING_TEXT, example},
     serve::Runner,
 };
 use borageswitch_http::client::{Answer, Client};
@@ -90,9 +90,9 @@
         self.spec.is_lasting()
     }
 
-    /// Whether its tasks fail wherever they run.
+    /// Whether its tasks fail wherever they run, or crash whatever runs them.
     pub fn is_failing(&self) -> bool {
-        self.spec.text.starts_with(FAILING_TEXT)
+        [FAILING_TEXT, CRASHING_TEXT].iter().any(|text| self.spec.text.starts_with(text))
     }
 }
 
@@ -136,11 +136,13 @@
         }
     }
 
-    /// Hands in one job whose tasks last, for each pool.
-    pub async fn hand_in_lasting(self: Arc<Self>, seed: u64) {
+    /// Hands in one job whose tasks last and one that crashes executors, for each pool.
+    pub async fn hand_in_special(self: Arc<Self>, seed: u64) {
         let mut rng = fastrand::Rng::with_seed(seed);
-        for pool in site::POOLS {
-            let spec = lasting_job();
+        for (pool, spec) in site::POOLS
+            .iter()
+            .flat_map(|pool| [lasting_job(), crashing_job()].map(|spec| (*pool, spec)))
+        {
             while !self.hand_in(&mut rng, pool, spec.clone()).await {
                 if self.stopped.load(Ordering::SeqCst) {
                     return;
@@ -304,3 +306,9 @@
     };
     JobSpec { text: LASTING_TEXT.into(), steps: vec![step], schedule: None }
 }
+
+fn crashing_job() -> JobSpec {
+    let size = Size { cpu_milli: 1_000, memory_mb: 500, accelerators: 0 };
+    let step = Step { count: 1, size, estimate: Duration::from_millis(100), ..Step::default() };
+    JobSpec { text: CRASHING_TEXT.into(), steps: vec![step], schedule: None }
+}
--- a/tools/soak/src/promises.rs
+++ b/tools/soak/src/promises.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use borageswitch_fakes::platform::RunRecord;
+use borageswitch_fakes::platform::{CRASHING_TEXT, RunRecord};
 use borageswitch_scheduler::{executor::EndKind, job::Size, task::TaskKey};
 use borageswitch_types::names::{ExecutorName, JobName};
 
@@ -15,6 +15,10 @@
 /// seconds, and the longest that a fault holds an order back.
 pub const LAST_START: Duration = Duration::from_millis(3_000 + 5_000);
 
+/// A task that crashes whatever starts it is started at most so often: five times by a leader that
+/// stays, and a few more where leaders go before they have stored a crash.
+pub const MOST_CRASHES: usize = 8;
+
 /// What one run of the soak has seen.
 #[derive(Clone, Copy, Debug)]
 pub struct Seen<'a> {
@@ -29,6 +33,7 @@
     let mut broken = Vec::new();
     let by_task = by_task(seen.runs);
     broken.extend(by_task.iter().filter_map(|(task, runs)| doubled(task, runs)));
+    broken.extend(by_task.iter().filter_map(|(task, runs)| crashes_on(task, runs)));
     broken.extend(seen.runs.iter().filter_map(|run| unasked(seen.fates, run)));
     broken.extend(seen.runs.iter().filter_map(|run| too_early(seen.fates, &by_task, run)));
     broken.extend(overfull(seen));
@@ -63,6 +68,12 @@
     None
 }
 
+/// A task that goes on crashing executors.
+fn crashes_on(task: &TaskKey, runs: &[&RunRecord]) -> Option<String> {
+    let crashing = runs.iter().filter(|run| run.text.starts_with(CRASHING_TEXT)).count();
+    (crashing > MOST_CRASHES).then(|| format!("{task} crashes executors {crashing} times"))
+}
+
 /// A run that no caller asked for, or that every caller was told would never be.
 fn unasked(fates: &BTreeMap<JobName, Fate>, run: &RunRecord) -> Option<String> {
     let Some(fate) = fates.get(&run.task.job) else {
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -126,7 +126,7 @@
     planned: &[Planned],
     seed: u64,
 ) -> Vec<String> {
-    ex.spawn(callers.clone().hand_in_lasting(seed)).detach();
+    ex.spawn(callers.clone().hand_in_special(seed)).detach();
     let calling: Vec<_> = (0..CALLERS)
         .map(|number| ex.spawn(callers.clone().call(seed * CALLERS + number)))
         .collect();
--- a/tools/soak/tests/short.rs
+++ b/tools/soak/tests/short.rs
@@ -42,6 +42,14 @@
     assert_kept(SMALL, 2);
 }
 
+/// All daemons are killed at once, and the store does not tell as of when nobody leads. Each daemon took
+/// an earlier leader, told again by its watch, for a new one: they asked in turn as fast as they
+/// could, and nobody led any more.
+#[test]
+fn daemons_that_were_all_killed_find_a_leader_again() {
+    assert_kept(USUAL, 9000);
+}
+
 /// Two faults tell the same daemon to end at the same time, and one starts it again before the
 /// other looks. The run once took the new process for one that does not end, and reported it.
 #[test]
