--- a/crates/borageswitch_scheduler/src/policy/arrivals.rs
+++ b/crates/borageswitch_scheduler/src/policy/arrivals.rs
@@ -4,10 +4,10 @@
 //! come. Asked for by what waits already, hosts come two seconds late, and the jobs of these seconds
 //! and all that wait behind them are late.
 //!
-//! Believed within a few tenths of a second, one large job passes for a rush: its work, taken for what
-//! comes in each such moment, asks for hundreds of hosts where its tasks fill ten. Where moves are
-//! cheap that is let be, for the sake of the first jobs of a turn; the dearer they are, the longer the
-//! time over which each job's work is spread, up to the time that the job takes.
+//! Averaged over a few tenths of a second, one large job passes for a rush: its work asks for
+//! hundreds of hosts where its tasks fill ten. Where moves are cheap this is accepted, for the sake
+//! of the first jobs of a turn; the dearer they are, the longer the time over which each job's work
+//! is spread, up to the time that the job takes.
 //!
 //! A leader that has just begun has not seen any load. It leaves hosts where the operator or its
 //! predecessor had them until it has. Switched off while the site is silent after a start, they would
@@ -17,8 +17,8 @@
 
 use borageswitch_types::Time;
 
-/// The shortest time over which arrivals are averaged: each tenth of a second until a turn is believed makes
-/// jobs late.
+/// The shortest time over which arrivals are averaged: each tenth of a second until a turn is
+/// believed makes jobs late.
 const RATE_WINDOW: Duration = Duration::from_millis(300);
 /// A longer time over which arrivals are averaged as well: as long as the rise of a turn takes. How
 /// much the shorter average is above it tells how fast the load rises.
