Watch the configuration for as long as the site's time for a change allows

Each watch that returns is a call, and all daemons make them all the time: 389 a second of 583 daemons with 1.5 s each, whatever the site allows a change to take (2 to 5 s). Now a watch waits for six tenths of that, at least 1.5 s as before, and on a strict site for three tenths of the time that keys may go unconfirmed; when a configuration may be outdated follows from it.

Small sites wait as before. Ruled out: a watch as long as the whole time (a connection that went silent would make each change late).

--- a/crates/borageswitch_runtime/src/admission.rs
+++ b/crates/borageswitch_runtime/src/admission.rs
@@ -15,7 +15,6 @@
     answers::{Failure, Served},
     daemon::Shared,
     ports::Platform,
-    watching::CONFIG_WAIT,
 };
 
 /// Who calls which queue.
@@ -44,13 +43,19 @@
     }
 }
 
-/// With a configuration older than this, a daemon does not say that there is no such key or queue. A
-/// watch says how things stood when it was sent, so that one in touch is up to two watches behind, and
-/// a slow answer more.
-const FRESH_CONFIG: Duration = CONFIG_WAIT.saturating_mul(2).saturating_add(SLOW_ANSWER);
 /// How long the answer of a slow store takes.
 const SLOW_ANSWER: Duration = Duration::from_millis(600);
 
+/// Whether the configuration may be too old to say that there is no such key or queue. A watch says
+/// how things stood when it was sent, so that a daemon in touch is up to two watches behind, and a
+/// slow answer more.
+fn may_be_outdated<P>(shared: &Arc<Shared<P>>) -> bool
+where
+    P: Platform,
+{
+    shared.config_age() > 2 * shared.cfg.config_wait + SLOW_ANSWER
+}
+
 /// Lets a request in, or not.
 ///
 /// # Errors
@@ -75,7 +80,7 @@
         }
         // A daemon that was cut off while a key was handed out would turn its owner away for good.
         // Told to come back, the owner finds a daemon that knows it.
-        Err(Rejection::UnknownKey(_)) if age > FRESH_CONFIG => Failure::ConfigTooOld,
+        Err(Rejection::UnknownKey(_)) if may_be_outdated(shared) => Failure::ConfigTooOld,
         Err(rejection) => Failure::NotLetIn(rejection),
     };
     log::info!(
@@ -91,5 +96,5 @@
 where
     P: Platform,
 {
-    if shared.config_age() > FRESH_CONFIG { Failure::ConfigTooOld } else { Failure::NoQueue }
+    if may_be_outdated(shared) { Failure::ConfigTooOld } else { Failure::NoQueue }
 }
--- a/crates/borageswitch_runtime/src/daemon.rs
+++ b/crates/borageswitch_runtime/src/daemon.rs
@@ -48,6 +48,8 @@
     pub weight: f64,
     /// What the platform promises.
     pub limits: Limits,
+    /// How long a watch for the configuration waits on the store.
+    pub config_wait: Duration,
     /// How old a configuration may be for its keys to be gone by; any age if not set.
     pub keys_hold: Option<Duration>,
     /// Where it counts and times.
--- a/crates/borageswitch_runtime/src/settings.rs
+++ b/crates/borageswitch_runtime/src/settings.rs
@@ -16,6 +16,14 @@
 /// The lease that executors are given: long enough that a slow store or a change of leader ends
 /// nothing, short enough that the tasks of a host that is lost run elsewhere some 4 s later.
 const EXECUTOR_LEASE: Duration = Duration::from_millis(4_000);
+/// How long a watch for the configuration waits on the store at least.
+const SHORTEST_CONFIG_WAIT: Duration = Duration::from_millis(1_500);
+/// Of the time in which a configuration has to be in force, a watch waits for this share: a connection
+/// that went silent is noticed when that is over, and the change has to be read after it.
+const CONFIG_WAIT_SHARE: f64 = 0.6;
+/// Of the time for which a strict site goes by keys that were not confirmed, a watch waits for this
+/// share: a daemon in touch is up to two watches behind, and a slow answer more.
+const KEYS_HOLD_SHARE: f64 = 0.3;
 /// Of the time in which a process has to end, this share is used; the rest is for its last answers.
 const STOP_SHARE: f64 = 0.8;
 
@@ -54,6 +62,8 @@
     pub host_calls_per_s: f64,
     /// How long a host is away for a move.
     pub host_move: Duration,
+    /// How long a change of the configuration may take until it is in force.
+    pub config_apply: Duration,
     /// How long a process has to end after it was told to.
     pub stop: Duration,
     /// A daemon that has not heard for so long whether a key was taken away lets nobody in by it;
@@ -97,6 +107,14 @@
         }
     }
 
+    /// How long a watch for the configuration waits on the store. Each that returns is a call, and all
+    /// daemons make them all the time.
+    pub fn config_wait(&self) -> Duration {
+        let wait = self.promises.config_apply.mul_f64(CONFIG_WAIT_SHARE).max(SHORTEST_CONFIG_WAIT);
+        let hold = self.promises.keys_hold.map(|hold| hold.mul_f64(KEYS_HOLD_SHARE));
+        hold.map_or(wait, |hold| wait.min(hold.max(SHORTEST_CONFIG_WAIT)))
+    }
+
     /// How long callers are served on after the daemon was told to end.
     pub fn stop_time(&self) -> Duration {
         self.promises.stop.mul_f64(STOP_SHARE)
@@ -160,6 +178,7 @@
     let host_order_pause = reader.decimal_or("host_order_pause_ms", 3_000.0, 0.0, 1e7);
     let host_calls_per_s = reader.decimal_or("host_calls_per_s", 64.0, 0.1, 1e6);
     let host_move = reader.decimal_or("host_move_s", 1.5, 0.0, 1e5);
+    let config_apply = reader.decimal_or("config_apply_ms", 2_000.0, 100.0, 1e7);
     let stop = reader.decimal_or("stop_s", 6.0, 0.0, 1e5);
     let keys_strict = reader.flag_or("keys_strict", false);
     let keys_hold = reader.decimal_or("keys_hold_ms", 5_000.0, 0.0, 1e7);
@@ -168,7 +187,11 @@
         host_order_pause: Duration::from_secs_f64(host_order_pause? / 1_000.0),
         host_calls_per_s: host_calls_per_s?,
         host_move: Duration::from_secs_f64(host_move?),
+        config_apply: Duration::from_secs_f64(config_apply? / 1_000.0),
         stop: Duration::from_secs_f64(stop?),
         keys_hold: keys_strict?.then_some(Duration::from_secs_f64(keys_hold? / 1_000.0)),
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/borageswitch_runtime/src/watching.rs
+++ b/crates/borageswitch_runtime/src/watching.rs
@@ -22,9 +22,6 @@
     takeover::read_all,
 };
 
-/// How long a watch for the configuration waits on the store. A connection that went silent is
-/// noticed when this is over, and a change has to be in force within 2 s.
-pub(crate) const CONFIG_WAIT: Duration = Duration::from_millis(1_500);
 /// How long other watches wait.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// How long the watch for waves waits: they are announced long before they are due.
@@ -101,7 +98,7 @@
 where
     P: Platform,
 {
-    let seen = shared.platform.watch(key, after, CONFIG_WAIT).await?;
+    let seen = shared.platform.watch(key, after, shared.cfg.config_wait).await?;
     for change in &seen.changes {
         if let Change::Written(item) = change {
             adopt(shared, item);
--- a/crates/borageswitch_runtime/tests/daemons.rs
+++ b/crates/borageswitch_runtime/tests/daemons.rs
@@ -51,6 +51,7 @@
         peer_address: ([127, 0, 0, 1], 0).into(),
         weight: 1.0,
         limits: Limits::default(),
+        config_wait: Duration::from_millis(1_500),
         keys_hold: None,
         meter: opentelemetry::global::meter("borageswitch"),
     };
