--- a/crates/borageswitch_runtime/src/election.rs
+++ b/crates/borageswitch_runtime/src/election.rs
@@ -20,6 +20,7 @@
     control::Message,
     daemon::Shared,
     keys::{self, LeaderRecord},
+    orders::within,
     peers::{Answer, Question},
     ports::{
         Change, Committed, Item, LeaseId, Platform, Revision, StoreError, StoreResult, Transaction,
@@ -39,6 +40,8 @@
 /// Another daemon that takes longer to answer shows that this one's own link or processor is late:
 /// then so are its renewals, and the next leader would do no better.
 const PROMPT_PEER: Duration = Duration::from_millis(150);
+/// How many daemons are asked between two renewals, which wait for their answers.
+const ASKED_FOR_RELIEF: usize = 2;
 /// How long a watch for the leader's end waits on the store.
 const WATCH_WAIT: Duration = Duration::from_millis(4_000);
 /// The pause after a call that failed.
@@ -299,12 +302,11 @@
 where
     P: Platform,
 {
-    for other in shared.acquaintances.some_but(Some(shared.cfg.peer_address)) {
-        let asked = clock::time();
-        let answer = shared.ask_at(other, &Question::Leader).await;
-        let prompt = clock::time().since(asked) <= PROMPT_PEER;
-        let serves = matches!(answer, Some(Answer::Leader(Some((_, at)))) if at == term.token);
-        if prompt && serves {
+    let others = shared.acquaintances.some_but(Some(shared.cfg.peer_address));
+    for other in others.into_iter().take(ASKED_FOR_RELIEF) {
+        let asking = shared.ask_at(other, &Question::Leader);
+        let answer = within(PROMPT_PEER, asking).await.flatten();
+        if matches!(answer, Some(Answer::Leader(Some((_, token)))) if token == term.token) {
             return Some(other);
         }
     }
