--- a/crates/borageswitch_runtime/src/election.rs
+++ b/crates/borageswitch_runtime/src/election.rs
@@ -4,11 +4,7 @@
 //! rises with each leader: it is the fencing token of all orders. A write whose answer was lost is
 //! settled by reading the key back and comparing the nonce.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_channel::Sender;
 use borageswitch_types::Time;
@@ -245,10 +241,10 @@
 where
     P: Platform,
 {
-    let Some(item) = shared.platform.read(keys::LEADER).await?.item else { return Ok(None) };
-    let there = codec::decode::<LeaderRecord>("leader", &item.value);
-    let ours = there.is_ok_and(|there| there.nonce == record.nonce);
-    Ok(ours.then_some(item.revision))
+    match leader_by_store(shared).await {
+        Err(StoreError::Unreadable) => Ok(None),
+        there => Ok(there?.filter(|(there, _)| there.nonce == record.nonce).map(|(_, at)| at)),
+    }
 }
 
 async fn give_back<P>(shared: &Arc<Shared<P>>, lease: LeaseId)
@@ -260,6 +256,19 @@
     }
 }
 
+/// How a term ends.
+struct Ending {
+    why: &'static str,
+    /// A daemon that is to end the lease, as the store turns this one away.
+    relief: Option<SocketAddr>,
+}
+
+impl Ending {
+    fn because(why: &'static str) -> Self {
+        Self { why, relief: None }
+    }
+}
+
 /// Leads until the lease is lost, a newer leader is met or the daemon stops.
 async fn lead<P>(shared: &Arc<Shared<P>>, term: Term)
 where
@@ -267,27 +276,26 @@
 {
     log::info!(token = term.token, name = &*shared.cfg.name; "leader-begins");
     let (ended_tx, ended) = async_channel::bounded(1);
-    let relief: Mutex<Option<SocketAddr>> = Mutex::default();
-    let renewing = renew(shared, term, &relief);
-    let working = work(shared, term, ended_tx);
+    let renewing = renew(shared, term);
+    let working = async { Ending::because(work(shared, term, ended_tx).await) };
     let stepped_down = async {
         match ended.recv().await {
-            Ok(why) => why,
+            Ok(why) => Ending::because(why),
             Err(_) => future::pending().await,
         }
     };
     let stopping = async {
         shared.stopped().await;
-        "the daemon stops"
+        Ending::because("the daemon stops")
     };
-    let why = future::or(future::or(renewing, stepped_down), future::or(stopping, working)).await;
+    let ending =
+        future::or(future::or(renewing, stepped_down), future::or(stopping, working)).await;
     shared.authority.end();
     shared.set_leader(None);
     let _ = shared.control.send(Message::EndTerm { token: term.token }).await;
-    log::info!(token = term.token, why = why; "leader-ends");
+    log::info!(token = term.token, why = ending.why; "leader-ends");
     // Everyone else hears at once that nobody leads, instead of after the rest of the lease.
-    let helper = *relief.lock().unwrap_or_else(PoisonError::into_inner);
-    match helper {
+    match ending.relief {
         Some(helper) => {
             let answer = shared.ask_at(helper, &Question::Relieve(term.lease)).await;
             let relieved = answer == Some(Answer::Relieved);
@@ -315,11 +323,7 @@
 
 /// Renews the lease until it has ended, or another daemon is found to end it as the store turns this
 /// one away.
-async fn renew<P>(
-    shared: &Arc<Shared<P>>,
-    term: Term,
-    relief: &Mutex<Option<SocketAddr>>,
-) -> &'static str
+async fn renew<P>(shared: &Arc<Shared<P>>, term: Term) -> Ending
 where
     P: Platform,
 {
@@ -336,7 +340,7 @@
                 }
                 shared.authority.renewed(term.token, sent, ttl);
             }
-            Err(StoreError::NotFound) => return "the lease has ended",
+            Err(StoreError::NotFound) => return Ending::because("the lease has ended"),
             Err(err) => {
                 if failing.is_none() {
                     log::warn!(token = term.token, reason = err.to_string().as_str(); "store-lost");
@@ -345,8 +349,8 @@
                 let long =
                     failing.is_some_and(|since| clock::time().since(since) >= HAND_OVER_AFTER);
                 if long && let Some(helper) = find_relief(shared, term).await {
-                    *relief.lock().unwrap_or_else(PoisonError::into_inner) = Some(helper);
-                    return "the store turns this daemon away and serves others";
+                    let why = "the store turns this daemon away and serves others";
+                    return Ending { why, relief: Some(helper) };
                 }
             }
         }
--- a/crates/borageswitch_scheduler/src/policy/start_window/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/start_window/tests.rs
@@ -20,8 +20,8 @@
     let mut queue: VecDeque<(u64, u64)> = VecDeque::new();
     let mut waiting = 0;
     let mut free_at = 0;
-    for now in (0..20_000).step_by(10) {
-        while queue.front().is_some_and(|(_, done)| *done <= now) {
+    for tick in (0..20_000).step_by(10) {
+        while queue.front().is_some_and(|(_, done)| *done <= tick) {
             let Some((sent, done)) = queue.pop_front() else { break };
             let took = done - sent;
             if took >= TIMEOUT {
@@ -31,14 +31,14 @@
             }
             outcome.in_time += 1;
             if let Some(window) = &mut window {
-                window.answered(Time::from_millis(now), Duration::from_millis(took), queue.len());
+                window.answered(Time::from_millis(tick), Duration::from_millis(took), queue.len());
             }
         }
         waiting += offered_per_tick;
         let left = window.as_ref().map_or(usize::MAX, |window| window.left(queue.len()));
         for _ in 0..waiting.min(left) {
-            free_at = free_at.max(now) + each;
-            queue.push_back((now, free_at));
+            free_at = free_at.max(tick) + each;
+            queue.push_back((tick, free_at));
             waiting -= 1;
         }
     }
--- a/crates/borageswitch_scheduler/tests/culprits.rs
+++ b/crates/borageswitch_scheduler/tests/culprits.rs
@@ -119,6 +119,14 @@
     assert_eq!(running, wanted, "seed {seed}: lasting tasks that do not run");
 }
 
+fn assert_all_hold(guards: bool, faults: Faults, culprits: usize) {
+    for seed in seeds() {
+        let world = play(seed, guards, faults, culprits);
+
+        must_hold(seed, &world);
+    }
+}
+
 #[test]
 fn a_task_that_crashes_every_executor_is_given_up() {
     // Guards against a task that is restarted without end and takes all hosts of its pool down.
@@ -142,20 +150,12 @@
 fn tasks_of_all_kinds_that_crash_executors_are_given_up_and_no_others() {
     // Alone on a host, beside others, several of one job, in a gang, at set times, lasting, and some
     // that take a while. Guards against sound jobs that fail for having stood beside one of them.
-    for seed in seeds() {
-        let world = play(seed, true, Faults::default(), 3);
-
-        must_hold(seed, &world);
-    }
+    assert_all_hold(true, Faults::default(), 3);
 }
 
 #[test]
 fn many_such_tasks_at_once_are_told_from_their_neighbours() {
-    for seed in seeds() {
-        let world = play(seed, true, Faults::default(), 9);
-
-        must_hold(seed, &world);
-    }
+    assert_all_hold(true, Faults::default(), 9);
 }
 
 #[test]
@@ -170,11 +170,7 @@
         list_away: 1,
         ..Faults::default()
     };
-    for seed in seeds() {
-        let world = play(seed, true, faults, 0);
-
-        must_hold(seed, &world);
-    }
+    assert_all_hold(true, faults, 0);
 }
 
 #[test]
@@ -188,22 +184,14 @@
         lost_order: 10,
         ..Faults::default()
     };
-    for seed in seeds() {
-        let world = play(seed, true, faults, 3);
-
-        must_hold(seed, &world);
-    }
+    assert_all_hold(true, faults, 3);
 }
 
 #[test]
 fn a_change_of_leader_forgets_no_crash() {
     // Guards against a count that begins anew with each leader.
     let faults = Faults { leader_dies: 1, cancel: 1, store_away: 1, ..Faults::default() };
-    for seed in seeds() {
-        let world = play(seed, true, faults, 3);
-
-        must_hold(seed, &world);
-    }
+    assert_all_hold(true, faults, 3);
 }
 
 #[test]
@@ -218,22 +206,14 @@
         late_order: 10,
         ..Faults::default()
     };
-    for seed in seeds() {
-        let world = play(seed, true, faults, 1);
-
-        must_hold(seed, &world);
-    }
+    assert_all_hold(true, faults, 1);
 }
 
 #[test]
 fn hosts_that_shrink_and_guard_nothing_are_not_overfilled() {
     // Guards against starts by a capacity that a host has no more.
     let faults = Faults { shrinks: 4, executor_dies: 1, late_order: 10, ..Faults::default() };
-    for seed in seeds() {
-        let world = play(seed, false, faults, 1);
-
-        must_hold(seed, &world);
-    }
+    assert_all_hold(false, faults, 1);
 }
 
 #[test]
