--- a/crates/borageswitch_scheduler/src/policy/mod.rs
+++ b/crates/borageswitch_scheduler/src/policy/mod.rs
@@ -3,6 +3,7 @@
 //! These modules do no I/O and read no clock. Each one makes a single decision; its docs describe
 //! the load that it is made for and what would go wrong without it, and its tests replay that load.
 //!
+//! - [`admission`]: which jobs are refused because they could not end while they are of use.
 //! - [`order`]: which job's tasks go first when capacity is short.
 //! - [`last_chance`]: which late jobs go first all the same.
 //! - [`placement`]: which host a task goes to.
@@ -23,6 +24,7 @@
 //! - [`stragglers`]: which slow runs are stopped and restarted on another host.
 //! - [`speed_limits`]: how fast best-effort tasks may run beside serving tasks.
 
+pub mod admission;
 pub mod arrivals;
 pub mod call_budget;
 pub mod caller_shares;
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -14,7 +14,9 @@
 //! - [`starts`]: sends starts and stops and handles the responses; [`failed_starts`] bounds their
 //!   repetition, [`pending_starts`] the number of those in flight.
 //! - [`crashes`]: executors that ended, and which of them crashed.
-//! - [`suspects`]: tasks under which executors have crashed.
+//! - [`suspects`]: tasks under which executors have crashed; [`containment`] limits how many executors
+//!   they may reach.
+//! - [`admission`]: limits for the admission of jobs; [`shares`]: callers beyond their share.
 //! - [`stragglers`]: stops runs that fall far behind.
 //! - [`lease_expiry`]: runs on executors that cannot be reached.
 //! - [`waiting`]: the waiting steps, most urgent first; [`free_capacity`]: the free capacity of
@@ -32,8 +34,10 @@
 //! - [`recovery`]: takeover by a new leader.
 //! - [`view`]: responses to callers; [`explain`]: explanations for operators.
 
+pub mod admission;
 pub mod advice;
 pub mod clock;
+pub mod containment;
 pub mod crashes;
 pub mod draining;
 pub mod executor_table;
@@ -59,6 +63,7 @@
 pub mod recovery;
 pub mod registrations;
 pub mod run_ends;
+pub mod shares;
 pub mod speed_limits;
 pub mod starts;
 pub mod stragglers;
