Shorten timeouts while executors' responses get lost, and repeat overdue store calls

By the log, each lost start held its task up for 451 ms, each lost poll hid the ends of all runs of its executor for up to 1.6 s, and with two orders in flight an executor with two lost ones got none for 0.45 s. While the store loses responses, each append without one held all starts up for 700 ms, and one lost renewal (600 ms) made the leader hand over. Ruled out: the wave beside it (the same seconds of later peaks without losses are on time), the window of starts. Change: policy::response_loss confirms losses of executors that respond to later calls; while it does, orders wait 80 ms or what responses take, polls are held 200 ms, and a stop is repeated at once. Appends and renewals, which can take effect only once, are sent again when overdue (runtime::resend).

--- a/crates/borageswitch_runtime/src/appends.rs
+++ b/crates/borageswitch_runtime/src/appends.rs
@@ -15,6 +15,7 @@
     daemon::Shared,
     keys,
     ports::{CommitOutcome, Platform, StoreError, Transaction},
+    resend::with_resend,
 };
 
 /// The pause before a failed call is retried.
@@ -55,7 +56,7 @@
     };
     let sent = clock::time();
     loop {
-        match shared.platform.commit(&tx).await {
+        match with_resend(&shared.store_times, || shared.platform.commit(&tx)).await {
             Ok(CommitOutcome::Done(_)) => {
                 warn_if_slow(append, records.len(), clock::time().since(sent));
                 return AppendOutcome::Stored;
--- a/crates/borageswitch_runtime/src/election.rs
+++ b/crates/borageswitch_runtime/src/election.rs
@@ -22,6 +22,7 @@
         Change, CommitOutcome, Item, LeaseId, Platform, Revision, StoreError, StoreResult,
         Transaction,
     },
+    resend::with_resend,
     retry::Backoff,
     takeover, watching,
 };
@@ -344,7 +345,8 @@
         let pause = if failing.is_some() { RETRY_PAUSE } else { RENEW_INTERVAL };
         Timer::after(pause).await;
         let sent = clock::time();
-        match shared.platform.renew(term.lease).await {
+        let renewal = || shared.platform.renew(term.lease);
+        match with_resend(&shared.store_times, renewal).await {
             Ok(ttl) => {
                 if let Some(since) = failing.take() {
                     let away = clock::time().since(since).as_millis() as u64;
--- a/crates/borageswitch_runtime/src/lib.rs
+++ b/crates/borageswitch_runtime/src/lib.rs
@@ -12,7 +12,8 @@
 //! - [`watching`]: watches the configuration, executors, jobs and waves in the store.
 //! - [`orders`]: executes the scheduler's effects.
 //! - [`admission`]: authenticates callers; [`intake`]: serves their requests; [`failures`]: all ways in which these can fail.
-//! - [`store_health`]: whether the store is available to this daemon; [`retry`]: backoff between calls to it.
+//! - [`store_health`]: whether the store is available to this daemon; [`retry`]: backoff between calls to it;
+//!   [`resend`]: repetition of calls whose response is overdue.
 //! - [`peers`]: requests between daemons.
 //! - [`operators`]: explanations and state dumps for operators; [`instruments`]: metrics.
 //! - [`settings`]: the settings of the process; [`reloading`]: changes of their file.
@@ -35,6 +36,7 @@
 pub mod peers;
 pub mod ports;
 pub mod reloading;
+pub mod resend;
 pub mod retry;
 pub mod settings;
 pub mod store_health;
--- a/crates/borageswitch_runtime/src/orders.rs
+++ b/crates/borageswitch_runtime/src/orders.rs
@@ -4,7 +4,7 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -12,9 +12,13 @@
 use borageswitch_scheduler::{
     effect::{Effect, HostOrder, PollOrder, Recipient, StartOrder},
     event::{Event, HostOrderResponse, OrderResponse, PollResponse, StartResponse},
+    policy::response_loss::{CallTimeouts, ResponseLoss},
     task::TaskKey,
 };
-use borageswitch_types::names::{ExecutorName, HostName, JobName};
+use borageswitch_types::{
+    Time,
+    names::{ExecutorName, HostName, JobName},
+};
 use futures_lite::future;
 use smol::{Timer, lock::Semaphore};
 
@@ -32,6 +36,9 @@
 const ORDERS_PER_EXECUTOR: usize = 2;
 /// An order is not sent if this daemon's authority ends sooner than this.
 const MIN_AUTHORITY: Duration = Duration::from_millis(20);
+/// How often a stop is sent at once while responses get lost. Together these attempts take less
+/// time than the scheduler waits before it repeats a stop.
+const STOP_ATTEMPTS: u32 = 4;
 /// The pause before storing a wave's report is retried.
 const REPORT_RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// How often storing a wave's report is attempted.
@@ -54,6 +61,61 @@
     }
 }
 
+/// What the calls to executors show about lost responses.
+#[derive(Debug, Default)]
+pub struct ExecutorCalls {
+    loss: Mutex<LossState>,
+}
+
+#[derive(Debug, Default)]
+struct LossState {
+    loss: ResponseLoss,
+    /// The timeouts that are in force, for the log.
+    in_force: Option<CallTimeouts>,
+}
+
+impl ExecutorCalls {
+    /// The timeouts of a call that is sent now, if they are shorter than usual.
+    fn timeouts(&self) -> Option<CallTimeouts> {
+        let mut state = self.lock();
+        let timeouts = state.loss.timeouts(clock::time());
+        if timeouts.is_some() != state.in_force.is_some() {
+            match &timeouts {
+                Some(CallTimeouts { order, poll_wait }) => log::info!(
+                    order_timeout_ms = order.as_millis() as u64,
+                    poll_wait_ms = poll_wait.as_millis() as u64;
+                    "responses-lost"
+                ),
+                None => log::info!("responses-no-longer-lost"),
+            }
+        }
+        state.in_force = timeouts;
+        timeouts
+    }
+
+    /// Records the outcome of an order that was sent at `sent`.
+    fn record_order(&self, executor: &ExecutorName, sent: Time, responded: bool) {
+        if responded {
+            self.lock().loss.record_order_time(clock::time().since(sent));
+        }
+        self.record_call(executor, sent, responded);
+    }
+
+    /// Records the outcome of a call that was sent at `sent`.
+    fn record_call(&self, executor: &ExecutorName, sent: Time, responded: bool) {
+        let now = clock::time();
+        let loss = &mut self.lock().loss;
+        match responded {
+            true => loss.record_response(now, executor, sent),
+            false => loss.record_timeout(now, executor, sent),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LossState> {
+        self.loss.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// With more entries than this, unused ones are removed: most of their executors have ended.
 const MAX_SEMAPHORES: usize = 1_000;
 
@@ -158,8 +220,15 @@
     let (answer, clock_ms) = if shared.authority.remaining(token) < MIN_AUTHORITY {
         (StartResponse::NotSent, None)
     } else {
-        shared.platform.start(&to, token, &order).await
+        let timeouts = shared.executor_calls.timeouts();
+        let call = shared.platform.start(&to, token, &order);
+        let response = within(timeouts.map(|limits| limits.order), call).await;
+        response.unwrap_or((StartResponse::Lost, None))
     };
+    if answer != StartResponse::NotSent {
+        let responded = answer != StartResponse::Lost;
+        shared.executor_calls.record_order(&to.executor, sent, responded);
+    }
     Event::StartAnswered {
         executor: to.executor,
         task: order.task,
@@ -185,11 +254,38 @@
     let answer = if shared.authority.remaining(token) < MIN_AUTHORITY {
         OrderResponse::Lost
     } else {
-        shared.platform.stop(&to, token, &task, run).await
+        send_stop(shared, token, &to, &task, run).await
     };
     Event::StopAnswered { executor: to.executor, task, run, response: answer }
 }
 
+/// Sends a stop, and repeats it at once while responses get lost: a task whose start may still be
+/// carried out cannot run elsewhere until its stop has a response.
+async fn send_stop<P>(
+    shared: &Arc<Shared<P>>,
+    token: u64,
+    to: &Recipient,
+    task: &TaskKey,
+    run: u32,
+) -> OrderResponse
+where
+    P: Platform,
+{
+    let timeouts = shared.executor_calls.timeouts();
+    let attempts = if timeouts.is_some() { STOP_ATTEMPTS } else { 1 };
+    for _ in 0..attempts {
+        let sent = clock::time();
+        let call = shared.platform.stop(to, token, task, run);
+        let answer = within(timeouts.map(|limits| limits.order), call).await;
+        let answer = answer.unwrap_or(OrderResponse::Lost);
+        shared.executor_calls.record_order(&to.executor, sent, answer != OrderResponse::Lost);
+        if answer != OrderResponse::Lost {
+            return answer;
+        }
+    }
+    OrderResponse::Lost
+}
+
 async fn set_speed_limit<P>(
     shared: &Arc<Shared<P>>,
     token: u64,
@@ -215,7 +311,16 @@
 {
     let sent = clock::time();
     let answer = if shared.authority.may_keep_alive(token) {
-        shared.platform.poll(&to, token, &order).await
+        let timeouts = shared.executor_calls.timeouts();
+        let mut shorter = order;
+        if let Some(limits) = &timeouts {
+            shorter.wait = shorter.wait.min(limits.poll_wait);
+        }
+        let call = shared.platform.poll(&to, token, &shorter);
+        let answer = within(timeouts.map(|limits| limits.order + shorter.wait), call).await;
+        let answer = answer.unwrap_or(PollResponse::Lost);
+        shared.executor_calls.record_call(&to.executor, sent, answer != PollResponse::Lost);
+        answer
     } else {
         PollResponse::Lost
     };
@@ -263,6 +368,18 @@
     }
 }
 
+/// The output of a call, or `None` if it takes longer than `limit`. Without a limit, the call has
+/// its own timeout.
+async fn within<F>(limit: Option<Duration>, call: F) -> Option<F::Output>
+where
+    F: Future,
+{
+    match limit {
+        Some(limit) => with_timeout(limit, call).await,
+        None => Some(call.await),
+    }
+}
+
 /// The output of a future, or `None` if it takes longer than `limit`.
 pub async fn with_timeout<F>(limit: Duration, f: F) -> Option<F::Output>
 where
--- a/crates/borageswitch_scheduler/src/policy/mod.rs
+++ b/crates/borageswitch_scheduler/src/policy/mod.rs
@@ -19,6 +19,8 @@
 //! - [`crash_attribution`]: which task crashes executors, and which merely ran beside it.
 //! - [`crash_rate`]: how often executors crash for reasons unrelated to a task.
 //! - [`circuit_breaker`]: which executors get no work because runs failed there.
+//! - [`response_loss`]: whether responses of working executors get lost, and how long calls wait then.
+//! - [`response_time`]: how long a response can be expected to take.
 //! - [`start_window`]: how many starts are in flight at once.
 //! - [`start_backoff`]: how long a task waits after failed starts.
 //! - [`stragglers`]: which slow runs are stopped and restarted on another host.
@@ -40,6 +42,8 @@
 pub mod peaks;
 pub mod placement;
 pub mod quotas;
+pub mod response_loss;
+pub mod response_time;
 pub mod runtime_estimates;
 pub mod speed_limits;
 pub mod start_backoff;
