--- a/crates/borageswitch_runtime/src/resend.rs
+++ b/crates/borageswitch_runtime/src/resend.rs
@@ -12,6 +12,7 @@
 };
 
 use borageswitch_scheduler::policy::response_time::ResponseTime;
+use borageswitch_types::Time;
 use futures_lite::future;
 use smol::Timer;
 
@@ -29,26 +30,42 @@
 /// How long a response is awaited, however often the call was sent.
 const TIMEOUT: Duration = Duration::from_millis(600);
 
+/// How long after a lost response calls are sent again: the store loses responses for seconds.
+const LOSS_WINDOW: Duration = Duration::from_secs(5);
+
 /// How long the store takes to respond to the calls that are sent again.
 #[derive(Debug, Default)]
 pub struct StoreTimes {
-    times: Mutex<ResponseTime>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    times: ResponseTime,
+    /// When a call last got no response.
+    lost_at: Option<Time>,
 }
 
 impl StoreTimes {
-    fn record(&self, took: Duration) {
-        self.times.lock().unwrap_or_else(PoisonError::into_inner).record(took);
+    fn record<T>(&self, sent: Time, outcome: &StoreResult<T>) {
+        let now = clock::time();
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        match outcome {
+            Err(StoreError::Lost) => state.lost_at = Some(now),
+            _ => state.times.record(now.since(sent)),
+        }
     }
 
-    /// When the response to a call is overdue.
-    fn overdue_after(&self) -> Duration {
-        let times = self.times.lock().unwrap_or_else(PoisonError::into_inner);
-        times.timeout().clamp(MIN_DELAY, MAX_DELAY)
+    /// When the response to a call is overdue; `None` while no responses get lost.
+    fn overdue_after(&self) -> Option<Duration> {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let recent = state.lost_at.is_some_and(|at| clock::time().since(at) < LOSS_WINDOW);
+        recent.then(|| state.times.timeout().clamp(MIN_DELAY, MAX_DELAY))
     }
 }
 
 /// Makes a call that can take effect only once, and repeats it up to four times while its response
-/// is overdue.
+/// is overdue. Without a recent loss it is made once.
 ///
 /// # Errors
 ///
@@ -58,26 +75,35 @@
     C: Fn() -> F,
     F: Future<Output = StoreResult<T>>,
 {
-    let delay = times.overdue_after();
     let call = &call;
+    let Some(delay) = times.overdue_after() else {
+        let sent = clock::time();
+        let outcome = call().await;
+        times.record(sent, &outcome);
+        return outcome;
+    };
     let attempt = |after: Duration| async move {
         if !after.is_zero() {
             Timer::after(after).await;
         }
         let sent = clock::time();
-        match call().await {
+        let outcome = call().await;
+        times.record(sent, &outcome);
+        match outcome {
             // Another attempt may still get a response.
             Err(StoreError::Lost) => future::pending().await,
-            outcome => {
-                times.record(clock::time().since(sent));
-                outcome
-            }
+            outcome => outcome,
         }
     };
     let first = future::or(attempt(Duration::ZERO), attempt(delay));
     let second = future::or(attempt(delay * 2), attempt(delay * 3));
     let all = future::or(future::or(first, second), attempt(delay * 4));
-    with_timeout(TIMEOUT, all).await.unwrap_or(Err(StoreError::Lost))
+    let outcome = with_timeout(TIMEOUT, all).await;
+    outcome.unwrap_or_else(|| {
+        let lost = Err(StoreError::Lost);
+        times.record(clock::time(), &lost);
+        lost
+    })
 }
 
 #[cfg(test)]
