Share outages of the store among daemons and limit writes with unknown outcome

Cause: each daemon detected an outage by its own callers' jobs, any number of writes was in flight when it began, and a refused job became one of unknown outcome when the request to the leader was never sent. The functions that store a job move to intake/storing.rs.

--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -306,9 +306,10 @@
                 }
             },
             // The traffic thread serves these on every daemon.
-            PeerRequest::Submit(_) | PeerRequest::Leader | PeerRequest::RevokeLease(_) => {
-                PeerResponse::Refused
-            }
+            PeerRequest::Submit(_)
+            | PeerRequest::Leader
+            | PeerRequest::RevokeLease(_)
+            | PeerRequest::StoreHealth { .. } => PeerResponse::Refused,
             PeerRequest::JobStored(submission) => {
                 let token = leading.token;
                 self.handle_event(token, Event::Submitted(submission));
--- a/crates/borageswitch_runtime/src/daemon.rs
+++ b/crates/borageswitch_runtime/src/daemon.rs
@@ -28,9 +28,9 @@
     instruments::Instruments,
     keys::LeaderRecord,
     orders::{self, OrderSemaphores},
-    peers::{self, Client, KnownPeers, PeerRequest, PeerResponse},
+    peers::{self, Client, ExchangeError, KnownPeers, PeerRequest, PeerResponse},
     ports::{Platform, Revision},
-    store_health::StoreHealth,
+    store_health::{StoreHealth, monitor},
     watching,
 };
 
@@ -70,7 +70,7 @@
     pub(crate) control: Sender<Message>,
     /// The daemon's metrics.
     pub instruments: Arc<Instruments>,
-    pub(crate) store_health: StoreHealth,
+    pub(crate) store_health: Arc<StoreHealth>,
     pub(crate) order_semaphores: OrderSemaphores,
     client: Client,
     pub(crate) known_peers: Arc<KnownPeers>,
@@ -176,7 +176,19 @@
         address: SocketAddr,
         request: &PeerRequest,
     ) -> Option<PeerResponse> {
-        self.client.exchange(address, request).await
+        self.exchange(address, request).await.ok()
+    }
+
+    /// Sends a request to another daemon. The error says whether it may have arrived.
+    pub(crate) async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+    ) -> Result<PeerResponse, ExchangeError> {
+        if self.remote_leader() == Some(address) {
+            return self.client.exchange(address, request).await;
+        }
+        self.client.exchange_once(address, request).await
     }
 
     /// Requests the leader's record from known peers, while the store is unavailable to this
@@ -262,7 +274,7 @@
         authority: Authority::default(),
         control,
         instruments,
-        store_health: StoreHealth::default(),
+        store_health: Arc::default(),
         order_semaphores: OrderSemaphores::default(),
         client: Client::new(cfg.peer_address, known_peers.clone(), ex.clone(), peer_bytes.clone()),
         known_peers,
@@ -277,6 +289,7 @@
     });
     ex.spawn(peers::serve(listener.into(), shared.clone())).detach();
     ex.spawn(watching::config(shared.clone())).detach();
+    ex.spawn(monitor::run(shared.clone())).detach();
     ex.spawn(election::run(shared.clone())).detach();
     ex.spawn(orders::run(shared.clone(), effects)).detach();
     Ok(shared)
--- a/crates/borageswitch_runtime/src/intake.rs
+++ b/crates/borageswitch_runtime/src/intake.rs
@@ -4,6 +4,8 @@
 //! depend on a leader. The key of a job is created only if it does not exist, so a repeated request
 //! does not create a second job. The leader provides the status of jobs.
 
+mod storing;
+
 use std::{sync::Arc, time::Duration};
 
 use borageswitch_scheduler::{
@@ -12,7 +14,6 @@
     reducer::view::JobStatus,
 };
 use borageswitch_types::{Time, names::JobName};
-use futures_lite::future;
 use smol::Timer;
 
 use crate::{
@@ -22,15 +23,12 @@
     failures::{Failure, RequestResult},
     keys,
     peers::{PeerRequest, PeerResponse},
-    ports::{CommitOutcome, Platform, StoreError, Transaction},
+    ports::{Platform, StoreError, Transaction},
 };
 
-/// How long refused writes of a job are retried before the request fails. An ordinary write takes
-/// some 10 ms; a caller whose daemon the store rejects is served sooner by another daemon.
-const STORE_RETRY_WINDOW: Duration = Duration::from_millis(100);
-/// The timeout of one write of a job, longer than a slow store takes. After that an unknown outcome
-/// serves the caller better than a longer wait: if the job was stored, a repeated request finds it.
-const STORE_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) use self::storing::store_submission;
+use self::storing::submit_through_leader;
+
 /// The pause before a failed call is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 /// How long a request waits for a leader: about as long as an orderly handover takes.
@@ -106,108 +104,6 @@
     shared.ex.spawn(notification).detach();
 }
 
-/// Has the leader store a job: the store may reject this daemon and serve the leader.
-///
-/// After the request to the leader, this daemon may report that nothing was stored only if the
-/// leader has proved it. If a lost response of the leader were treated as a refusal, the job could
-/// run although its caller was notified that it never will.
-async fn submit_through_leader<P>(
-    shared: &Arc<Shared<P>>,
-    submission: Submission,
-    local_failure: Failure,
-) -> RequestResult<()>
-where
-    P: Platform,
-{
-    let request = PeerRequest::Submit(Box::new(submission));
-    let mut outcome = submit_to_leader(shared, &request, local_failure).await;
-    // A known peer may know a newer leader. That leader may store the job whatever the outcome of
-    // the first attempt, as it remains one job.
-    if outcome.is_err() && shared.find_leader().await {
-        let failure = outcome.err().unwrap_or(Failure::StoreNoResponse);
-        outcome = submit_to_leader(shared, &request, failure).await;
-    }
-    outcome
-}
-
-async fn submit_to_leader<P>(
-    shared: &Arc<Shared<P>>,
-    request: &PeerRequest,
-    local_failure: Failure,
-) -> RequestResult<()>
-where
-    P: Platform,
-{
-    let Some(leader) = shared.remote_leader() else { return Err(local_failure) };
-    match shared.send_to_peer(leader, request).await {
-        Some(PeerResponse::Accepted) => Ok(()),
-        Some(PeerResponse::Refused) => Err(local_failure),
-        _ => Err(Failure::StoreNoResponse),
-    }
-}
-
-/// Stores a job, which accepts it.
-///
-/// # Errors
-///
-/// [`Failure::StoreUnavailable`] only if it is certain that nothing was stored.
-pub(crate) async fn store_submission<P>(
-    shared: &Arc<Shared<P>>,
-    submission: &Submission,
-) -> RequestResult<()>
-where
-    P: Platform,
-{
-    let key = keys::job(&submission.job);
-    let tx = Transaction {
-        expect: vec![(key.clone(), 0)],
-        write: vec![(key, codec::encode(submission), None)],
-        remove: Vec::new(),
-    };
-    let give_up = clock::time() + STORE_RETRY_WINDOW;
-    loop {
-        let sent = clock::time();
-        if shared.store_health.is_unavailable(sent) {
-            return Err(Failure::StoreUnavailable);
-        }
-        let attempt = async { Some(shared.platform.commit(&tx).await) };
-        let timeout = async {
-            Timer::after(STORE_TIMEOUT).await;
-            None
-        };
-        match future::or(attempt, timeout).await.unwrap_or(Err(StoreError::Lost)) {
-            Ok(CommitOutcome::Done(_)) => {
-                shared.store_health.record_success();
-                return Ok(());
-            }
-            // The same request was stored before, unless two callers have chosen the same id. If
-            // the second one's job were reported as accepted, its caller would wait for a job that
-            // never runs.
-            Ok(CommitOutcome::Conflict(items)) => {
-                shared.store_health.record_success();
-                let foreign = items.iter().any(|item| {
-                    codec::decode_submission(&item.value)
-                        .is_ok_and(|stored| stored.is_foreign_to(submission.caller.as_ref()))
-                });
-                return if foreign { Err(Failure::Foreign) } else { Ok(()) };
-            }
-            Ok(CommitOutcome::NoLease) | Err(StoreError::Refused) => {
-                shared.store_health.record_failure(sent);
-            }
-            // A write without a response may still take effect: from now on no response may say
-            // that the job was not accepted.
-            Err(_) => {
-                shared.store_health.record_failure(sent);
-                return Err(Failure::StoreNoResponse);
-            }
-        }
-        if clock::time() >= give_up {
-            return Err(Failure::StoreUnavailable);
-        }
-        Timer::after(RETRY_PAUSE).await;
-    }
-}
-
 /// Gives the status of a job.
 ///
 /// # Errors
--- a/crates/borageswitch_runtime/src/peers/client.rs
+++ b/crates/borageswitch_runtime/src/peers/client.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -20,6 +23,20 @@
 
 /// The timeout of a request. A response that waits for the store takes some 10 ms.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(700);
+/// The timeout for connecting. A kernel that has not responded by then repeats its attempt only
+/// after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Why a request got no response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum ExchangeError {
+    /// The request was not handed to a connection completely, so it has certainly not arrived.
+    #[display("not sent")]
+    NotSent,
+    /// The request may have arrived.
+    #[display("no response")]
+    NoResponse,
+}
 
 struct Connection {
     address: SocketAddr,
@@ -27,12 +44,17 @@
     _driver: smol::Task<()>,
 }
 
-/// Sends requests over one connection, which stays open until another daemon is contacted.
+/// Sends requests to the leader over one connection, which stays open until another leader is
+/// contacted, and to other daemons over a connection for each request.
 pub struct Client {
     /// The address at which this daemon serves its peers.
     own_address: SocketAddr,
     known_peers: Arc<KnownPeers>,
-    connection: Mutex<Option<Connection>>,
+    /// The connection to the leader. A connection that is replaced or closed here stays open for
+    /// the requests that wait on it.
+    connection: Mutex<Option<Arc<Connection>>>,
+    /// Held while connecting to the leader, so that requests at the same time share a connection.
+    connecting: smol::lock::Mutex<()>,
     bytes: ByteCounter,
     ex: Arc<smol::Executor<'static>>,
 }
@@ -45,40 +67,78 @@
         ex: Arc<smol::Executor<'static>>,
         bytes: ByteCounter,
     ) -> Self {
-        Self { own_address, known_peers, connection: Mutex::default(), bytes, ex }
+        Self {
+            own_address,
+            known_peers,
+            connection: Mutex::default(),
+            connecting: smol::lock::Mutex::default(),
+            bytes,
+            ex,
+        }
     }
 
-    /// Sends a request to the daemon at `address`. Gives `None` without a response in time; the
-    /// request may have arrived all the same.
+    /// Sends a request to the leader at `address`.
+    ///
+    /// # Errors
+    ///
+    /// An [`ExchangeError`] without a response in time.
     pub async fn exchange(
         &self,
         address: SocketAddr,
         request: &PeerRequest,
-    ) -> Option<PeerResponse> {
-        let response =
-            with_timeout(REQUEST_TIMEOUT, self.try_exchange(address, request)).await.flatten();
-        if response.is_none() {
+    ) -> Result<PeerResponse, ExchangeError> {
+        let sent = AtomicBool::new(false);
+        let attempt = async {
+            let connection = self.leader_connection(address).await?;
+            let response = self.exchange_over(&connection, request, &sent).await;
+            Some((connection, response))
+        };
+        let outcome = with_timeout(REQUEST_TIMEOUT, attempt).await;
+        match outcome {
+            Some(Some((_, Some(response)))) => return Ok(response),
+            Some(Some((connection, None))) => self.close(&connection),
+            Some(None) => {}
             // Each later request over a connection that went silent would run into the timeout.
-            self.close(address);
+            None => self.close_all(address),
         }
-        response
+        Err(error(&sent))
     }
 
-    async fn try_exchange(
+    /// Sends a request to a daemon that is not the leader, over a connection of its own.
+    ///
+    /// # Errors
+    ///
+    /// An [`ExchangeError`] without a response in time.
+    pub async fn exchange_once(
         &self,
         address: SocketAddr,
         request: &PeerRequest,
-    ) -> Option<PeerResponse> {
-        let sender = match self.open_connection(address) {
-            Some(sender) => sender,
-            None => self.connect(address).await?,
+    ) -> Result<PeerResponse, ExchangeError> {
+        let sent = AtomicBool::new(false);
+        let attempt = async {
+            let connection = self.connect(address).await?;
+            self.exchange_over(&connection, request, &sent).await
         };
-        let mut ready = sender.ready().await.ok()?;
+        let response = with_timeout(REQUEST_TIMEOUT, attempt).await.flatten();
+        response.ok_or_else(|| error(&sent))
+    }
+
+    /// Sends a request over a connection. `sent` is set once the request has been handed over
+    /// completely; from then on it may arrive.
+    async fn exchange_over(
+        &self,
+        connection: &Connection,
+        request: &PeerRequest,
+        sent: &AtomicBool,
+    ) -> Option<PeerResponse> {
+        let mut ready = connection.sender.clone().ready().await.ok()?;
         let req = Request::post("http://leader/ask")
             .header(REQUESTER_HEADER, self.own_address.to_string());
         let req = req.body(()).ok()?;
         let (http_response, mut body) = ready.send_request(req, false).ok()?;
+        // A peer cannot decode a request without its end.
         body.send_data(Bytes::from(codec::encode(request)), true).ok()?;
+        sent.store(true, Ordering::SeqCst);
         let http_response = http_response.await.ok()?;
         if let Some(others) =
             http_response.headers().get(OTHER_PEERS_HEADER).and_then(|others| others.to_str().ok())
@@ -98,21 +158,46 @@
         codec::decode("answer", &bytes).ok()
     }
 
-    fn open_connection(&self, address: SocketAddr) -> Option<SendRequest<Bytes>> {
-        let open = self.connection.lock().unwrap_or_else(PoisonError::into_inner);
-        let connection = open.as_ref().filter(|connection| connection.address == address)?;
-        Some(connection.sender.clone())
+    /// The connection to the leader at `address`. An open one that its peer has closed is replaced.
+    async fn leader_connection(&self, address: SocketAddr) -> Option<Arc<Connection>> {
+        if let Some(open) = self.open_connection(address).await {
+            return Some(open);
+        }
+        let _connecting = self.connecting.lock().await;
+        if let Some(open) = self.open_connection(address).await {
+            return Some(open);
+        }
+        let connection = Arc::new(self.connect(address).await?);
+        *self.connection.lock().unwrap_or_else(PoisonError::into_inner) = Some(connection.clone());
+        Some(connection)
     }
 
-    fn close(&self, address: SocketAddr) {
-        let mut open = self.connection.lock().unwrap_or_else(PoisonError::into_inner);
-        if open.as_ref().is_some_and(|connection| connection.address == address) {
-            *open = None;
+    async fn open_connection(&self, address: SocketAddr) -> Option<Arc<Connection>> {
+        let open = self.connection.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let connection = open.filter(|connection| connection.address == address)?;
+        match connection.sender.clone().ready().await {
+            Ok(_) => Some(connection),
+            Err(_) => {
+                self.close(&connection);
+                None
+            }
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Option<SendRequest<Bytes>> {
-        let stream = TcpStream::connect(address).await.ok()?;
+    /// Uses `connection` for no further request.
+    fn close(&self, connection: &Arc<Connection>) {
+        let mut open = self.connection.lock().unwrap_or_else(PoisonError::into_inner);
+        open.take_if(|open| Arc::ptr_eq(open, connection));
+    }
+
+    fn close_all(&self, address: SocketAddr) {
+        let mut open = self.connection.lock().unwrap_or_else(PoisonError::into_inner);
+        open.take_if(|open| open.address == address);
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Option<Connection> {
+        let connecting = with_timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let stream = connecting.await?.ok()?;
         stream.set_nodelay(true).ok()?;
         let (sender, connection) =
             h2::client::handshake(H2Stream::new(stream, self.bytes.clone())).await.ok()?;
@@ -121,8 +206,13 @@
                 log::debug!("the connection to a peer failed: {err}");
             }
         });
-        let mut open = self.connection.lock().unwrap_or_else(PoisonError::into_inner);
-        *open = Some(Connection { address, sender: sender.clone(), _driver: driver });
-        Some(sender)
+        Some(Connection { address, sender, _driver: driver })
+    }
+}
+
+fn error(sent: &AtomicBool) -> ExchangeError {
+    match sent.load(Ordering::SeqCst) {
+        true => ExchangeError::NoResponse,
+        false => ExchangeError::NotSent,
     }
 }
--- a/crates/borageswitch_runtime/src/peers/known_peers.rs
+++ b/crates/borageswitch_runtime/src/peers/known_peers.rs
@@ -47,6 +47,12 @@
         sample
     }
 
+    /// All addresses.
+    pub fn all(&self) -> Vec<SocketAddr> {
+        let addresses = self.addresses.lock().unwrap_or_else(PoisonError::into_inner);
+        addresses.iter().copied().collect()
+    }
+
     /// Adds the addresses of a response's header. Entries that are not addresses are skipped.
     pub(super) fn add_from_header(&self, value: &str) {
         value.split(',').filter_map(|address| address.parse().ok()).for_each(|a| self.add(a));
--- a/crates/borageswitch_runtime/src/peers/mod.rs
+++ b/crates/borageswitch_runtime/src/peers/mod.rs
@@ -21,13 +21,17 @@
     ports::{LeaseId, Revision},
 };
 
-pub use self::{client::Client, known_peers::KnownPeers, server::serve};
+pub use self::{
+    client::{Client, ExchangeError},
+    known_peers::KnownPeers,
+    server::serve,
+};
 
 /// The largest message: a job as large as the operator's usual limit for a request body.
 const MAX_MESSAGE_BYTES: usize = 512 << 10;
 
-/// A request to another daemon. Except for `Submit`, `Leader` and `RevokeLease`, which any daemon
-/// serves, it is meant for the leader.
+/// A request to another daemon. Except for `Submit`, `Leader`, `RevokeLease` and `StoreHealth`, which
+/// any daemon serves, it is meant for the leader.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum PeerRequest {
     /// Read the status of a job.
@@ -66,6 +70,13 @@
     Leader,
     /// End the lease of a leader that the store rejects. It has stopped giving orders.
     RevokeLease(LeaseId),
+    /// Report whether the store is available to the sender, or to another daemon that told it so.
+    StoreHealth {
+        /// Whether the store is available.
+        available: bool,
+        /// Since how many milliseconds.
+        since_ms: u64,
+    },
 }
 
 /// The response to a [`PeerRequest`].
@@ -95,4 +106,9 @@
     Leader(Option<(LeaderRecord, Revision)>),
     /// The lease has been ended.
     LeaseRevoked,
+    /// Whether the store is available to the receiver of a report on it.
+    StoreHealth {
+        /// Whether the store is available.
+        available: bool,
+    },
 }
--- a/crates/borageswitch_runtime/src/peers/server.rs
+++ b/crates/borageswitch_runtime/src/peers/server.rs
@@ -1,8 +1,9 @@
 //! Serves the requests of other daemons.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use borageswitch_http::h2_stream::H2Stream;
+use borageswitch_types::Time;
 use bytes::Bytes;
 use h2::{RecvStream, server::SendResponse};
 use http::{Request, Response};
@@ -15,7 +16,15 @@
     MAX_MESSAGE_BYTES, PeerRequest, PeerResponse,
     known_peers::{OTHER_PEERS_HEADER, REQUESTER_HEADER},
 };
-use crate::{codec, daemon::Shared, election, failures::Failure, intake, ports::Platform};
+use crate::{
+    clock, codec,
+    daemon::Shared,
+    election,
+    failures::Failure,
+    intake,
+    ports::Platform,
+    store_health::{OutageReport, monitor},
+};
 
 /// The pause after a failed accept, which mostly means that the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -74,7 +83,7 @@
 where
     P: Platform,
 {
-    let requester =
+    let requester: Option<SocketAddr> =
         req.headers().get(REQUESTER_HEADER).and_then(|address| address.to_str().ok()?.parse().ok());
     requester.into_iter().for_each(|address| shared.known_peers.add(address));
     let bytes = read(req.into_body()).await?;
@@ -87,6 +96,8 @@
                 Err(_) => PeerResponse::Indeterminate,
             }
         }
+        // A read would keep the requester waiting for the timeout.
+        PeerRequest::Leader if shared.store_is_unavailable() => PeerResponse::NotLeading,
         PeerRequest::Leader => match election::read_leader(shared).await {
             Ok(leader) => PeerResponse::Leader(leader),
             Err(_) => PeerResponse::NotLeading,
@@ -98,6 +109,12 @@
                 PeerResponse::Refused
             }
         },
+        PeerRequest::StoreHealth { available, since_ms } => {
+            let now = clock::time();
+            let since = now.as_micros().saturating_sub(since_ms.saturating_mul(1_000));
+            let report = OutageReport { available, since: Time::from_micros(since) };
+            receive_report(shared, report, requester, now)
+        }
         request => shared.send_to_control(request).await.unwrap_or(PeerResponse::NotLeading),
     };
     let res =
@@ -107,6 +124,26 @@
     stream.send_data(Bytes::from(codec::encode(&response)), true).map_err(io::Error::other)
 }
 
+/// Takes in a report on the store, and forwards it if it is new.
+fn receive_report<P>(
+    shared: &Arc<Shared<P>>,
+    report: OutageReport,
+    requester: Option<SocketAddr>,
+    now: Time,
+) -> PeerResponse
+where
+    P: Platform,
+{
+    let leader = shared.remote_leader().filter(|leader| Some(*leader) == requester);
+    if let Some(leader) = leader.filter(|_| report.available) {
+        shared.store_health.record_leader(leader, true, now);
+    }
+    if shared.store_health.receive(now, report) {
+        monitor::report(shared, report, requester);
+    }
+    PeerResponse::StoreHealth { available: !shared.store_health.is_unavailable(now) }
+}
+
 async fn read(mut body: RecvStream) -> io::Result<Vec<u8>> {
     let mut bytes = Vec::new();
     while let Some(part) = body.data().await {
--- a/crates/borageswitch_runtime/src/store_health/tests.rs
+++ b/crates/borageswitch_runtime/src/store_health/tests.rs
@@ -22,7 +22,7 @@
     health.record_failure(at(0));
     assert!(health.is_unavailable(at(1_000)));
 
-    health.record_success();
+    health.record_success(at(1_001));
 
     assert!(!health.is_unavailable(at(1_002)));
     assert!(!health.is_unavailable(at(1_003)));
