Refuse jobs that were not sent when their deadline passes, and test outages of the store

Cause: at a caller's deadline each submission got an unknown outcome, sent or not; a job was sent to a leader that had lost the store as well; a write that its caller no longer waited for freed its place among the writes in flight.

--- a/crates/borageswitch_fakes/src/platform/mod.rs
+++ b/crates/borageswitch_fakes/src/platform/mod.rs
@@ -58,6 +58,8 @@
     pub watches_deaf: bool,
     /// Calls to the store hang for so long and then end without an answer, having done nothing.
     pub store_hangs: Duration,
+    /// The store carries writes out, hangs for so long and then does not answer.
+    pub store_hangs_after_writes: Duration,
 }
 
 /// What a test asks of an executor.
--- a/crates/borageswitch_fakes/src/platform/port.rs
+++ b/crates/borageswitch_fakes/src/platform/port.rs
@@ -63,9 +63,15 @@
 
     async fn commit(&self, tx: &Transaction) -> StoreResult<CommitOutcome> {
         self.pass().await?;
-        let mut inner = self.admit()?;
-        let committed = inner.store.commit(tx);
-        if inner.faults.store_loses_answers { Err(StoreError::Lost) } else { Ok(committed) }
+        let (committed, faults) = {
+            let mut inner = self.admit()?;
+            (inner.store.commit(tx), inner.faults)
+        };
+        if !faults.store_hangs_after_writes.is_zero() {
+            Timer::after(faults.store_hangs_after_writes).await;
+            return Err(StoreError::Lost);
+        }
+        if faults.store_loses_answers { Err(StoreError::Lost) } else { Ok(committed) }
     }
 
     async fn grant(&self, ttl: Duration) -> StoreResult<(LeaseId, Duration)> {
--- a/crates/borageswitch_runtime/src/admission.rs
+++ b/crates/borageswitch_runtime/src/admission.rs
@@ -14,6 +14,7 @@
 use crate::{
     daemon::Shared,
     failures::{Failure, RequestResult},
+    intake::PendingOutcome,
     ports::Platform,
 };
 
@@ -26,12 +27,20 @@
     pub owner: Option<&'a KeyOwner>,
     /// The resources that the caller may use.
     pub(crate) quota: Option<Size>,
+    /// Takes whether the outcome is unknown, if the request may be abandoned at a deadline.
+    pub(crate) pending: Option<&'a PendingOutcome>,
 }
 
 impl<'a> Call<'a> {
     /// A request to a queue that requires no key.
     pub fn without_key(queue: &'a Queue) -> Self {
-        Self { queue, owner: None, quota: None }
+        Self { queue, owner: None, quota: None, pending: None }
+    }
+
+    /// The same request, which may be abandoned at a deadline: what its outcome then is, is kept in
+    /// `pending`.
+    pub fn with_pending(self, pending: &'a PendingOutcome) -> Self {
+        Self { pending: Some(pending), ..self }
     }
 
     pub(crate) fn caller(&self) -> Option<CallerName> {
@@ -76,7 +85,8 @@
         Ok(Some(_)) if shared.cfg.keys_hold.is_some_and(|hold| age > hold) => Failure::ConfigTooOld,
         Ok(owner) => {
             let declared = owner.and_then(|owner| config.callers.get(&owner.caller));
-            return Ok(Call { queue, owner, quota: declared.map(|caller| caller.quota) });
+            let quota = declared.map(|caller| caller.quota);
+            return Ok(Call { queue, owner, quota, pending: None });
         }
         // A daemon that was disconnected when a key was issued does not know it and would reject
         // its owner permanently. The response makes the owner retry and find a daemon that knows the
--- a/crates/borageswitch_runtime/src/daemon.rs
+++ b/crates/borageswitch_runtime/src/daemon.rs
@@ -25,6 +25,7 @@
     clock,
     control::{Control, Message, PendingEffect},
     election,
+    failures::{ErrorResponse, Failure},
     instruments::Instruments,
     keys::LeaderRecord,
     orders::{self, OrderSemaphores},
@@ -145,6 +146,16 @@
         self.store_health.is_unavailable(clock::time())
     }
 
+    /// The HTTP response to a failed request. While the store is unavailable, the time to retry
+    /// depends on how long it has been so.
+    pub fn error_response(&self, failure: &Failure) -> ErrorResponse {
+        let mut error = failure.error_response();
+        if *failure == Failure::StoreUnavailable {
+            error.retry_after = Some(self.store_health.retry_after(clock::time()));
+        }
+        error
+    }
+
     /// Whether this daemon leads in the term of `token`.
     pub(crate) fn leads(&self, token: Revision) -> bool {
         let known = self.leader.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/borageswitch_runtime/src/intake.rs
+++ b/crates/borageswitch_runtime/src/intake.rs
@@ -26,6 +26,7 @@
     ports::{Platform, StoreError, Transaction},
 };
 
+pub use self::storing::PendingOutcome;
 pub(crate) use self::storing::store_submission;
 use self::storing::submit_through_leader;
 
@@ -59,7 +60,7 @@
         spec,
         caller: call.caller(),
     };
-    let stored = store_submission(shared, &submission).await;
+    let stored = store_submission(shared, &submission, call.pending).await;
     let failure = match stored {
         Ok(()) => {
             let key = call.owner.map(|owner| owner.fingerprint.to_string()).unwrap_or_default();
@@ -75,7 +76,7 @@
         Err(Failure::Foreign) => return Err(Failure::Foreign),
         Err(failure) => failure,
     };
-    let result = submit_through_leader(shared, submission, failure).await;
+    let result = submit_through_leader(shared, submission, failure, call.pending).await;
     match &result {
         Ok(()) => log::info!(job = job.as_str(); "accepted-by-leader"),
         Err(failure) => {
--- a/crates/borageswitch_runtime/src/peers/server.rs
+++ b/crates/borageswitch_runtime/src/peers/server.rs
@@ -22,8 +22,8 @@
     election,
     failures::Failure,
     intake,
-    ports::Platform,
-    store_health::{OutageReport, monitor},
+    ports::{Platform, StoreError},
+    store_health::{OutageReport, StoreCall, monitor},
 };
 
 /// The pause after a failed accept, which mostly means that the process is out of file descriptors.
@@ -90,7 +90,7 @@
     let request: PeerRequest = codec::decode("question", &bytes).map_err(io::Error::other)?;
     let response = match request {
         PeerRequest::Submit(submission) => {
-            match intake::store_submission(shared, &submission).await {
+            match intake::store_submission(shared, &submission, None).await {
                 Ok(()) => PeerResponse::Accepted,
                 Err(Failure::StoreUnavailable) => PeerResponse::Refused,
                 Err(_) => PeerResponse::Indeterminate,
@@ -98,10 +98,7 @@
         }
         // A read would keep the requester waiting for the timeout.
         PeerRequest::Leader if shared.store_is_unavailable() => PeerResponse::NotLeading,
-        PeerRequest::Leader => match election::read_leader(shared).await {
-            Ok(leader) => PeerResponse::Leader(leader),
-            Err(_) => PeerResponse::NotLeading,
-        },
+        PeerRequest::Leader => read_leader(shared).await,
         PeerRequest::RevokeLease(lease) => match shared.platform.revoke(lease).await {
             Ok(()) => PeerResponse::LeaseRevoked,
             Err(err) => {
@@ -124,6 +121,27 @@
     stream.send_data(Bytes::from(codec::encode(&response)), true).map_err(io::Error::other)
 }
 
+/// Reads the leader's record. The outcome also shows whether the store serves this daemon.
+async fn read_leader<P>(shared: &Arc<Shared<P>>) -> PeerResponse
+where
+    P: Platform,
+{
+    let call = StoreCall::begin(&shared.store_health, clock::time());
+    match election::read_leader(shared).await {
+        Ok(leader) => {
+            call.succeed(clock::time());
+            PeerResponse::Leader(leader)
+        }
+        Err(err) => {
+            match err {
+                StoreError::Refused => call.refuse(),
+                _ => call.lose(),
+            }
+            PeerResponse::NotLeading
+        }
+    }
+}
+
 /// Takes in a report on the store, and forwards it if it is new.
 fn receive_report<P>(
     shared: &Arc<Shared<P>>,
--- a/crates/borageswitch_runtime/src/store_health.rs
+++ b/crates/borageswitch_runtime/src/store_health.rs
@@ -87,11 +87,13 @@
         }
     }
 
-    /// Records that a call sent at `sent` was refused, or a watch sent then has failed.
+    /// Records that a call sent at `sent` was refused.
     pub fn record_failure(&self, sent: Time) {
         let mut state = self.lock();
         let first = state.failing_since.is_none();
-        state.failing_since.get_or_insert(sent);
+        // A watch may have been sent long before the last success.
+        let since = state.last_success.map_or(sent, |at| at.max(sent));
+        state.failing_since.get_or_insert(since);
         drop(state);
         if first {
             self.wake_monitor();
@@ -143,9 +145,7 @@
         if !self.is_unavailable(now) {
             return None;
         }
-        // A watch that fails may have been sent long before the last success.
-        let first = self.failing_since.or(self.calls.values().next().copied());
-        first.max(self.last_success)
+        self.failing_since.or(self.calls.values().next().copied())
     }
 
     /// How long the oldest call has been waiting for a response.
--- a/crates/borageswitch_runtime/src/store_health/calls.rs
+++ b/crates/borageswitch_runtime/src/store_health/calls.rs
@@ -9,7 +9,7 @@
 use borageswitch_types::Time;
 use smol::Timer;
 
-use super::{SLOW_AFTER, State, StoreHealth};
+use super::{State, StoreHealth};
 use crate::clock;
 
 /// The most job writes in flight at once. An ordinary write takes some 10 ms, so that these carry
@@ -63,18 +63,15 @@
         self.health.record_no_response(self.sent);
     }
 
-    fn end(&self) -> bool {
-        self.health.lock().calls.remove(&self.number).is_some()
+    fn end(&self) {
+        self.health.lock().calls.remove(&self.number);
     }
 }
 
 impl Drop for StoreCall {
-    /// A call that is abandoned after it became slow had no response. Without this, an outage is
-    /// not detected by callers who wait for less than the timeout of a call.
+    /// A call that is abandoned shows nothing.
     fn drop(&mut self) {
-        if self.end() && clock::time().since(self.sent) >= SLOW_AFTER {
-            self.health.record_no_response(self.sent);
-        }
+        self.end();
     }
 }
 
--- a/crates/borageswitch_runtime/src/store_health/monitor.rs
+++ b/crates/borageswitch_runtime/src/store_health/monitor.rs
@@ -51,7 +51,8 @@
                     report(&shared, OutageReport { available: true, since: now }, None);
                 }
             }
-            _ => {}
+            (None, None) => health.settle(now),
+            (Some(_), Some(_)) => {}
         }
         // The beginning of an outage that lasts stays as it was first seen.
         outage = since.map(|since| outage.unwrap_or(since));
--- a/crates/borageswitch_runtime/src/store_health/reports.rs
+++ b/crates/borageswitch_runtime/src/store_health/reports.rs
@@ -38,8 +38,8 @@
     check_due: bool,
     /// When daemons were last told.
     told: BTreeMap<SocketAddr, Time>,
-    /// The leader that has told this daemon that the store is unavailable to it, and when.
-    leader_without_store: Option<(SocketAddr, Time)>,
+    /// What a leader has last said on whether the store is available to it, and when.
+    leader: Option<(SocketAddr, bool, Time)>,
     /// When a search for a newer leader last found none.
     failed_search: Option<Time>,
 }
@@ -93,6 +93,12 @@
         mem::replace(&mut self.lock().reports.outage_known, !available) == available
     }
 
+    /// Forgets that there was an outage once this daemon's own calls have disproved the reports.
+    pub(super) fn settle(&self, now: Time) {
+        let mut state = self.lock();
+        state.reports.outage_known &= state.reports.tell_of_outage(now);
+    }
+
     /// Whether the store has to be read because of a report. The next call gives `false`.
     pub(super) fn take_due_check(&self) -> bool {
         mem::take(&mut self.lock().reports.check_due)
@@ -111,14 +117,14 @@
 
     /// Records what a leader said on whether the store is available to it.
     pub fn record_leader(&self, leader: SocketAddr, available: bool, now: Time) {
-        self.lock().reports.leader_without_store = (!available).then_some((leader, now));
+        self.lock().reports.leader = Some((leader, available, now));
     }
 
-    /// Whether a leader has said that the store is unavailable to it, so that it cannot help now.
-    /// After the interval at which the leader checks the store it is worth asking again.
-    pub fn leader_is_without_store(&self, leader: SocketAddr, now: Time) -> bool {
-        let said = self.lock().reports.leader_without_store;
-        said.is_some_and(|(who, at)| who == leader && now.since(at) < PROBE_INTERVAL)
+    /// Whether the store is available to a leader, by what it said. After the interval at which it
+    /// checks the store, it is worth asking again.
+    pub fn leader_has_store(&self, leader: SocketAddr, now: Time) -> Option<bool> {
+        let (said_by, available, at) = self.lock().reports.leader?;
+        (said_by == leader && now.since(at) < PROBE_INTERVAL).then_some(available)
     }
 
     /// Whether a search for a newer leader may find one: none has failed just now.
--- a/crates/borageswitch_runtime/src/watching.rs
+++ b/crates/borageswitch_runtime/src/watching.rs
@@ -65,8 +65,10 @@
                 at = Some(next);
             }
             Err(err) => {
-                if err != StoreError::HistoryGone {
-                    shared.store_health.record_failure(sent);
+                match err {
+                    StoreError::HistoryGone => {}
+                    StoreError::Refused => shared.store_health.record_failure(sent),
+                    _ => shared.store_health.record_no_response(sent),
                 }
                 if !std::mem::replace(&mut lost, true) {
                     log::warn!(reason = err.to_string().as_str(); "config-watch-lost");
