Do not take the end of an earlier watch for the end of an outage

Cause: in a trial with 41 daemons on the in-memory platform, watches that were sent before the store stopped responding ended normally during the outage; each made its daemon send jobs again, and 189 of 1,700 jobs had an unknown outcome, until 1.5 s after the outage was known. Change: a watch ends an outage only if it was sent after the outage was noticed; probes show the rest.

--- a/crates/borageswitch_runtime/src/store_health.rs
+++ b/crates/borageswitch_runtime/src/store_health.rs
@@ -87,6 +87,17 @@
         }
     }
 
+    /// Records that a watch sent at `sent` has ended at `now` with a response. A store that has
+    /// stopped responding to new calls may still end earlier watches, which then shows nothing.
+    pub fn record_watch(&self, sent: Time, now: Time) {
+        let state = self.lock();
+        let suspected = state.failing_since.max(state.reports.outage_reported());
+        drop(state);
+        if suspected.is_none_or(|at| at <= sent) {
+            self.record_success(now);
+        }
+    }
+
     /// Records that a call sent at `sent` was refused.
     pub fn record_failure(&self, sent: Time) {
         let mut state = self.lock();
--- a/crates/borageswitch_runtime/src/store_health/reports.rs
+++ b/crates/borageswitch_runtime/src/store_health/reports.rs
@@ -50,6 +50,11 @@
         self.received.is_some_and(|at| now.since(at) < REPORT_VALID)
     }
 
+    /// When the last report of an outage arrived that no call has disproved.
+    pub(super) fn outage_reported(&self) -> Option<Time> {
+        self.received
+    }
+
     /// Whether a check of a report is under way whose outcome is to be waited for.
     pub(super) fn are_being_checked(&self, now: Time) -> bool {
         self.check_began.is_some_and(|at| now.since(at) < CHECK_WINDOW)
--- a/crates/borageswitch_runtime/src/store_health/tests.rs
+++ b/crates/borageswitch_runtime/src/store_health/tests.rs
@@ -124,3 +124,17 @@
     health.record_success(at(2_100));
     assert_eq!(health.retry_after(at(2_101)), Duration::from_secs(1));
 }
+
+#[test]
+fn a_watch_from_before_an_outage_does_not_end_it() {
+    // The store does not respond to new calls, and ends an earlier watch at its timeout. Jobs that
+    // were sent for that reason had an unknown outcome.
+    let health = StoreHealth::default();
+    health.record_failure(at(1_000));
+
+    health.record_watch(at(500), at(2_000));
+    assert!(health.is_unavailable(at(2_001)));
+
+    health.record_watch(at(2_100), at(3_600));
+    assert!(!health.is_unavailable(at(3_601)));
+}
--- a/crates/borageswitch_runtime/src/watching.rs
+++ b/crates/borageswitch_runtime/src/watching.rs
@@ -56,7 +56,7 @@
         };
         match outcome {
             Ok(next) => {
-                shared.store_health.record_success(clock::time());
+                shared.store_health.record_watch(sent, clock::time());
                 shared.confirm_config(sent);
                 backoff.reset();
                 if std::mem::take(&mut lost) {
