--- a/crates/borageswitch_runtime/src/store_health/monitor.rs
+++ b/crates/borageswitch_runtime/src/store_health/monitor.rs
@@ -40,6 +40,10 @@
             (None, Some(began)) => {
                 let since_ms = now.since(began).as_millis() as u64;
                 log::warn!(since_ms = since_ms; "store-unavailable");
+                // Daemons that learn of an outage by the same report would all probe at the same
+                // moments, and none of them just after the store has recovered.
+                let phase = fastrand::u64(..PROBE_INTERVAL.as_micros() as u64);
+                last_probe = Time::from_micros(now.as_micros().saturating_sub(phase));
                 if health.learn(false) {
                     report(&shared, OutageReport { available: false, since: began }, None);
                 }
--- a/crates/borageswitch_runtime/tests/store_outage/leader.rs
+++ b/crates/borageswitch_runtime/tests/store_outage/leader.rs
@@ -1,6 +1,12 @@
 //! A daemon that the store refuses, and a leader that has ended or falls silent.
 
-use std::{net::TcpListener, sync::Arc};
+use std::{
+    net::TcpListener,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
 
 use borageswitch_fakes::platform::PlatformFaults;
 use borageswitch_http::h2_stream::{ByteCounter, H2Stream};
@@ -8,7 +14,7 @@
     codec,
     failures::Failure,
     keys::{self, LeaderRecord},
-    peers::{PeerRequest, PeerResponse},
+    peers::{Client, PeerRequest, PeerResponse},
 };
 use bytes::Bytes;
 use futures_lite::future;
@@ -59,17 +65,26 @@
 
 /// Serves requests of daemons as a leader that can read from the store and falls silent when it has
 /// to store a job.
-async fn serve_as_leader(listener: TcpListener, ex: Ex) {
+async fn serve_as_leader(listener: TcpListener, ex: Ex, connections: Arc<AtomicUsize>) {
     let listener = smol::Async::new(listener).unwrap();
-    let (stream, _) = listener.accept().await.unwrap();
-    let bytes = ByteCounter::new(&opentelemetry::global::meter("borageswitch"));
-    let stream = H2Stream::new(stream.into(), bytes);
-    let mut connection = h2::server::handshake(stream).await.unwrap();
-    while let Some(Ok((req, respond))) = connection.accept().await {
-        ex.spawn(respond_to_reads(req.into_body(), respond)).detach();
+    while let Ok((stream, _)) = listener.accept().await {
+        connections.fetch_add(1, Ordering::SeqCst);
+        let own = ex.clone();
+        let serving = async move {
+            let stream = H2Stream::new(stream.into(), byte_counter());
+            let mut connection = h2::server::handshake(stream).await.unwrap();
+            while let Some(Ok((req, respond))) = connection.accept().await {
+                own.spawn(respond_to_reads(req.into_body(), respond)).detach();
+            }
+        };
+        ex.spawn(serving).detach();
     }
 }
 
+fn byte_counter() -> ByteCounter {
+    ByteCounter::new(&opentelemetry::global::meter("borageswitch"))
+}
+
 async fn respond_to_reads(mut body: h2::RecvStream, mut respond: SendResponse<Bytes>) {
     let mut bytes = Vec::new();
     while let Some(Ok(part)) = body.data().await {
@@ -90,8 +105,32 @@
     run(&ex, async {
         let leader = TcpListener::bind("127.0.0.1:0").unwrap();
         let daemon = refused_daemon(&leader, &ex).await;
-        ex.spawn(serve_as_leader(leader, ex.clone())).detach();
+        ex.spawn(serve_as_leader(leader, ex.clone(), Arc::default())).detach();
 
         assert_eq!(submit(&daemon, "job").await, Err(Failure::StoreNoResponse));
     });
 }
+
+#[test]
+fn requests_to_other_daemons_leave_the_connection_to_the_leader_open() {
+    // Reports go to many daemons. If each replaced the connection to the leader, jobs that wait on
+    // it for a response would have an unknown outcome.
+    let ex = Arc::new(Executor::new());
+    run(&ex, async {
+        let [leader, other] = [(), ()].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+        let addresses = [&leader, &other].map(|listener| listener.local_addr().unwrap());
+        let accepted = Arc::<AtomicUsize>::default();
+        ex.spawn(serve_as_leader(leader, ex.clone(), accepted.clone())).detach();
+        ex.spawn(serve_as_leader(other, ex.clone(), Arc::default())).detach();
+        let client = Client::new(addresses[0], Arc::default(), ex.clone(), byte_counter());
+        let ask_leader = || client.exchange(addresses[0], &PeerRequest::Leader);
+
+        for _ in 0..3 {
+            let asked = future::zip(ask_leader(), ask_leader()).await;
+            assert_eq!(asked, (Ok(PeerResponse::Leader(None)), Ok(PeerResponse::Leader(None))));
+            client.exchange_once(addresses[1], &PeerRequest::Leader).await.unwrap();
+        }
+
+        assert_eq!(accepted.load(Ordering::SeqCst), 1);
+    });
+}
