--- a/crates/borageswitch_runtime/src/lib.rs
+++ b/crates/borageswitch_runtime/src/lib.rs
@@ -12,7 +12,7 @@
 //! - [`watching`]: watches the configuration, executors, jobs and waves in the store.
 //! - [`orders`]: executes the scheduler's effects.
 //! - [`admission`]: authenticates callers; [`intake`]: serves their requests; [`failures`]: all ways in which these can fail.
-//! - [`store_health`]: whether the store is available to this daemon, by its calls and reports of others; [`retry`]: backoff between calls to it.
+//! - [`store_health`]: whether the store is available to this daemon; [`retry`]: backoff between calls to it.
 //! - [`peers`]: requests between daemons.
 //! - [`operators`]: explanations and state dumps for operators; [`instruments`]: metrics.
 //! - [`settings`]: the settings of the process; [`reloading`]: changes of their file.
