Verify a first failed call of the store before it is taken for an outage

A leader that had just been told of an outage, and had not checked the store, counted as one that has it. Change: a probe follows a first failure after 60 ms; of the responses to a report only "unavailable" is kept; the monitor pauses 2 ms at least; not-accepted lines say for how long the store has been unavailable.

--- a/crates/borageswitch_runtime/src/intake.rs
+++ b/crates/borageswitch_runtime/src/intake.rs
@@ -80,7 +80,12 @@
     match &result {
         Ok(()) => log::info!(job = job.as_str(); "accepted-by-leader"),
         Err(failure) => {
-            log::warn!(job = job.as_str(), outcome = failure.to_string().as_str(); "not-accepted");
+            let away = shared.store_health.outage_age(clock::time()).unwrap_or_default();
+            log::warn!(
+                job = job.as_str(), outcome = failure.to_string().as_str(),
+                away_ms = away.as_millis() as u64;
+                "not-accepted"
+            );
         }
     }
     result
--- a/crates/borageswitch_runtime/src/peers/server.rs
+++ b/crates/borageswitch_runtime/src/peers/server.rs
@@ -152,9 +152,8 @@
 where
     P: Platform,
 {
-    let leader = shared.remote_leader().filter(|leader| Some(*leader) == requester);
-    if let Some(leader) = leader.filter(|_| report.available) {
-        shared.store_health.record_leader(leader, true, now);
+    if report.available && requester.is_some() && shared.remote_leader() == requester {
+        shared.store_health.forget_leader();
     }
     if shared.store_health.receive(now, report) {
         monitor::report(shared, report, requester);
--- a/crates/borageswitch_runtime/src/store_health.rs
+++ b/crates/borageswitch_runtime/src/store_health.rs
@@ -124,10 +124,15 @@
         self.lock().is_unavailable(now)
     }
 
+    /// How long the store has been unavailable, if it is.
+    pub fn outage_age(&self, now: Time) -> Option<Duration> {
+        self.lock().outage_since(now).map(|since| now.since(since))
+    }
+
     /// `Retry-After` of a request that is refused at `now` because of the store.
     pub fn retry_after(&self, now: Time) -> Duration {
-        match self.lock().outage_since(now) {
-            Some(since) if now.since(since) >= RETRY_AFTER_EARLY => RETRY_AFTER_LATE,
+        match self.outage_age(now) {
+            Some(age) if age >= RETRY_AFTER_EARLY => RETRY_AFTER_LATE,
             _ => RETRY_AFTER_EARLY,
         }
     }
--- a/crates/borageswitch_runtime/src/store_health/monitor.rs
+++ b/crates/borageswitch_runtime/src/store_health/monitor.rs
@@ -21,6 +21,13 @@
 pub(super) const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// The timeout of a probe: longer than a slow store takes.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(450);
+/// How much sooner than [`PROBE_INTERVAL`] the probe after a first one may follow.
+const MAX_PHASE: Duration = Duration::from_millis(200);
+/// A first failed call is followed by a probe after this time, before the store would count as
+/// unavailable: a single failure must not reject callers, nor be reported.
+const VERIFY_AFTER: Duration = Duration::from_millis(60);
+/// The least pause of the monitor, so that it cannot spin.
+const MIN_PAUSE: Duration = Duration::from_millis(2);
 /// The least time between two probes, when several reports arrive together.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -36,14 +43,12 @@
     loop {
         let now = clock::time();
         let since = health.lock().outage_since(now);
+        let mut due = health.take_due_check() || health.lock().verification_due(now, last_probe);
         match (outage, since) {
             (None, Some(began)) => {
                 let since_ms = now.since(began).as_millis() as u64;
                 log::warn!(since_ms = since_ms; "store-unavailable");
-                // Daemons that learn of an outage by the same report would all probe at the same
-                // moments, and none of them just after the store has recovered.
-                let phase = fastrand::u64(..PROBE_INTERVAL.as_micros() as u64);
-                last_probe = Time::from_micros(now.as_micros().saturating_sub(phase));
+                due = true;
                 if health.learn(false) {
                     report(&shared, OutageReport { available: false, since: began }, None);
                 }
@@ -61,9 +66,13 @@
         // The beginning of an outage that lasts stays as it was first seen.
         outage = since.map(|since| outage.unwrap_or(since));
         let age = now.since(last_probe);
-        let check = health.take_due_check() && age >= MIN_PROBE_INTERVAL;
-        if check || (outage.is_some() && age >= PROBE_INTERVAL) {
-            last_probe = now;
+        due = due && age >= MIN_PROBE_INTERVAL;
+        if due || (outage.is_some() && age >= PROBE_INTERVAL) {
+            // Daemons that learn of an outage by the same report would go on to probe at the same
+            // moments, and none of them just after the store has recovered.
+            let first = due && outage.is_some();
+            let phase = if first { fastrand::u64(..MAX_PHASE.as_micros() as u64) } else { 0 };
+            last_probe = Time::from_micros(now.as_micros().saturating_sub(phase));
             shared.ex.spawn(probe(shared.clone())).detach();
         }
         health.wait_for_change(now, last_probe).await;
@@ -111,10 +120,11 @@
 {
     // A daemon of an earlier build does not respond.
     let response = shared.send_to_peer(peer, &request).await;
-    if let Some(PeerResponse::StoreHealth { available }) = response
-        && shared.remote_leader() == Some(peer)
-    {
-        shared.store_health.record_leader(peer, available, clock::time());
+    // A receiver that has just been told may not have checked the store yet, so that only its
+    // "unavailable" is evidence.
+    let unavailable = response == Some(PeerResponse::StoreHealth { available: false });
+    if unavailable && shared.remote_leader() == Some(peer) {
+        shared.store_health.record_leader(peer, false, clock::time());
     }
 }
 
@@ -127,20 +137,27 @@
         };
         let Some(due) = self.lock().next_check(now, last_probe) else { return changed.await };
         let timer = async {
-            Timer::after(due.since(now)).await;
+            Timer::after(due.since(now).max(MIN_PAUSE)).await;
         };
         future::or(changed, timer).await;
     }
 }
 
 impl super::State {
+    /// Whether the first failed call has to be verified by a probe.
+    fn verification_due(&self, now: Time, last_probe: Time) -> bool {
+        let unverified = self.failing_since.filter(|since| last_probe < *since);
+        unverified.is_some_and(|since| now.since(since) >= VERIFY_AFTER)
+    }
+
     /// When the passage of time alone may give the monitor something to do.
     fn next_check(&self, now: Time, last_probe: Time) -> Option<Time> {
         if self.is_unavailable(now) {
             return Some(last_probe + PROBE_INTERVAL);
         }
         if let Some(since) = self.failing_since {
-            return Some(since + super::UNAVAILABLE_AFTER);
+            let verified = last_probe >= since;
+            return Some(since + if verified { super::UNAVAILABLE_AFTER } else { VERIFY_AFTER });
         }
         let oldest = self.calls.values().next().filter(|_| self.reports.tell_of_outage(now));
         oldest.map(|sent| *sent + super::SLOW_DURING_OUTAGE)
--- a/crates/borageswitch_runtime/src/store_health/reports.rs
+++ b/crates/borageswitch_runtime/src/store_health/reports.rs
@@ -125,6 +125,11 @@
         self.lock().reports.leader = Some((leader, available, now));
     }
 
+    /// Forgets what a leader said, as the store may be available to it again.
+    pub fn forget_leader(&self) {
+        self.lock().reports.leader = None;
+    }
+
     /// Whether the store is available to a leader, by what it said. After the interval at which it
     /// checks the store, it is worth asking again.
     pub fn leader_has_store(&self, leader: SocketAddr, now: Time) -> Option<bool> {
