--- a/crates/borageswitch_runtime/src/store_health/monitor.rs
+++ b/crates/borageswitch_runtime/src/store_health/monitor.rs
@@ -145,13 +145,13 @@
 
 impl super::State {
     /// Whether the first failed call has to be verified by a probe.
-    fn verification_due(&self, now: Time, last_probe: Time) -> bool {
+    pub(super) fn verification_due(&self, now: Time, last_probe: Time) -> bool {
         let unverified = self.failing_since.filter(|since| last_probe < *since);
         unverified.is_some_and(|since| now.since(since) >= VERIFY_AFTER)
     }
 
     /// When the passage of time alone may give the monitor something to do.
-    fn next_check(&self, now: Time, last_probe: Time) -> Option<Time> {
+    pub(super) fn next_check(&self, now: Time, last_probe: Time) -> Option<Time> {
         if self.is_unavailable(now) {
             return Some(last_probe + PROBE_INTERVAL);
         }
--- a/crates/borageswitch_runtime/src/store_health/tests.rs
+++ b/crates/borageswitch_runtime/src/store_health/tests.rs
@@ -138,3 +138,17 @@
     health.record_watch(at(2_100), at(3_600));
     assert!(!health.is_unavailable(at(3_601)));
 }
+
+#[test]
+fn a_first_failed_call_is_verified_before_it_counts_as_an_outage() {
+    // Without a probe in between, one failed call of an idle daemon rejects its callers, and is
+    // reported to all daemons.
+    let health = StoreHealth::default();
+    health.record_failure(at(1_000));
+
+    let (state, probed) = (health.lock(), at(1_060));
+    assert_eq!(state.next_check(at(1_001), Time::ZERO), Some(probed));
+    assert!(state.verification_due(probed, Time::ZERO));
+    assert!(!state.verification_due(at(1_070), probed));
+    assert_eq!(state.next_check(at(1_070), probed), Some(at(1_120)));
+}
