--- a/crates/borageswitch_runtime/src/peers/server.rs
+++ b/crates/borageswitch_runtime/src/peers/server.rs
@@ -1,8 +1,9 @@
 //! Serves the requests of other daemons.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use borageswitch_http::h2_stream::H2Stream;
+use borageswitch_types::Time;
 use bytes::Bytes;
 use h2::{RecvStream, server::SendResponse};
 use http::{Request, Response};
@@ -15,7 +16,15 @@
     MAX_MESSAGE_BYTES, PeerRequest, PeerResponse,
     known_peers::{OTHER_PEERS_HEADER, REQUESTER_HEADER},
 };
-use crate::{codec, daemon::Shared, election, failures::Failure, intake, ports::Platform};
+use crate::{
+    clock, codec,
+    daemon::Shared,
+    election,
+    failures::Failure,
+    intake,
+    ports::{Platform, StoreError},
+    store_health::{OutageReport, StoreCall, monitor},
+};
 
 /// The pause after a failed accept, which mostly means that the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -74,23 +83,22 @@
 where
     P: Platform,
 {
-    let requester =
+    let requester: Option<SocketAddr> =
         req.headers().get(REQUESTER_HEADER).and_then(|address| address.to_str().ok()?.parse().ok());
     requester.into_iter().for_each(|address| shared.known_peers.add(address));
     let bytes = read(req.into_body()).await?;
     let request: PeerRequest = codec::decode("question", &bytes).map_err(io::Error::other)?;
     let response = match request {
         PeerRequest::Submit(submission) => {
-            match intake::store_submission(shared, &submission).await {
+            match intake::store_submission(shared, &submission, None).await {
                 Ok(()) => PeerResponse::Accepted,
                 Err(Failure::StoreUnavailable) => PeerResponse::Refused,
                 Err(_) => PeerResponse::Indeterminate,
             }
         }
-        PeerRequest::Leader => match election::read_leader(shared).await {
-            Ok(leader) => PeerResponse::Leader(leader),
-            Err(_) => PeerResponse::NotLeading,
-        },
+        // A read would keep the requester waiting for the timeout.
+        PeerRequest::Leader if shared.store_is_unavailable() => PeerResponse::NotLeading,
+        PeerRequest::Leader => read_leader(shared).await,
         PeerRequest::RevokeLease(lease) => match shared.platform.revoke(lease).await {
             Ok(()) => PeerResponse::LeaseRevoked,
             Err(err) => {
@@ -98,6 +106,12 @@
                 PeerResponse::Refused
             }
         },
+        PeerRequest::StoreHealth { available, since_ms } => {
+            let now = clock::time();
+            let since = now.as_micros().saturating_sub(since_ms.saturating_mul(1_000));
+            let report = OutageReport { available, since: Time::from_micros(since) };
+            receive_report(shared, report, requester, now)
+        }
         request => shared.send_to_control(request).await.unwrap_or(PeerResponse::NotLeading),
     };
     let res =
@@ -107,6 +121,46 @@
     stream.send_data(Bytes::from(codec::encode(&response)), true).map_err(io::Error::other)
 }
 
+/// Reads the leader's record. The outcome also shows whether the store serves this daemon.
+async fn read_leader<P>(shared: &Arc<Shared<P>>) -> PeerResponse
+where
+    P: Platform,
+{
+    let call = StoreCall::begin(&shared.store_health, clock::time());
+    match election::read_leader(shared).await {
+        Ok(leader) => {
+            call.succeed(clock::time());
+            PeerResponse::Leader(leader)
+        }
+        Err(err) => {
+            match err {
+                StoreError::Refused => call.refuse(),
+                _ => call.lose(),
+            }
+            PeerResponse::NotLeading
+        }
+    }
+}
+
+/// Takes in a report on the store, and forwards it if it is new.
+fn receive_report<P>(
+    shared: &Arc<Shared<P>>,
+    report: OutageReport,
+    requester: Option<SocketAddr>,
+    now: Time,
+) -> PeerResponse
+where
+    P: Platform,
+{
+    if report.available && requester.is_some() && shared.remote_leader() == requester {
+        shared.store_health.forget_leader();
+    }
+    if shared.store_health.receive(now, report) {
+        monitor::report(shared, report, requester);
+    }
+    PeerResponse::StoreHealth { available: !shared.store_health.is_unavailable(now) }
+}
+
 async fn read(mut body: RecvStream) -> io::Result<Vec<u8>> {
     let mut bytes = Vec::new();
     while let Some(part) = body.data().await {
