Contain jobs that crash executors by probes on few executors

Cause: during a storm of crashing jobs, all tasks of a new job start at once on several executors, each task has to survive separately, and sound tasks that only ran beside a crashing one are isolated by the number of crashes they saw.

Change: the suspicion level follows the evidence. A new leader derives containment from its ledger. While a group is contained, its crashes do not count as unrelated ones, and hosts are listed every 700 ms.

The unit test of the bound for late crashes expected Isolated for long-lived runs without evidence.

--- a/crates/borageswitch_scheduler/src/policy/crash_attribution.rs
+++ b/crates/borageswitch_scheduler/src/policy/crash_attribution.rs
@@ -26,6 +26,14 @@
 /// A task is given up after this many crashes that its starts may have caused, whatever the
 /// evidence.
 const MAX_CRASHES: usize = 5;
+/// Evidence below which a task is scheduled like one without crashes, in thousandths of a power of
+/// ten. Tasks that had run for long, or beside a job that had just started, collect less.
+const SUSPECT_EVIDENCE: u32 = 500;
+/// Evidence from which a task under which several executors have crashed is isolated.
+const ISOLATION_EVIDENCE: u32 = 2_000;
+/// A task is isolated after this many crashes that its starts may have caused, whatever the
+/// evidence: the next ones could give it up although others caused them.
+const ISOLATION_CRASHES: usize = 3;
 /// A crash within this time after a start may have been caused by the start.
 pub const START_RELATED_AGE: Duration = Duration::from_millis(1_000);
 /// The resolution of ages: calls take about as long.
@@ -43,12 +51,13 @@
 /// How strongly a task is suspected of crashing executors, and so how it is scheduled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SuspicionLevel {
-    /// No executor has crashed under it.
+    /// No executor has crashed under it, or there is little evidence against it: it is scheduled
+    /// like any other task.
     Clear,
-    /// One executor has crashed under it: it is kept away from other suspects while there is other
+    /// It may have crashed an executor: it is kept away from other suspects while there is other
     /// capacity.
     Suspect,
-    /// Several executors have crashed under it: it runs beside no other suspect, and nothing is
+    /// It is likely to have crashed several executors: it runs beside no other suspect, and nothing is
     /// started beside it for a while.
     Isolated,
     /// It is taken to be the cause and is not started any more.
@@ -63,14 +72,15 @@
         // start.
         let start_related =
             crashes.iter().filter(|crash| is_start_related(Duration::from_millis(crash.lived_ms)));
-        match crashes.len() {
-            0 => SuspicionLevel::Clear,
-            _ if start_related.count() >= MAX_CRASHES => SuspicionLevel::Poison,
-            count if count >= MIN_CRASHES && evidence >= EVIDENCE_THRESHOLD => {
-                SuspicionLevel::Poison
-            }
-            1 => SuspicionLevel::Suspect,
-            _ => SuspicionLevel::Isolated,
+        let (start_related, several) = (start_related.count(), crashes.len() >= MIN_CRASHES);
+        if start_related >= MAX_CRASHES || several && evidence >= EVIDENCE_THRESHOLD {
+            SuspicionLevel::Poison
+        } else if start_related >= ISOLATION_CRASHES || several && evidence >= ISOLATION_EVIDENCE {
+            SuspicionLevel::Isolated
+        } else if evidence >= SUSPECT_EVIDENCE {
+            SuspicionLevel::Suspect
+        } else {
+            SuspicionLevel::Clear
         }
     }
 }
--- a/crates/borageswitch_scheduler/src/policy/crash_attribution/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/crash_attribution/tests.rs
@@ -62,7 +62,7 @@
     assert_eq!(SuspicionLevel::of(&(1..=5).map(late).collect::<Vec<_>>()), SuspicionLevel::Poison);
     assert_eq!(
         SuspicionLevel::of(&(1..=9).map(long_lived).collect::<Vec<_>>()),
-        SuspicionLevel::Isolated
+        SuspicionLevel::Clear
     );
 }
 
@@ -116,3 +116,22 @@
     assert!(!is_poison_job(&at_once, 3), "a single cause may explain all crashes");
     assert!(!is_poison_job(&separate, 1_000), "some of a thousand tasks see unrelated crashes");
 }
+
+#[test]
+fn victims_of_one_crash_are_not_isolated() {
+    // Guards against sound tasks that each wait for a host of their own: a dozen of them had been at
+    // work on an executor that a task crashed 15 ms after its start.
+    let window = millis(15);
+    let mut jobs = vec![PossibleCause { evidence: 0, window }];
+    jobs.resize(13, PossibleCause { evidence: 0, window: millis(600) });
+    let gained: Vec<u32> = cause_probabilities(&jobs)
+        .into_iter()
+        .zip(&jobs)
+        .map(|(probability, job)| evidence(probability, job.window, STABLE))
+        .collect();
+
+    let level = |evidence| SuspicionLevel::of(&[crash(1, 600, evidence)]);
+
+    assert_eq!(level(gained[0]), SuspicionLevel::Suspect);
+    assert!(gained[1..].iter().all(|&evidence| level(evidence) == SuspicionLevel::Clear));
+}
--- a/crates/borageswitch_scheduler/src/policy/mod.rs
+++ b/crates/borageswitch_scheduler/src/policy/mod.rs
@@ -17,6 +17,7 @@
 //! - [`quotas`]: how many of a caller's tasks may start.
 //! - [`caller_shares`]: which jobs are within the rate that their caller was promised.
 //! - [`crash_attribution`]: which task crashes executors, and which merely ran beside it.
+//! - [`crash_containment`]: which jobs start a single task first during a storm of crashes.
 //! - [`crash_rate`]: how often executors crash for reasons unrelated to a task.
 //! - [`circuit_breaker`]: which executors get no work because runs failed there.
 //! - [`start_window`]: how many starts are in flight at once.
@@ -30,6 +31,7 @@
 pub mod caller_shares;
 pub mod circuit_breaker;
 pub mod crash_attribution;
+pub mod crash_containment;
 pub mod crash_rate;
 pub mod gangs;
 pub mod label_shares;
--- a/crates/borageswitch_scheduler/src/reducer/crashes.rs
+++ b/crates/borageswitch_scheduler/src/reducer/crashes.rs
@@ -180,6 +180,16 @@
         }
     }
 
+    /// Its pool.
+    pub(super) fn pool(&self) -> &PoolName {
+        &self.pool
+    }
+
+    /// The latest time at which it can have ended.
+    pub(super) fn ended_by(&self) -> Time {
+        self.ended_by
+    }
+
     /// Its host, if that is known and still listed.
     pub(super) fn host(&self) -> Option<&HostName> {
         match self.detection.host_outcome() {
@@ -269,6 +279,7 @@
                     format_runs(&executor.runs)
                 )
             });
+            self.note_start_crash(now, executor, others, &started_on);
             self.attribute_crash(now, executor, others, &started_on);
         }
     }
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -215,6 +215,8 @@
     pub full_until: Time,
     /// Until when nothing new is placed, after an isolated suspect was started there.
     pub isolated_until: Time,
+    /// When a probe on it has lived for long enough, if it still responds then.
+    pub probe_due: Option<Time>,
     /// Whether its host is being drained: nothing new is placed on it.
     pub host_draining: bool,
     /// Since when it has had no run.
@@ -246,6 +248,7 @@
             circuit_breaker: CircuitBreaker::default(),
             full_until: Time::ZERO,
             isolated_until: Time::ZERO,
+            probe_due: None,
             host_draining: false,
             idle_since: now,
         }
--- a/crates/borageswitch_scheduler/src/reducer/explain.rs
+++ b/crates/borageswitch_scheduler/src/reducer/explain.rs
@@ -171,7 +171,8 @@
         let suspects = self.ledger.suspects_of(name).take(MAX_LISTED_RUNS);
         let lines = suspects.map(|(task, crashes)| {
             let treated = match SuspicionLevel::of(crashes) {
-                SuspicionLevel::Clear | SuspicionLevel::Suspect => "kept away from other suspects",
+                SuspicionLevel::Clear => "scheduled like others",
+                SuspicionLevel::Suspect => "kept away from other suspects",
                 SuspicionLevel::Isolated => "started apart from all suspects",
                 SuspicionLevel::Poison => "not started any more",
             };
--- a/crates/borageswitch_scheduler/src/reducer/host_list.rs
+++ b/crates/borageswitch_scheduler/src/reducer/host_list.rs
@@ -23,7 +23,8 @@
     },
 };
 
-/// How often the hosts are listed while waves or withdrawals are in progress.
+/// How often the hosts are listed while waves or withdrawals are in progress, or while jobs that
+/// crash executors are contained: the list confirms crashes.
 const LIST_INTERVAL: Duration = Duration::from_millis(700);
 /// How often the hosts are listed otherwise.
 const IDLE_LIST_INTERVAL: Duration = Duration::from_millis(1_500);
@@ -133,7 +134,9 @@
 
 impl Scheduler {
     pub(super) fn list_hosts(&mut self, now: Now) {
-        let busy = self.waves.is_open() || !self.fleet.withdrawals.is_empty();
+        let busy = self.containment.is_active()
+            || self.waves.is_open()
+            || !self.fleet.withdrawals.is_empty();
         let interval = if busy { LIST_INTERVAL } else { IDLE_LIST_INTERVAL };
         let fresh = self.fleet.listed.is_some_and(|at| now.time.since(at) < interval);
         let asked = self.fleet.requested_at.is_some_and(|at| now.time.since(at) < LIST_TIMEOUT);
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -90,11 +90,11 @@
     ledger::{Ledger, record::Record},
     policy::{caller_shares::JobBucket, runtime_estimates::RuntimeEstimates},
     reducer::{
-        advice::Advice, crashes::EndedExecutor, executor_table::ExecutorTable,
-        failed_starts::FailedStarts, free_capacity::FreeCapacityByPool,
-        gang_reservations::GangReservations, host_list::Fleet, jobs::JobState, lending::Lending,
-        outbox::Outbox, pending_starts::PendingStarts, stragglers::Stragglers, suspects::Suspects,
-        waiting::Waiting, waves::Waves,
+        advice::Advice, containment::Containment, crashes::EndedExecutor,
+        executor_table::ExecutorTable, failed_starts::FailedStarts,
+        free_capacity::FreeCapacityByPool, gang_reservations::GangReservations, host_list::Fleet,
+        jobs::JobState, lending::Lending, outbox::Outbox, pending_starts::PendingStarts,
+        stragglers::Stragglers, suspects::Suspects, waiting::Waiting, waves::Waves,
     },
     task::StepKey,
 };
@@ -174,6 +174,7 @@
     /// Executors that ended since the last decision.
     ended_executors: Vec<EndedExecutor>,
     suspects: Suspects,
+    containment: Containment,
     failed_starts: FailedStarts,
     stragglers: Stragglers,
     pending_starts: PendingStarts,
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -29,7 +29,7 @@
 
 /// The result of an attempt to place a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Placement {
+pub(super) enum Placement {
     /// All tasks are placed, or wait for something other than capacity.
     Done,
     /// No executor has capacity for a task of the step, even without the step's other constraints.
@@ -41,17 +41,17 @@
 /// With a full pool and thousands of waiting tasks, most of a pass would otherwise go into checking
 /// each host again for each step.
 #[derive(Debug, Default)]
-struct UnplaceableSizes {
+pub(super) struct UnplaceableSizes {
     sizes: Vec<Size>,
 }
 
 impl UnplaceableSizes {
     /// Whether a task of this size cannot fit because an equal or smaller one did not.
-    fn rules_out(&self, size: &Size) -> bool {
+    pub(super) fn rules_out(&self, size: &Size) -> bool {
         self.sizes.iter().any(|unplaceable| size.holds(unplaceable))
     }
 
-    fn add(&mut self, size: Size) {
+    pub(super) fn add(&mut self, size: Size) {
         self.sizes.retain(|unplaceable| !unplaceable.holds(&size));
         self.sizes.push(size);
     }
@@ -70,6 +70,7 @@
 impl Scheduler {
     /// Runs a placement pass for each pool in which something has changed.
     pub(super) fn place_waiting(&mut self, now: Now) {
+        self.refresh_containment(now);
         for pool in std::mem::take(&mut self.dirty_pools) {
             let order = self.waiting.take(&pool);
             if order.is_empty() {
@@ -93,6 +94,7 @@
         let ahead = self.last_chance_steps(pool, order);
         let (first, rest) = split_lasting(order);
         let rest = rest.filter(|step| !ahead.iter().any(|other| other.key == step.key));
+        let mut contained_capacity = self.place_probes(now, pool, order, available);
         let mut unplaceable = UnplaceableSizes::default();
         for step in first.chain(ahead.iter()).chain(rest) {
             if self.is_at_quota(step) {
@@ -109,7 +111,9 @@
             let may_use_reserved =
                 step.urgency.is_lasting() || self.has_reservation(pool, &step.key);
             if may_use_reserved {
-                self.place_with_reserved(now, pool, step, available);
+                if let Some(step) = self.proven_part(pool, step) {
+                    self.place_with_reserved(now, pool, &step, available);
+                }
                 continue;
             }
             if unplaceable.rules_out(&step.size) {
@@ -118,12 +122,14 @@
                 }
                 continue;
             }
+            let Some(step) = self.proven_part(pool, step) else { continue };
             let mut reserved_capacity = self.take_reserved(pool, available);
-            if self.place_step(now, pool, step, available) == Placement::NoCapacity {
+            if self.place_step(now, pool, &step, available) == Placement::NoCapacity {
                 unplaceable.add(step.size);
             }
             available.append(&mut reserved_capacity);
         }
+        available.append(&mut contained_capacity);
     }
 
     /// Places a step that may use all free capacity, including what is reserved. A lasting step
@@ -165,7 +171,7 @@
         ahead.collect()
     }
 
-    fn place_step(
+    pub(super) fn place_step(
         &mut self,
         now: Now,
         pool: &PoolName,
--- a/crates/borageswitch_scheduler/src/reducer/polls.rs
+++ b/crates/borageswitch_scheduler/src/reducer/polls.rs
@@ -248,7 +248,9 @@
     });
     let in_doubt = !known.fenced || polling.failures > 0;
     let unknown = in_doubt && (known.is_registered || !known.runs.is_empty());
-    let at_once = unknown || unsettled;
+    let last_contact = known.clock.map_or(Time::ZERO, |clock| clock.received);
+    let probe_due = known.probe_due.is_some_and(|due| due <= now && last_contact < due);
+    let at_once = unknown || unsettled || probe_due;
     let running =
         known.has_orphan_runs || known.runs.values().any(|held| held.phase != Phase::Recorded);
     if !at_once && (polling.long_poll_in_flight || !wants_poll(known, now, running)) {
--- a/crates/borageswitch_scheduler/src/reducer/preemption.rs
+++ b/crates/borageswitch_scheduler/src/reducer/preemption.rs
@@ -32,6 +32,7 @@
             .executors
             .of_pool(pool)
             .filter(|(_, known)| known.accepts_runs(now.time))
+            .filter(|(executor, _)| !self.containment.has_probe(pool, executor))
             .filter(|(executor, _)| self.may_run_on(now, &key, step, executor, 0))
             .collect();
         if suitable.iter().any(|(_, known)| free_after_stops(known).holds(&size)) {
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -22,6 +22,7 @@
     reducer::{
         Limits, Scheduler,
         advice::Advice,
+        containment::Containment,
         executors::{Executor, HeldRun, Phase},
         failed_starts::FailedStarts,
         free_capacity::FreeCapacityByPool,
@@ -77,6 +78,7 @@
             ending_jobs: Default::default(),
             ended_executors: Vec::new(),
             suspects: Suspects::default(),
+            containment: Containment::default(),
             failed_starts: FailedStarts::default(),
             stragglers: Stragglers::default(),
             pending_starts: PendingStarts::default(),
@@ -90,6 +92,7 @@
         scheduler.inherit_ends();
         scheduler.refresh_job_states(now);
         scheduler.inherit_runs(now);
+        scheduler.derive_containment(now);
         scheduler.maybe_ended = scheduler.ledger.jobs.keys().cloned().collect();
         scheduler
     }
--- a/crates/borageswitch_scheduler/src/reducer/suspects.rs
+++ b/crates/borageswitch_scheduler/src/reducer/suspects.rs
@@ -38,18 +38,19 @@
 #[derive(Debug, Default)]
 pub struct Suspects {
     history: CrashHistory,
-    /// Suspects whose present run has not survived for long enough yet, by executor.
-    on_probation: BTreeMap<ExecutorName, BTreeSet<TaskKey>>,
+    /// Tasks with crashes whose present run has not survived for long enough yet, by executor.
+    on_probation: BTreeMap<ExecutorName, BTreeMap<TaskKey, SuspicionLevel>>,
 }
 
 impl Suspects {
     /// The number of suspects on an executor that have not survived for long enough yet.
     pub(super) fn count_on(&self, executor: &ExecutorName) -> usize {
-        self.on_probation.get(executor).map_or(0, BTreeSet::len)
+        let Some(tasks) = self.on_probation.get(executor) else { return 0 };
+        tasks.values().filter(|level| **level != SuspicionLevel::Clear).count()
     }
 
-    fn track(&mut self, executor: &ExecutorName, task: &TaskKey) {
-        self.on_probation.entry(executor.clone()).or_default().insert(task.clone());
+    fn track(&mut self, executor: &ExecutorName, task: &TaskKey, level: SuspicionLevel) {
+        self.on_probation.entry(executor.clone()).or_default().insert(task.clone(), level);
     }
 
     fn untrack(&mut self, executor: &ExecutorName, task: &TaskKey) {
@@ -79,11 +80,11 @@
 
     /// Tracks a placed task if it is a suspect; an isolated one blocks its executor for a while.
     pub(super) fn track_suspect(&mut self, now: Now, executor: &ExecutorName, task: &TaskKey) {
-        let suspicion_level = self.suspicion_level(task);
-        if suspicion_level == SuspicionLevel::Clear {
+        if self.ledger.crashes_of(task).is_empty() {
             return;
         }
-        self.suspects.track(executor, task);
+        let suspicion_level = self.suspicion_level(task);
+        self.suspects.track(executor, task, suspicion_level);
         if suspicion_level >= SuspicionLevel::Isolated
             && let Some(known) = self.executors.get_mut(executor)
         {
@@ -121,7 +122,11 @@
                 .then(|| suspicion(now, ended, lost, 0))
         });
         let suspicions: Vec<Suspicion> = suspicions.collect();
-        self.suspects.history.add_crash(now.time, ended.host().cloned(), jobs);
+        // During a storm, crashes of contained jobs would count as unrelated ones for all others,
+        // and evidence would reach the threshold only after twice as many crashes.
+        if !self.is_contained(ended.pool()) {
+            self.suspects.history.add_crash(now.time, ended.host().cloned(), jobs);
+        }
         self.record_suspicions(suspicions);
     }
 
@@ -173,13 +178,14 @@
 
     /// Gives a suspect up if the evidence suffices; otherwise tracks the run that it may have.
     fn review_suspect(&mut self, task: &TaskKey) {
-        if self.suspicion_level(task) == SuspicionLevel::Poison || self.is_poison_job(&task.job) {
+        let suspicion_level = self.suspicion_level(task);
+        if suspicion_level == SuspicionLevel::Poison || self.is_poison_job(&task.job) {
             self.give_up_poison_task(task);
             return;
         }
         let assigned = self.ledger.task(task).and_then(|state| state.assigned.as_ref());
         if let Some(executor) = assigned.map(|assigned| assigned.executor.clone()) {
-            self.suspects.track(&executor, task);
+            self.suspects.track(&executor, task, suspicion_level);
         }
     }
 
@@ -214,7 +220,7 @@
     pub(super) fn clear_suspects(&mut self) {
         let (mut untracked, mut survived) = (Vec::new(), Vec::new());
         for (executor, tasks) in &self.suspects.on_probation {
-            for task in tasks {
+            for task in tasks.keys() {
                 let known = self.executors.get(executor);
                 let held = known.and_then(|known| Some(known.min_run_age(known.runs.get(task)?)));
                 let crashes = self.ledger.crashes_of(task);
