Divide an overloaded pool among callers by weight

Cause: a caller's rate is checked only when a job is stored. What its jobs need, what its tasks use and what the others leave unused do not count, so larger jobs of one caller make those of all others late. A step may be split between its tasks within the share and those beyond it. Late work beyond the share goes after late work within it, weight 0 after all work of use. The state dump, explain and a log line per second and pool show shares, use and wait.

--- a/crates/borageswitch_scheduler/src/policy/mod.rs
+++ b/crates/borageswitch_scheduler/src/policy/mod.rs
@@ -16,6 +16,7 @@
 //! - [`lasting`]: which additional hosts lasting tasks need.
 //! - [`quotas`]: how many of a caller's tasks may start.
 //! - [`caller_shares`]: which jobs are within the rate that their caller was promised.
+//! - [`fair_shares`]: what each caller is due of a pool that cannot serve all of their work.
 //! - [`crash_attribution`]: which task crashes executors, and which merely ran beside it.
 //! - [`crash_rate`]: how often executors crash for reasons unrelated to a task.
 //! - [`circuit_breaker`]: which executors get no work because runs failed there.
@@ -31,6 +32,7 @@
 pub mod circuit_breaker;
 pub mod crash_attribution;
 pub mod crash_rate;
+pub mod fair_shares;
 pub mod gangs;
 pub mod label_shares;
 pub mod last_chance;
--- a/crates/borageswitch_scheduler/src/policy/order.rs
+++ b/crates/borageswitch_scheduler/src/policy/order.rs
@@ -15,7 +15,8 @@
 pub struct JobView {
     /// Whether it is a lasting job, which runs until it is cancelled.
     pub lasting: bool,
-    /// Whether its caller had used up its promised rate when it submitted the job.
+    /// Whether it is beyond the share of its caller: of the pool, where shares are in force (see
+    /// [`fair_shares`](super::fair_shares)), else of the rate at which it was submitted.
     pub beyond_share: bool,
     /// The priority of the queue; 0 comes first.
     pub priority: u32,
@@ -46,10 +47,14 @@
     LastChance,
     /// It can still be on time.
     OnTime,
-    /// It can still be on time, but exceeds the rate that its caller was promised.
+    /// It can still be on time, but exceeds the share of its caller.
     Beyond,
     /// It will be late, but is still of use.
     Late,
+    /// It will be late, is still of use, and exceeds the share of its caller.
+    LateBeyond,
+    /// It is still of use, but exceeds the share of its caller, whose weight is 0.
+    Unweighted,
     /// It is hardly of use any more, but is still run.
     Overdue,
 }
@@ -82,13 +87,28 @@
         Urgency { class: Class::LastChance, ..self }
     }
 
+    /// Moves the job behind late jobs within the share of their callers, if it will be late.
+    pub fn as_late_beyond(self) -> Urgency {
+        match self.class {
+            Class::Late => Urgency { class: Class::LateBeyond, ..self },
+            _ => self,
+        }
+    }
+
+    /// Moves the job of a caller of weight 0 behind all jobs of others that are of use.
+    pub fn as_unweighted(self) -> Urgency {
+        match self.class {
+            Class::Lasting | Class::Overdue => self,
+            _ => Urgency { class: Class::Unweighted, ..self },
+        }
+    }
+
     /// Returns whether the job is lasting.
     pub fn is_lasting(&self) -> bool {
         self.class == Class::Lasting
     }
 
-    /// Returns whether the job is expected to be late or exceeds the rate that its caller was
-    /// promised.
+    /// Returns whether the job is expected to be late or exceeds the share of its caller.
     pub fn is_late(&self) -> bool {
         !matches!(self.class, Class::Lasting | Class::OnTime)
     }
--- a/crates/borageswitch_scheduler/src/reducer/executor_table.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executor_table.rs
@@ -13,7 +13,10 @@
     executor::Registration,
     incarnation,
     policy::quotas::Usage,
-    reducer::executors::{Executor, HeldRun},
+    reducer::{
+        executors::{Executor, HeldRun},
+        shares::reserved::ReservedByPool,
+    },
     task::TaskKey,
 };
 
@@ -27,6 +30,8 @@
     latest_incarnations: BTreeMap<ExecutorName, ExecutorName>,
     /// What the runs of each caller use on all executors together.
     usage: Usage,
+    /// What the runs of each caller reserve in each pool.
+    reserved: ReservedByPool,
     /// The executors and tasks of each job's runs, including runs that may not exist.
     runs_by_job: BTreeMap<JobName, BTreeSet<(ExecutorName, TaskKey)>>,
     /// Executors that may have changed since [`Self::take_changed`], without duplicates.
@@ -107,6 +112,11 @@
         &self.usage
     }
 
+    /// What the runs of each caller reserve in each pool.
+    pub fn reserved(&self) -> &ReservedByPool {
+        &self.reserved
+    }
+
     /// Executors that may have changed since [`Self::take_changed`], which stay marked.
     pub fn changed(&self) -> impl Iterator<Item = &ExecutorName> {
         self.changed.iter()
@@ -137,8 +147,18 @@
             let pool = registration.pool.clone();
             self.by_pool.entry(pool).or_default().insert(name.clone());
         }
+        let fresh = registration.pool.clone();
         let known = self.get_mut(&name)?;
         known.registration = registration;
+        if before != fresh
+            && let Some(known) = self.all.get(&name)
+        {
+            for held in known.runs.values() {
+                self.reserved.subtract(&before, held);
+                self.reserved.add(&fresh, held);
+            }
+        }
+        let known = self.all.get_mut(&name)?;
         Some(known)
     }
 
@@ -147,9 +167,10 @@
         let name = executor.registration.executor.clone();
         self.remove(&name);
         let pool = executor.registration.pool.clone();
-        self.by_pool.entry(pool).or_default().insert(name.clone());
+        self.by_pool.entry(pool.clone()).or_default().insert(name.clone());
         for (task, held) in &executor.runs {
             charge(&mut self.usage, held);
+            self.reserved.add(&pool, held);
             let entries = self.runs_by_job.entry(task.job.clone()).or_default();
             entries.insert((name.clone(), task.clone()));
         }
@@ -169,6 +190,7 @@
         self.leave_pool(&known.registration.pool, executor);
         for (task, held) in &known.runs {
             discharge(&mut self.usage, held);
+            self.reserved.subtract(&known.registration.pool, held);
             self.forget_run(executor, task);
         }
     }
@@ -178,6 +200,7 @@
         self.drop_run(executor, task);
         let Some(known) = self.all.get_mut(executor) else { return };
         charge(&mut self.usage, &held);
+        self.reserved.add(&known.registration.pool, &held);
         known.add_run(task.clone(), held);
         let entries = self.runs_by_job.entry(task.job.clone()).or_default();
         entries.insert((executor.clone(), task.clone()));
@@ -195,8 +218,11 @@
 
     /// Removes the run of a task that an executor no longer has.
     pub fn drop_run(&mut self, executor: &ExecutorName, task: &TaskKey) -> Option<HeldRun> {
-        let held = self.get_mut(executor)?.remove_run(task)?;
+        let known = self.get_mut(executor)?;
+        let held = known.remove_run(task)?;
+        let pool = known.registration.pool.clone();
         discharge(&mut self.usage, &held);
+        self.reserved.subtract(&pool, &held);
         self.forget_run(executor, task);
         Some(held)
     }
--- a/crates/borageswitch_scheduler/src/reducer/explain.rs
+++ b/crates/borageswitch_scheduler/src/reducer/explain.rs
@@ -15,6 +15,7 @@
         Scheduler,
         executors::Executor,
         places::{fits_labels, reserved_size},
+        shares::report::ShareDump,
         waiting::charge_of,
     },
     task::StepKey,
@@ -63,7 +64,7 @@
     pub open_waves: Vec<u64>,
     /// The number of runs that executors have or may have.
     pub runs: usize,
-    /// The callers that use any capacity, with their quota and share.
+    /// The callers that use any capacity or have waiting tasks, with their quota and share.
     pub callers: BTreeMap<CallerName, CallerDump>,
 }
 
@@ -78,6 +79,12 @@
     pub weight: f64,
     /// The number of start orders for its tasks without a response.
     pub on_way: u32,
+    /// The capacity that its waiting tasks need.
+    pub waiting: Size,
+    /// The age of its oldest job with waiting tasks, in milliseconds.
+    pub waits_for_ms: u64,
+    /// What it is due of each pool in which shares are in force.
+    pub shares: BTreeMap<PoolName, ShareDump>,
 }
 
 impl Scheduler {
@@ -116,25 +123,10 @@
             withdrawals: withdrawals.collect(),
             open_waves: self.waves.open().collect(),
             runs: self.executors.values().map(|known| known.runs.len()).sum(),
-            callers: self.dump_callers(),
+            callers: self.dump_callers(now),
         }
     }
 
-    fn dump_callers(&self) -> BTreeMap<CallerName, CallerDump> {
-        let declared = self.config.as_ref().map(|config| &config.callers);
-        let dumps = self.executors.usage().iter().map(|(name, used)| {
-            let caller = declared.and_then(|declared| declared.get(name));
-            let dump = CallerDump {
-                used: used.size,
-                quota: caller.map(|caller| caller.quota).unwrap_or_default(),
-                weight: caller.map_or(0.0, |caller| caller.weight),
-                on_way: used.in_flight,
-            };
-            (name.clone(), dump)
-        });
-        dumps.collect()
-    }
-
     fn explain_job(&self, now: Now, name: &JobName) -> Vec<String> {
         if let Some(ended) = self.ledger.finished.get(name) {
             let age = now.wall.0.saturating_sub(ended.at.0);
@@ -219,6 +211,7 @@
             lines.push(format!("step {number}: {backing_off} tasks wait after starts that failed"));
         }
         if waiting > 0 {
+            lines.extend(self.explain_share(key));
             lines.push(self.explain_waiting(now, key, step));
         }
         lines
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -98,9 +98,13 @@
         });
     }
 
-    /// Charges a job to its caller's share, and marks it if it exceeds the share.
+    /// Charges a job to its caller's rate, and marks it if it exceeds the rate. Where shares of the
+    /// pool are in force, these decide instead.
     fn charge_job_share(&mut self, now: Now, submission: &Submission) {
         let Some(name) = &submission.caller else { return };
+        if self.pool_of(&submission.job).is_some_and(|pool| self.shares.are_in_force(pool)) {
+            return;
+        }
         let declared = self.config.as_ref().and_then(|config| config.callers.get(name));
         let Some(weight) = declared.map(|caller| caller.weight) else { return };
         if !self.job_buckets.contains_key(name) {
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -16,7 +16,7 @@
 //! - [`crashes`]: executors that ended, and which of them crashed.
 //! - [`suspects`]: tasks under which executors have crashed; [`containment`] limits how many executors
 //!   they may reach.
-//! - [`admission`]: limits for the admission of jobs; [`shares`]: callers beyond their share.
+//! - [`admission`]: limits for the admission of jobs; [`shares`]: enforces the shares of callers.
 //! - [`stragglers`]: stops runs that fall far behind.
 //! - [`lease_expiry`]: runs on executors that cannot be reached.
 //! - [`waiting`]: the waiting steps, most urgent first; [`free_capacity`]: the free capacity of
@@ -93,8 +93,8 @@
         advice::Advice, crashes::EndedExecutor, executor_table::ExecutorTable,
         failed_starts::FailedStarts, free_capacity::FreeCapacityByPool,
         gang_reservations::GangReservations, host_list::Fleet, jobs::JobState, lending::Lending,
-        outbox::Outbox, pending_starts::PendingStarts, stragglers::Stragglers, suspects::Suspects,
-        waiting::Waiting, waves::Waves,
+        outbox::Outbox, pending_starts::PendingStarts, shares::Shares, stragglers::Stragglers,
+        suspects::Suspects, waiting::Waiting, waves::Waves,
     },
     task::StepKey,
 };
@@ -148,6 +148,7 @@
     lasting_unplaced: BTreeMap<StepKey, Time>,
     /// The submission rate of each caller, compared with its share.
     job_buckets: BTreeMap<CallerName, JobBucket>,
+    shares: Shares,
     /// When the log last reported that a caller's tasks wait for its quota.
     quota_logged: BTreeMap<CallerName, Time>,
     /// Executors that changed since they were last considered for a poll.
@@ -236,6 +237,9 @@
         self.finish_jobs(now);
         self.update_free_capacity(now, sweep);
         self.update_waiting(now, sweep);
+        if sweep {
+            self.update_shares(now);
+        }
         self.place_waiting(now);
         if slow_sweep {
             // This follows the placement pass: until then a host that has just returned is idle,
--- a/crates/borageswitch_scheduler/src/reducer/waiting.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waiting.rs
@@ -16,8 +16,12 @@
     event::Now,
     job::{Size, Step},
     ledger::job::{Job, StepState},
-    policy::{last_chance, order::Urgency, quotas::Charge},
-    reducer::{Scheduler, places::reserved_size},
+    policy::{
+        last_chance,
+        order::{JobView, Urgency},
+        quotas::Charge,
+    },
+    reducer::{Scheduler, places::reserved_size, shares::ByShare},
     task::{StepKey, TaskKey},
 };
 
@@ -42,9 +46,14 @@
     pub(super) gang: bool,
     /// The step must run now to be of use, although it will be late.
     pub(super) due: bool,
+    /// The urgency by the caller's share, if it has one.
+    pub(super) by_share: Option<ByShare>,
+    /// The tasks are beyond the share of their caller, where shares are in force.
+    pub(super) beyond: bool,
 }
 
-/// The waiting steps of a pool, most urgent first.
+/// The waiting steps of a pool, most urgent first. A step of which only some tasks are within its
+/// caller's share is listed twice.
 pub(super) type WaitingOrder = BTreeMap<(Urgency, StepKey), WaitingStep>;
 
 #[derive(Debug)]
@@ -72,6 +81,16 @@
         }
     }
 
+    /// The pools in which steps have waited.
+    pub(super) fn pools(&self) -> impl Iterator<Item = &PoolName> {
+        self.orders.keys()
+    }
+
+    /// The steps of a pool, if any wait.
+    pub(super) fn order(&self, pool: &PoolName) -> Option<&WaitingOrder> {
+        self.orders.get(pool).filter(|order| !order.is_empty())
+    }
+
     /// Takes the steps of a pool; [`Self::put_back`] returns them.
     pub(super) fn take(&mut self, pool: &PoolName) -> WaitingOrder {
         self.orders.get_mut(pool).map(std::mem::take).unwrap_or_default()
@@ -124,6 +143,7 @@
             let known = self.ledger.jobs.get(&job).zip(self.pool_of(&job).cloned());
             if let Some((known, pool)) = known {
                 let steps = self.waiting_steps(now, &job, known);
+                let steps = self.shares.classify(&pool, steps);
                 self.waiting.insert_job(&job, pool, steps);
             }
         }
@@ -140,16 +160,33 @@
             let view = self.view_of(job, times, occurrence);
             let urgency = Urgency::of(&view, now.time);
             let due = last_chance::is_due(&view, now.time);
+            let by_share = self.by_share(now, job, &view);
             steps.extend(waiting.into_iter().map(|(key, waiting)| {
                 let step = job.step(key.step);
                 let size = step.map(reserved_size).unwrap_or_default();
                 let gang = step.is_some_and(|step| step.gang);
                 let charge = step.and_then(|step| charge_of(job, step));
-                WaitingStep { urgency, key, waiting, size, charge, gang, due }
+                let beyond = false;
+                WaitingStep { urgency, key, waiting, size, charge, gang, due, by_share, beyond }
             }));
         }
         steps
     }
+
+    /// The urgency of a job's steps by its caller's share; `None` if the caller is not declared.
+    fn by_share(&self, now: Now, job: &Job, view: &JobView) -> Option<ByShare> {
+        let caller = job.submission.caller.as_ref()?;
+        let weight = self.config.as_ref()?.callers.get(caller)?.weight;
+        let within = JobView { beyond_share: false, ..*view };
+        let beyond = Urgency::of(&JobView { beyond_share: true, ..*view }, now.time);
+        let is_weighted = weight > 0.0;
+        Some(ByShare {
+            weight,
+            within: Urgency::of(&within, now.time),
+            beyond: if is_weighted { beyond.as_late_beyond() } else { beyond.as_unweighted() },
+            due: is_weighted && last_chance::is_due(&within, now.time),
+        })
+    }
 }
 
 /// What each task of a step uses of its caller's quota.
