Compute admission limits, and choose the jobs that are to be on time

Cause: no job is refused because of load. During a peak each accepted job starts at the last moment at which it can be on time, and ends just late.

Change: policy::admission decides on a job by the limit of its queue; policy::backlog computes the waits, policy::virtual_queue the times at which refused jobs return. reducer::admission publishes the limits and answers queries of daemons. policy::on_time_set chooses the jobs that are to be on time while not all of them fit; the others are treated as late until there is room.

--- a/crates/borageswitch_scheduler/src/policy/mod.rs
+++ b/crates/borageswitch_scheduler/src/policy/mod.rs
@@ -4,7 +4,10 @@
 //! the load that it is made for and what would go wrong without it, and its tests replay that load.
 //!
 //! - [`admission`]: which jobs are refused because they could not end while they are of use.
+//! - [`backlog`]: how long a submitted job waits, by the work ahead of it.
+//! - [`virtual_queue`]: when refused jobs may return.
 //! - [`order`]: which job's tasks go first when capacity is short.
+//! - [`on_time_set`]: which jobs are to be on time when not all can be.
 //! - [`last_chance`]: which late jobs go first all the same.
 //! - [`placement`]: which host a task goes to.
 //! - [`runtime_estimates`]: how long tasks take, as declared run times are far off.
@@ -26,6 +29,7 @@
 
 pub mod admission;
 pub mod arrivals;
+pub mod backlog;
 pub mod call_budget;
 pub mod caller_shares;
 pub mod circuit_breaker;
@@ -36,6 +40,7 @@
 pub mod last_chance;
 pub mod lasting;
 pub mod lending;
+pub mod on_time_set;
 pub mod order;
 pub mod peaks;
 pub mod placement;
@@ -45,6 +50,7 @@
 pub mod start_backoff;
 pub mod start_window;
 pub mod stragglers;
+pub mod virtual_queue;
 
 #[cfg(test)]
 mod tests;
--- a/crates/borageswitch_scheduler/src/policy/order.rs
+++ b/crates/borageswitch_scheduler/src/policy/order.rs
@@ -10,6 +10,9 @@
 
 use borageswitch_types::Time;
 
+/// The completion of a job is of use until this multiple of its time objective has passed.
+pub const USEFUL_FACTOR: u32 = 3;
+
 /// The properties of a job that determine its urgency.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct JobView {
@@ -82,6 +85,16 @@
         Urgency { class: Class::LastChance, ..self }
     }
 
+    /// Moves the job among the late ones; see [`on_time_set`](super::on_time_set).
+    pub fn as_surplus(self, job: &JobView) -> Urgency {
+        Urgency { class: Class::Late, order_time: job.useful_until, ..self }
+    }
+
+    /// Returns the priority of the queue.
+    pub fn priority(&self) -> u32 {
+        self.priority
+    }
+
     /// Returns whether the job is lasting.
     pub fn is_lasting(&self) -> bool {
         self.class == Class::Lasting
--- a/crates/borageswitch_scheduler/src/policy/runtime_estimates.rs
+++ b/crates/borageswitch_scheduler/src/policy/runtime_estimates.rs
@@ -38,7 +38,11 @@
 
     /// Estimates how long a task of a queue with a declared run time will take.
     pub fn estimate(&self, queue: &QueueName, declared: Duration) -> Duration {
-        let ratio = self.ratios.get(queue).copied().unwrap_or(1.0);
-        declared.mul_f64(ratio)
+        declared.mul_f64(self.ratio(queue))
+    }
+
+    /// Returns the ratio of actual to declared run times in a queue.
+    pub fn ratio(&self, queue: &QueueName) -> f64 {
+        self.ratios.get(queue).copied().unwrap_or(1.0)
     }
 }
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -17,13 +17,14 @@
         job::{Job, Occurrence},
         record::{LingeringRun, Outcome, Record},
     },
-    policy::{caller_shares::JobBucket, order::JobView},
+    policy::{
+        caller_shares::JobBucket,
+        order::{JobView, USEFUL_FACTOR},
+    },
     reducer::{Scheduler, executors::HeldRun},
     task::TaskKey,
 };
 
-/// The completion of a job is useful until this multiple of its time objective has passed.
-const USEFUL_FACTOR: u32 = 3;
 /// How long outcomes are kept beyond their retention, so that they are dropped in batches.
 const FORGET_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -82,6 +83,8 @@
         self.waiting.mark_stale(&job);
         if let Some(pool) = self.pool_of(&job).cloned() {
             self.note_arrival(now, &pool, &submission);
+            let beyond = self.job_states.get(&job).is_some_and(|state| state.beyond_share);
+            self.note_admitted(&pool, &submission, beyond);
             self.dirty_pools.insert(pool);
         }
         self.log("job-known", &job, || {
--- a/crates/borageswitch_scheduler/src/reducer/lending.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lending.rs
@@ -215,7 +215,7 @@
                     missing_for_gang: self.extra_hosts_for_gang(&pool.name, &members, &host),
                     hosts_by_label: count_labels(&members),
                     data_racks: needs.data_racks,
-                    arriving_cores: rate.map_or(0.0, |rate| rate.expected_cores(now.time)),
+                    arriving_cores: self.arriving_cores(now, &pool.name),
                     host_size: host,
                     has_short_work: rate.is_some(),
                     min_powered_on: 0,
@@ -247,6 +247,12 @@
         needs
     }
 
+    /// The number of cores that arriving work keeps busy in a pool.
+    pub(super) fn arriving_cores(&self, now: Now, pool: &PoolName) -> f64 {
+        let rate = self.lending.arrivals.get(pool);
+        rate.map_or(0.0, |rate| rate.expected_cores(now.time))
+    }
+
     /// The hosts that serve a pool or are being moved to it.
     fn members_of<'a>(&'a self, pool: &PoolName, in_pool: &[&'a HostEntry]) -> Vec<&'a HostEntry> {
         let serving = in_pool.iter().copied().filter(|entry| {
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -20,7 +20,7 @@
 //! - [`stragglers`]: stops runs that fall far behind.
 //! - [`lease_expiry`]: runs on executors that cannot be reached.
 //! - [`waiting`]: the waiting steps, most urgent first; [`free_capacity`]: the free capacity of
-//!   executors.
+//!   executors; [`on_time_set`]: the steps that have to wait when not all can be on time.
 //! - [`pass`]: places waiting tasks on executors, among the [`places`] that suit them; [`gangs`]
 //!   places the members of a gang together; [`advice`] requests permission to run a step;
 //!   [`gang_reservations`] reserves capacity for gangs; [`preemption`] frees capacity for lasting
@@ -53,6 +53,7 @@
 pub mod lasting;
 pub mod lease_expiry;
 pub mod lending;
+pub mod on_time_set;
 pub mod outbox;
 pub mod pass;
 pub mod pending_starts;
@@ -90,11 +91,11 @@
     ledger::{Ledger, record::Record},
     policy::{caller_shares::JobBucket, runtime_estimates::RuntimeEstimates},
     reducer::{
-        advice::Advice, crashes::EndedExecutor, executor_table::ExecutorTable,
-        failed_starts::FailedStarts, free_capacity::FreeCapacityByPool,
-        gang_reservations::GangReservations, host_list::Fleet, jobs::JobState, lending::Lending,
-        outbox::Outbox, pending_starts::PendingStarts, stragglers::Stragglers, suspects::Suspects,
-        waiting::Waiting, waves::Waves,
+        admission::Admission, advice::Advice, crashes::EndedExecutor,
+        executor_table::ExecutorTable, failed_starts::FailedStarts,
+        free_capacity::FreeCapacityByPool, gang_reservations::GangReservations, host_list::Fleet,
+        jobs::JobState, lending::Lending, outbox::Outbox, pending_starts::PendingStarts,
+        stragglers::Stragglers, suspects::Suspects, waiting::Waiting, waves::Waves,
     },
     task::StepKey,
 };
@@ -165,6 +166,7 @@
     unavailable: BTreeMap<StepKey, BTreeSet<u32>>,
     waves: Waves,
     lending: Lending,
+    admission: Admission,
     /// Pools in which a waiting task may find a host since the last pass.
     dirty_pools: BTreeSet<PoolName>,
     /// Jobs to be checked for their end.
--- /dev/null
+++ b/crates/borageswitch_scheduler/src/reducer/on_time_set.rs
@@ -0,0 +1,84 @@
+//! Marks the waiting jobs that cannot all be on time, by [`crate::policy::on_time_set`].
+
+use std::collections::BTreeSet;
+
+use borageswitch_types::names::{JobName, PoolName};
+
+use crate::{
+    event::Now,
+    policy::on_time_set::{self, Candidate},
+    reducer::{Scheduler, waiting::WaitingStep},
+};
+
+/// An occurrence of a job.
+pub(super) type OccurrenceKey = (JobName, u32);
+
+/// The occurrences that were chosen to be on time, and the others; both are empty while all fit.
+#[derive(Debug, Default)]
+pub(super) struct OnTimeSet {
+    chosen: BTreeSet<OccurrenceKey>,
+    surplus: BTreeSet<OccurrenceKey>,
+    /// The pools in which not all fit.
+    contended: BTreeSet<PoolName>,
+}
+
+impl OnTimeSet {
+    /// Whether not all jobs of a pool that could be on time fit.
+    pub(super) fn is_contended(&self, pool: &PoolName) -> bool {
+        self.contended.contains(pool)
+    }
+
+    /// Whether an occurrence is treated as late until there is room.
+    pub(super) fn is_surplus(&self, job: &JobName, occurrence: u32) -> bool {
+        !self.surplus.is_empty() && self.surplus.contains(&(job.clone(), occurrence))
+    }
+}
+
+impl Scheduler {
+    /// Chooses the jobs of each pool that are to be on time.
+    pub(super) fn update_on_time_sets(&mut self, now: Now) {
+        let mut fresh = OnTimeSet::default();
+        let pools: Vec<PoolName> = self.waiting.pools().cloned().collect();
+        for pool in pools {
+            let candidates = self.candidates(&pool);
+            if candidates.is_empty() {
+                continue;
+            }
+            let drain = self.drain_of(&pool, 0.0, 1.0);
+            let views: Vec<Candidate> = candidates.iter().map(|(_, view)| *view).collect();
+            let Some(kept) = on_time_set::choose(now.time, &drain, &views) else { continue };
+            fresh.contended.insert(pool);
+            for ((key, _), kept) in candidates.into_iter().zip(kept) {
+                let set = if kept { &mut fresh.chosen } else { &mut fresh.surplus };
+                set.insert(key);
+            }
+        }
+        let before = std::mem::replace(&mut self.waiting.on_time_set, fresh);
+        let changed = before.surplus.symmetric_difference(&self.waiting.on_time_set.surplus);
+        let changed: Vec<JobName> = changed.map(|(job, _)| job.clone()).collect();
+        changed.iter().for_each(|job| self.waiting.mark_stale(job));
+    }
+
+    /// The waiting occurrences of a pool that can be on time, in the order in which they are
+    /// served.
+    fn candidates(&self, pool: &PoolName) -> Vec<(OccurrenceKey, Candidate)> {
+        let mut steps: Vec<&WaitingStep> =
+            self.waiting.of_pool(pool).filter(|step| step.can_be_on_time).collect();
+        // Occurrences that were not chosen are among the late ones.
+        steps.sort_by_key(|step| (step.urgency.priority(), step.deadline, &step.key));
+        let mut candidates: Vec<(OccurrenceKey, Candidate)> = Vec::new();
+        for step in steps {
+            let work = step.core_seconds;
+            let same = |key: &OccurrenceKey| key.0 == step.key.job && key.1 == step.key.occurrence;
+            if let Some((_, last)) = candidates.last_mut().filter(|(key, _)| same(key)) {
+                last.work += work;
+                continue;
+            }
+            let key = (step.key.job.clone(), step.key.occurrence);
+            let WaitingStep { objective, deadline, remaining, .. } = *step;
+            let chosen = self.waiting.on_time_set.chosen.contains(&key);
+            candidates.push((key, Candidate { objective, deadline, remaining, work, chosen }));
+        }
+        candidates
+    }
+}
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -11,7 +11,11 @@
     event::Now,
     job::Size,
     ledger::record::Record,
-    policy::{crash_attribution::SuspicionLevel, last_chance::Allowance, order::Urgency},
+    policy::{
+        crash_attribution::SuspicionLevel,
+        last_chance::{self, Allowance},
+        order::Urgency,
+    },
     reducer::{
         Scheduler,
         executors::Phase,
@@ -90,7 +94,7 @@
         available: &mut FreeCapacity,
     ) {
         self.update_reservation(now, pool, order);
-        let ahead = self.last_chance_steps(pool, order);
+        let ahead = self.last_chance_steps(now, pool, order);
         let (first, rest) = split_lasting(order);
         let rest = rest.filter(|step| !ahead.iter().any(|other| other.key == step.key));
         let mut unplaceable = UnplaceableSizes::default();
@@ -144,9 +148,18 @@
     }
 
     /// The late steps that must run now to be of use, as far as the allowance for them permits.
-    fn last_chance_steps(&self, pool: &PoolName, order: &WaitingOrder) -> Vec<WaitingStep> {
+    fn last_chance_steps(
+        &self,
+        now: Now,
+        pool: &PoolName,
+        order: &WaitingOrder,
+    ) -> Vec<WaitingStep> {
+        let contended = self.waiting.on_time_set.is_contended(pool);
+        let is_too_late = |step: &WaitingStep| {
+            contended && !last_chance::is_certain(now.time, step.remaining, step.useful_until)
+        };
         let due = order.values().filter(|step| step.due && !self.is_at_quota(step));
-        let due: Vec<&WaitingStep> = due.collect();
+        let due: Vec<&WaitingStep> = due.filter(|step| !is_too_late(step)).collect();
         if due.is_empty() {
             return Vec::new();
         }
@@ -156,7 +169,8 @@
             let runs = known.runs.values().filter(|held| held.late);
             late += runs.map(|held| held.size.cpu_milli).sum::<u64>();
         }
-        let mut allowance = Allowance::new(total, late);
+        let mut allowance =
+            if contended { Allowance::contended(total, late) } else { Allowance::new(total, late) };
         let granted = due
             .into_iter()
             .filter(|step| allowance.try_take(step.size.cpu_milli * step.waiting.len() as u64));
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -21,6 +21,7 @@
     policy::runtime_estimates::RuntimeEstimates,
     reducer::{
         Limits, Scheduler,
+        admission::Admission,
         advice::Advice,
         executors::{Executor, HeldRun, Phase},
         failed_starts::FailedStarts,
@@ -72,6 +73,7 @@
             unavailable: Default::default(),
             waves: Waves::default(),
             lending: Lending::default(),
+            admission: Admission::default(),
             dirty_pools: Default::default(),
             maybe_ended: Default::default(),
             ending_jobs: Default::default(),
--- a/crates/borageswitch_scheduler/src/reducer/waiting.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waiting.rs
@@ -8,16 +8,24 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     ops::Bound,
+    time::Duration,
 };
 
-use borageswitch_types::names::{JobName, PoolName};
+use borageswitch_types::{
+    Time,
+    names::{JobName, PoolName},
+};
 
 use crate::{
     event::Now,
     job::{Size, Step},
     ledger::job::{Job, StepState},
-    policy::{last_chance, order::Urgency, quotas::Charge},
-    reducer::{Scheduler, places::reserved_size},
+    policy::{
+        last_chance,
+        order::{Class, Urgency},
+        quotas::Charge,
+    },
+    reducer::{Scheduler, on_time_set::OnTimeSet, places::reserved_size},
     task::{StepKey, TaskKey},
 };
 
@@ -42,6 +50,18 @@
     pub(super) gang: bool,
     /// The step must run now to be of use, although it will be late.
     pub(super) due: bool,
+    /// Whether its occurrence can be on time if it runs now.
+    pub(super) can_be_on_time: bool,
+    /// The time from the acceptance of its occurrence to the deadline.
+    pub(super) objective: Duration,
+    /// The deadline of its occurrence.
+    pub(super) deadline: Time,
+    /// The time until which its occurrence is of use.
+    pub(super) useful_until: Time,
+    /// The longest chain of work that is left of its occurrence.
+    pub(super) remaining: Duration,
+    /// The work of the waiting tasks.
+    pub(super) core_seconds: f64,
 }
 
 /// The waiting steps of a pool, most urgent first.
@@ -62,6 +82,7 @@
     stale: BTreeSet<JobName>,
     /// The last job refreshed in rotation.
     last_refreshed: Option<JobName>,
+    pub(super) on_time_set: OnTimeSet,
 }
 
 impl Waiting {
@@ -83,6 +104,16 @@
         }
     }
 
+    /// The pools in which steps wait.
+    pub(super) fn pools(&self) -> impl Iterator<Item = &PoolName> {
+        self.orders.iter().filter(|(_, order)| !order.is_empty()).map(|(pool, _)| pool)
+    }
+
+    /// The waiting steps of a pool.
+    pub(super) fn of_pool(&self, pool: &PoolName) -> impl Iterator<Item = &WaitingStep> {
+        self.orders.get(pool).into_iter().flat_map(BTreeMap::values)
+    }
+
     /// The next jobs to refresh in rotation.
     fn next_to_refresh(&mut self) -> Vec<JobName> {
         let count = (self.listed.len() / SWEEPS_PER_REFRESH).max(MIN_REFRESHED_PER_SWEEP);
@@ -116,6 +147,7 @@
     /// Updates the order of waiting steps.
     pub(super) fn update_waiting(&mut self, now: Now, sweep: bool) {
         if sweep {
+            self.update_on_time_sets(now);
             let to_refresh = self.waiting.next_to_refresh();
             self.waiting.stale.extend(to_refresh);
         }
@@ -138,14 +170,35 @@
                 continue;
             }
             let view = self.view_of(job, times, occurrence);
-            let urgency = Urgency::of(&view, now.time);
+            let mut urgency = Urgency::of(&view, now.time);
+            let can_be_on_time = urgency.class() == Class::OnTime;
+            if can_be_on_time && self.waiting.on_time_set.is_surplus(name, occurrence) {
+                urgency = urgency.as_surplus(&view);
+            }
             let due = last_chance::is_due(&view, now.time);
             steps.extend(waiting.into_iter().map(|(key, waiting)| {
                 let step = job.step(key.step);
                 let size = step.map(reserved_size).unwrap_or_default();
                 let gang = step.is_some_and(|step| step.gang);
                 let charge = step.and_then(|step| charge_of(job, step));
-                WaitingStep { urgency, key, waiting, size, charge, gang, due }
+                let queue = &job.submission.queue.name;
+                let each = step.map(|step| self.runtime_estimates.estimate(queue, step.estimate));
+                let cores = size.times(waiting.len() as u64).cpu_milli as f64 / 1_000.0;
+                WaitingStep {
+                    urgency,
+                    key,
+                    waiting,
+                    size,
+                    charge,
+                    gang,
+                    due,
+                    can_be_on_time,
+                    objective: view.deadline - view.accepted,
+                    deadline: view.deadline,
+                    useful_until: view.useful_until,
+                    remaining: view.remaining,
+                    core_seconds: cores * each.unwrap_or_default().as_secs_f64(),
+                }
             }));
         }
         steps
--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -30,6 +30,7 @@
         snapshot::Snapshot,
     },
     reducer::{Limits, Scheduler},
+    task::TaskKey,
 };
 use borageswitch_types::{
     Time,
@@ -117,6 +118,8 @@
     pub violations: Vec<String>,
     hosts: Option<Hosts>,
     pub poison_tasks: PoisonTasks,
+    /// The actual run times of the tasks of some jobs, in percent of the declared ones.
+    pub run_time_percent: BTreeMap<JobName, u64>,
     reuse_names: bool,
 }
 
@@ -149,6 +152,7 @@
             violations: Vec::new(),
             hosts: None,
             poison_tasks: PoisonTasks::default(),
+            run_time_percent: BTreeMap::new(),
             reuse_names: faults.reuse_names,
         };
         for _ in 0..hosts {
@@ -205,6 +209,18 @@
         incarnations.filter(|id| !self.dead.contains(*id)).max().unwrap_or(executor).clone()
     }
 
+    /// The leader, with its fencing token.
+    pub fn leader(&mut self) -> Option<(Now, u64, &mut Scheduler)> {
+        let (moment, token) = (self.moment(), self.token);
+        self.leader.as_mut().map(|leader| (moment, token, leader))
+    }
+
+    /// How long a task runs, in milliseconds.
+    fn run_time_of(&self, task: &TaskKey, declared: Duration) -> u64 {
+        let percent = self.run_time_percent.get(&task.job).copied().unwrap_or(100);
+        declared.as_millis() as u64 * percent / 100
+    }
+
     fn moment(&self) -> Now {
         Now { time: Time::from_millis(self.now), wall: UnixMillis(WALL_CLOCK_START + self.now) }
     }
@@ -281,6 +297,18 @@
     fn submit_at(&mut self, steps: Vec<Step>, schedule: Option<Schedule>) -> JobName {
         let name = JobName::from(format!("{:016x}", self.rng.u64(..)));
         let caller = self.random_caller();
+        self.submit_as(&name, caller, steps, schedule);
+        name
+    }
+
+    /// Submits a job of the given name and caller.
+    pub fn submit_as(
+        &mut self,
+        name: &JobName,
+        caller: Option<CallerName>,
+        steps: Vec<Step>,
+        schedule: Option<Schedule>,
+    ) {
         let submission = Arc::new(Submission {
             job: name.clone(),
             queue: queue(),
@@ -294,7 +322,6 @@
         if let Some(leader) = &mut self.leader {
             leader.handle(moment, Event::Submitted(submission));
         }
-        name
     }
 
     fn cancel_one(&mut self) {
--- a/crates/borageswitch_scheduler/tests/support/simulation/orders.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation/orders.rs
@@ -124,7 +124,7 @@
         Behaviour {
             size: step.size,
             lasting: step.lasting,
-            length: step.estimate.as_millis() as u64,
+            length: self.run_time_of(task, step.estimate),
             fails: fails && !step.lasting,
         }
     }
