Keep limits in force while jobs are refused, and judge late jobs by all demand

At the beginning of a peak the expected arrivals, which run ahead of a rising load, left nothing over for late jobs although hosts were on their way.

Change: pools in which jobs are refused keep their limits. What is left over for late jobs goes by the demand of the last second, refused jobs included. Work for which a caller's quota leaves no room does not make other jobs surplus.

--- a/crates/borageswitch_scheduler/src/policy/arrivals.rs
+++ b/crates/borageswitch_scheduler/src/policy/arrivals.rs
@@ -66,6 +66,12 @@
         short + TREND_SHARE * (short - long).max(0.0)
     }
 
+    /// Returns how many cores the arrivals of the last second or so have kept busy. Unlike
+    /// [`Self::expected_cores`] it does not run ahead of a rising load.
+    pub fn sustained_cores(&self, now: Time) -> f64 {
+        self.averages(now).1
+    }
+
     /// Returns the short averages and the long one, decayed to `now`.
     fn averages(&self, now: Time) -> ([f64; WINDOW_COUNT], f64) {
         let age = now.since(self.at).as_secs_f64();
--- a/crates/borageswitch_scheduler/src/policy/backlog.rs
+++ b/crates/borageswitch_scheduler/src/policy/backlog.rs
@@ -80,8 +80,12 @@
     pub beyond: f64,
     /// Waiting work that is late and of use.
     pub late: f64,
-    /// The number of cores that arriving work keeps busy.
+    /// The number of cores that arriving work is expected to keep busy.
     pub arriving: f64,
+    /// The number of cores that the arrivals of the last second would keep busy, refused ones
+    /// included. At the beginning of a peak they are fewer than are expected, and hosts are on their
+    /// way for these.
+    pub sustained: f64,
 }
 
 impl Backlog {
@@ -116,7 +120,7 @@
             return placed;
         }
         let capacity = self.drain.later;
-        let left_over = (capacity - self.arriving).max(capacity / LATE_DIVISOR);
+        let left_over = (capacity - self.sustained).max(capacity / LATE_DIVISOR);
         placed.max(bounded((excess + self.late) / left_over))
     }
 }
--- a/crates/borageswitch_scheduler/src/policy/backlog/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/backlog/tests.rs
@@ -16,7 +16,7 @@
 /// The backlog of a pool that completes 90 core-seconds per second.
 fn backlog(on_time: f64, late: f64, arriving: f64) -> Backlog {
     let drain = drain(90.0, 0.0);
-    Backlog { drain, on_time, late, arriving, ..Backlog::default() }
+    Backlog { drain, on_time, late, arriving, sustained: arriving, ..Backlog::default() }
 }
 
 #[test]
@@ -30,6 +30,21 @@
     assert!((more.work_in(millis(2_500)) - 1_035.0).abs() < 1e-6);
 }
 
+#[test]
+fn jobs_are_not_refused_while_the_hosts_for_them_are_on_their_way() {
+    // A peak begins at a pool with few hosts, and the fleet has enough of them. The jobs of the
+    // first second and a half are late, but all of them are of use.
+    let backlog = Backlog {
+        drain: drain(10.0, 90.0),
+        on_time: 80.0 * 1.2,
+        arriving: 150.0,
+        sustained: 50.0,
+        ..Backlog::default()
+    };
+
+    assert!(backlog.wait(0.0, SLACK) < millis(2_500), "{:?}", backlog.wait(0.0, SLACK));
+}
+
 #[test]
 fn late_work_delays_only_jobs_that_cannot_be_on_time() {
     // Jobs that can be on time go first, however many late ones wait.
--- a/crates/borageswitch_scheduler/src/reducer/admission/backlogs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/admission/backlogs.rs
@@ -1,6 +1,10 @@
 //! Computes the work of the pools in which work waits, and what they complete.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use borageswitch_types::names::PoolName;
 
@@ -109,12 +113,21 @@
     /// The backlogs of the pools in which work waits for capacity.
     pub(super) fn backlogs(&self, now: Now) -> BTreeMap<PoolName, PoolBacklog> {
         let mut sums: BTreeMap<&PoolName, Sums> = BTreeMap::new();
-        for pool in self.waiting.pools().filter(|pool| self.is_full(pool)) {
+        // Where jobs are refused the pool may run out of work for a moment. If the limits ended with
+        // it, all daemons would admit everything until the next limits.
+        let refusing = self.admission.refused.iter();
+        let refusing = refusing.filter(|(_, rate)| rate.expected_cores(now.time) >= 1.0);
+        let full = self.waiting.pools().filter(|pool| self.is_full(pool));
+        let pools: BTreeSet<&PoolName> = full.chain(refusing.map(|(pool, _)| pool)).collect();
+        for pool in pools {
             let mut callers = self.callers_beyond(pool);
             callers.truncate(MAX_CALLERS_BEYOND);
             let mut own = Sums::default();
             own.backlog.beyond = callers.into_iter().collect();
             own.backlog.work.arriving = self.arriving_cores(now, pool);
+            let refused = self.admission.refused.get(pool);
+            own.backlog.work.sustained = self.sustained_cores(now, pool)
+                + refused.map_or(0.0, |rate| rate.sustained_cores(now.time));
             self.add_running(now, pool, &mut own);
             sums.insert(pool, own);
         }
--- a/crates/borageswitch_scheduler/src/reducer/lending.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lending.rs
@@ -253,6 +253,12 @@
         rate.map_or(0.0, |rate| rate.expected_cores(now.time))
     }
 
+    /// The number of cores that the arrivals of the last second have kept busy in a pool.
+    pub(super) fn sustained_cores(&self, now: Now, pool: &PoolName) -> f64 {
+        let rate = self.lending.arrivals.get(pool);
+        rate.map_or(0.0, |rate| rate.sustained_cores(now.time))
+    }
+
     /// The hosts that serve a pool or are being moved to it.
     fn members_of<'a>(&'a self, pool: &PoolName, in_pool: &[&'a HostEntry]) -> Vec<&'a HostEntry> {
         let serving = in_pool.iter().copied().filter(|entry| {
--- a/crates/borageswitch_scheduler/src/reducer/on_time_set.rs
+++ b/crates/borageswitch_scheduler/src/reducer/on_time_set.rs
@@ -7,7 +7,7 @@
 use crate::{
     event::Now,
     policy::on_time_set::{self, Candidate},
-    reducer::{Scheduler, waiting::WaitingStep},
+    reducer::{Scheduler, quotas::QuotaAllocation, waiting::WaitingStep},
 };
 
 /// An occurrence of a job.
@@ -66,9 +66,13 @@
             self.waiting.of_pool(pool).filter(|step| step.can_be_on_time).collect();
         // Occurrences that were not chosen are among the late ones.
         steps.sort_by_key(|step| (step.urgency.priority(), step.deadline, &step.key));
+        let mut allocation = self.quota_allocation();
         let mut candidates: Vec<(OccurrenceKey, Candidate)> = Vec::new();
         for step in steps {
-            let work = step.core_seconds;
+            let work = step.core_seconds * self.startable_part(pool, step, &mut allocation);
+            if work <= 0.0 {
+                continue;
+            }
             let same = |key: &OccurrenceKey| key.0 == step.key.job && key.1 == step.key.occurrence;
             if let Some((_, last)) = candidates.last_mut().filter(|(key, _)| same(key)) {
                 last.work += work;
@@ -81,4 +85,21 @@
         }
         candidates
     }
+
+    /// The part of a step's waiting tasks for which its caller's quota leaves room. The others are
+    /// not ahead of anybody.
+    fn startable_part<'a>(
+        &'a self,
+        pool: &'a PoolName,
+        step: &WaitingStep,
+        allocation: &mut QuotaAllocation<'a>,
+    ) -> f64 {
+        if step.charge.is_none() {
+            return 1.0;
+        }
+        let Some(job) = self.ledger.jobs.get(&step.key.job) else { return 0.0 };
+        let Some(spec) = job.step(step.key.step) else { return 0.0 };
+        let tasks = step.waiting.len() as u64;
+        allocation.take(job, spec, pool, tasks) as f64 / tasks.max(1) as f64
+    }
 }
--- a/crates/borageswitch_scheduler/tests/overload.rs
+++ b/crates/borageswitch_scheduler/tests/overload.rs
@@ -65,28 +65,28 @@
     let jobs_per_ms = load.factor * POOL_CORES / core_s / 1_000.0;
     let mut daemons: Vec<Option<Held>> = (0..DAEMONS).map(|_| None).collect();
     let mut accepted: BTreeMap<JobName, (u64, u64)> = BTreeMap::new();
-    let mut returning: Vec<(u64, JobName, u64)> = Vec::new();
+    let mut returning: Vec<(u64, JobName)> = Vec::new();
     let mut outcome = Outcome::default();
     let mut due = 0.0;
     let mut number = 0u64;
     while site.now < begin + OVERLOAD_MS + TAIL_MS {
-        let mut arrivals: Vec<(JobName, u64)> = Vec::new();
+        let mut arrivals: Vec<JobName> = Vec::new();
         if site.now < begin + OVERLOAD_MS {
             due += jobs_per_ms * STEP_MS as f64;
         }
         while due >= 1.0 {
             due -= 1.0;
             number += 1;
-            arrivals.push((JobName::from(format!("{number:015x}1")), site.now));
+            arrivals.push(JobName::from(format!("{number:015x}1")));
         }
         let now = site.now;
-        returning.retain(|(at, job, first)| {
+        returning.retain(|(at, job)| {
             if *at <= now {
-                arrivals.push((job.clone(), *first));
+                arrivals.push(job.clone());
             }
             *at > now
         });
-        for (job, first) in arrivals {
+        for job in arrivals {
             let steps = vec![Step {
                 count: TASKS,
                 size: cores(1),
@@ -109,7 +109,7 @@
             {
                 match retry_after {
                     Some(after) if load.returns => {
-                        returning.push((now + after.as_millis() as u64, job, first));
+                        returning.push((now + after.as_millis() as u64, job));
                     }
                     _ => outcome.refused += 1,
                 }
@@ -191,7 +191,7 @@
     // All refused jobs return when they are told to. Admitted together they would be late together.
     let outcome = play(1, Load { factor: 5.0, returns: true, ..LOAD });
 
-    assert!(outcome.no_use * 100 <= outcome.accepted, "{outcome:?}");
+    assert_eq!(outcome.no_use, 0, "{outcome:?}");
     assert!(outcome.done_on_time >= 0.9 * outcome.done, "{outcome:?}");
 }
 
