Merge admission limits and the choice of jobs that are to be on time

Cause: no job was refused for load, and jobs that were accepted ended beyond use. In the merge: jobs beyond their caller's share are no candidates for the on-time set, and a share does not undo its choice.

--- a/crates/borageswitch_scheduler/src/reducer/waiting.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waiting.rs
@@ -8,9 +8,13 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     ops::Bound,
+    time::Duration,
 };
 
-use borageswitch_types::names::{JobName, PoolName};
+use borageswitch_types::{
+    Time,
+    names::{JobName, PoolName},
+};
 
 use crate::{
     event::Now,
@@ -18,11 +22,12 @@
     ledger::job::{Job, StepState},
     policy::{
         last_chance,
-        order::{JobView, Urgency},
+        order::{Class, JobView, Urgency},
         quotas::Charge,
     },
     reducer::{
         Scheduler,
+        on_time_set::OnTimeSet,
         places::reserved_size,
         shares::{ByShare, Shares},
     },
@@ -54,6 +59,18 @@
     pub(super) by_share: Option<ByShare>,
     /// The tasks are beyond the share of their caller, where shares are in force.
     pub(super) beyond: bool,
+    /// Whether its occurrence can be on time if it runs now.
+    pub(super) can_be_on_time: bool,
+    /// The time from the acceptance of its occurrence to the deadline.
+    pub(super) objective: Duration,
+    /// The deadline of its occurrence.
+    pub(super) deadline: Time,
+    /// The time until which its occurrence is of use.
+    pub(super) useful_until: Time,
+    /// The longest chain of work that is left of its occurrence.
+    pub(super) remaining: Duration,
+    /// The work of each waiting task.
+    pub(super) task_core_seconds: f64,
 }
 
 /// The waiting steps of a pool, most urgent first. A step of which only some tasks are within its
@@ -75,6 +92,7 @@
     stale: BTreeSet<JobName>,
     /// The last job refreshed in rotation.
     last_refreshed: Option<JobName>,
+    pub(super) on_time_set: OnTimeSet,
 }
 
 impl Waiting {
@@ -85,11 +103,6 @@
         }
     }
 
-    /// The pools in which steps have waited.
-    pub(super) fn pools(&self) -> impl Iterator<Item = &PoolName> {
-        self.orders.keys()
-    }
-
     /// The steps of a pool, if any wait.
     pub(super) fn order(&self, pool: &PoolName) -> Option<&WaitingOrder> {
         self.orders.get(pool).filter(|order| !order.is_empty())
@@ -106,6 +119,16 @@
         }
     }
 
+    /// The pools in which steps wait.
+    pub(super) fn pools(&self) -> impl Iterator<Item = &PoolName> {
+        self.orders.iter().filter(|(_, order)| !order.is_empty()).map(|(pool, _)| pool)
+    }
+
+    /// The waiting steps of a pool.
+    pub(super) fn of_pool(&self, pool: &PoolName) -> impl Iterator<Item = &WaitingStep> {
+        self.orders.get(pool).into_iter().flat_map(BTreeMap::values)
+    }
+
     /// The next jobs to refresh in rotation.
     fn next_to_refresh(&mut self) -> Vec<JobName> {
         let count = (self.listed.len() / SWEEPS_PER_REFRESH).max(MIN_REFRESHED_PER_SWEEP);
@@ -155,6 +178,7 @@
     /// Updates the order of waiting steps.
     pub(super) fn update_waiting(&mut self, now: Now, sweep: bool) {
         if sweep {
+            self.update_on_time_sets(now);
             let to_refresh = self.waiting.next_to_refresh();
             self.waiting.stale.extend(to_refresh);
         }
@@ -178,16 +202,42 @@
                 continue;
             }
             let view = self.view_of(job, times, occurrence);
-            let urgency = Urgency::of(&view, now.time);
+            let mut urgency = Urgency::of(&view, now.time);
+            let can_be_on_time = urgency.class() == Class::OnTime;
+            let surplus = can_be_on_time && self.waiting.on_time_set.is_surplus(name, occurrence);
+            let mut by_share = self.by_share(now, job, &view);
+            if surplus {
+                urgency = urgency.as_surplus(&view);
+                if let Some(by_share) = &mut by_share {
+                    by_share.within = by_share.within.as_surplus(&view);
+                }
+            }
             let due = last_chance::is_due(&view, now.time);
-            let by_share = self.by_share(now, job, &view);
             steps.extend(waiting.into_iter().map(|(key, waiting)| {
                 let step = job.step(key.step);
                 let size = step.map(reserved_size).unwrap_or_default();
                 let gang = step.is_some_and(|step| step.gang);
                 let charge = step.and_then(|step| charge_of(job, step));
-                let beyond = false;
-                WaitingStep { urgency, key, waiting, size, charge, gang, due, by_share, beyond }
+                let queue = &job.submission.queue.name;
+                let each = step.map(|step| self.runtime_estimates.estimate(queue, step.estimate));
+                let cores = size.cpu_milli as f64 / 1_000.0;
+                WaitingStep {
+                    urgency,
+                    key,
+                    waiting,
+                    size,
+                    charge,
+                    gang,
+                    due,
+                    by_share,
+                    beyond: false,
+                    can_be_on_time,
+                    objective: view.deadline - view.accepted,
+                    deadline: view.deadline,
+                    useful_until: view.useful_until,
+                    remaining: view.remaining,
+                    task_core_seconds: cores * each.unwrap_or_default().as_secs_f64(),
+                }
             }));
         }
         steps
--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -30,6 +30,7 @@
         snapshot::Snapshot,
     },
     reducer::{Limits, Scheduler},
+    task::TaskKey,
 };
 use borageswitch_types::{
     Time,
@@ -119,6 +120,8 @@
     pub log_counts: BTreeMap<&'static str, usize>,
     hosts: Option<Hosts>,
     pub poison_tasks: PoisonTasks,
+    /// The actual run times of the tasks of some jobs, in percent of the declared ones.
+    pub run_time_percent: BTreeMap<JobName, u64>,
     reuse_names: bool,
 }
 
@@ -152,6 +155,7 @@
             log_counts: BTreeMap::new(),
             hosts: None,
             poison_tasks: PoisonTasks::default(),
+            run_time_percent: BTreeMap::new(),
             reuse_names: faults.reuse_names,
         };
         for _ in 0..hosts {
@@ -230,6 +234,18 @@
         incarnations.filter(|id| !self.dead.contains(*id)).max().unwrap_or(executor).clone()
     }
 
+    /// The leader, with its fencing token.
+    pub fn leader(&mut self) -> Option<(Now, u64, &mut Scheduler)> {
+        let (moment, token) = (self.moment(), self.token);
+        self.leader.as_mut().map(|leader| (moment, token, leader))
+    }
+
+    /// How long a task runs, in milliseconds.
+    fn run_time_of(&self, task: &TaskKey, declared: Duration) -> u64 {
+        let percent = self.run_time_percent.get(&task.job).copied().unwrap_or(100);
+        declared.as_millis() as u64 * percent / 100
+    }
+
     fn moment(&self) -> Now {
         Now { time: Time::from_millis(self.now), wall: UnixMillis(WALL_CLOCK_START + self.now) }
     }
@@ -311,6 +327,29 @@
     fn submit_at(&mut self, queue: Queue, steps: Vec<Step>, schedule: Option<Schedule>) -> JobName {
         let name = JobName::from(format!("{:016x}", self.rng.u64(..)));
         let caller = self.random_caller();
+        self.store(queue, &name, caller, steps, schedule);
+        name
+    }
+
+    /// Submits a job of the given name and caller.
+    pub fn submit_as(
+        &mut self,
+        name: &JobName,
+        caller: Option<CallerName>,
+        steps: Vec<Step>,
+        schedule: Option<Schedule>,
+    ) {
+        self.store(queue(), name, caller, steps, schedule);
+    }
+
+    fn store(
+        &mut self,
+        queue: Queue,
+        name: &JobName,
+        caller: Option<CallerName>,
+        steps: Vec<Step>,
+        schedule: Option<Schedule>,
+    ) {
         let submission = Arc::new(Submission {
             job: name.clone(),
             queue,
@@ -324,7 +363,6 @@
         if let Some(leader) = &mut self.leader {
             leader.handle(moment, Event::Submitted(submission));
         }
-        name
     }
 
     fn cancel_one(&mut self) {
