--- a/crates/borageswitch_scheduler/src/policy/crash_containment.rs
+++ b/crates/borageswitch_scheduler/src/policy/crash_containment.rs
@@ -33,8 +33,8 @@
 /// The longest time that a probe has to live. A longer one would make most jobs late.
 const MAX_PROBE_TIME: Duration = Duration::from_millis(1_000);
 /// The part of a pool's executors that probes and suspects may occupy together, as a divisor. With
-/// a fifth, a pool of nine hosts tests one executor at a time, and jobs that crash executors are not
-/// identified within a minute.
+/// a fifth, and lost executors counted for 3 s from the detection of their crash, jobs that crash
+/// executors of a pool of nine hosts were not identified within a minute.
 const EXECUTORS_PER_PROBE_EXECUTOR: usize = 3;
 /// The largest number of unproven jobs on one executor.
 pub const MAX_JOBS_PER_EXECUTOR: usize = 3;
