Let other crates compute a job's longest chain and declared work

Cause: a daemon that decides on the admission of a job needs both before the job is known to the leader. Change: `JobSpec::longest_chain` takes the loop of `reducer::jobs`, which calls it; `JobSpec::declared_core_seconds` is new.

--- a/crates/borageswitch_scheduler/src/job.rs
+++ b/crates/borageswitch_scheduler/src/job.rs
@@ -251,6 +251,41 @@
         Err(0)
     }
 
+    /// Returns the duration of the longest chain of steps, of which each takes `duration` by its
+    /// index.
+    pub fn longest_chain<F>(&self, duration: F) -> Duration
+    where
+        F: Fn(usize, &Step) -> Duration,
+    {
+        let mut ends = vec![Duration::ZERO; self.steps.len()];
+        // Steps may depend on steps with higher numbers, so it takes as many rounds as the longest
+        // chain has steps until the ends no longer change.
+        for _ in 0..self.steps.len() {
+            let mut changed = false;
+            for (number, step) in self.steps.iter().enumerate() {
+                let before = step.after.iter().map(|&after| ends[usize::from(after)]).max();
+                let end = before.unwrap_or_default() + duration(number, step);
+                changed |= end != ends[number];
+                ends[number] = end;
+            }
+            if !changed {
+                break;
+            }
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
+    /// Returns the core-seconds of all tasks by their declared run times. Best-effort tasks count
+    /// nothing, as no processor time is reserved for them.
+    pub fn declared_core_seconds(&self) -> f64 {
+        let reserved = self.steps.iter().filter(|step| !step.best_effort);
+        let work = |step: &Step| {
+            let cores = step.size.cpu_milli as f64 / 1_000.0;
+            f64::from(step.count) * cores * step.estimate.as_secs_f64()
+        };
+        reserved.map(work).sum()
+    }
+
     /// Returns whether the job runs until it is cancelled.
     pub fn is_lasting(&self) -> bool {
         self.steps.iter().any(|step| step.lasting)
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -287,22 +287,8 @@
 where
     F: Fn(Duration) -> Duration,
 {
-    let mut ends = vec![Duration::ZERO; spec.steps.len()];
-    // Steps may depend on steps with higher numbers, so it takes as many rounds as the longest
-    // chain has steps until the ends no longer change.
-    for _ in 0..spec.steps.len() {
-        let mut changed = false;
-        for (number, step) in spec.steps.iter().enumerate() {
-            let done = open.is_some_and(|open| open.steps[number].is_done());
-            let own = if done { Duration::ZERO } else { expect(step.estimate) };
-            let before = step.after.iter().map(|&after| ends[usize::from(after)]).max();
-            let end = before.unwrap_or_default() + own;
-            changed |= end != ends[number];
-            ends[number] = end;
-        }
-        if !changed {
-            break;
-        }
-    }
-    ends.into_iter().max().unwrap_or_default()
+    spec.longest_chain(|number, step| {
+        let done = open.is_some_and(|open| open.steps[number].is_done());
+        if done { Duration::ZERO } else { expect(step.estimate) }
+    })
 }
