--- a/crates/borageswitch_scheduler/src/policy/admission.rs
+++ b/crates/borageswitch_scheduler/src/policy/admission.rs
@@ -98,3 +98,34 @@
         reason: RefusalReason,
     },
 }
+
+/// A job is of use until this multiple of its objective has passed.
+const USEFUL_FACTOR: f64 = 3.0;
+/// By how much the estimated end may exceed the real one: the estimates may be a third too long.
+const ESTIMATE_MARGIN: f64 = 4.0 / 3.0;
+/// The patience of a caller that does not say how long it waits.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Decides on a job by limits that are `age` old. `objective` is the time in which the job is to
+/// end, by the learned run times.
+pub fn decide(
+    limit: &QueueLimit,
+    age: Duration,
+    query: &AdmissionQuery,
+    objective: Duration,
+) -> Decision {
+    let beyond = query.caller.as_ref().is_some_and(|caller| limit.beyond.contains(caller));
+    let published = if beyond { limit.wait_beyond } else { limit.wait };
+    let wait = published.saturating_sub(age).as_secs_f64();
+    let run = query.chain.as_secs_f64() * limit.run_ratio;
+    let useful = objective.as_secs_f64() * USEFUL_FACTOR;
+    let excess = (wait + run) / ESTIMATE_MARGIN - useful;
+    if excess <= 0.0 {
+        return Decision::Admit;
+    }
+    let patience = query.patience.unwrap_or(DEFAULT_PATIENCE);
+    let turn = Duration::try_from_secs_f64(excess * ESTIMATE_MARGIN).unwrap_or(Duration::MAX);
+    let reachable = run / ESTIMATE_MARGIN <= useful && turn <= patience;
+    let reason = if beyond { RefusalReason::BeyondShare } else { RefusalReason::NoUse };
+    Decision::Refuse { retry_after: reachable.then_some(turn), reason }
+}
