Refuse jobs by the leader's admission limits

Change: the leader sends its limits with the acknowledgement of a stored job. Whatever is missing on the way leads to storing the job as before. One line `refused` or `admitted` and a counter for each decision. `borageswitch_fakes` has a leader that answers as a test says. `AdmissionWithLimits` carries the limits with a decision, since a daemon that refuses all jobs stores none and would store one job unchecked each second. A header on `JobStored` says that the sender can decode limits, since a daemon of the build before closes its connection on a response that it cannot decode.

--- a/crates/borageswitch_fakes/src/platform/mod.rs
+++ b/crates/borageswitch_fakes/src/platform/mod.rs
@@ -9,6 +9,7 @@
 pub mod example;
 mod executors;
 mod hosts;
+mod leader;
 mod port;
 mod store;
 
@@ -38,6 +39,7 @@
 pub use self::{
     executors::{CRASHING_TEXT, FAILING_TEXT, LASTING_TEXT, RunRecord},
     hosts::HostSpec,
+    leader::{FakeLeader, LeaderAnswers},
 };
 
 /// How long a host is down whose executor a task has crashed.
--- a/crates/borageswitch_runtime/src/admission.rs
+++ b/crates/borageswitch_runtime/src/admission.rs
@@ -26,12 +26,19 @@
     pub owner: Option<&'a KeyOwner>,
     /// The resources that the caller may use.
     pub(crate) quota: Option<Size>,
+    /// How long the caller waits for a response, if it says so.
+    pub(crate) patience: Option<Duration>,
 }
 
 impl<'a> Call<'a> {
     /// A request to a queue that requires no key.
     pub fn without_key(queue: &'a Queue) -> Self {
-        Self { queue, owner: None, quota: None }
+        Self { queue, owner: None, quota: None, patience: None }
+    }
+
+    /// The same request of a caller that waits for a response for so long. Zero says nothing.
+    pub fn with_patience(self, patience: Option<Duration>) -> Self {
+        Self { patience: patience.filter(|patience| !patience.is_zero()), ..self }
     }
 
     pub(crate) fn caller(&self) -> Option<CallerName> {
@@ -76,7 +83,8 @@
         Ok(Some(_)) if shared.cfg.keys_hold.is_some_and(|hold| age > hold) => Failure::ConfigTooOld,
         Ok(owner) => {
             let declared = owner.and_then(|owner| config.callers.get(&owner.caller));
-            return Ok(Call { queue, owner, quota: declared.map(|caller| caller.quota) });
+            let quota = declared.map(|caller| caller.quota);
+            return Ok(Call { queue, owner, quota, patience: None });
         }
         // A daemon that was disconnected when a key was issued does not know it and would reject
         // its owner permanently. The response makes the owner retry and find a daemon that knows the
--- a/crates/borageswitch_runtime/src/authority.rs
+++ b/crates/borageswitch_runtime/src/authority.rs
@@ -49,6 +49,11 @@
         self.remaining(token) > Duration::ZERO
     }
 
+    /// Whether orders of any term may be sent now.
+    pub fn is_current(&self) -> bool {
+        clock::time() < self.until()
+    }
+
     /// Whether leases of executors may be extended with `token` now.
     pub fn may_keep_alive(&self, token: u64) -> bool {
         self.token.load(Ordering::SeqCst) == token
--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -3,6 +3,7 @@
 //! The scheduler decides once per batch: all queued messages are handled first, so that a burst of
 //! ended runs costs one decision and not hundreds.
 
+mod admission;
 mod cancels;
 mod decision_interval;
 mod slow_decisions;
@@ -312,9 +313,11 @@
             PeerRequest::JobStored(submission) => {
                 let token = leading.token;
                 self.handle_event(token, Event::Submitted(submission));
-                let _ = response.try_send(PeerResponse::Acknowledged);
+                let acknowledgement = self.leading.as_mut().map(admission::acknowledge);
+                let _ = response.try_send(acknowledgement.unwrap_or(PeerResponse::NotLeading));
                 return;
             }
+            PeerRequest::Admission(query) => admission::decide(leading, &query),
             PeerRequest::Cancel { queue, job, .. } => match scheduler.status(&queue, &job) {
                 None => PeerResponse::Status(None),
                 Some(status) if status.has_ended() => PeerResponse::Status(Some(status)),
--- a/crates/borageswitch_runtime/src/daemon.rs
+++ b/crates/borageswitch_runtime/src/daemon.rs
@@ -21,6 +21,7 @@
 use opentelemetry::metrics::Meter;
 
 use crate::{
+    admission_limits::KnownLimits,
     authority::Authority,
     clock,
     control::{Control, Message, PendingEffect},
@@ -71,6 +72,7 @@
     /// The daemon's metrics.
     pub instruments: Arc<Instruments>,
     pub(crate) store_health: StoreHealth,
+    pub(crate) admission_limits: KnownLimits,
     pub(crate) order_semaphores: OrderSemaphores,
     client: Client,
     pub(crate) known_peers: Arc<KnownPeers>,
@@ -203,7 +205,8 @@
     pub(crate) async fn send_to_control(&self, request: PeerRequest) -> Option<PeerResponse> {
         let (response, received) = async_channel::bounded(1);
         self.control.send(Message::Request { request, response }).await.ok()?;
-        received.recv().await.ok()
+        let response = received.recv().await.ok()?;
+        Some(if self.authority.is_current() { response } else { response.without_admission() })
     }
 
     /// The address of the leader, if another daemon leads.
@@ -263,6 +266,7 @@
         control,
         instruments,
         store_health: StoreHealth::default(),
+        admission_limits: KnownLimits::default(),
         order_semaphores: OrderSemaphores::default(),
         client: Client::new(cfg.peer_address, known_peers.clone(), ex.clone(), peer_bytes.clone()),
         known_peers,
--- a/crates/borageswitch_runtime/src/failures.rs
+++ b/crates/borageswitch_runtime/src/failures.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use borageswitch_scheduler::{config::access::Rejection, policy::quotas::QuotaError};
+use borageswitch_scheduler::{
+    config::access::Rejection,
+    policy::{admission::RefusalReason, quotas::QuotaError},
+};
 
 /// Whether a failed request may still have taken effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
@@ -57,6 +60,14 @@
     /// There is no leader at the moment, or it cannot be reached.
     #[display("the state of the job cannot be read at the moment")]
     NoLeader,
+    /// The job could not end while it is of use, or an operator limits such jobs. It is not stored.
+    #[display("too much work is waiting, the job is not accepted: {reason}")]
+    Overloaded {
+        /// The reason.
+        reason: RefusalReason,
+        /// When a retry can succeed; none if no retry can.
+        retry_after: Option<Duration>,
+    },
     /// The daemon is shutting down.
     #[display("this daemon is about to end")]
     Stopping,
@@ -81,6 +92,12 @@
 /// `Retry-After` during an outage of the store, which takes some seconds.
 const RETRY_AFTER_OUTAGE: Duration = Duration::from_secs(2);
 
+/// The value of `Retry-After` for a delay, in seconds. It is rounded up, as a caller that retries
+/// too early is refused again.
+pub fn retry_after_seconds(delay: Duration) -> u64 {
+    (delay.as_secs() + u64::from(delay.subsec_nanos() > 0)).max(1)
+}
+
 impl Failure {
     /// The kind of the failure in metrics.
     pub fn kind(&self) -> &'static str {
@@ -98,6 +115,7 @@
             Failure::StoreUnavailable => "store-away",
             Failure::StoreNoResponse => "store-silent",
             Failure::NoLeader => "no-leader",
+            Failure::Overloaded { .. } => "overloaded",
             Failure::Stopping => "stopping",
         }
     }
@@ -123,6 +141,9 @@
             Failure::StoreNoResponse => error_response(504, Effective::Unknown, Some(RETRY_SOON)),
             // A cancel request may have reached the leader.
             Failure::NoLeader => error_response(503, Effective::Unknown, Some(RETRY_SOON)),
+            Failure::Overloaded { retry_after, .. } => {
+                error_response(429, Effective::No, *retry_after)
+            }
             Failure::Stopping => error_response(503, Effective::No, Some(RETRY_SOON)),
         }
     }
--- a/crates/borageswitch_runtime/src/instruments.rs
+++ b/crates/borageswitch_runtime/src/instruments.rs
@@ -10,17 +10,22 @@
 //! | `borageswitch_executor_crashes` | `queue` | executors that crashed while tasks of the queue ran there |
 //! | `borageswitch_tasks_given_up` | `queue` | tasks given up because executors crashed while running them |
 //! | `borageswitch_unreadable` | `what` | values of other programs in the store that cannot be read |
+//! | `borageswitch_refused_jobs` | `queue`, `reason` | jobs refused because of load, or by an operator's limit |
+//! | `borageswitch_ignored_limits` | `reason` | admission limits received and ignored |
 //! | `borageswitch_leading` | | 1 on the daemon that leads |
 //! | `borageswitch_peer_bytes` | `direction` | bytes on connections between daemons |
 
 use std::time::Duration;
 
-use borageswitch_scheduler::effect::CountedEvent;
+use borageswitch_scheduler::{effect::CountedEvent, policy::admission::RefusalReason};
+use borageswitch_types::names::QueueName;
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram, Meter},
 };
 
+use crate::admission_limits::IgnoreReason;
+
 /// Bucket boundaries of the histograms, in seconds: from a response of the store to a call that
 /// timed out.
 const BOUNDS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
@@ -36,6 +41,8 @@
     crashes: Counter<u64>,
     given_up: Counter<u64>,
     unreadable: Counter<u64>,
+    refused_jobs: Counter<u64>,
+    ignored_limits: Counter<u64>,
     leading: Gauge<u64>,
 }
 
@@ -53,6 +60,8 @@
             crashes: meter.u64_counter("borageswitch_executor_crashes").build(),
             given_up: meter.u64_counter("borageswitch_tasks_given_up").build(),
             unreadable: meter.u64_counter("borageswitch_unreadable").build(),
+            refused_jobs: meter.u64_counter("borageswitch_refused_jobs").build(),
+            ignored_limits: meter.u64_counter("borageswitch_ignored_limits").build(),
             leading: meter.u64_gauge("borageswitch_leading").build(),
         }
     }
@@ -90,6 +99,17 @@
         self.unreadable.add(1, &[KeyValue::new("what", what)]);
     }
 
+    /// Counts a job that was refused because of load, or by an operator's limit.
+    pub fn count_refused_job(&self, queue: &QueueName, reason: RefusalReason) {
+        let queue = KeyValue::new("queue", queue.to_string());
+        self.refused_jobs.add(1, &[queue, KeyValue::new("reason", reason.to_string())]);
+    }
+
+    /// Counts admission limits that are ignored.
+    pub fn count_ignored_limits(&self, reason: IgnoreReason) {
+        self.ignored_limits.add(1, &[KeyValue::new("reason", reason.to_string())]);
+    }
+
     /// Sets whether this daemon leads.
     pub fn set_leading(&self, leads: bool) {
         self.leading.record(u64::from(leads), &[]);
--- a/crates/borageswitch_runtime/src/intake.rs
+++ b/crates/borageswitch_runtime/src/intake.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     admission::Call,
-    clock, codec,
+    admission_check, clock, codec,
     daemon::Shared,
     failures::{Failure, RequestResult},
     keys,
@@ -61,6 +61,10 @@
         spec,
         caller: call.caller(),
     };
+    if let Some(stored) = admission_check::check(shared, &call, &submission).await? {
+        notify_leader(shared, stored);
+        return Ok(());
+    }
     let stored = store_submission(shared, &submission).await;
     let failure = match stored {
         Ok(()) => {
@@ -99,7 +103,7 @@
     let own = shared.clone();
     let notification = async move {
         let request = PeerRequest::JobStored(Arc::new(submission));
-        if own.send_to_leader(&request).await != Some(PeerResponse::Acknowledged) {
+        if !admission_check::notify(&own, &request).await {
             log::debug!("the leader did not acknowledge a stored job; its watch will report it");
         }
     };
--- a/crates/borageswitch_runtime/src/lib.rs
+++ b/crates/borageswitch_runtime/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`watching`]: watches the configuration, executors, jobs and waves in the store.
 //! - [`orders`]: executes the scheduler's effects.
 //! - [`admission`]: authenticates callers; [`intake`]: serves their requests; [`failures`]: all ways in which these can fail.
+//! - [`admission_limits`]: what a daemon knows of the wait in each queue; [`admission_check`]: refuses jobs that could not end in time.
 //! - [`store_health`]: whether the store is available to this daemon; [`retry`]: backoff between calls to it.
 //! - [`peers`]: requests between daemons.
 //! - [`operators`]: explanations and state dumps for operators; [`instruments`]: metrics.
@@ -19,6 +20,8 @@
 //! - [`clock`]: the clocks of the process.
 
 pub mod admission;
+mod admission_check;
+pub mod admission_limits;
 pub mod appends;
 pub mod authority;
 pub mod clock;
--- a/crates/borageswitch_runtime/src/peers/client.rs
+++ b/crates/borageswitch_runtime/src/peers/client.rs
@@ -13,7 +13,7 @@
 use smol::net::TcpStream;
 
 use super::{
-    KnownPeers, MAX_MESSAGE_BYTES, PeerRequest, PeerResponse,
+    KnownPeers, LIMITS_HEADER, MAX_MESSAGE_BYTES, PeerRequest, PeerResponse,
     known_peers::{OTHER_PEERS_HEADER, REQUESTER_HEADER},
 };
 use crate::{codec, orders::with_timeout};
@@ -74,8 +74,11 @@
             None => self.connect(address).await?,
         };
         let mut ready = sender.ready().await.ok()?;
-        let req = Request::post("http://leader/ask")
+        let mut req = Request::post("http://leader/ask")
             .header(REQUESTER_HEADER, self.own_address.to_string());
+        if matches!(request, PeerRequest::JobStored(_)) {
+            req = req.header(LIMITS_HEADER, "1");
+        }
         let req = req.body(()).ok()?;
         let (http_response, mut body) = ready.send_request(req, false).ok()?;
         body.send_data(Bytes::from(codec::encode(request)), true).ok()?;
--- a/crates/borageswitch_runtime/src/peers/mod.rs
+++ b/crates/borageswitch_runtime/src/peers/mod.rs
@@ -12,6 +12,7 @@
 
 use borageswitch_scheduler::{
     job::Submission,
+    policy::admission::{AdmissionLimits, AdmissionQuery, Decision},
     reducer::{explain::Subject, view::JobStatus},
 };
 use borageswitch_types::names::{CallerName, JobName, QueueName};
@@ -25,6 +26,9 @@
 
 /// The largest message: a job as large as the operator's usual limit for a request body.
 const MAX_MESSAGE_BYTES: usize = 512 << 10;
+/// The header of a request whose sender can decode admission limits. A sender that cannot would
+/// close its connection on such a response, and lose the other requests on it.
+const LIMITS_HEADER: &str = "limits";
 
 /// A request to another daemon. Except for `Submit`, `Leader` and `RevokeLease`, which any daemon
 /// serves, it is meant for the leader.
@@ -66,10 +70,12 @@
     Leader,
     /// End the lease of a leader that the store rejects. It has stopped giving orders.
     RevokeLease(LeaseId),
+    /// Decide on the admission of a job that the sender would refuse by its limits.
+    Admission(AdmissionQuery),
 }
 
 /// The response to a [`PeerRequest`].
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum PeerResponse {
     /// The status of the job; none if the leader does not know the job.
     Status(Option<JobStatus>),
@@ -95,4 +101,24 @@
     Leader(Option<(LeaderRecord, Revision)>),
     /// The lease has been ended.
     LeaseRevoked,
+    /// The leader has taken in the job, and these limits are in effect.
+    AcknowledgedWithLimits(Arc<AdmissionLimits>),
+    /// The decision on the admission of a job.
+    Admission(Decision),
+    /// The decision on the admission of a job, and the limits in effect. A daemon that refuses all
+    /// jobs stores none, so it would not receive limits in any other way.
+    AdmissionWithLimits(Decision, Arc<AdmissionLimits>),
+}
+
+impl PeerResponse {
+    /// This response without any statement on admission, which falls back to storing jobs.
+    pub(crate) fn without_admission(self) -> Self {
+        match self {
+            PeerResponse::AcknowledgedWithLimits(_) => PeerResponse::Acknowledged,
+            PeerResponse::Admission(_) | PeerResponse::AdmissionWithLimits(..) => {
+                PeerResponse::NotLeading
+            }
+            other => other,
+        }
+    }
 }
--- a/crates/borageswitch_runtime/src/peers/server.rs
+++ b/crates/borageswitch_runtime/src/peers/server.rs
@@ -12,7 +12,7 @@
 };
 
 use super::{
-    MAX_MESSAGE_BYTES, PeerRequest, PeerResponse,
+    LIMITS_HEADER, MAX_MESSAGE_BYTES, PeerRequest, PeerResponse,
     known_peers::{OTHER_PEERS_HEADER, REQUESTER_HEADER},
 };
 use crate::{codec, daemon::Shared, election, failures::Failure, intake, ports::Platform};
@@ -77,6 +77,7 @@
     let requester =
         req.headers().get(REQUESTER_HEADER).and_then(|address| address.to_str().ok()?.parse().ok());
     requester.into_iter().for_each(|address| shared.known_peers.add(address));
+    let decodes_limits = req.headers().contains_key(LIMITS_HEADER);
     let bytes = read(req.into_body()).await?;
     let request: PeerRequest = codec::decode("question", &bytes).map_err(io::Error::other)?;
     let response = match request {
@@ -98,6 +99,10 @@
                 PeerResponse::Refused
             }
         },
+        request @ PeerRequest::JobStored(_) if !decodes_limits => {
+            let response = shared.send_to_control(request).await;
+            response.map_or(PeerResponse::NotLeading, PeerResponse::without_admission)
+        }
         request => shared.send_to_control(request).await.unwrap_or(PeerResponse::NotLeading),
     };
     let res =
