Show operators who waits, who is refused and why

Cause: during an overload the lines of all daemons had to be collected to tell who waits and who is refused. Change: `GET /overload` at any platform daemon gives the leader's view as JSON: waiting jobs and refusals by queue and caller, the wait in each full queue, limits set by hand, and what callers use. `borageswitchctl overload ADDRESS` shows it as sentences, and shows fields of callers that it does not know.

--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod cancels;
 mod decision_interval;
+mod overview;
 mod slow_decisions;
 
 use std::{
@@ -117,6 +118,7 @@
     stored_cancels: BTreeSet<JobName>,
     waiting_cancels: cancels::WaitingCancels,
     manual_limits: ManualLimits,
+    refusals: overview::Refusals,
 }
 
 /// The state of the control thread.
@@ -268,6 +270,7 @@
         admission::change_limits(&mut manual_limits, stored);
         self.leading = Some(LeaderState {
             manual_limits,
+            refusals: overview::Refusals::default(),
             token: term.token,
             scheduler,
             ended,
@@ -336,6 +339,7 @@
                 let _ = response.try_send(acknowledgement.unwrap_or(PeerResponse::NotLeading));
                 return;
             }
+            PeerRequest::Overload => PeerResponse::Dumped(overview::overview(leading).to_string()),
             PeerRequest::Admission(query) => admission::decide(leading, &query),
             PeerRequest::Cancel { queue, job, .. } => match scheduler.status(&queue, &job) {
                 None => PeerResponse::Status(None),
--- a/crates/borageswitch_runtime/src/control/admission.rs
+++ b/crates/borageswitch_runtime/src/control/admission.rs
@@ -26,6 +26,9 @@
 pub(super) fn decide(leading: &mut LeaderState, query: &AdmissionQuery) -> PeerResponse {
     let now = clock::now();
     let decision = decision(leading, query);
+    if let Decision::Refuse { reason, .. } = decision {
+        leading.refusals.count(now.time, query, reason);
+    }
     let response = match leading.scheduler.admission_limits(now, leading.token) {
         Some(limits) => PeerResponse::AdmissionWithLimits(decision, limits),
         None => PeerResponse::Admission(decision),
--- a/crates/borageswitch_runtime/src/operators.rs
+++ b/crates/borageswitch_runtime/src/operators.rs
@@ -22,6 +22,18 @@
     }
 }
 
+/// Who waits, who is refused and why, and which limits there are, as JSON. Gives `None` if no leader
+/// can be reached.
+pub async fn overload<P>(shared: &Arc<Shared<P>>) -> Option<String>
+where
+    P: Platform,
+{
+    match shared.send_to_leader(&PeerRequest::Overload).await {
+        Some(PeerResponse::Dumped(text)) => Some(text),
+        _ => None,
+    }
+}
+
 /// The state of this process as JSON: what every daemon has, and the scheduler's state if it leads.
 pub async fn dump<P>(shared: &Arc<Shared<P>>) -> serde_json::Value
 where
--- a/crates/borageswitch_runtime/src/peers/mod.rs
+++ b/crates/borageswitch_runtime/src/peers/mod.rs
@@ -75,6 +75,8 @@
     RevokeLease(LeaseId),
     /// Decide on the admission of a job that the sender would refuse by its limits.
     Admission(AdmissionQuery),
+    /// Show who waits and who is refused.
+    Overload,
 }
 
 /// The response to a [`PeerRequest`].
--- a/src/ctl/action.rs
+++ b/src/ctl/action.rs
@@ -69,6 +69,7 @@
     List(Listing),
     Dump,
     Explain(Subject),
+    Overload(SocketAddr),
     Watch,
 }
 
@@ -114,6 +115,7 @@
             return Some(Action::Wait(Revision(get(matches, "revision")?), get(matches, "for")?));
         }
         "dump" => return Some(Action::Dump),
+        "overload" => return Some(Action::Overload(get(matches, "daemon")?)),
         "watch" => return Some(Action::Watch),
         _ => {}
     }
--- a/src/ctl/command.rs
+++ b/src/ctl/command.rs
@@ -37,6 +37,7 @@
         .subcommand(wait())
         .subcommand(Command::new("dump").about("Shows the whole state of one daemon as JSON"))
         .subcommand(explain())
+        .subcommand(overload())
         .subcommand(Command::new("watch").about("Shows decisions and revisions as they come"))
 }
 
@@ -288,3 +289,12 @@
         .subcommand(subject("wave", "Tells why a wave waits", checked::<WaveName>()))
         .subcommand(subject("request", "Tells what became of a request id", value_parser!(String)))
 }
+
+fn overload() -> Command {
+    let daemon = Arg::new("daemon").value_name("daemon").required(true);
+    Command::new("overload")
+        .about(
+            "Shows who waits and is refused on the users' platform, by a daemon's metrics address",
+        )
+        .arg(daemon.value_parser(value_parser!(SocketAddr)))
+}
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`command`] declares the arguments and [`action`] reads them; [`session`] carries an action out
 //! by [`caller`], which tries the daemons in turn; [`merge`] completes what `set` commands leave
-//! out; [`send`] picks the remote call of a change; [`output`] writes tables or JSON; [`error`]
+//! out; [`overload`] asks a daemon of the users' platform; [`send`] picks the remote call of a change; [`output`] writes tables or JSON; [`error`]
 //! lists the ways to fail with their exit codes.
 
 mod action;
@@ -11,6 +11,7 @@
 mod error;
 mod merge;
 mod output;
+mod overload;
 mod send;
 mod session;
 
--- a/src/ctl/session.rs
+++ b/src/ctl/session.rs
@@ -1,6 +1,6 @@
 //! Carries out one action and writes its result.
 
-use std::{fmt::Display, io::Write, sync::Arc, time::Duration};
+use std::{fmt::Display, io::Write, net::SocketAddr, sync::Arc, time::Duration};
 
 use borageswitch_settings::site;
 use borageswitch_types::{
@@ -18,7 +18,7 @@
     action::{Action, Change, Format, Invocation, Listing, Wanted},
     caller::{Caller, Failed},
     error::CtlError,
-    merge, output, send,
+    merge, output, overload, send,
 };
 
 /// How often a change that was completed from the present fleet is tried when others change the
@@ -28,6 +28,8 @@
 /// What one command needs.
 pub(super) struct Session<'a, O, E> {
     caller: Caller,
+    ex: Arc<smol::Executor<'static>>,
+    timeout: Duration,
     format: Format,
     out: &'a mut O,
     err: &'a mut E,
@@ -44,8 +46,8 @@
         out: &'a mut O,
         err: &'a mut E,
     ) -> Self {
-        let caller = Caller::new(invocation.endpoints.clone(), invocation.timeout, ex);
-        Self { caller, format: invocation.format, out, err }
+        let caller = Caller::new(invocation.endpoints.clone(), invocation.timeout, ex.clone());
+        Self { caller, ex, timeout: invocation.timeout, format: invocation.format, out, err }
     }
 
     pub(super) async fn carry_out(&mut self, action: &Action) -> Result<(), CtlError> {
@@ -55,6 +57,7 @@
             Action::List(listing) => self.list(listing).await,
             Action::Dump => self.dump().await,
             Action::Explain(subject) => self.explain(subject).await,
+            Action::Overload(daemon) => self.overload(*daemon).await,
             Action::Watch => self.watch().await,
         }
     }
@@ -193,6 +196,18 @@
         Ok(())
     }
 
+    async fn overload(&mut self, daemon: SocketAddr) -> Result<(), CtlError> {
+        let json = overload::ask(daemon, self.timeout, self.ex.clone()).await?;
+        if self.format == Format::Json {
+            output::document(self.out, &json)?;
+            return Ok(());
+        }
+        let overview =
+            serde_json::from_str(&json).map_err(|err| CtlError::BadAnswer(err.to_string()))?;
+        output::lines(self.out, self.format, &overload::sentences(&overview))?;
+        Ok(())
+    }
+
     async fn watch(&mut self) -> Result<(), CtlError> {
         let ask = |mut client: super::caller::Client| async move {
             client.watch_events(proto::WatchEventsRequest {}).await
