--- a/crates/borageswitch_runtime/src/operators.rs
+++ b/crates/borageswitch_runtime/src/operators.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 
 use borageswitch_scheduler::reducer::explain::Subject;
+use borageswitch_types::names::QueueName;
 
 use crate::{
+    clock,
     daemon::Shared,
     peers::{PeerRequest, PeerResponse},
     ports::Platform,
@@ -45,6 +47,15 @@
         _ => None,
     };
     let leader = shared.leader();
+    let token = leader.as_ref().map_or(0, |(_, token)| *token);
+    let limits = shared.admission_limits.current(clock::time(), token).map(|known| {
+        serde_json::json!({
+            "age_ms": known.age.as_millis() as u64,
+            "token": known.limits.token,
+            "sequence": known.limits.sequence,
+            "queues": known.limits.queues.keys().map(QueueName::as_str).collect::<Vec<_>>(),
+        })
+    });
     serde_json::json!({
         "name": &*shared.cfg.name,
         "ready": shared.is_ready(),
@@ -53,6 +64,7 @@
         "config_version": shared.config().map(|config| config.version),
         "leader": leader.as_ref().map(|(record, _)| record.name.to_string()),
         "leader_token": leader.map(|(_, token)| token),
+        "admission_limits": limits,
         "scheduler": scheduler,
     })
 }
--- a/crates/borageswitch_runtime/tests/admission.rs
+++ b/crates/borageswitch_runtime/tests/admission.rs
@@ -1,36 +1,26 @@
 //! A daemon under the admission limits of a leader: what it refuses, and that no fault refuses.
 
+mod support;
+
 use std::{
     collections::BTreeMap,
-    future::Future,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use borageswitch_fakes::platform::{
-    FakeLeader, MemoryPlatform, PlatformFaults,
-    example::{self, cores},
-};
+use borageswitch_fakes::platform::{FakeLeader, MemoryPlatform, PlatformFaults};
 use borageswitch_runtime::{
-    admission::Call,
     codec,
-    daemon::{self, DaemonConfig, Shared},
     failures::{Effective, Failure, RequestResult},
-    intake,
-    keys::{self, LEADER, LeaderRecord},
-    ports::{Platform, Transaction},
+    keys::{self, LEADER},
 };
-use borageswitch_scheduler::{
-    config::Queue,
-    job::{JobSpec, Step, Submission},
-    policy::admission::{AdmissionLimits, Decision, LIMITS_VALID, QueueLimit, RefusalReason},
-    reducer::Limits,
+use borageswitch_scheduler::policy::admission::{
+    AdmissionLimits, Decision, LIMITS_VALID, QueueLimit, RefusalReason,
 };
-use borageswitch_types::{names::JobName, time::UnixMillis};
+use borageswitch_types::names::JobName;
 use smol::{Executor, Timer};
+use support::{Daemon, job_spec, platform, queue, run, start, stored_job, submit, submit_until};
 
-/// A timeout far above what anything here takes on a busy machine.
-const TIMEOUT: Duration = Duration::from_secs(60);
 /// Far longer than a job of these tests is of use.
 const WAIT: Duration = Duration::from_secs(60);
 const REFUSAL: Decision = Decision::Refuse {
@@ -38,32 +28,6 @@
     reason: RefusalReason::NoUse,
 };
 
-fn queue() -> Queue {
-    example::queue("runs", "/runs/", "payroll")
-}
-
-fn job_spec() -> JobSpec {
-    let step =
-        Step { count: 4, size: cores(2), estimate: Duration::from_millis(500), ..Step::default() };
-    let second = Step { after: vec![0], count: 1, ..step.clone() };
-    JobSpec { payload: "text".into(), steps: vec![step, second], schedule: None }
-}
-
-type Daemon = Arc<Shared<MemoryPlatform>>;
-
-fn start(name: &str, platform: &MemoryPlatform, ex: &Arc<Executor<'static>>) -> Daemon {
-    let cfg = DaemonConfig {
-        name: name.into(),
-        peer_address: ([127, 0, 0, 1], 0).into(),
-        weight: 1.0,
-        limits: Limits::default(),
-        config_watch_timeout: Duration::from_millis(1_500),
-        keys_hold: None,
-        meter: opentelemetry::global::meter("borageswitch"),
-    };
-    daemon::start(cfg, platform.clone(), ex.clone()).unwrap()
-}
-
 struct Site {
     platform: MemoryPlatform,
     leader: FakeLeader,
@@ -73,8 +37,7 @@
 impl Site {
     /// A daemon whose leader has sent limits by which every job would wait for [`WAIT`].
     async fn with_limits(ex: &Arc<Executor<'static>>) -> Self {
-        let platform = MemoryPlatform::new(Duration::from_millis(30));
-        platform.configure(&example::config([queue()], [example::pool("payroll")]));
+        let platform = platform();
         let leader = FakeLeader::start(&platform, ex);
         let daemon = start("d1", &platform, ex);
         let site = Self { platform, leader, daemon };
@@ -96,23 +59,15 @@
     }
 
     async fn submit(&self, job: &str) -> RequestResult<()> {
-        let queue = queue();
-        let call = Call::without_key(&queue).with_patience(Some(Duration::from_secs(2)));
-        intake::submit(&self.daemon, call, &JobName::from(job), job_spec()).await
+        submit(&self.daemon, job, job_spec()).await
     }
 
     /// Submits jobs with ids that begin with `prefix` until one is refused.
     async fn until_refused(&self, prefix: &str) -> (String, Failure) {
-        let end = Instant::now() + TIMEOUT;
-        for number in 0.. {
-            let job = format!("{prefix}{number}");
-            match self.submit(&job).await {
-                Err(failure @ Failure::Overloaded { .. }) => return (job, failure),
-                _ => assert!(Instant::now() < end, "nothing is refused"),
-            }
-            Timer::after(Duration::from_millis(10)).await;
-        }
-        unreachable!("the loop does not end")
+        let refused =
+            |result: &RequestResult<()>| matches!(result, Err(Failure::Overloaded { .. }));
+        let (job, failure) = submit_until(&self.daemon, prefix, refused).await;
+        (job, failure.unwrap())
     }
 
     fn stores(&self, job: &str) -> bool {
@@ -120,15 +75,6 @@
     }
 }
 
-fn run<F, O>(test: F)
-where
-    F: FnOnce(Arc<Executor<'static>>) -> O,
-    O: Future<Output = ()>,
-{
-    let ex = Arc::new(Executor::new());
-    smol::block_on(ex.run(test(ex.clone())));
-}
-
 #[test]
 fn a_refused_job_is_not_stored_and_its_caller_told_when_to_return() {
     // Guards against a job that runs although its caller was told that it never does.
@@ -190,13 +136,7 @@
     // runs.
     run(async |ex| {
         let site = Site::with_limits(&ex).await;
-        let stored = Submission {
-            job: JobName::from("a"),
-            queue: queue(),
-            accepted: UnixMillis(1),
-            spec: job_spec(),
-            caller: None,
-        };
+        let stored = stored_job("a");
         site.platform.put(&keys::job(&stored.job), codec::encode(&stored));
 
         assert_eq!(site.submit("a").await, Ok(()));
@@ -273,63 +213,8 @@
         let mut spec = job_spec();
         spec.steps.iter_mut().for_each(|step| step.lasting = true);
 
-        let queue = queue();
-        let call = Call::without_key(&queue);
-        let accepted = intake::submit(&site.daemon, call, &JobName::from("a"), spec).await;
+        let accepted = submit(&site.daemon, "a", spec).await;
 
         assert_eq!(accepted, Ok(()));
     });
 }
-
-/// Submits jobs until the result of one is as wanted.
-async fn submit_until<F>(daemon: &Daemon, prefix: &str, wanted: F)
-where
-    F: Fn(&RequestResult<()>) -> bool,
-{
-    let end = Instant::now() + TIMEOUT;
-    for number in 0.. {
-        let job = JobName::from(format!("{prefix}{number}"));
-        let result = intake::submit(daemon, Call::without_key(&queue()), &job, job_spec()).await;
-        if wanted(&result) {
-            return;
-        }
-        assert!(Instant::now() < end, "{result:?}");
-        Timer::after(Duration::from_millis(10)).await;
-    }
-}
-
-#[test]
-fn a_manual_limit_is_kept_by_all_daemons_and_the_next_leader_until_it_is_lifted() {
-    // Guards against a limit that holds only where it was set, or is lost with the leader.
-    run(async |ex| {
-        let platform = MemoryPlatform::new(Duration::from_millis(30));
-        platform.configure(&example::config([queue()], [example::pool("payroll")]));
-        let first = start("d1", &platform, &ex);
-        submit_until(&first, "a", Result::is_ok).await;
-        let second = start("d2", &platform, &ex);
-        submit_until(&second, "b", Result::is_ok).await;
-        let refused = Failure::Overloaded { reason: RefusalReason::ManualLimit, retry_after: None };
-        let is_refused = |result: &RequestResult<()>| *result == Err(refused.clone());
-
-        platform.put("bs/in/l/q/runs", b"0".to_vec());
-
-        submit_until(&first, "c", is_refused).await;
-        submit_until(&second, "d", is_refused).await;
-        first.begin_stop();
-        let led = |daemon: &Daemon| {
-            platform.get(LEADER).is_some_and(|item| {
-                let record: LeaderRecord = codec::decode("leader", &item.value).unwrap();
-                record.name == daemon.cfg.name
-            })
-        };
-        let end = Instant::now() + TIMEOUT;
-        while !led(&second) {
-            assert!(Instant::now() < end, "the second daemon does not lead");
-            Timer::after(Duration::from_millis(10)).await;
-        }
-        submit_until(&second, "e", is_refused).await;
-        let tx = Transaction { remove: vec!["bs/in/l/q/runs".into()], ..Transaction::default() };
-        platform.commit(&tx).await.unwrap();
-        submit_until(&second, "f", Result::is_ok).await;
-    });
-}
