Apply limits by hand before the scheduler decides

Cause: the scheduler counts the work of a job that it admits. Jobs that a manual limit then refuses would count as backlog for 100 ms, and a flood of them would have jobs of other callers refused. A wait in a pool without hosts was also cut to an arbitrary number of milliseconds in the log. Change: `ManualLimits::permit` reserves and `take` counts, so that a job which the scheduler refuses uses up no limit. `clock::millis` saturates.

--- a/crates/borageswitch_runtime/src/admission_check.rs
+++ b/crates/borageswitch_runtime/src/admission_check.rs
@@ -105,7 +105,7 @@
             job = self.query.job.as_str(), queue = self.query.queue.as_str(),
             caller = self.query.caller.as_ref().map_or("", |caller| caller.as_str()),
             reason = refusal.map_or_else(String::new, |r| r.reason.to_string()).as_str(),
-            wait_ms = wait.as_millis() as u64, age_ms = age.as_millis() as u64,
+            wait_ms = clock::millis(wait), age_ms = clock::millis(age),
             token = known.map_or(0, |known| known.limits.token),
             sequence = known.map_or(0, |known| known.limits.sequence),
             retry_after_s = retry_after.map_or(0, failures::retry_after_seconds),
--- a/crates/borageswitch_runtime/src/clock.rs
+++ b/crates/borageswitch_runtime/src/clock.rs
@@ -1,6 +1,6 @@
 //! The clocks of the process.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use borageswitch_scheduler::event::Now;
 use borageswitch_types::{Time, time::UnixMillis};
@@ -25,3 +25,9 @@
 pub fn now() -> Now {
     Now { time: time(), wall: wall() }
 }
+
+/// A duration in whole milliseconds. One that is too long for the number, such as the wait in a
+/// pool without hosts, becomes the largest number.
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/borageswitch_runtime/src/control/admission.rs
+++ b/crates/borageswitch_runtime/src/control/admission.rs
@@ -46,12 +46,15 @@
     if ledger.jobs.contains_key(&query.job) || ledger.finished.contains_key(&query.job) {
         return Decision::Admit;
     }
-    let decision = leading.scheduler.decide_admission(now, query);
-    if decision != Decision::Admit {
-        return decision;
-    }
-    match leading.manual_limits.try_take(now.time, &query.queue, query.caller.as_ref()) {
-        Ok(()) => Decision::Admit,
+    // The scheduler counts the work of a job that it admits, so operators' limits come first.
+    match leading.manual_limits.permit(now.time, &query.queue, query.caller.as_ref()) {
+        Ok(permit) => {
+            let decision = leading.scheduler.decide_admission(now, query);
+            if decision == Decision::Admit {
+                leading.manual_limits.take(permit);
+            }
+            decision
+        }
         Err(next) => {
             let patience = query.patience.unwrap_or(DEFAULT_PATIENCE);
             let retry_after = next.filter(|next| *next <= patience);
--- a/crates/borageswitch_runtime/src/control/overview.rs
+++ b/crates/borageswitch_runtime/src/control/overview.rs
@@ -49,7 +49,7 @@
                 "caller": caller.as_ref().map(CallerName::as_str),
                 "reason": reason.to_string(),
                 "times": seen.0,
-                "last_ms_ago": now.since(seen.1).as_millis() as u64,
+                "last_ms_ago": clock::millis(now.since(seen.1)),
             })
         });
         Value::Array(lines.collect())
@@ -63,8 +63,8 @@
     let queues = limits.iter().flat_map(|limits| &limits.queues).map(|(queue, limit)| {
         json!({
             "queue": queue.as_str(),
-            "wait_ms": limit.wait.as_millis() as u64,
-            "wait_beyond_ms": limit.wait_beyond.as_millis() as u64,
+            "wait_ms": clock::millis(limit.wait),
+            "wait_beyond_ms": clock::millis(limit.wait_beyond),
             "beyond": limit.beyond.iter().map(CallerName::as_str).collect::<Vec<_>>(),
         })
     });
--- a/crates/borageswitch_scheduler/src/policy/manual_limits.rs
+++ b/crates/borageswitch_scheduler/src/policy/manual_limits.rs
@@ -100,18 +100,19 @@
         self.limits.iter().map(|(subject, limit)| (subject, limit.per_second))
     }
 
-    /// Takes a job of a queue and a caller from all limits that apply to it.
+    /// Reserves a job of a queue and a caller in all limits that apply to it. The job counts only
+    /// once the permit is [taken](Self::take).
     ///
     /// # Errors
     ///
     /// If one of them is used up, the time until it allows another job; none if it allows no job.
-    pub fn try_take(
-        &mut self,
+    pub fn permit(
+        &self,
         now: Time,
         queue: &QueueName,
         caller: Option<&CallerName>,
-    ) -> Result<(), Option<Duration>> {
-        let mut taken = Vec::new();
+    ) -> Result<Permit, Option<Duration>> {
+        let mut permit = Permit::default();
         for subject in subjects(queue, caller) {
             let Some(Limit { per_second, bucket }) = self.limits.get(&subject).copied() else {
                 continue;
@@ -123,13 +124,21 @@
             if !bucket.try_take(now, per_second) {
                 return Err(Duration::try_from_secs_f64(per_second.recip()).ok());
             }
-            taken.push((subject, Limit { per_second, bucket: Some(bucket) }));
+            permit.0.push((subject, Limit { per_second, bucket: Some(bucket) }));
         }
-        // A job that one limit refuses must not use up the other.
-        self.limits.extend(taken);
-        Ok(())
+        Ok(permit)
+    }
+
+    /// Counts the job of a permit, which must be the last one given.
+    pub fn take(&mut self, permit: Permit) {
+        self.limits.extend(permit.0);
     }
 }
 
+/// The limits as they are once a job is counted. A job that another limit or rule refuses must not
+/// use up any of them.
+#[derive(Debug, Default)]
+pub struct Permit(Vec<(LimitSubject, Limit)>);
+
 #[cfg(test)]
 mod tests;
--- a/crates/borageswitch_scheduler/src/policy/manual_limits/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/manual_limits/tests.rs
@@ -16,10 +16,20 @@
     limits
 }
 
+fn try_take(
+    limits: &mut ManualLimits,
+    now: Time,
+    caller: Option<&CallerName>,
+) -> Result<(), Option<Duration>> {
+    let permit = limits.permit(now, &queue(), caller)?;
+    limits.take(permit);
+    Ok(())
+}
+
 /// How many of the jobs that a caller submits every 10 ms for 10 s are admitted.
 fn admitted(limits: &mut ManualLimits, name: &str) -> usize {
     let times = (0..1_000).map(|number| Time::from_millis(1_000 + 10 * number));
-    times.filter(|now| limits.try_take(*now, &queue(), Some(&caller(name))).is_ok()).count()
+    times.filter(|now| try_take(limits, *now, Some(&caller(name))).is_ok()).count()
 }
 
 #[test]
@@ -38,7 +48,7 @@
         [(LimitSubject::Caller(caller("loop")), 1.0), (LimitSubject::Queue(queue()), 9.0)];
     let mut limits = limits(&limited);
     let now = Time::from_millis(1_000);
-    let mut take = |name: &str| limits.try_take(now, &queue(), Some(&caller(name)));
+    let mut take = |name: &str| try_take(&mut limits, now, Some(&caller(name)));
 
     let flood = (0..100).filter(|_| take("loop").is_ok()).count();
     let others = (0..100).filter(|_| take("other").is_ok()).count();
@@ -52,10 +62,10 @@
     let mut limits = limits(&[(subject.clone(), 0.0)]);
     let now = Time::from_millis(1_000);
 
-    assert_eq!(limits.try_take(now, &queue(), None), Err(None));
+    assert_eq!(try_take(&mut limits, now, None), Err(None));
     assert!(concern(limits.subjects(), &queue(), None));
     limits.set(subject, None);
 
-    assert_eq!(limits.try_take(now, &queue(), None), Ok(()));
+    assert_eq!(try_take(&mut limits, now, None), Ok(()));
     assert!(!concern(limits.subjects(), &queue(), None));
 }
