--- a/crates/borageswitch_runtime/src/admission.rs
+++ b/crates/borageswitch_runtime/src/admission.rs
@@ -14,6 +14,7 @@
 use crate::{
     daemon::Shared,
     failures::{Failure, RequestResult},
+    intake::PendingOutcome,
     ports::Platform,
 };
 
@@ -26,6 +27,8 @@
     pub owner: Option<&'a KeyOwner>,
     /// The resources that the caller may use.
     pub(crate) quota: Option<Size>,
+    /// Takes whether the outcome is unknown, if the request may be abandoned at a deadline.
+    pub(crate) pending: Option<&'a PendingOutcome>,
     /// How long the caller waits for a response, if it says so.
     pub(crate) patience: Option<Duration>,
 }
@@ -33,7 +36,13 @@
 impl<'a> Call<'a> {
     /// A request to a queue that requires no key.
     pub fn without_key(queue: &'a Queue) -> Self {
-        Self { queue, owner: None, quota: None, patience: None }
+        Self { queue, owner: None, quota: None, pending: None, patience: None }
+    }
+
+    /// The same request, which may be abandoned at a deadline: what its outcome then is, is kept in
+    /// `pending`.
+    pub fn with_pending(self, pending: &'a PendingOutcome) -> Self {
+        Self { pending: Some(pending), ..self }
     }
 
     /// The same request of a caller that waits for a response for so long. Zero says nothing.
@@ -84,7 +93,7 @@
         Ok(owner) => {
             let declared = owner.and_then(|owner| config.callers.get(&owner.caller));
             let quota = declared.map(|caller| caller.quota);
-            return Ok(Call { queue, owner, quota, patience: None });
+            return Ok(Call { queue, owner, quota, pending: None, patience: None });
         }
         // A daemon that was disconnected when a key was issued does not know it and would reject
         // its owner permanently. The response makes the owner retry and find a daemon that knows the
--- a/crates/borageswitch_runtime/src/admission_check.rs
+++ b/crates/borageswitch_runtime/src/admission_check.rs
@@ -27,6 +27,7 @@
     orders::with_timeout,
     peers::{PeerRequest, PeerResponse},
     ports::Platform,
+    store_health::StoreCall,
 };
 
 /// How long a query waits for the leader. A response takes some 10 ms, and a refusal is to be fast.
@@ -291,11 +292,12 @@
         return LookUp::Failed;
     }
     let key = keys::job(&submission.job);
+    let call = StoreCall::begin(&shared.store_health, sent);
     let Some(Ok(response)) = with_timeout(LOOK_UP_TIMEOUT, shared.platform.read(&key)).await else {
-        shared.store_health.record_failure(sent);
+        call.lose();
         return LookUp::Failed;
     };
-    shared.store_health.record_success();
+    call.succeed(clock::time());
     let Some(item) = response.item else { return LookUp::Missing };
     match codec::decode_submission(&item.value) {
         Ok(stored) if stored.is_foreign_to(submission.caller.as_ref()) => LookUp::Foreign,
--- a/crates/borageswitch_runtime/src/daemon.rs
+++ b/crates/borageswitch_runtime/src/daemon.rs
@@ -26,12 +26,14 @@
     clock,
     control::{Control, Message, PendingEffect},
     election,
+    failures::{ErrorResponse, Failure},
     instruments::Instruments,
     keys::LeaderRecord,
-    orders::{self, OrderSemaphores},
-    peers::{self, Client, KnownPeers, PeerRequest, PeerResponse},
+    orders::{self, ExecutorCalls, OrderSemaphores},
+    peers::{self, Client, ExchangeError, KnownPeers, PeerRequest, PeerResponse},
     ports::{Platform, Revision},
-    store_health::StoreHealth,
+    resend::StoreTimes,
+    store_health::{StoreHealth, monitor},
     watching,
 };
 
@@ -71,9 +73,11 @@
     pub(crate) control: Sender<Message>,
     /// The daemon's metrics.
     pub instruments: Arc<Instruments>,
-    pub(crate) store_health: StoreHealth,
+    pub(crate) store_health: Arc<StoreHealth>,
     pub(crate) admission_limits: KnownLimits,
     pub(crate) order_semaphores: OrderSemaphores,
+    pub(crate) executor_calls: ExecutorCalls,
+    pub(crate) store_times: StoreTimes,
     client: Client,
     pub(crate) known_peers: Arc<KnownPeers>,
     pub(crate) peer_bytes: ByteCounter,
@@ -147,6 +151,16 @@
         self.store_health.is_unavailable(clock::time())
     }
 
+    /// The HTTP response to a failed request. While the store is unavailable, the time to retry
+    /// depends on how long it has been so.
+    pub fn error_response(&self, failure: &Failure) -> ErrorResponse {
+        let mut error = failure.error_response();
+        if *failure == Failure::StoreUnavailable {
+            error.retry_after = Some(self.store_health.retry_after(clock::time()));
+        }
+        error
+    }
+
     /// Whether this daemon leads in the term of `token`.
     pub(crate) fn leads(&self, token: Revision) -> bool {
         let known = self.leader.lock().unwrap_or_else(PoisonError::into_inner);
@@ -178,7 +192,19 @@
         address: SocketAddr,
         request: &PeerRequest,
     ) -> Option<PeerResponse> {
-        self.client.exchange(address, request).await
+        self.exchange(address, request).await.ok()
+    }
+
+    /// Sends a request to another daemon. The error says whether it may have arrived.
+    pub(crate) async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+    ) -> Result<PeerResponse, ExchangeError> {
+        if self.remote_leader() == Some(address) {
+            return self.client.exchange(address, request).await;
+        }
+        self.client.exchange_once(address, request).await
     }
 
     /// Requests the leader's record from known peers, while the store is unavailable to this
@@ -265,9 +291,11 @@
         authority: Authority::default(),
         control,
         instruments,
-        store_health: StoreHealth::default(),
+        store_health: Arc::default(),
         admission_limits: KnownLimits::default(),
         order_semaphores: OrderSemaphores::default(),
+        executor_calls: ExecutorCalls::default(),
+        store_times: StoreTimes::default(),
         client: Client::new(cfg.peer_address, known_peers.clone(), ex.clone(), peer_bytes.clone()),
         known_peers,
         peer_bytes,
@@ -281,6 +309,7 @@
     });
     ex.spawn(peers::serve(listener.into(), shared.clone())).detach();
     ex.spawn(watching::config(shared.clone())).detach();
+    ex.spawn(monitor::run(shared.clone())).detach();
     ex.spawn(election::run(shared.clone())).detach();
     ex.spawn(orders::run(shared.clone(), effects)).detach();
     Ok(shared)
--- a/crates/borageswitch_runtime/src/lib.rs
+++ b/crates/borageswitch_runtime/src/lib.rs
@@ -14,7 +14,8 @@
 //! - [`admission`]: authenticates callers; [`intake`]: serves their requests; [`failures`]: all ways in which these can fail.
 //! - [`admission_limits`]: what a daemon knows of the wait in each queue; [`admission_check`]: refuses jobs that could not end in time.
 //! - [`manual_limits`]: limits that operators store.
-//! - [`store_health`]: whether the store is available to this daemon; [`retry`]: backoff between calls to it.
+//! - [`store_health`]: whether the store is available to this daemon; [`retry`]: backoff between calls to it;
+//!   [`resend`]: repetition of calls whose response is overdue.
 //! - [`peers`]: requests between daemons.
 //! - [`operators`]: explanations and state dumps for operators; [`instruments`]: metrics.
 //! - [`settings`]: the settings of the process; [`reloading`]: changes of their file.
@@ -40,6 +41,7 @@
 pub mod peers;
 pub mod ports;
 pub mod reloading;
+pub mod resend;
 pub mod retry;
 pub mod settings;
 pub mod store_health;
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -16,11 +16,11 @@
 //! - [`crashes`]: executors that ended, and which of them crashed.
 //! - [`suspects`]: tasks under which executors have crashed; [`containment`] limits how many executors
 //!   they may reach.
-//! - [`admission`]: limits for the admission of jobs; [`shares`]: callers beyond their share.
+//! - [`admission`]: limits for the admission of jobs; [`shares`]: enforces the shares of callers.
 //! - [`stragglers`]: stops runs that fall far behind.
 //! - [`lease_expiry`]: runs on executors that cannot be reached.
 //! - [`waiting`]: the waiting steps, most urgent first; [`free_capacity`]: the free capacity of
-//!   executors.
+//!   executors; [`on_time_set`]: the steps that have to wait when not all can be on time.
 //! - [`pass`]: places waiting tasks on executors, among the [`places`] that suit them; [`gangs`]
 //!   places the members of a gang together; [`advice`] requests permission to run a step;
 //!   [`gang_reservations`] reserves capacity for gangs; [`preemption`] frees capacity for lasting
@@ -53,6 +53,7 @@
 pub mod lasting;
 pub mod lease_expiry;
 pub mod lending;
+pub mod on_time_set;
 pub mod outbox;
 pub mod pass;
 pub mod pending_starts;
@@ -90,11 +91,11 @@
     ledger::{Ledger, record::Record},
     policy::{caller_shares::JobBucket, runtime_estimates::RuntimeEstimates},
     reducer::{
-        advice::Advice, crashes::EndedExecutor, executor_table::ExecutorTable,
-        failed_starts::FailedStarts, free_capacity::FreeCapacityByPool,
-        gang_reservations::GangReservations, host_list::Fleet, jobs::JobState, lending::Lending,
-        outbox::Outbox, pending_starts::PendingStarts, stragglers::Stragglers, suspects::Suspects,
-        waiting::Waiting, waves::Waves,
+        admission::Admission, advice::Advice, containment::Containment, crashes::EndedExecutor,
+        executor_table::ExecutorTable, failed_starts::FailedStarts,
+        free_capacity::FreeCapacityByPool, gang_reservations::GangReservations, host_list::Fleet,
+        jobs::JobState, lending::Lending, outbox::Outbox, pending_starts::PendingStarts,
+        shares::Shares, stragglers::Stragglers, suspects::Suspects, waiting::Waiting, waves::Waves,
     },
     task::StepKey,
 };
@@ -148,6 +149,7 @@
     lasting_unplaced: BTreeMap<StepKey, Time>,
     /// The submission rate of each caller, compared with its share.
     job_buckets: BTreeMap<CallerName, JobBucket>,
+    shares: Shares,
     /// When the log last reported that a caller's tasks wait for its quota.
     quota_logged: BTreeMap<CallerName, Time>,
     /// Executors that changed since they were last considered for a poll.
@@ -165,6 +167,7 @@
     unavailable: BTreeMap<StepKey, BTreeSet<u32>>,
     waves: Waves,
     lending: Lending,
+    admission: Admission,
     /// Pools in which a waiting task may find a host since the last pass.
     dirty_pools: BTreeSet<PoolName>,
     /// Jobs to be checked for their end.
@@ -174,6 +177,7 @@
     /// Executors that ended since the last decision.
     ended_executors: Vec<EndedExecutor>,
     suspects: Suspects,
+    containment: Containment,
     failed_starts: FailedStarts,
     stragglers: Stragglers,
     pending_starts: PendingStarts,
@@ -235,7 +239,13 @@
         self.process_crashes(now);
         self.finish_jobs(now);
         self.update_free_capacity(now, sweep);
+        if !sweep {
+            self.release_shares();
+        }
         self.update_waiting(now, sweep);
+        if sweep {
+            self.update_shares(now);
+        }
         self.place_waiting(now);
         if slow_sweep {
             // This follows the placement pass: until then a host that has just returned is idle,
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -11,7 +11,11 @@
     event::Now,
     job::Size,
     ledger::record::Record,
-    policy::{crash_attribution::SuspicionLevel, last_chance::Allowance, order::Urgency},
+    policy::{
+        crash_attribution::SuspicionLevel,
+        last_chance::{self, Allowance},
+        order::Urgency,
+    },
     reducer::{
         Scheduler,
         executors::Phase,
@@ -29,7 +33,7 @@
 
 /// The result of an attempt to place a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Placement {
+pub(super) enum Placement {
     /// All tasks are placed, or wait for something other than capacity.
     Done,
     /// No executor has capacity for a task of the step, even without the step's other constraints.
@@ -41,17 +45,17 @@
 /// With a full pool and thousands of waiting tasks, most of a pass would otherwise go into checking
 /// each host again for each step.
 #[derive(Debug, Default)]
-struct UnplaceableSizes {
+pub(super) struct UnplaceableSizes {
     sizes: Vec<Size>,
 }
 
 impl UnplaceableSizes {
     /// Whether a task of this size cannot fit because an equal or smaller one did not.
-    fn rules_out(&self, size: &Size) -> bool {
+    pub(super) fn rules_out(&self, size: &Size) -> bool {
         self.sizes.iter().any(|unplaceable| size.holds(unplaceable))
     }
 
-    fn add(&mut self, size: Size) {
+    pub(super) fn add(&mut self, size: Size) {
         self.sizes.retain(|unplaceable| !unplaceable.holds(&size));
         self.sizes.push(size);
     }
@@ -70,6 +74,7 @@
 impl Scheduler {
     /// Runs a placement pass for each pool in which something has changed.
     pub(super) fn place_waiting(&mut self, now: Now) {
+        self.refresh_containment(now);
         for pool in std::mem::take(&mut self.dirty_pools) {
             let order = self.waiting.take(&pool);
             if order.is_empty() {
@@ -90,9 +95,10 @@
         available: &mut FreeCapacity,
     ) {
         self.update_reservation(now, pool, order);
-        let ahead = self.last_chance_steps(pool, order);
+        let ahead = self.last_chance_steps(now, pool, order);
         let (first, rest) = split_lasting(order);
         let rest = rest.filter(|step| !ahead.iter().any(|other| other.key == step.key));
+        let mut contained_capacity = self.place_probes(now, pool, order, available);
         let mut unplaceable = UnplaceableSizes::default();
         for step in first.chain(ahead.iter()).chain(rest) {
             if self.is_at_quota(step) {
@@ -109,7 +115,9 @@
             let may_use_reserved =
                 step.urgency.is_lasting() || self.has_reservation(pool, &step.key);
             if may_use_reserved {
-                self.place_with_reserved(now, pool, step, available);
+                if let Some(step) = self.proven_part(pool, step) {
+                    self.place_with_reserved(now, pool, &step, available);
+                }
                 continue;
             }
             if unplaceable.rules_out(&step.size) {
@@ -118,12 +126,14 @@
                 }
                 continue;
             }
+            let Some(step) = self.proven_part(pool, step) else { continue };
             let mut reserved_capacity = self.take_reserved(pool, available);
-            if self.place_step(now, pool, step, available) == Placement::NoCapacity {
+            if self.place_step(now, pool, &step, available) == Placement::NoCapacity {
                 unplaceable.add(step.size);
             }
             available.append(&mut reserved_capacity);
         }
+        available.append(&mut contained_capacity);
     }
 
     /// Places a step that may use all free capacity, including what is reserved. A lasting step
@@ -144,9 +154,18 @@
     }
 
     /// The late steps that must run now to be of use, as far as the allowance for them permits.
-    fn last_chance_steps(&self, pool: &PoolName, order: &WaitingOrder) -> Vec<WaitingStep> {
+    fn last_chance_steps(
+        &self,
+        now: Now,
+        pool: &PoolName,
+        order: &WaitingOrder,
+    ) -> Vec<WaitingStep> {
+        let contended = self.waiting.on_time_set.is_contended(pool);
+        let is_too_late = |step: &WaitingStep| {
+            contended && !last_chance::is_certain(now.time, step.remaining, step.useful_until)
+        };
         let due = order.values().filter(|step| step.due && !self.is_at_quota(step));
-        let due: Vec<&WaitingStep> = due.collect();
+        let due: Vec<&WaitingStep> = due.filter(|step| !is_too_late(step)).collect();
         if due.is_empty() {
             return Vec::new();
         }
@@ -156,7 +175,8 @@
             let runs = known.runs.values().filter(|held| held.late);
             late += runs.map(|held| held.size.cpu_milli).sum::<u64>();
         }
-        let mut allowance = Allowance::new(total, late);
+        let mut allowance =
+            if contended { Allowance::contended(total, late) } else { Allowance::new(total, late) };
         let granted = due
             .into_iter()
             .filter(|step| allowance.try_take(step.size.cpu_milli * step.waiting.len() as u64));
@@ -165,7 +185,7 @@
         ahead.collect()
     }
 
-    fn place_step(
+    pub(super) fn place_step(
         &mut self,
         now: Now,
         pool: &PoolName,
@@ -222,6 +242,9 @@
             }
             self.assign(now, &executor, &task, None);
             self.mark_late(&executor, &task, waiting.urgency);
+            if waiting.beyond {
+                self.shares.borrow(pool, waiting);
+            }
         }
         if let Some(task) = unplaced_isolated.filter(|_| step.lasting) {
             self.preempt_for(now, pool, &task, &step);
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -21,7 +21,9 @@
     policy::runtime_estimates::RuntimeEstimates,
     reducer::{
         Limits, Scheduler,
+        admission::Admission,
         advice::Advice,
+        containment::Containment,
         executors::{Executor, HeldRun, Phase},
         failed_starts::FailedStarts,
         free_capacity::FreeCapacityByPool,
@@ -31,6 +33,7 @@
         outbox::Outbox,
         pending_starts::PendingStarts,
         places::reserved_size,
+        shares::Shares,
         stragglers::Stragglers,
         suspects::Suspects,
         waiting::{Waiting, charge_of},
@@ -61,6 +64,7 @@
             waiting: Waiting::default(),
             lasting_unplaced: Default::default(),
             job_buckets: Default::default(),
+            shares: Shares::default(),
             quota_logged: Default::default(),
             poll_candidates: Default::default(),
             job_states: Default::default(),
@@ -72,11 +76,13 @@
             unavailable: Default::default(),
             waves: Waves::default(),
             lending: Lending::default(),
+            admission: Admission::default(),
             dirty_pools: Default::default(),
             maybe_ended: Default::default(),
             ending_jobs: Default::default(),
             ended_executors: Vec::new(),
             suspects: Suspects::default(),
+            containment: Containment::default(),
             failed_starts: FailedStarts::default(),
             stragglers: Stragglers::default(),
             pending_starts: PendingStarts::default(),
@@ -90,6 +96,7 @@
         scheduler.inherit_ends();
         scheduler.refresh_job_states(now);
         scheduler.inherit_runs(now);
+        scheduler.derive_containment(now);
         scheduler.maybe_ended = scheduler.ledger.jobs.keys().cloned().collect();
         scheduler
     }
--- a/crates/borageswitch_scheduler/src/reducer/waiting.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waiting.rs
@@ -8,16 +8,29 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     ops::Bound,
+    time::Duration,
 };
 
-use borageswitch_types::names::{JobName, PoolName};
+use borageswitch_types::{
+    Time,
+    names::{JobName, PoolName},
+};
 
 use crate::{
     event::Now,
     job::{Size, Step},
     ledger::job::{Job, StepState},
-    policy::{last_chance, order::Urgency, quotas::Charge},
-    reducer::{Scheduler, places::reserved_size},
+    policy::{
+        last_chance,
+        order::{Class, JobView, Urgency},
+        quotas::Charge,
+    },
+    reducer::{
+        Scheduler,
+        on_time_set::OnTimeSet,
+        places::reserved_size,
+        shares::{ByShare, Shares},
+    },
     task::{StepKey, TaskKey},
 };
 
@@ -42,9 +55,26 @@
     pub(super) gang: bool,
     /// The step must run now to be of use, although it will be late.
     pub(super) due: bool,
+    /// The urgency by the caller's share, if it has one.
+    pub(super) by_share: Option<ByShare>,
+    /// The tasks are beyond the share of their caller, where shares are in force.
+    pub(super) beyond: bool,
+    /// Whether its occurrence can be on time if it runs now.
+    pub(super) can_be_on_time: bool,
+    /// The time from the acceptance of its occurrence to the deadline.
+    pub(super) objective: Duration,
+    /// The deadline of its occurrence.
+    pub(super) deadline: Time,
+    /// The time until which its occurrence is of use.
+    pub(super) useful_until: Time,
+    /// The longest chain of work that is left of its occurrence.
+    pub(super) remaining: Duration,
+    /// The work of each waiting task.
+    pub(super) task_core_seconds: f64,
 }
 
-/// The waiting steps of a pool, most urgent first.
+/// The waiting steps of a pool, most urgent first. A step of which only some tasks are within its
+/// caller's share is listed twice.
 pub(super) type WaitingOrder = BTreeMap<(Urgency, StepKey), WaitingStep>;
 
 #[derive(Debug)]
@@ -62,6 +92,7 @@
     stale: BTreeSet<JobName>,
     /// The last job refreshed in rotation.
     last_refreshed: Option<JobName>,
+    pub(super) on_time_set: OnTimeSet,
 }
 
 impl Waiting {
@@ -72,6 +103,11 @@
         }
     }
 
+    /// The steps of a pool, if any wait.
+    pub(super) fn order(&self, pool: &PoolName) -> Option<&WaitingOrder> {
+        self.orders.get(pool).filter(|order| !order.is_empty())
+    }
+
     /// Takes the steps of a pool; [`Self::put_back`] returns them.
     pub(super) fn take(&mut self, pool: &PoolName) -> WaitingOrder {
         self.orders.get_mut(pool).map(std::mem::take).unwrap_or_default()
@@ -83,6 +119,16 @@
         }
     }
 
+    /// The pools in which steps wait.
+    pub(super) fn pools(&self) -> impl Iterator<Item = &PoolName> {
+        self.orders.iter().filter(|(_, order)| !order.is_empty()).map(|(pool, _)| pool)
+    }
+
+    /// The waiting steps of a pool.
+    pub(super) fn of_pool(&self, pool: &PoolName) -> impl Iterator<Item = &WaitingStep> {
+        self.orders.get(pool).into_iter().flat_map(BTreeMap::values)
+    }
+
     /// The next jobs to refresh in rotation.
     fn next_to_refresh(&mut self) -> Vec<JobName> {
         let count = (self.listed.len() / SWEEPS_PER_REFRESH).max(MIN_REFRESHED_PER_SWEEP);
@@ -101,6 +147,22 @@
         }
     }
 
+    /// Sorts a job in again after the shares of callers have changed.
+    pub(super) fn reclassify(&mut self, job: &JobName, shares: &mut Shares) {
+        let Some(listed) = self.listed.remove(job) else { return };
+        let Some(order) = self.orders.get_mut(&listed.pool) else { return };
+        let mut steps: Vec<WaitingStep> = Vec::new();
+        for part in listed.steps.iter().filter_map(|step| order.remove(step)) {
+            match steps.iter_mut().find(|step| step.key == part.key) {
+                Some(step) => step.waiting.extend(part.waiting),
+                None => steps.push(part),
+            }
+        }
+        steps.iter_mut().for_each(|step| step.waiting.sort_unstable());
+        let steps = shares.classify(&listed.pool, steps);
+        self.insert_job(job, listed.pool, steps);
+    }
+
     fn insert_job(&mut self, job: &JobName, pool: PoolName, steps: Vec<WaitingStep>) {
         if steps.is_empty() {
             return;
@@ -116,6 +178,7 @@
     /// Updates the order of waiting steps.
     pub(super) fn update_waiting(&mut self, now: Now, sweep: bool) {
         if sweep {
+            self.update_on_time_sets(now);
             let to_refresh = self.waiting.next_to_refresh();
             self.waiting.stale.extend(to_refresh);
         }
@@ -124,6 +187,7 @@
             let known = self.ledger.jobs.get(&job).zip(self.pool_of(&job).cloned());
             if let Some((known, pool)) = known {
                 let steps = self.waiting_steps(now, &job, known);
+                let steps = self.shares.classify(&pool, steps);
                 self.waiting.insert_job(&job, pool, steps);
             }
         }
@@ -138,18 +202,61 @@
                 continue;
             }
             let view = self.view_of(job, times, occurrence);
-            let urgency = Urgency::of(&view, now.time);
+            let mut urgency = Urgency::of(&view, now.time);
+            let can_be_on_time = urgency.class() == Class::OnTime;
+            let surplus = can_be_on_time && self.waiting.on_time_set.is_surplus(name, occurrence);
+            let mut by_share = self.by_share(now, job, &view);
+            if surplus {
+                urgency = urgency.as_surplus(&view);
+                if let Some(by_share) = &mut by_share {
+                    by_share.within = by_share.within.as_surplus(&view);
+                }
+            }
             let due = last_chance::is_due(&view, now.time);
             steps.extend(waiting.into_iter().map(|(key, waiting)| {
                 let step = job.step(key.step);
                 let size = step.map(reserved_size).unwrap_or_default();
                 let gang = step.is_some_and(|step| step.gang);
                 let charge = step.and_then(|step| charge_of(job, step));
-                WaitingStep { urgency, key, waiting, size, charge, gang, due }
+                let queue = &job.submission.queue.name;
+                let each = step.map(|step| self.runtime_estimates.estimate(queue, step.estimate));
+                let cores = size.cpu_milli as f64 / 1_000.0;
+                WaitingStep {
+                    urgency,
+                    key,
+                    waiting,
+                    size,
+                    charge,
+                    gang,
+                    due,
+                    by_share,
+                    beyond: false,
+                    can_be_on_time,
+                    objective: view.deadline - view.accepted,
+                    deadline: view.deadline,
+                    useful_until: view.useful_until,
+                    remaining: view.remaining,
+                    task_core_seconds: cores * each.unwrap_or_default().as_secs_f64(),
+                }
             }));
         }
         steps
     }
+
+    /// The urgency of a job's steps by its caller's share; `None` if the caller is not declared.
+    fn by_share(&self, now: Now, job: &Job, view: &JobView) -> Option<ByShare> {
+        let caller = job.submission.caller.as_ref()?;
+        let weight = self.config.as_ref()?.callers.get(caller)?.weight;
+        let within = JobView { beyond_share: false, ..*view };
+        let beyond = Urgency::of(&JobView { beyond_share: true, ..*view }, now.time);
+        let is_weighted = weight > 0.0;
+        Some(ByShare {
+            weight,
+            within: Urgency::of(&within, now.time),
+            beyond: if is_weighted { beyond.as_late_beyond() } else { beyond.as_unweighted() },
+            due: is_weighted && last_chance::is_due(&within, now.time),
+        })
+    }
 }
 
 /// What each task of a step uses of its caller's quota.
--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -18,7 +18,7 @@
 };
 
 use borageswitch_scheduler::{
-    config::{Caller, Config},
+    config::{Caller, Config, Pool, Queue},
     effect::Effect,
     event::{Event, Now},
     executor::Registration,
@@ -30,6 +30,7 @@
         snapshot::Snapshot,
     },
     reducer::{Limits, Scheduler},
+    task::TaskKey,
 };
 use borageswitch_types::{
     Time,
@@ -115,8 +116,12 @@
     /// When each outcome was first reported.
     pub reported_at: BTreeMap<JobName, u64>,
     pub violations: Vec<String>,
+    /// The number of log lines of each kind.
+    pub log_counts: BTreeMap<&'static str, usize>,
     hosts: Option<Hosts>,
     pub poison_tasks: PoisonTasks,
+    /// The actual run times of the tasks of some jobs, in percent of the declared ones.
+    pub run_time_percent: BTreeMap<JobName, u64>,
     reuse_names: bool,
 }
 
@@ -147,8 +152,10 @@
             reported: BTreeMap::new(),
             reported_at: BTreeMap::new(),
             violations: Vec::new(),
+            log_counts: BTreeMap::new(),
             hosts: None,
             poison_tasks: PoisonTasks::default(),
+            run_time_percent: BTreeMap::new(),
             reuse_names: faults.reuse_names,
         };
         for _ in 0..hosts {
@@ -167,6 +174,28 @@
         simulation
     }
 
+    /// Creates a simulation without faults, with a pool and its number of hosts for each queue.
+    pub fn with_queues(seed: u64, queues: &[(Queue, usize)]) -> Self {
+        let mut simulation = Self::with_hosts(seed, 0, true, Faults::default());
+        let pools = queues.iter().map(|(queue, _)| Pool {
+            name: queue.pool.clone(),
+            enforces_capacity: true,
+            standby: false,
+        });
+        let names = queues.iter().map(|(queue, _)| queue.clone());
+        simulation.config = Arc::new(Config::new(1, names, pools));
+        for (queue, hosts) in queues {
+            (0..*hosts).for_each(|_| simulation.add_host_to(queue.pool.clone(), true));
+        }
+        simulation
+    }
+
+    /// Ends the leader; another one takes over after a number of milliseconds.
+    pub fn crash_leader(&mut self, pause: u64) {
+        self.leader = None;
+        self.leader_back_at = self.now + pause;
+    }
+
     fn add_executor(&mut self, enforces_capacity: bool) -> ExecutorName {
         self.next_executor += 1;
         let name = ExecutorName::from(format!("e{}", self.next_executor));
@@ -205,6 +234,18 @@
         incarnations.filter(|id| !self.dead.contains(*id)).max().unwrap_or(executor).clone()
     }
 
+    /// The leader, with its fencing token.
+    pub fn leader(&mut self) -> Option<(Now, u64, &mut Scheduler)> {
+        let (moment, token) = (self.moment(), self.token);
+        self.leader.as_mut().map(|leader| (moment, token, leader))
+    }
+
+    /// How long a task runs, in milliseconds.
+    fn run_time_of(&self, task: &TaskKey, declared: Duration) -> u64 {
+        let percent = self.run_time_percent.get(&task.job).copied().unwrap_or(100);
+        declared.as_millis() as u64 * percent / 100
+    }
+
     fn moment(&self) -> Now {
         Now { time: Time::from_millis(self.now), wall: UnixMillis(WALL_CLOCK_START + self.now) }
     }
@@ -268,22 +309,50 @@
 
     /// Submits a job.
     pub fn submit(&mut self, steps: Vec<Step>) -> JobName {
-        self.submit_at(steps, None)
+        self.submit_at(queue(), steps, None)
+    }
+
+    /// Submits a job to a queue.
+    pub fn submit_to(&mut self, queue: Queue, steps: Vec<Step>) -> JobName {
+        self.submit_at(queue, steps, None)
     }
 
     /// Submits a job with a schedule.
     pub fn submit_timed(&mut self, steps: Vec<Step>, times: u32) -> JobName {
         let first = UnixMillis(WALL_CLOCK_START + self.now + self.rng.u64(500..3_000));
         let interval = Duration::from_millis(self.rng.u64(1_000..4_000));
-        self.submit_at(steps, Some(Schedule { first, interval, times }))
+        self.submit_at(queue(), steps, Some(Schedule { first, interval, times }))
     }
 
-    fn submit_at(&mut self, steps: Vec<Step>, schedule: Option<Schedule>) -> JobName {
+    fn submit_at(&mut self, queue: Queue, steps: Vec<Step>, schedule: Option<Schedule>) -> JobName {
         let name = JobName::from(format!("{:016x}", self.rng.u64(..)));
         let caller = self.random_caller();
+        self.store(queue, &name, caller, steps, schedule);
+        name
+    }
+
+    /// Submits a job of the given name and caller.
+    pub fn submit_as(
+        &mut self,
+        name: &JobName,
+        caller: Option<CallerName>,
+        steps: Vec<Step>,
+        schedule: Option<Schedule>,
+    ) {
+        self.store(queue(), name, caller, steps, schedule);
+    }
+
+    fn store(
+        &mut self,
+        queue: Queue,
+        name: &JobName,
+        caller: Option<CallerName>,
+        steps: Vec<Step>,
+        schedule: Option<Schedule>,
+    ) {
         let submission = Arc::new(Submission {
             job: name.clone(),
-            queue: queue(),
+            queue,
             accepted: UnixMillis(WALL_CLOCK_START + self.now),
             spec: JobSpec { payload: "text".into(), steps, schedule },
             caller,
@@ -294,7 +363,6 @@
         if let Some(leader) = &mut self.leader {
             leader.handle(moment, Event::Submitted(submission));
         }
-        name
     }
 
     fn cancel_one(&mut self) {
@@ -453,9 +521,9 @@
         let token = self.token;
         let Some(leader) = &mut self.leader else { return };
         let effects = leader.settle(moment);
-        for job in self.submissions.keys() {
+        for (job, submission) in &self.submissions {
             use borageswitch_scheduler::reducer::view::JobStatus;
-            let outcome = match leader.status(&queue().name, job) {
+            let outcome = match leader.status(&submission.queue.name, job) {
                 Some(JobStatus::Ended(outcome)) => Some(outcome),
                 Some(JobStatus::GivenUp(_)) => Some(Outcome::Failed),
                 _ => None,
@@ -485,6 +553,7 @@
                     self.violations.push("stepped down without another leader".to_owned());
                 }
                 Effect::Log(line) => {
+                    *self.log_counts.entry(line.kind).or_default() += 1;
                     if std::env::var_os("BORAGESWITCH_LOG").is_some() {
                         println!("{} {} {} {}", self.now, line.kind, line.subject, line.detail);
                     }
