Keep shortened timeouts from confirming themselves, and check the authority before each stop

Repeated stops were sent without a new look at the lease, for up to 1.35 s. Change: timeouts are shortened only while half of the orders get responses; each stop checks the authority; stops repeat for 300 ms; a call to the store whose repetition answered first counts as a loss.

--- a/crates/borageswitch_runtime/src/orders.rs
+++ b/crates/borageswitch_runtime/src/orders.rs
@@ -36,9 +36,9 @@
 const ORDERS_PER_EXECUTOR: usize = 2;
 /// An order is not sent if this daemon's authority ends sooner than this.
 const MIN_AUTHORITY: Duration = Duration::from_millis(20);
-/// How often a stop is sent at once while responses get lost. Together these attempts take less
-/// time than the scheduler waits before it repeats a stop.
-const STOP_ATTEMPTS: u32 = 4;
+/// How long a stop is repeated at once while responses get lost; the scheduler repeats it after
+/// 600 ms.
+const STOP_REPEAT_WINDOW: Duration = Duration::from_millis(300);
 /// The pause before storing a wave's report is retried.
 const REPORT_RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// How often storing a wave's report is attempted.
@@ -95,9 +95,8 @@
 
     /// Records the outcome of an order that was sent at `sent`.
     fn record_order(&self, executor: &ExecutorName, sent: Time, responded: bool) {
-        if responded {
-            self.lock().loss.record_order_time(clock::time().since(sent));
-        }
+        let took = responded.then(|| clock::time().since(sent));
+        self.lock().loss.record_order(took);
         self.record_call(executor, sent, responded);
     }
 
@@ -251,11 +250,7 @@
 {
     let semaphore = shared.order_semaphores.get(&to.executor);
     let _permit = semaphore.acquire().await;
-    let answer = if shared.authority.remaining(token) < MIN_AUTHORITY {
-        OrderResponse::Lost
-    } else {
-        send_stop(shared, token, &to, &task, run).await
-    };
+    let answer = send_stop(shared, token, &to, &task, run).await;
     Event::StopAnswered { executor: to.executor, task, run, response: answer }
 }
 
@@ -271,19 +266,22 @@
 where
     P: Platform,
 {
-    let timeouts = shared.executor_calls.timeouts();
-    let attempts = if timeouts.is_some() { STOP_ATTEMPTS } else { 1 };
-    for _ in 0..attempts {
+    let began = clock::time();
+    loop {
         let sent = clock::time();
+        if shared.authority.remaining(token) < MIN_AUTHORITY {
+            return OrderResponse::Lost;
+        }
+        let timeouts = shared.executor_calls.timeouts();
         let call = shared.platform.stop(to, token, task, run);
         let answer = within(timeouts.map(|limits| limits.order), call).await;
         let answer = answer.unwrap_or(OrderResponse::Lost);
         shared.executor_calls.record_order(&to.executor, sent, answer != OrderResponse::Lost);
-        if answer != OrderResponse::Lost {
+        let repeats = timeouts.is_some() && clock::time().since(began) < STOP_REPEAT_WINDOW;
+        if answer != OrderResponse::Lost || !repeats {
             return answer;
         }
     }
-    OrderResponse::Lost
 }
 
 async fn set_speed_limit<P>(
--- a/crates/borageswitch_runtime/src/resend.rs
+++ b/crates/borageswitch_runtime/src/resend.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    fn record_loss(&self) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.lost_at = Some(clock::time());
+    }
+
     /// When the response to a call is overdue; `None` while no responses get lost.
     fn overdue_after(&self) -> Option<Duration> {
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
@@ -92,7 +97,13 @@
         match outcome {
             // Another attempt may still get a response.
             Err(StoreError::Lost) => future::pending().await,
-            outcome => outcome,
+            outcome => {
+                if !after.is_zero() {
+                    // The response to the first attempt is overdue and counts as lost.
+                    times.record_loss();
+                }
+                outcome
+            }
         }
     };
     let first = future::or(attempt(Duration::ZERO), attempt(delay));
@@ -100,9 +111,8 @@
     let all = future::or(future::or(first, second), attempt(delay * 4));
     let outcome = with_timeout(TIMEOUT, all).await;
     outcome.unwrap_or_else(|| {
-        let lost = Err(StoreError::Lost);
-        times.record(clock::time(), &lost);
-        lost
+        times.record_loss();
+        Err(StoreError::Lost)
     })
 }
 
--- a/crates/borageswitch_scheduler/src/policy/response_loss.rs
+++ b/crates/borageswitch_scheduler/src/policy/response_loss.rs
@@ -27,6 +27,11 @@
 /// The losses must be of at least this many executors: one faulty executor is no reason to treat
 /// all others differently.
 const MIN_EXECUTORS: usize = 2;
+/// The share of recent orders that must have got a response for timeouts to be shortened. Otherwise
+/// responses are slow rather than lost, and with a short timeout none would arrive any more.
+const MIN_ANSWERED: f64 = 0.5;
+/// The weight of a new order in that share.
+const ANSWERED_WEIGHT: f64 = 0.05;
 /// The longest time between a call without a response and the response that confirms its loss.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// The shortest timeout of an order. A busy leader handles a response some 20 ms late.
@@ -47,13 +52,26 @@
 }
 
 /// The recent losses of responses, and how long responses take.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ResponseLoss {
     /// When the first call was sent that has had no response, by executor.
     unanswered: BTreeMap<ExecutorName, Time>,
     /// The confirmed losses, oldest first.
     losses: VecDeque<(Time, ExecutorName)>,
     order_time: ResponseTime,
+    /// The share of recent orders that got a response.
+    answered: f64,
+}
+
+impl Default for ResponseLoss {
+    fn default() -> Self {
+        Self {
+            unanswered: BTreeMap::new(),
+            losses: VecDeque::new(),
+            order_time: ResponseTime::default(),
+            answered: 1.0,
+        }
+    }
 }
 
 impl ResponseLoss {
@@ -69,9 +87,12 @@
         }
     }
 
-    /// Records how long the response to an order took. Polls do not count, as they are held.
-    pub fn record_order_time(&mut self, took: Duration) {
-        self.order_time.record(took);
+    /// Records how long the response to an order took; `None` if it got none. Polls do not count,
+    /// as they are held.
+    pub fn record_order(&mut self, took: Option<Duration>) {
+        let answered = if took.is_some() { 1.0 } else { 0.0 };
+        self.answered += (answered - self.answered) * ANSWERED_WEIGHT;
+        took.into_iter().for_each(|took| self.order_time.record(took));
     }
 
     /// Records that a call sent at `sent` got no response.
@@ -85,7 +106,8 @@
         while self.losses.front().is_some_and(|(at, _)| now.since(*at) > WINDOW) {
             self.losses.pop_front();
         }
-        if self.losses.len() < MIN_LOSSES || self.executors() < MIN_EXECUTORS {
+        let too_few = self.losses.len() < MIN_LOSSES || self.executors() < MIN_EXECUTORS;
+        if too_few || self.answered < MIN_ANSWERED {
             return None;
         }
         let order = self.order_time.timeout().clamp(MIN_TIMEOUT, MAX_TIMEOUT);
--- a/crates/borageswitch_scheduler/src/policy/response_loss/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/response_loss/tests.rs
@@ -23,12 +23,13 @@
         let sent = call * 5;
         let to = executor(call % 20);
         for (since, to) in pending.extract_if(.., |(since, _)| sent >= *since + 450) {
+            loss.record_order(None);
             loss.record_timeout(at(sent), &to, at(since));
         }
         if call % lost == 0 {
             pending.push((sent, to));
         } else {
-            loss.record_order_time(Duration::from_millis(4));
+            loss.record_order(Some(Duration::from_millis(4)));
             loss.record_response(at(sent + 4), &to, at(sent));
         }
         timeouts.push(loss.timeouts(at(sent + 4)));
@@ -83,7 +84,7 @@
     let mut loss = ResponseLoss::default();
     play(&mut loss, 400, 25);
 
-    (0..100).for_each(|_| loss.record_order_time(Duration::from_millis(200)));
+    (0..100).for_each(|_| loss.record_order(Some(Duration::from_millis(200))));
 
     let limits = loss.timeouts(at(2_000));
     assert!(limits.is_some_and(|limits| limits.order >= Duration::from_millis(200)), "{limits:?}");
@@ -97,3 +98,31 @@
 
     assert_eq!(loss.timeouts(at(5_000)), None);
 }
+
+/// Responses get lost for two seconds, and then take longer than the shortened timeout. Each order
+/// that is given up would count as a further loss and keep the timeout in force, so that no order
+/// would get a response any more.
+#[test]
+fn slow_responses_after_losses_do_not_keep_the_timeouts_short() {
+    let mut loss = ResponseLoss::default();
+    play(&mut loss, 400, 25);
+    let takes = Duration::from_millis(150);
+
+    let mut answered = 0;
+    for call in 0..400 {
+        let sent = at(2_000 + call * 20);
+        let limit = loss.timeouts(sent).map_or(Duration::from_millis(450), |limits| limits.order);
+        let to = executor(call % 20);
+        if takes <= limit {
+            answered += 1;
+            loss.record_order(Some(takes));
+            loss.record_response(sent + takes, &to, sent);
+        } else {
+            loss.record_order(None);
+            loss.record_timeout(sent + limit, &to, sent);
+            loss.record_response(sent + limit + takes, &to, sent + limit);
+        }
+    }
+
+    assert!(answered > 360, "{answered} of 400 orders got a response");
+}
