Leave pools that are divided among callers to their shares

Cause: after the merge the choice of jobs that are to be on time undid shares: a caller beyond its share went before jobs within the share that were not chosen (tests/shares.rs, a_new_leader_knows_the_use_of_the_runs_that_it_inherits). Change: no choice is made in a pool where shares are in force.

--- a/crates/borageswitch_scheduler/src/reducer/on_time_set.rs
+++ b/crates/borageswitch_scheduler/src/reducer/on_time_set.rs
@@ -38,7 +38,9 @@
     /// Chooses the jobs of each pool that are to be on time.
     pub(super) fn update_on_time_sets(&mut self, now: Now) {
         let mut fresh = OnTimeSet::default();
-        let pools: Vec<PoolName> = self.waiting.pools().cloned().collect();
+        // In a pool that is divided among callers, the shares decide whose jobs go first.
+        let undivided = self.waiting.pools().filter(|pool| !self.shares.are_in_force(pool));
+        let pools: Vec<PoolName> = undivided.cloned().collect();
         for pool in pools {
             let candidates = self.candidates(&pool);
             if candidates.is_empty() {
--- a/crates/borageswitch_scheduler/src/reducer/waiting.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waiting.rs
@@ -204,14 +204,10 @@
             let view = self.view_of(job, times, occurrence);
             let mut urgency = Urgency::of(&view, now.time);
             let can_be_on_time = urgency.class() == Class::OnTime;
-            let surplus = can_be_on_time && self.waiting.on_time_set.is_surplus(name, occurrence);
-            let mut by_share = self.by_share(now, job, &view);
-            if surplus {
+            if can_be_on_time && self.waiting.on_time_set.is_surplus(name, occurrence) {
                 urgency = urgency.as_surplus(&view);
-                if let Some(by_share) = &mut by_share {
-                    by_share.within = by_share.within.as_surplus(&view);
-                }
             }
+            let by_share = self.by_share(now, job, &view);
             let due = last_chance::is_due(&view, now.time);
             steps.extend(waiting.into_iter().map(|(key, waiting)| {
                 let step = job.step(key.step);
