Refuse jobs on overload only where the settings say so

Change: the setting refuse_on_overload, off by default, governs the published limits and the choice of on-time jobs; limits by hand stay.

--- a/crates/borageswitch_runtime/src/settings.rs
+++ b/crates/borageswitch_runtime/src/settings.rs
@@ -88,6 +88,9 @@
     pub platform: PlatformAddresses,
     /// The platform's guarantees.
     pub promises: Promises,
+    /// Whether jobs are refused that would end after they are of use. Off by default: where hosts
+    /// move between pools, the wait is overestimated, and jobs that could be served are refused.
+    pub refuse_on_overload: bool,
     /// The minimum level of logged messages.
     pub log_level: String,
 }
@@ -106,6 +109,7 @@
             host_order_pause,
             host_calls_per_s,
             host_move,
+            refuses_jobs: self.refuse_on_overload,
             ..Limits::default()
         }
     }
@@ -150,6 +154,7 @@
     let listen = reader.object("listen", read_listen);
     let platform = reader.object("platform", read_platform);
     let promises = reader.object("promises", read_promises);
+    let refuse_on_overload = reader.flag_or("refuse_on_overload", false);
     let log_level = reader.text_or("log_level", "info".to_owned(), str::parse::<String>);
     Some(Settings {
         name: name?,
@@ -158,6 +163,7 @@
         listen: listen?,
         platform: platform?,
         promises: promises?,
+        refuse_on_overload: refuse_on_overload?,
         log_level: log_level?,
     })
 }
--- a/crates/borageswitch_runtime/src/settings/tests.rs
+++ b/crates/borageswitch_runtime/src/settings/tests.rs
@@ -34,3 +34,11 @@
 
     assert!(2 * wait < Duration::from_millis(5_000 - 600), "{wait:?}");
 }
+
+#[test]
+fn jobs_are_refused_on_overload_only_where_the_settings_say_so() {
+    // A site that is upgraded must not begin to refuse jobs without a decision of its operator.
+    let default = settings("{}");
+
+    assert!(!default.limits().refuses_jobs);
+}
--- a/crates/borageswitch_scheduler/src/reducer/admission.rs
+++ b/crates/borageswitch_scheduler/src/reducer/admission.rs
@@ -120,6 +120,9 @@
 impl Scheduler {
     /// The limits in force; none while no queue has a noticeable wait.
     pub fn admission_limits(&mut self, now: Now, token: u64) -> Option<Arc<AdmissionLimits>> {
+        if !self.limits.refuses_jobs {
+            return None;
+        }
         self.update_backlogs(now);
         let basis = Some((self.admission.computed, token));
         if self.admission.published_for != basis {
@@ -131,6 +134,9 @@
 
     /// Decides whether a job may be stored that a daemon would refuse.
     pub fn decide_admission(&mut self, now: Now, query: &AdmissionQuery) -> Decision {
+        if !self.limits.refuses_jobs {
+            return Decision::Admit;
+        }
         self.update_backlogs(now);
         let Some(config) = self.config.clone() else { return Decision::Admit };
         let Some(queue) = config.queues.get(&query.queue) else { return Decision::Admit };
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -118,6 +118,9 @@
     pub host_move: Duration,
     /// The minimum interval between two appends.
     pub append_interval: Duration,
+    /// Whether jobs are refused that would end after they are of use, and the waiting jobs that can
+    /// be on time are chosen accordingly.
+    pub refuses_jobs: bool,
 }
 
 impl Default for Limits {
@@ -130,6 +133,7 @@
             host_calls_per_s: 64.0,
             host_move: Duration::from_millis(1_500),
             append_interval: Duration::from_millis(15),
+            refuses_jobs: true,
         }
     }
 }
--- a/crates/borageswitch_scheduler/src/reducer/on_time_set.rs
+++ b/crates/borageswitch_scheduler/src/reducer/on_time_set.rs
@@ -37,6 +37,9 @@
 impl Scheduler {
     /// Chooses the jobs of each pool that are to be on time.
     pub(super) fn update_on_time_sets(&mut self, now: Now) {
+        if !self.limits.refuses_jobs {
+            return;
+        }
         let mut fresh = OnTimeSet::default();
         // In a pool that is divided among callers, the shares decide whose jobs go first.
         let undivided = self.waiting.pools().filter(|pool| !self.shares.are_in_force(pool));
