Start suspects and probes that have waited for five seconds on any executor

Ruled out: the task was neither given up nor cancelled. Change: the limit on executors does not apply to a task that has waited for five seconds since its job was accepted and since the last crash under it.

--- a/crates/borageswitch_scheduler/src/reducer/containment/probes.rs
+++ b/crates/borageswitch_scheduler/src/reducer/containment/probes.rs
@@ -2,7 +2,10 @@
 
 use std::{borrow::Cow, cmp::Reverse, time::Duration};
 
-use borageswitch_types::names::{ExecutorName, PoolName};
+use borageswitch_types::{
+    Time,
+    names::{ExecutorName, PoolName},
+};
 
 use crate::{
     event::Now,
@@ -22,8 +25,9 @@
     task::TaskKey,
 };
 
-/// How long a suspect waits behind tasks with less evidence against them. Without an end, a stream
-/// of new jobs would keep it waiting for ever.
+/// How long a suspect waits behind tasks with less evidence against them, and any probe for one of
+/// the few executors. Without an end, a stream of new jobs or of crashes would keep it waiting for
+/// ever.
 const SUSPECT_PATIENCE: Duration = Duration::from_secs(5);
 
 /// A task that is to be placed as a probe; all members of a gang.
@@ -34,6 +38,8 @@
     urgency: Urgency,
     step: WaitingStep,
     time: Duration,
+    /// It has waited for so long that the limit on executors does not apply to it.
+    overdue: bool,
 }
 
 impl Scheduler {
@@ -56,12 +62,15 @@
             return FreeCapacity::new();
         }
         let mut reserved = self.take_reserved(pool, available);
-        if self.is_contained(pool) && self.has_probe_slot(pool) {
+        if self.is_contained(pool) {
             let mut unplaceable = UnplaceableSizes::default();
             for candidate in self.probe_candidates(now, pool, order) {
-                if self.pending_starts.remaining() == 0 || !self.has_probe_slot(pool) {
+                if self.pending_starts.remaining() == 0 {
                     break;
                 }
+                if !candidate.overdue && !self.has_probe_slot(pool) {
+                    continue;
+                }
                 if unplaceable.rules_out(&candidate.step.size) {
                     continue;
                 }
@@ -143,6 +152,7 @@
                     .max()
                     .unwrap_or(0),
                 urgency: step.urgency,
+                overdue: waiting.iter().any(|&index| self.is_overdue(now, step, index)),
                 step: WaitingStep { waiting, ..step.clone() },
                 time: needed.unwrap_or(longest),
             };
@@ -166,6 +176,18 @@
         candidates
     }
 
+    /// Whether a task has waited for long since its job was accepted and since the last crash under
+    /// it.
+    fn is_overdue(&self, now: Now, step: &WaitingStep, index: u32) -> bool {
+        let accepted = step.deadline.since(Time::ZERO).saturating_sub(step.objective);
+        let waited = now.time.since(Time::ZERO).saturating_sub(accepted);
+        let last = self.ledger.crashes_of(&step.key.task(index)).last();
+        let since_crash = last.map_or(Duration::MAX, |crash| {
+            Duration::from_millis(now.wall.0.saturating_sub(crash.at.0))
+        });
+        waited.min(since_crash) >= SUSPECT_PATIENCE
+    }
+
     /// The evidence against a task, as it counts for the order of probes.
     fn evidence_rank(&self, now: Now, task: &TaskKey) -> u32 {
         let crashes = self.ledger.crashes_of(task);
@@ -194,7 +216,7 @@
         }
         let is_suspect = step.waiting.iter().any(|&index| self.is_suspect(&step.key.task(index)));
         if step.gang {
-            if self.probe_executors_left(pool) == 0 {
+            if self.probe_executors_left(pool) == 0 && !candidate.overdue {
                 return true;
             }
             self.place_step(now, pool, step, available);
@@ -206,7 +228,7 @@
         if !is_suspect {
             usable = self.used_probe_executors(pool, candidate, available);
         }
-        if usable.is_empty() && self.probe_executors_left(pool) > 0 {
+        if usable.is_empty() && (candidate.overdue || self.probe_executors_left(pool) > 0) {
             usable.extend(self.unused_executor(now, pool, candidate, available));
         }
         if usable.is_empty() {
