--- /dev/null
+++ b/review/standin/src/daemon.rs
@@ -0,0 +1,134 @@
+//! The project's daemons as processes, started as the deploy file says.
+
+use std::{
+    collections::BTreeMap,
+    fs::{self, File},
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use crate::{http, world::World};
+
+/// A daemon of a small deployment. It is ended when it is dropped.
+pub struct Daemon {
+    pub name: String,
+    pub callers: SocketAddr,
+    probes: SocketAddr,
+    words: Vec<String>,
+    settings: PathBuf,
+    log: PathBuf,
+    pids: PathBuf,
+    child: Option<Child>,
+}
+
+/// Addresses with free ports at one loopback address.
+fn free_addresses<const N: usize>(ip: &str) -> [SocketAddr; N] {
+    let listeners = [(); N].map(|()| TcpListener::bind((ip, 0)).expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("a bound port"))
+}
+
+impl Daemon {
+    /// A daemon that does not run yet, with settings from the project's template.
+    pub fn new(repository: &Path, folder: &Path, number: usize, world: &World) -> Self {
+        let name = format!("edge-midrand-{}", number + 1);
+        let ip = "127.0.0.1";
+        let [callers, probes, peers, metrics] = free_addresses::<4>(ip);
+        let values = BTreeMap::from([
+            ("node_name", name.clone()),
+            ("zone", "midrand".to_owned()),
+            ("ip", ip.to_owned()),
+            ("limits.cpu_fraction", "0.25".to_owned()),
+            ("listen_addrs.frontend", callers.to_string()),
+            ("listen_addrs.ready", probes.to_string()),
+            ("internal_ports.0", peers.port().to_string()),
+            ("platform.address", world.serve_store(number).to_string()),
+            ("cloud_api.address", world.serve_machines(number).to_string()),
+            ("cloud_api.duty_per_s", "64.0".to_owned()),
+            ("bounds.hold_max_ms", "10000".to_owned()),
+            ("bounds.lease_ms", "3000".to_owned()),
+            ("bounds.migration_s", "1.5".to_owned()),
+            ("bounds.config_apply_ms", "2000".to_owned()),
+            ("bounds.grace_s", "6".to_owned()),
+        ]);
+        let template = fs::read_to_string(repository.join("deploy/settings.jsonc"))
+            .expect("the template can be read");
+        // All daemons share one address here, so each gets a port of its own for metrics.
+        let text = filled_in(&template, &values).replace(":9464", &format!(":{}", metrics.port()));
+        let settings = folder.join(format!("{name}.jsonc"));
+        fs::write(&settings, text).expect("the settings can be written");
+        let deploy = fs::read_to_string(repository.join("deploy/system.toml"))
+            .expect("the deploy file can be read");
+        let run = deploy.lines().find_map(|line| line.strip_prefix("run = ")).expect("a run line");
+        let words = run.trim_matches('"').split(' ').map(str::to_owned).collect();
+        let log = folder.join(format!("{name}.log"));
+        let pids = folder.join("pids");
+        Self { name, callers, probes, words, settings, log, pids, child: None }
+    }
+
+    /// Starts the process. Its id is added to the file `pids`.
+    pub fn start(&mut self) {
+        let log = File::options().create(true).append(true).open(&self.log).expect("a log");
+        let child = Command::new(&self.words[0])
+            .args(&self.words[1..])
+            .env("BORAGESWITCH_CONFIG", &self.settings)
+            .stdin(Stdio::null())
+            .stderr(log.try_clone().expect("a log"))
+            .stdout(log)
+            .spawn()
+            .expect("the daemon can be started");
+        let mut pids = fs::read_to_string(&self.pids).unwrap_or_default();
+        pids.push_str(&format!("{}\n", child.id()));
+        fs::write(&self.pids, pids).expect("the ids can be written");
+        self.child = Some(child);
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
+    /// Whether it says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        let timeout = Duration::from_millis(500);
+        let answer = http::call(self.probes, "GET", "/-/readyz", "probe", "", timeout);
+        answer.is_some_and(|(status, _)| status == 200)
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Fills in the template as DEPLOY.md says, as far as the project's template needs it.
+fn filled_in(template: &str, values: &BTreeMap<&str, String>) -> String {
+    let mut out = String::new();
+    let mut rest = template;
+    while let Some((before, after)) = rest.split_once("{{") {
+        out.push_str(before);
+        let (name, after) = after.split_once("}}").expect("a placeholder ends");
+        rest = after;
+        if let Some(section) = name.strip_prefix('#') {
+            let end = format!("{{{{/{section}}}}}");
+            let (inner, after) = after.split_once(&end).expect("a section ends");
+            if values.contains_key(section) {
+                out.push_str(&filled_in(inner, values));
+            }
+            rest = after;
+        } else {
+            out.push_str(values.get(name).map_or("", String::as_str));
+        }
+    }
+    out + rest
+}
