--- a/review/standin/src/daemon.rs
+++ b/review/standin/src/daemon.rs
@@ -67,7 +67,8 @@
         Self { name, callers, probes, words, settings, log, pids, child: None }
     }
 
-    /// Starts the process. Its id is added to the file `pids`.
+    /// Starts the process. Its id stands in the file `pids` while it runs, so that the script can end
+    /// it in any case.
     pub fn start(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log).expect("a log");
         let child = Command::new(&self.words[0])
@@ -78,17 +79,31 @@
             .stdout(log)
             .spawn()
             .expect("the daemon can be started");
-        let mut pids = fs::read_to_string(&self.pids).unwrap_or_default();
-        pids.push_str(&format!("{}\n", child.id()));
-        fs::write(&self.pids, pids).expect("the ids can be written");
+        let mut running = self.running();
+        running.push(child.id());
+        self.write_running(&running);
         self.child = Some(child);
     }
 
+    /// The ids of the processes that run, from the file `pids`.
+    fn running(&self) -> Vec<u32> {
+        let text = fs::read_to_string(&self.pids).unwrap_or_default();
+        text.lines().filter_map(|line| line.parse().ok()).collect()
+    }
+
+    fn write_running(&self, running: &[u32]) {
+        let lines: String = running.iter().map(|id| format!("{id}\n")).collect();
+        fs::write(&self.pids, lines).expect("the ids can be written");
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            let mut running = self.running();
+            running.retain(|id| *id != child.id());
+            self.write_running(&running);
         }
     }
 
