--- a/review/standin/src/daemon.rs
+++ b/review/standin/src/daemon.rs
@@ -23,22 +23,43 @@
     child: Option<Child>,
 }
 
-/// Addresses with free ports at one loopback address.
-fn free_addresses<const N: usize>(ip: &str) -> [SocketAddr; N] {
-    let listeners = [(); N].map(|()| TcpListener::bind((ip, 0)).expect("a free port"));
-    listeners.map(|listener| listener.local_addr().expect("a bound port"))
+/// The ports that are tried for daemons. They lie below those that the system gives to outgoing
+/// connections, one of which could take a port before the daemon listens there.
+const FIRST_PORT: u16 = 12_000;
+const PORTS: u16 = 16_000;
+
+/// Loopback addresses with free ports, none of which was given before.
+fn free_addresses<const N: usize>(given: &mut Vec<SocketAddr>) -> [SocketAddr; N] {
+    let start = (std::process::id() % u32::from(PORTS)) as u16;
+    [(); N].map(|()| {
+        let ports = (0..PORTS).map(|port| FIRST_PORT + (start + port) % PORTS);
+        let addresses = ports.map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+        let free = addresses
+            .filter(|address| !given.contains(address))
+            .find(|address| TcpListener::bind(address).is_ok());
+        let address = free.expect("a free port");
+        given.push(address);
+        address
+    })
 }
 
 impl Daemon {
     /// A daemon that does not run yet, with settings from the project's template.
-    pub fn new(repository: &Path, folder: &Path, number: usize, world: &World) -> Self {
+    ///
+    /// `ports` has the addresses that other daemons have got.
+    pub fn new(
+        repository: &Path,
+        folder: &Path,
+        number: usize,
+        world: &World,
+        ports: &mut Vec<SocketAddr>,
+    ) -> Self {
         let name = format!("edge-midrand-{}", number + 1);
-        let ip = "127.0.0.1";
-        let [callers, probes, peers, metrics] = free_addresses::<4>(ip);
+        let [callers, probes, peers, metrics] = free_addresses::<4>(ports);
         let values = BTreeMap::from([
             ("node_name", name.clone()),
             ("zone", "midrand".to_owned()),
-            ("ip", ip.to_owned()),
+            ("ip", "127.0.0.1".to_owned()),
             ("limits.cpu_fraction", "0.25".to_owned()),
             ("listen_addrs.frontend", callers.to_string()),
             ("listen_addrs.ready", probes.to_string()),
--- a/review/standin/src/scenarios.rs
+++ b/review/standin/src/scenarios.rs
@@ -129,13 +129,15 @@
         for number in 1..=machines {
             world.add_machine(&format!("m-{number}"), "payroll");
         }
-        let numbers = 0..DAEMONS;
-        let mut daemons: Vec<Daemon> =
-            numbers.map(|number| Daemon::new(repository, folder, number, &world)).collect();
+        let mut ports = Vec::new();
+        let mut daemons: Vec<Daemon> = (0..DAEMONS)
+            .map(|number| Daemon::new(repository, folder, number, &world, &mut ports))
+            .collect();
         daemons.iter_mut().for_each(Daemon::start);
         let ready = || daemons.iter().all(Daemon::is_ready) && world.lock().renewed.is_some();
         if !wait_for(Duration::from_secs(15), ready) {
-            return Err("the daemons are not ready in time".to_owned());
+            let ended = daemons.iter_mut().map(Daemon::has_ended).filter(|ended| *ended).count();
+            return Err(format!("the daemons are not ready in time; {ended} have ended"));
         }
         world.note("all daemons are ready, one leads");
         thread::sleep(Duration::from_secs(2));
