--- a/review/standin/src/daemon.rs
+++ b/review/standin/src/daemon.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     fs::{self, File},
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     time::Duration,
@@ -23,17 +23,20 @@
     child: Option<Child>,
 }
 
-/// The ports that are tried for daemons. They lie below those that the system gives to outgoing
-/// connections, one of which could take a port before the daemon listens there.
-const FIRST_PORT: u16 = 12_000;
-const PORTS: u16 = 16_000;
+/// The ports that are tried for daemons.
+const PORTS: std::ops::Range<u16> = 12_000..28_000;
 
-/// Loopback addresses with free ports, none of which was given before.
+/// The loopback address of this run's daemons. It is made of the process id, so that runs at the same
+/// time do not compete for ports, and outgoing connections, which have another address, do not either.
+fn own_ip() -> Ipv4Addr {
+    let id = std::process::id();
+    Ipv4Addr::new(127, 64 + (id >> 16 & 63) as u8, (id >> 8 & 255) as u8, (id & 255) as u8)
+}
+
+/// Addresses with free ports, none of which was given before.
 fn free_addresses<const N: usize>(given: &mut Vec<SocketAddr>) -> [SocketAddr; N] {
-    let start = (std::process::id() % u32::from(PORTS)) as u16;
     [(); N].map(|()| {
-        let ports = (0..PORTS).map(|port| FIRST_PORT + (start + port) % PORTS);
-        let addresses = ports.map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+        let addresses = PORTS.map(|port| SocketAddr::from((own_ip(), port)));
         let free = addresses
             .filter(|address| !given.contains(address))
             .find(|address| TcpListener::bind(address).is_ok());
@@ -59,7 +62,7 @@
         let values = BTreeMap::from([
             ("node_name", name.clone()),
             ("zone", "midrand".to_owned()),
-            ("ip", "127.0.0.1".to_owned()),
+            ("ip", own_ip().to_string()),
             ("limits.cpu_fraction", "0.25".to_owned()),
             ("listen_addrs.frontend", callers.to_string()),
             ("listen_addrs.ready", probes.to_string()),
