Log which report of an executor released the runs that it does not list

Cause: a run that an executor lists neither as active nor as ended is released, and its task starts again. The log named the run and "not listed", so it did not tell whether the report was incomplete, old, or of a leader that knows less than the one before.

Change: one line a report, `runs-not-listed`: how many runs are missing, how many active and ended runs the report lists, and how old it is.

Ruled out: an overtaken report (3 ms old), a change of leader (one `leader-begins`), an expired lease (no `lease-ended`), a lost start (no `no answer`).

--- a/crates/borageswitch_scheduler/src/reducer/polls.rs
+++ b/crates/borageswitch_scheduler/src/reducer/polls.rs
@@ -212,6 +212,13 @@
             });
         }
         self.effects.extend(stops);
+        if !missing.is_empty() {
+            self.log("runs-not-listed", executor, || {
+                let (missing, active) = (missing.len(), report.active.len());
+                let (ended, age_ms) = (report.ended.len(), now.time.since(sent).as_millis());
+                format!("missing={missing} active={active} ended={ended} age_ms={age_ms}")
+            });
+        }
         for task in missing {
             self.release_run(executor, &task, "not listed");
         }
