Release no run by a report that lists only a part of the ended runs

What callers saw: tasks of their jobs that were done ran again (a payroll task twice), on an executor with many short tasks while the store is slow.

Cause: a report lists all active runs, but at most 500 ended ones; the others follow once these are acknowledged, which takes a stored append. `reconcile` took a run that is in neither list for one that does not exist, released it, and its task started again. The same for runs inherited by a new leader, and for runs whose start got no response and whose stop did.

Change: the adapter marks a report with a full list of ended runs (`Report::more_ended`), and `settle_absent_runs` releases nothing by such a report. The runs keep their capacity, as the platform asks, and are settled by the report that lists their ends or by a complete one. Why this works: within one incarnation a run can only be missing from a complete report if it never began or its end was acknowledged. Each page is acknowledged once stored, so the last report is complete. `report-incomplete` tells the operator why tasks wait.

Tests: three of four in tests/reports.rs failed before (started tasks 3 and 4 again), the fourth keeps vanished runs from waiting. The simulation's invariant saw only starts after an acknowledged end; it now also sees starts whose task's end here is acknowledged later without an expiry between.

--- a/benches/src/scheduler.rs
+++ b/benches/src/scheduler.rs
@@ -295,6 +295,7 @@
                     clock_ms: self.now,
                     active: active.collect(),
                     ended: sim.ended.iter().cloned().collect(),
+                    more_ended: false,
                 })
             }
         };
--- a/crates/borageswitch_fakes/src/platform/executors.rs
+++ b/crates/borageswitch_fakes/src/platform/executors.rs
@@ -16,6 +16,8 @@
 pub const FAILING_TEXT: &str = "failing";
 /// A job whose text begins so has tasks that crash each executor that starts them.
 pub const CRASHING_TEXT: &str = "crashing";
+/// The number of ended runs in one report.
+const ENDED_PER_REPORT: usize = 500;
 /// How long a lasting task takes until it is at work, in milliseconds.
 const STARTUP_MS: u64 = 300;
 
@@ -167,8 +169,9 @@
             recent: 0,
         });
         let active = active.collect();
-        let ended = self.ended.iter().map(|(ended, _)| ended.clone()).collect();
-        PollResponse::Report(Report { clock_ms, active, ended })
+        let ended = self.ended.iter().take(ENDED_PER_REPORT).map(|(ended, _)| ended.clone());
+        let more_ended = self.ended.len() > ENDED_PER_REPORT;
+        PollResponse::Report(Report { clock_ms, active, ended: ended.collect(), more_ended })
     }
 
     /// The executor's life is over, and with it all that it runs.
--- a/crates/borageswitch_scheduler/src/executor.rs
+++ b/crates/borageswitch_scheduler/src/executor.rs
@@ -111,6 +111,9 @@
     pub clock_ms: u64,
     /// All active runs.
     pub active: Vec<ActiveRun>,
-    /// All ended runs that are not acknowledged.
+    /// Ended runs that are not acknowledged, those with the lowest numbers first.
     pub ended: Vec<EndedRun>,
+    /// Whether more runs may have ended than `ended` lists. The executor lists the others once these
+    /// are acknowledged.
+    pub more_ended: bool,
 }
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -96,8 +96,8 @@
         }
     }
 
-    /// Whether a poll that was sent at `sent` and did not list the run proves that the run does not
-    /// exist and will not start.
+    /// Whether a complete report on a poll sent at `sent`, which did not list the run as active or
+    /// ended, proves that the run does not exist and will not start.
     pub fn absence_proves_end(&self, sent: Time) -> bool {
         match self.phase {
             Phase::Recorded | Phase::Sent => false,
--- a/crates/borageswitch_scheduler/src/reducer/polls.rs
+++ b/crates/borageswitch_scheduler/src/reducer/polls.rs
@@ -168,9 +168,6 @@
             }
         }
         let Some(known) = self.executors.get_mut(executor) else { return };
-        let ended: BTreeSet<&TaskKey> = report.ended.iter().map(|e| &e.task).collect();
-        let listed: BTreeSet<(&TaskKey, u32)> =
-            report.active.iter().map(|a| (&a.task, a.run)).collect();
         let mut orphans = Vec::new();
         for active in &report.active {
             match known.runs.get_mut(&active.task).filter(|held| held.run == active.run) {
@@ -188,6 +185,33 @@
             }
         }
         known.has_orphan_runs = !orphans.is_empty();
+        let recipient = known.recipient();
+        let stops: Vec<Effect> = orphans
+            .iter()
+            .map(|orphan| Effect::Stop(recipient.clone(), orphan.task.clone(), orphan.run))
+            .collect();
+        for orphan in orphans {
+            self.log("stray-run", &orphan.task, || {
+                format!("run={} executor={executor}", orphan.run)
+            });
+        }
+        self.effects.extend(stops);
+        self.settle_absent_runs(now, executor, sent, report);
+    }
+
+    /// Releases runs whose absence from the report proves that they do not exist, and stops those
+    /// that may still start.
+    fn settle_absent_runs(
+        &mut self,
+        now: Now,
+        executor: &ExecutorName,
+        sent: Time,
+        report: &Report,
+    ) {
+        let Some(known) = self.executors.get(executor) else { return };
+        let ended: BTreeSet<&TaskKey> = report.ended.iter().map(|e| &e.task).collect();
+        let listed: BTreeSet<(&TaskKey, u32)> =
+            report.active.iter().map(|a| (&a.task, a.run)).collect();
         let absent = |task: &TaskKey, held: &HeldRun| {
             !listed.contains(&(task, held.run)) && !ended.contains(task)
         };
@@ -201,26 +225,19 @@
         };
         let to_stop: Vec<TaskKey> =
             known.runs.iter().filter(is_unsettled).map(|(task, _)| task.clone()).collect();
-        let recipient = known.recipient();
-        let stops: Vec<Effect> = orphans
-            .iter()
-            .map(|orphan| Effect::Stop(recipient.clone(), orphan.task.clone(), orphan.run))
-            .collect();
-        for orphan in orphans {
-            self.log("stray-run", &orphan.task, || {
-                format!("run={} executor={executor}", orphan.run)
-            });
-        }
-        self.effects.extend(stops);
         if !missing.is_empty() {
-            self.log("runs-not-listed", executor, || {
+            let kind = if report.more_ended { "report-incomplete" } else { "runs-not-listed" };
+            self.log(kind, executor, || {
                 let (missing, active) = (missing.len(), report.active.len());
                 let (ended, age_ms) = (report.ended.len(), now.time.since(sent).as_millis());
                 format!("missing={missing} active={active} ended={ended} age_ms={age_ms}")
             });
         }
-        for task in missing {
-            self.release_run(executor, &task, "not listed");
+        // Behind an incomplete list of ended runs, a missing run may have ended in any way.
+        if !report.more_ended {
+            for task in missing {
+                self.release_run(executor, &task, "not listed");
+            }
         }
         for task in to_stop {
             self.send_stop(now, executor, &task);
--- a/crates/borageswitch_scheduler/tests/randomised.rs
+++ b/crates/borageswitch_scheduler/tests/randomised.rs
@@ -156,6 +156,23 @@
     }
 }
 
+#[test]
+fn tasks_whose_ends_are_not_listed_yet_run_once() {
+    // Guards against taking a run for vanished whose end a full list of ended runs leaves out.
+    let faults = [
+        Faults::default(),
+        Faults { lost_response: 60, lost_order: 30, delayed_order: 40, ..Faults::default() },
+        Faults { leader_crash: 4, delayed_order: 30, cancel: 1, ..Faults::default() },
+        Faults { store_outage: 2, leader_crash: 1, executor_partition: 1, ..Faults::default() },
+    ];
+    for seed in seeds() {
+        let faults = faults[seed as usize % faults.len()];
+        let simulation = simulate(seed, true, Faults { truncated_reports: true, ..faults });
+
+        assert_invariants(seed, &simulation);
+    }
+}
+
 #[test]
 fn executors_without_capacity_checks_are_never_overcommitted() {
     // These executors start every run that they are ordered to, and overcommitted ones fail or slow
--- /dev/null
+++ b/crates/borageswitch_scheduler/tests/reports.rs
@@ -0,0 +1,116 @@
+//! Reports of executors that do not list all ended runs.
+
+mod support;
+
+use borageswitch_scheduler::{
+    effect::Effect,
+    event::{Event, OrderResponse, StartResponse},
+    executor::EndedRun,
+    task::TaskKey,
+};
+use borageswitch_types::{Time, names::ExecutorName};
+use support::session::{Session, active, done, key, step};
+
+/// A session whose executor runs the tasks of a job.
+fn running(tasks: u32) -> Session {
+    let mut session = Session::new(&["e1"]);
+    session.submit("j", vec![step(tasks)]);
+    assert_eq!(session.store_and_start().len(), tasks as usize);
+    session.now += 10;
+    session
+}
+
+fn tasks(range: std::ops::Range<u32>) -> Vec<TaskKey> {
+    range.map(|index| key("j", index)).collect()
+}
+
+/// The ends of the tasks with these indices, which are numbered from 1 in their order.
+fn ends(range: std::ops::Range<u32>) -> Vec<EndedRun> {
+    tasks(range).iter().map(|task| done(u64::from(task.index) + 1, task)).collect()
+}
+
+#[test]
+fn a_run_behind_a_full_list_of_ended_runs_does_not_start_again() {
+    // Guards against a second start of tasks that are done while the store is slow.
+    let mut session = running(5);
+
+    session.report_partly("e1", &[], &ends(0..3), 0);
+    let started = session.store_and_start();
+    session.now += 10;
+    session.report("e1", &[], &ends(3..5), 3);
+    let started_later = session.store_and_start();
+
+    assert!(started.is_empty(), "{started:?}");
+    assert!(started_later.is_empty(), "{started_later:?}");
+    assert_eq!(session.scheduler.ledger().finished.len(), 1);
+}
+
+#[test]
+fn an_inherited_run_behind_a_full_list_of_ended_runs_does_not_start_again() {
+    // Guards against a second start by a new leader, which knows no end of the run either.
+    let ledger = running(5).scheduler.ledger().clone();
+    let mut session = Session::without_reports(&["e1"], ledger);
+
+    session.report_partly("e1", &[], &ends(0..3), 0);
+    let started = session.store_and_start();
+
+    assert!(started.is_empty(), "{started:?}");
+}
+
+#[test]
+fn a_stopped_run_behind_a_full_list_of_ended_runs_does_not_start_again() {
+    // Guards against a second start after a lost response to a start that was carried out.
+    let mut session = Session::new(&["e1"]);
+    session.submit("j", vec![step(5)]);
+    let unanswered = key("j", 4);
+    start_all_but(&mut session, &unanswered);
+    session.now += 10;
+    let others = [active(&key("j", 3))];
+    session.report_partly("e1", &others, &ends(0..3), 0);
+    session.settle();
+    session.handle(Event::StopAnswered {
+        executor: ExecutorName::from("e1"),
+        task: unanswered,
+        run: 1,
+        response: OrderResponse::Done,
+    });
+    session.now += 10;
+
+    session.report_partly("e1", &others, &ends(0..3), 0);
+    let started = session.store_and_start();
+
+    assert!(started.is_empty(), "{started:?}");
+}
+
+#[test]
+fn a_run_that_a_complete_report_does_not_list_starts_again() {
+    // Guards against runs that wait for an end that never comes.
+    let mut session = running(2);
+
+    session.report("e1", &[active(&key("j", 0))], &[], 0);
+    let started = session.store_and_start();
+
+    assert_eq!(started, [(ExecutorName::from("e1"), key("j", 1))]);
+}
+
+/// Starts all tasks; the start of one of them gets no response.
+fn start_all_but(session: &mut Session, unanswered: &TaskKey) {
+    for effect in session.advance(50) {
+        if let Effect::Append { append, .. } = effect {
+            session.handle(Event::Appended { append });
+        }
+    }
+    for effect in session.settle() {
+        let Effect::Start(to, order) = effect else { continue };
+        let is_lost = order.task == *unanswered;
+        let response = if is_lost { StartResponse::Lost } else { StartResponse::Started };
+        session.handle(Event::StartAnswered {
+            executor: to.executor,
+            task: order.task,
+            run: order.run,
+            sent: Time::from_millis(session.now),
+            clock_ms: (!is_lost).then_some(session.now),
+            response,
+        });
+    }
+}
--- a/crates/borageswitch_scheduler/tests/support/executor.rs
+++ b/crates/borageswitch_scheduler/tests/support/executor.rs
@@ -1,6 +1,9 @@
 //! A simulated executor that keeps the guarantees of the platform.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use borageswitch_scheduler::{
     effect::{PollOrder, StartOrder},
@@ -47,7 +50,13 @@
     pub lease_ms: u64,
     pub last_end_number: u64,
     pub acknowledged: u64,
+    /// The number of ended runs in one report.
+    pub ended_per_report: usize,
     pub done: Vec<TaskKey>,
+    /// The last ended run when the lease last expired.
+    lapsed_after: u64,
+    /// Tasks that were started again after their run here was done, which is not acknowledged yet.
+    repeated: BTreeSet<TaskKey>,
 }
 
 impl SimExecutor {
@@ -70,10 +79,30 @@
             lease_ms: 0,
             last_end_number: 0,
             acknowledged: 0,
+            ended_per_report: usize::MAX,
             done: Vec::new(),
+            lapsed_after: 0,
+            repeated: BTreeSet::new(),
+        }
+    }
+
+    /// Records that a task starts, here or elsewhere.
+    pub fn note_start(&mut self, task: &TaskKey) {
+        let is_done = |ended: &EndedRun| {
+            ended.task == *task && ended.how == EndKind::Done && ended.number > self.lapsed_after
+        };
+        if self.ended.iter().any(is_done) {
+            self.repeated.insert(task.clone());
         }
     }
 
+    /// Takes a task that was started again although its completed run here was acknowledged later.
+    /// If the lease has expired after that run, the task had to be started again.
+    pub fn take_repeated(&mut self) -> Option<TaskKey> {
+        let task = self.repeated.iter().find(|task| self.done.contains(*task))?.clone();
+        self.repeated.take(&task)
+    }
+
     pub fn clock(&self, now: u64) -> u64 {
         let elapsed = now - self.started_at;
         let elapsed = if self.slow_clock { elapsed - elapsed / 50 } else { elapsed };
@@ -86,6 +115,8 @@
             for task in self.active.keys().cloned().collect::<Vec<_>>() {
                 self.end(&task, EndKind::LeaseExpired);
             }
+            self.lapsed_after = self.last_end_number;
+            self.repeated.clear();
         }
         let due: Vec<(TaskKey, bool)> = self
             .active
@@ -206,6 +237,11 @@
             percent: if now - run.begun_at >= 300 { 100 } else { 10 },
             recent: 0,
         });
-        Report { clock_ms: self.clock(now), active: active.collect(), ended: self.ended.clone() }
+        Report {
+            clock_ms: self.clock(now),
+            active: active.collect(),
+            ended: self.ended.iter().take(self.ended_per_report).cloned().collect(),
+            more_ended: self.ended.len() > self.ended_per_report,
+        }
     }
 }
--- a/crates/borageswitch_scheduler/tests/support/session.rs
+++ b/crates/borageswitch_scheduler/tests/support/session.rs
@@ -102,6 +102,19 @@
     }
 
     pub fn with_config(executors: &[&str], ledger: Ledger, config: Arc<Config>) -> Self {
+        let mut session = Self::before_reports(executors, ledger, config);
+        for name in executors {
+            session.report(name, &[], &[], 0);
+        }
+        session
+    }
+
+    /// A leader that has just taken over; its executors have not reported yet.
+    pub fn without_reports(executors: &[&str], ledger: Ledger) -> Self {
+        Self::before_reports(executors, ledger, config(true))
+    }
+
+    fn before_reports(executors: &[&str], ledger: Ledger, config: Arc<Config>) -> Self {
         let now = Now { time: Time::from_millis(10_000), wall: UnixMillis(1_000_000) };
         let registrations = executors.iter().map(|name| registration(name)).collect();
         let scheduler =
@@ -113,9 +126,6 @@
                 session.handle(Event::Appended { append });
             }
         }
-        for name in executors {
-            session.report(name, &[], &[], 0);
-        }
         session
     }
 
@@ -161,10 +171,26 @@
 
     /// Responds to a poll that carried this acknowledgement with a report.
     pub fn report(&mut self, executor: &str, active: &[ActiveRun], ended: &[EndedRun], ack: u64) {
-        let report = Report { clock_ms: self.now, active: active.to_vec(), ended: ended.to_vec() };
+        self.poll_answered(executor, PollResponse::Report(self.report_of(active, ended)), ack);
+    }
+
+    /// As [`Self::report`], with a list of ended runs that may continue.
+    pub fn report_partly(
+        &mut self,
+        executor: &str,
+        active: &[ActiveRun],
+        ended: &[EndedRun],
+        ack: u64,
+    ) {
+        let report = Report { more_ended: true, ..self.report_of(active, ended) };
         self.poll_answered(executor, PollResponse::Report(report), ack);
     }
 
+    fn report_of(&self, active: &[ActiveRun], ended: &[EndedRun]) -> Report {
+        let (active, ended) = (active.to_vec(), ended.to_vec());
+        Report { clock_ms: self.now, active, ended, more_ended: false }
+    }
+
     /// Responds to any poll that may be in progress, with or without a wait.
     pub fn poll_answered(&mut self, executor: &str, response: PollResponse, ack: u64) {
         let sent = Time::from_millis(self.now - 2);
--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -80,6 +80,8 @@
     pub host_list_outage: u32,
     /// Executors restart under the names that they had. This is a switch, not a probability.
     pub reuse_names: bool,
+    /// Executors list two ended runs at a time. This is a switch, not a probability.
+    pub truncated_reports: bool,
 }
 
 enum Due {
@@ -123,6 +125,7 @@
     /// The actual run times of the tasks of some jobs, in percent of the declared ones.
     pub run_time_percent: BTreeMap<JobName, u64>,
     reuse_names: bool,
+    ended_per_report: usize,
 }
 
 impl Simulation {
@@ -157,6 +160,7 @@
             poison_tasks: PoisonTasks::default(),
             run_time_percent: BTreeMap::new(),
             reuse_names: faults.reuse_names,
+            ended_per_report: if faults.truncated_reports { 2 } else { usize::MAX },
         };
         for _ in 0..hosts {
             simulation.add_executor(enforces_capacity);
@@ -204,10 +208,8 @@
         }
         let clock_offset = self.rng.u64(..1_000_000);
         let slow_clock = self.rng.bool();
-        self.executors.insert(
-            name.clone(),
-            SimExecutor::new(cores(16), enforces_capacity, clock_offset, slow_clock),
-        );
+        let executor = self.new_executor(enforces_capacity, clock_offset, slow_clock);
+        self.executors.insert(name.clone(), executor);
         name
     }
 
@@ -220,11 +222,23 @@
         let id =
             incarnation::name(incarnation::registered_name(registered), Some(self.moment().wall));
         let slow_clock = self.rng.bool();
-        let executor = SimExecutor::new(cores(16), enforces_capacity, 0, slow_clock);
-        self.executors.insert(id.clone(), SimExecutor { started_at: self.now, ..executor });
+        let mut executor = self.new_executor(enforces_capacity, 0, slow_clock);
+        executor.started_at = self.now;
+        self.executors.insert(id.clone(), executor);
         id
     }
 
+    fn new_executor(
+        &self,
+        enforces_capacity: bool,
+        clock_offset: u64,
+        slow_clock: bool,
+    ) -> SimExecutor {
+        let mut executor = SimExecutor::new(cores(16), enforces_capacity, clock_offset, slow_clock);
+        executor.ended_per_report = self.ended_per_report;
+        executor
+    }
+
     /// The incarnation that receives orders for an executor.
     fn current_incarnation(&self, executor: &ExecutorName) -> ExecutorName {
         let same = |id: &&ExecutorName| {
--- a/crates/borageswitch_scheduler/tests/support/simulation/checks.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation/checks.rs
@@ -28,6 +28,9 @@
                     .push(format!("{}: {task} started again after it was done", self.now));
             }
         }
+        for known in self.executors.values_mut() {
+            known.note_start(task);
+        }
         let step = &self.submissions[&task.job].spec.steps[usize::from(task.step)];
         for &before in &step.after {
             let all = self.submissions[&task.job].spec.steps[usize::from(before)].count;
@@ -81,6 +84,9 @@
 
     pub(super) fn check(&mut self) {
         self.check_failed();
+        if let Some(task) = self.executors.values_mut().find_map(SimExecutor::take_repeated) {
+            self.violations.push(format!("{}: {task} started again after it was done", self.now));
+        }
         if let Some((job, outcome)) = self.reported.iter().find(|(job, outcome)| {
             **outcome == Outcome::Cancelled && !self.cancelled.contains_key(*job)
         }) {
