Treat a run whose end is not listed yet as ended, not as at work

Cause: the list of active runs is complete, so a run that has been active and is missing has ended; only how is not known. No phase said so.

Change: `Phase::Ended`, set for active runs that an incomplete report leaves out. Its capacity stays reserved until the end is listed, as the platform asks. Inherited runs, and starts or stops without a response, keep their phase: they may never have begun.

--- a/crates/borageswitch_scheduler/src/reducer/admission/backlogs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/admission/backlogs.rs
@@ -256,7 +256,7 @@
         match held.phase {
             Phase::Active => takes.saturating_sub(now.time.since(held.started)),
             Phase::Recorded | Phase::Sent | Phase::Inherited | Phase::Unsure => takes,
-            Phase::Stopping => Duration::ZERO,
+            Phase::Stopping | Phase::Ended => Duration::ZERO,
         }
     }
 
--- a/crates/borageswitch_scheduler/src/reducer/crashes.rs
+++ b/crates/borageswitch_scheduler/src/reducer/crashes.rs
@@ -220,7 +220,8 @@
 pub(super) fn lost_runs(known: &Executor, listed_up: Option<Time>, now: Time) -> Vec<LostRun> {
     let ended_by = ended_by(known, now);
     let last_up = known.clock.map(|clock| clock.received).max(listed_up);
-    let started = known.runs.iter().filter(|(_, held)| held.phase != Phase::Recorded);
+    let started =
+        known.runs.iter().filter(|(_, held)| !matches!(held.phase, Phase::Recorded | Phase::Ended));
     let lost = started.map(|(task, held)| {
         let last_up = last_up.unwrap_or(Time::ZERO);
         // A start without a response may have been sent to an executor that had already crashed.
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -29,6 +29,8 @@
     Unsure,
     /// It is being stopped; its capacity stays in use until its end is listed.
     Stopping,
+    /// It has ended, and the executor has not listed how yet; its capacity stays in use until then.
+    Ended,
 }
 
 /// A run that exists or may exist on an executor.
@@ -102,7 +104,7 @@
         match self.phase {
             Phase::Recorded | Phase::Sent => false,
             // The executor has seen a newer fencing token and refuses orders of earlier leaders.
-            Phase::Inherited => true,
+            Phase::Inherited | Phase::Ended => true,
             Phase::Active => self.phase_since < sent,
             Phase::Stopping if self.confirmed => self.phase_since < sent,
             Phase::Stopping | Phase::Unsure => {
@@ -118,7 +120,7 @@
     /// effect, nor had any order of an earlier leader.
     pub fn may_start_later(&self, absent_at: Option<Time>) -> bool {
         match self.phase {
-            Phase::Recorded | Phase::Active => false,
+            Phase::Recorded | Phase::Active | Phase::Ended => false,
             Phase::Sent => true,
             Phase::Inherited => absent_at.is_none(),
             Phase::Unsure => absent_at.is_none_or(|absent| self.phase_since >= absent),
@@ -130,7 +132,9 @@
     pub(super) fn carried_over(&self, now: Time) -> Self {
         let phase = match self.phase {
             Phase::Inherited | Phase::Stopping => self.phase,
-            Phase::Recorded | Phase::Sent | Phase::Active | Phase::Unsure => Phase::Unsure,
+            Phase::Recorded | Phase::Sent | Phase::Active | Phase::Unsure | Phase::Ended => {
+                Phase::Unsure
+            }
         };
         Self {
             phase,
--- a/crates/borageswitch_scheduler/src/reducer/polls.rs
+++ b/crates/borageswitch_scheduler/src/reducer/polls.rs
@@ -233,9 +233,10 @@
                 format!("missing={missing} active={active} ended={ended} age_ms={age_ms}")
             });
         }
-        // Behind an incomplete list of ended runs, a missing run may have ended in any way.
-        if !report.more_ended {
-            for task in missing {
+        for task in missing {
+            if report.more_ended {
+                self.mark_ended(now, executor, &task);
+            } else {
                 self.release_run(executor, &task, "not listed");
             }
         }
@@ -243,6 +244,17 @@
             self.send_stop(now, executor, &task);
         }
     }
+
+    /// Handles a run that is missing from an incomplete list of ended runs: if it has been active,
+    /// it has ended; otherwise it may never have begun.
+    fn mark_ended(&mut self, now: Now, executor: &ExecutorName, task: &TaskKey) {
+        let Some(known) = self.executors.get_mut(executor) else { return };
+        let Some(held) = known.runs.get_mut(task).filter(|held| held.phase == Phase::Active) else {
+            return;
+        };
+        held.phase = Phase::Ended;
+        held.phase_since = now.time;
+    }
 }
 
 /// Updates a run that an executor lists as active.
--- a/crates/borageswitch_scheduler/src/reducer/preemption.rs
+++ b/crates/borageswitch_scheduler/src/reducer/preemption.rs
@@ -56,10 +56,11 @@
     }
 }
 
-/// The free capacity once all runs that are being stopped have ended.
+/// The free capacity once the ends of all runs that are being stopped or have ended are listed.
 fn free_after_stops(known: &Executor) -> Size {
     let mut available = known.free();
-    for held in known.runs.values().filter(|held| held.phase == Phase::Stopping) {
+    let ending = |held: &&HeldRun| matches!(held.phase, Phase::Stopping | Phase::Ended);
+    for held in known.runs.values().filter(ending) {
         available += held.size;
     }
     available
--- a/crates/borageswitch_scheduler/src/reducer/starts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/starts.rs
@@ -198,7 +198,7 @@
         let Some(held) = known.runs.get_mut(task) else { return };
         match held.phase {
             Phase::Recorded => self.release_run(executor, task, "stopped before the start"),
-            Phase::Stopping => {}
+            Phase::Stopping | Phase::Ended => {}
             Phase::Sent | Phase::Active | Phase::Inherited | Phase::Unsure => {
                 held.phase = Phase::Stopping;
                 held.phase_since = now.time;
--- a/crates/borageswitch_scheduler/tests/reports.rs
+++ b/crates/borageswitch_scheduler/tests/reports.rs
@@ -4,12 +4,14 @@
 
 use borageswitch_scheduler::{
     effect::Effect,
-    event::{Event, OrderResponse, StartResponse},
-    executor::EndedRun,
+    event::{Event, OrderResponse, PollResponse, RegistrationChange, StartResponse},
+    executor::{ActiveRun, EndedRun},
     task::TaskKey,
 };
 use borageswitch_types::{Time, names::ExecutorName};
-use support::session::{Session, active, done, key, step};
+use support::session::{
+    Session, active, done, host, key, lasting, registration, step, stop_count, wave_over,
+};
 
 /// A session whose executor runs the tasks of a job.
 fn running(tasks: u32) -> Session {
@@ -93,6 +95,63 @@
     assert_eq!(started, [(ExecutorName::from("e1"), key("j", 1))]);
 }
 
+#[test]
+fn a_run_whose_end_is_not_listed_yet_is_no_straggler() {
+    // Guards against distrusting an executor for runs that have ended there.
+    let mut session = running(5);
+    let others = [active(&key("j", 3)), ActiveRun { percent: 10, ..active(&key("j", 4)) }];
+    session.report_partly("e1", &others, &ends(0..3), 0);
+    session.settle();
+
+    session.handle(Event::RegistrationChanged(RegistrationChange::Present(registration("e2"))));
+    session.report("e2", &[], &[], 0);
+    let mut effects = Vec::new();
+    for _ in 0..100 {
+        effects.extend(session.advance(60));
+        session.report_partly("e1", &[], &ends(0..3), 0);
+        session.report("e2", &[], &[], 0);
+    }
+
+    assert_eq!(stop_count(&effects), 0, "{effects:?}");
+}
+
+#[test]
+fn a_run_that_ended_before_its_executor_crashed_is_not_suspected() {
+    // Guards against giving up jobs for crashes that happened after their tasks had ended.
+    let mut session = running(5);
+    session.report_partly("e1", &[active(&key("j", 3))], &ends(0..3), 0);
+    session.store_and_start();
+
+    session.poll_answered("e1", PollResponse::OtherIncarnation, 0);
+    session.settle();
+
+    let suspects: Vec<u32> =
+        session.scheduler.ledger().suspects.keys().map(|task| task.index).collect();
+    assert_eq!(suspects, [3]);
+}
+
+#[test]
+fn a_lasting_run_whose_end_is_not_listed_yet_does_not_count_as_available() {
+    // Guards against stopping a lasting task while another one of its step has already ended.
+    let mut session = Session::new(&["e1", "e2", "e3"]);
+    session.submit("l", vec![lasting(2)]);
+    let started = session.store_and_start();
+    let (ended_on, due) = (started[0].0.clone(), started[1].0.clone());
+    session.now += 500;
+    session.report(due.as_str(), &[active(&started[1].1)], &[], 0);
+    session.report(ended_on.as_str(), &[active(&started[0].1)], &[], 0);
+    session.settle();
+    session.now += 10;
+    session.report_partly(ended_on.as_str(), &[], &[], 0);
+    session.handle(wave_over(&["h"], 1));
+    session.advance(60);
+    session.handle(Event::HostsListed(Some(vec![host("h", due.as_str())])));
+
+    let effects = session.advance(60);
+
+    assert_eq!(stop_count(&effects), 0, "{effects:?}");
+}
+
 /// Starts all tasks; the start of one of them gets no response.
 fn start_all_but(session: &mut Session, unanswered: &TaskKey) {
     for effect in session.advance(50) {
--- a/crates/borageswitch_scheduler/tests/sessions.rs
+++ b/crates/borageswitch_scheduler/tests/sessions.rs
@@ -17,7 +17,9 @@
 };
 use support::{
     fixtures::queue,
-    session::{Session, acknowledgements, active, done, host, key, lasting, step, stop_count},
+    session::{
+        Session, acknowledgements, active, done, host, key, lasting, step, stop_count, wave_over,
+    },
 };
 
 #[test]
@@ -220,15 +222,6 @@
     assert_eq!(session.store_and_start().len(), 1);
 }
 
-fn wave_over(hosts: &[&str], max_down: u32) -> Event {
-    Event::WaveRequested(WaveRequest {
-        wave: 1,
-        hosts: hosts.iter().map(|host| HostName::from(*host)).collect(),
-        allowed: Duration::from_secs(20),
-        max_down,
-    })
-}
-
 /// Runs the session for a number of milliseconds, stores all appends, and returns the hosts for
 /// which orders were sent.
 fn ordered_hosts(session: &mut Session, millis: u64) -> Vec<HostName> {
--- a/crates/borageswitch_scheduler/tests/support/session.rs
+++ b/crates/borageswitch_scheduler/tests/support/session.rs
@@ -8,7 +8,7 @@
     effect::{Effect, PollOrder},
     event::{Event, Now, PollResponse, StartResponse},
     executor::{ActiveRun, EndKind, EndedRun, Registration, Report},
-    fleet::{HostEntry, HostState},
+    fleet::{HostEntry, HostState, WaveRequest},
     job::{JobSpec, Step, Submission},
     ledger::Ledger,
     reducer::{Limits, Scheduler},
@@ -87,6 +87,16 @@
     }
 }
 
+/// A request for a maintenance wave over some hosts.
+pub fn wave_over(hosts: &[&str], max_down: u32) -> Event {
+    Event::WaveRequested(WaveRequest {
+        wave: 1,
+        hosts: hosts.iter().map(|host| HostName::from(*host)).collect(),
+        allowed: Duration::from_secs(20),
+        max_down,
+    })
+}
+
 /// The number of stop orders among the effects.
 pub fn stop_count(effects: &[Effect]) -> usize {
     effects.iter().filter(|effect| matches!(effect, Effect::Stop(..))).count()
