Keep hosts in an unknown state in the list of hosts

What callers would see: tasks started again, beside their running copies, as soon as the platform lists a host in a state that this version does not know.

Cause: the adapter dropped such a row, and an executor that no row names has ended (`end_unlisted`).

Change: `HostState::Unknown`. The executor stays listed, nothing is ordered on the host, and it counts as out of service for the limit of a wave.

--- a/crates/borageswitch_scheduler/src/fleet.rs
+++ b/crates/borageswitch_scheduler/src/fleet.rs
@@ -21,6 +21,10 @@
     /// It is unavailable, temporarily or permanently.
     #[display("down")]
     Down,
+    /// A state that this version does not know. Nothing is ordered on the host, and its executor may
+    /// still run tasks.
+    #[display("unknown")]
+    Unknown,
 }
 
 /// A host as the platform lists it.
--- a/crates/borageswitch_scheduler/src/reducer/host_list.rs
+++ b/crates/borageswitch_scheduler/src/reducer/host_list.rs
@@ -84,9 +84,12 @@
     fn apply_list(&mut self, asked: Time, hosts: Vec<HostEntry>) {
         self.listed = Some(asked);
         self.hosts = hosts.into_iter().map(|entry| (entry.host.clone(), entry)).collect();
-        let up = self.hosts.values().filter(|entry| entry.state == HostState::Up);
-        let host_of =
-            up.filter_map(|entry| Some((entry.executor.clone()?, entry.host.clone()))).collect();
+        let may_run =
+            |entry: &&HostEntry| matches!(entry.state, HostState::Up | HostState::Unknown);
+        let running = self.hosts.values().filter(may_run);
+        let host_of = running
+            .filter_map(|entry| Some((entry.executor.clone()?, entry.host.clone())))
+            .collect();
         let fresh = Listing { at: Some(asked), host_of };
         self.previous_listing = std::mem::replace(&mut self.listing, fresh);
         self.update_scarce();
@@ -110,7 +113,9 @@
         }
         match self.hosts.get(&host).map(|entry| entry.state) {
             Some(HostState::Moving | HostState::InMaintenance) => HostOutcome::Ordered(host),
-            Some(state @ (HostState::Up | HostState::Down)) => HostOutcome::Listed(host, state),
+            Some(state @ (HostState::Up | HostState::Down | HostState::Unknown)) => {
+                HostOutcome::Listed(host, state)
+            }
             None => HostOutcome::Removed(host),
         }
     }
--- a/crates/borageswitch_scheduler/src/reducer/waves.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waves.rs
@@ -123,11 +123,9 @@
                 withdrawal.purpose == Purpose::Maintain(wave.wave)
                     || matches!(withdrawal.stage, Stage::Away { .. })
             });
-            let away = self
-                .fleet
-                .hosts
-                .get(*host)
-                .is_some_and(|entry| entry.state == HostState::InMaintenance);
+            let away = self.fleet.hosts.get(*host).is_some_and(|entry| {
+                matches!(entry.state, HostState::InMaintenance | HostState::Unknown)
+            });
             let ordered = self.is_order_paused(now.time, host) && !is_begun(host);
             chosen || away || ordered
         };
--- a/crates/borageswitch_scheduler/tests/reports.rs
+++ b/crates/borageswitch_scheduler/tests/reports.rs
@@ -6,6 +6,7 @@
     effect::Effect,
     event::{Event, OrderResponse, PollResponse, RegistrationChange, StartResponse},
     executor::{ActiveRun, EndedRun},
+    fleet::{HostEntry, HostState},
     task::TaskKey,
 };
 use borageswitch_types::{Time, names::ExecutorName};
@@ -152,6 +153,22 @@
     assert_eq!(stop_count(&effects), 0, "{effects:?}");
 }
 
+#[test]
+fn runs_on_a_host_in_an_unknown_state_do_not_start_again() {
+    // Guards against ending an executor because its host is in no state that is known.
+    let mut session = running(2);
+    session.now += 5_000;
+    session.report("e1", &[active(&key("j", 0)), active(&key("j", 1))], &[], 0);
+    session.settle();
+    let unknown = HostEntry { state: HostState::Unknown, ..host("h", "e1") };
+
+    session.handle(Event::HostsListed(Some(vec![unknown])));
+    let started = session.store_and_start();
+
+    assert!(started.is_empty(), "{started:?}");
+    assert!(session.scheduler.ledger().suspects.is_empty());
+}
+
 /// Starts all tasks; the start of one of them gets no response.
 fn start_all_but(session: &mut Session, unanswered: &TaskKey) {
     for effect in session.advance(50) {
