Read a list again when a page is empty although more follows

What callers would see: after a change of leader accepted jobs unknown and done tasks run again, if the store ever answered so; its pages do not ("about 500 items or 1 MB"), and it was not seen. Found by asking where else a part of a list is taken for all of it.

Cause: `Listing::add_page` took an empty page that says that more follows for the last one, as there is no key after which to continue.

Change: such a page is an error; the caller reads the list again after its pause, and `list-page-empty` says so.

Test: an_empty_page_before_others_does_not_end_a_list; with the old condition put back it failed (Ok instead of Unreadable).

--- a/crates/borageswitch_runtime/src/takeover.rs
+++ b/crates/borageswitch_runtime/src/takeover.rs
@@ -51,7 +51,7 @@
     {
         while !self.complete {
             let page = platform.list(prefix, self.last_key().as_deref()).await?;
-            self.add_page(page);
+            self.add_page(page).inspect_err(|_| log::error!(prefix = prefix; "list-page-empty"))?;
         }
         Ok(())
     }
@@ -61,11 +61,21 @@
         self.items.last().map(|item| item.key.clone())
     }
 
-    fn add_page(&mut self, page: Page) {
+    /// Adds a page.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Unreadable`] if the page is empty and others follow: there is no key after
+    /// which to continue, and a part of the items must not be taken for all.
+    fn add_page(&mut self, page: Page) -> StoreResult<()> {
+        if page.more && page.items.is_empty() {
+            return Err(StoreError::Unreadable);
+        }
         // Pages differ in revision; a watch from the first page's revision misses no change.
         self.first_revision.get_or_insert(page.store_revision);
-        self.complete = !page.more || page.items.is_empty();
+        self.complete = !page.more;
         self.items.extend(page.items);
+        Ok(())
     }
 }
 
--- a/crates/borageswitch_runtime/src/takeover/tests.rs
+++ b/crates/borageswitch_runtime/src/takeover/tests.rs
@@ -24,7 +24,7 @@
         calls += 1;
         let fails = calls % 3 == 0;
         if !fails {
-            listing.add_page(page(number_after(listing.last_key().as_deref())));
+            listing.add_page(page(number_after(listing.last_key().as_deref()))).unwrap();
         }
         assert!(calls < 2 * PAGES, "it does not end");
     }
@@ -32,3 +32,15 @@
     assert_eq!(listing.items.len(), PAGES);
     assert_eq!(listing.first_revision, Some(100));
 }
+
+#[test]
+fn an_empty_page_before_others_does_not_end_a_list() {
+    // Guards against a takeover with a part of the log, which loses accepted jobs.
+    let mut listing = Listing::default();
+    listing.add_page(page(0)).unwrap();
+
+    let result = listing.add_page(Page { items: Vec::new(), ..page(1) });
+
+    assert_eq!(result, Err(StoreError::Unreadable));
+    assert!(!listing.complete);
+}
