Stop a takeover at a missing append, and log what was read

Change: a gap is an unreadable state, like an append that cannot be decoded: the leader starts nothing, says which append is missing, and reads again every 2 s (stored state that cannot be used was read again every 150 ms).

Tests: a_missing_append_stops_a_takeover failed with the condition switched off (Ok(7) instead of the error); appends_that_the_snapshot_includes_may_remain and an_operator_can_replace_a_missing_append_by_an_empty_one hold either way.

--- a/crates/borageswitch_runtime/src/election.rs
+++ b/crates/borageswitch_runtime/src/election.rs
@@ -47,6 +47,9 @@
 const WATCH_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// The pause before stored state that cannot be used is read again: all of it is read each time, and
+/// only an operator can mend it.
+const UNREADABLE_PAUSE: Duration = Duration::from_millis(2_000);
 /// How long a daemon on a host of one core waits before it campaigns. The delay is inversely
 /// proportional to the square of the number of cores: 20 ms with half a core, 350 ms with an
 /// eighth. A leader of a thousand executors needs a good part of a core at load peaks; with an
@@ -387,7 +390,8 @@
             Ok(loaded) => break loaded,
             Err(err) => {
                 log::warn!(reason = err.to_string().as_str(); "takeover-delayed");
-                Timer::after(RETRY_PAUSE).await;
+                let unreadable = err == StoreError::Unreadable;
+                Timer::after(if unreadable { UNREADABLE_PAUSE } else { RETRY_PAUSE }).await;
             }
         }
     };
--- a/crates/borageswitch_runtime/src/takeover.rs
+++ b/crates/borageswitch_runtime/src/takeover.rs
@@ -109,7 +109,9 @@
 ///
 /// # Errors
 ///
-/// Any error of the store, and [`StoreError::Unreadable`] if a stored value cannot be decoded.
+/// Any error of the store, and [`StoreError::Unreadable`] if a stored value cannot be decoded or an
+/// append after the snapshot is missing: its records are lost, and without them tasks that are done
+/// would run again.
 pub async fn load<P>(platform: &P, progress: &mut LoadProgress) -> StoreResult<RecoveredState>
 where
     P: Platform,
@@ -161,11 +163,16 @@
         if number <= through {
             continue;
         }
+        if number != last + 1 {
+            log::error!(through = through, missing = last + 1, found = number; "log-gap");
+            return Err(StoreError::Unreadable);
+        }
         for record in require_decoded(item, codec::decode::<Vec<Record>>("append", &item.value))? {
             ledger.apply(&record);
         }
-        last = last.max(number);
+        last = number;
     }
+    log::info!(through = through, last = last, read = appends.len(); "log-read");
     let ended = |submission: &Arc<Submission>| ledger.finished.contains_key(&submission.job);
     let stale = submissions.into_iter().filter(ended).collect();
     Ok(RecoveredState {
--- a/crates/borageswitch_runtime/src/takeover/tests.rs
+++ b/crates/borageswitch_runtime/src/takeover/tests.rs
@@ -44,3 +44,33 @@
     assert_eq!(result, Err(StoreError::Unreadable));
     assert!(!listing.complete);
 }
+
+fn append(number: u64) -> Item {
+    let records = vec![Record::ExecutorGone { executor: "e1".into() }];
+    Item { key: keys::append(number), value: codec::encode(&records), revision: number }
+}
+
+fn rebuild_from(through: u64, appends: &[Item]) -> StoreResult<u64> {
+    let snapshot = Snapshot { through, ..Snapshot::default() };
+    rebuild(snapshot, appends, &Listing::default()).map(|recovered| recovered.next_append)
+}
+
+#[test]
+fn appends_that_the_snapshot_includes_may_remain() {
+    assert_eq!(rebuild_from(4, &[append(3), append(5), append(6)]), Ok(7));
+}
+
+#[test]
+fn a_missing_append_stops_a_takeover() {
+    // Guards against leading without the ends and jobs that the missing append recorded.
+    assert_eq!(rebuild_from(4, &[append(6)]), Err(StoreError::Unreadable));
+    assert_eq!(rebuild_from(4, &[append(5), append(7)]), Err(StoreError::Unreadable));
+}
+
+#[test]
+fn an_operator_can_replace_a_missing_append_by_an_empty_one() {
+    // Guards against a change of the encoding that the operators' page describes.
+    let empty = Item { value: vec![0], ..append(5) };
+
+    assert_eq!(rebuild_from(4, &[empty, append(6)]), Ok(7));
+}
