--- a/crates/borageswitch_fakes/src/platform/mod.rs
+++ b/crates/borageswitch_fakes/src/platform/mod.rs
@@ -25,7 +25,7 @@
 
 use borageswitch_runtime::{
     codec,
-    ports::{ExternalKeys, Item, StoreError, StoreResult},
+    ports::{CommitOutcome, ExternalKeys, Item, StoreError, StoreResult, Transaction},
 };
 use borageswitch_scheduler::{config::Config, executor::Registration, job::Size, task::TaskKey};
 use borageswitch_types::names::{ExecutorName, HostName, PoolName};
@@ -80,12 +80,24 @@
     executors: BTreeMap<ExecutorName, MemoryExecutor>,
     hosts: MemoryHosts,
     faults: PlatformFaults,
+    hold_next_write_of: Option<Arc<str>>,
+    held_write: Option<Transaction>,
     runs: Vec<RunRecord>,
     task_time: Duration,
     most_in_maintenance: usize,
 }
 
 impl Inner {
+    /// Commits a transaction, or holds it and gives nothing.
+    fn commit(&mut self, tx: &Transaction) -> Option<CommitOutcome> {
+        let writes = |key: &Arc<str>| tx.write.iter().any(|(written, ..)| written == key);
+        if self.hold_next_write_of.take_if(|key| writes(key)).is_some() {
+            self.held_write = Some(tx.clone());
+            return None;
+        }
+        Some(self.store.commit(tx))
+    }
+
     /// Lets what is due happen: leases end, hosts come back.
     fn advance(&mut self, wire: &Wire) {
         self.store.expire(Instant::now());
@@ -168,6 +180,8 @@
             executors: BTreeMap::new(),
             hosts: MemoryHosts::default(),
             faults: PlatformFaults::default(),
+            hold_next_write_of: None,
+            held_write: None,
             runs: Vec::new(),
             task_time,
             most_in_maintenance: 0,
@@ -208,6 +222,23 @@
         self.lock().store.get(key)
     }
 
+    /// Holds the next transaction that writes this key: it gets no response, and is not carried out.
+    pub fn hold_next_write_of(&self, key: &str) {
+        self.lock().hold_next_write_of = Some(key.into());
+    }
+
+    /// Whether a transaction is held.
+    pub fn holds_write(&self) -> bool {
+        self.lock().held_write.is_some()
+    }
+
+    /// Carries out the transaction that is held, if there is one.
+    pub fn carry_out_held_write(&self) -> Option<CommitOutcome> {
+        let mut inner = self.lock();
+        let tx = inner.held_write.take()?;
+        Some(inner.store.commit(&tx))
+    }
+
     /// Adds an executor to a pool, on a host of its own.
     pub fn add_executor(&self, name: &str, pool: &str, capacity: Size) {
         self.add_host(HostSpec {
--- a/crates/borageswitch_fakes/src/platform/port.rs
+++ b/crates/borageswitch_fakes/src/platform/port.rs
@@ -65,13 +65,13 @@
         self.pass().await?;
         let (committed, faults) = {
             let mut inner = self.admit()?;
-            (inner.store.commit(tx), inner.faults)
+            (inner.commit(tx).ok_or(StoreError::Lost), inner.faults)
         };
         if !faults.store_hangs_after_writes.is_zero() {
             Timer::after(faults.store_hangs_after_writes).await;
             return Err(StoreError::Lost);
         }
-        if faults.store_loses_answers { Err(StoreError::Lost) } else { Ok(committed) }
+        if faults.store_loses_answers { Err(StoreError::Lost) } else { committed }
     }
 
     async fn grant(&self, ttl: Duration) -> StoreResult<(LeaseId, Duration)> {
--- a/crates/borageswitch_runtime/src/appends.rs
+++ b/crates/borageswitch_runtime/src/appends.rs
@@ -1,12 +1,12 @@
-//! Stores the leader's log records and snapshots.
+//! Stores the leader's log records.
 //!
 //! Each append has a key of its own. Its transaction requires that the author still leads and that
 //! the key does not exist. A call without a response is repeated: if it had taken effect, the key
 //! exists, and only this leader can have written it.
 
-use std::{ops::RangeInclusive, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use borageswitch_scheduler::ledger::{record::Record, snapshot::Snapshot};
+use borageswitch_scheduler::ledger::record::Record;
 use borageswitch_types::names::JobName;
 use smol::Timer;
 
@@ -23,8 +23,6 @@
 /// An append that takes this long is logged: starts and ends of runs wait for it, and callers see
 /// their jobs late. An ordinary one takes some 10 ms.
 const SLOW_APPEND: Duration = Duration::from_millis(100);
-/// The largest snapshot that is stored; the store limits values to 1 MiB.
-const MAX_SNAPSHOT_BYTES: usize = 1_000_000;
 
 /// The outcome of storing an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -94,30 +92,3 @@
         log::warn!(append = append, records = records, took_ms = took_ms; "append-slow");
     }
 }
-
-/// Stores a snapshot and removes the appends that it includes.
-///
-/// A failure is not retried: the appends remain, and the next snapshot removes them.
-pub async fn store_snapshot<P>(
-    shared: &Arc<Shared<P>>,
-    token: u64,
-    snapshot: &Snapshot,
-    remove: RangeInclusive<u64>,
-) where
-    P: Platform,
-{
-    let value = codec::encode(snapshot);
-    if value.len() > MAX_SNAPSHOT_BYTES {
-        log::error!(bytes = value.len(); "snapshot-too-large");
-        return;
-    }
-    let tx = Transaction {
-        expect: vec![(keys::LEADER.into(), token)],
-        write: vec![(keys::SNAPSHOT.into(), value, None)],
-        remove: remove.map(keys::append).collect(),
-    };
-    match shared.platform.commit(&tx).await {
-        Ok(CommitOutcome::Done(_)) => {}
-        other => log::warn!(through = snapshot.through; "snapshot-not-stored: {other:?}"),
-    }
-}
--- a/crates/borageswitch_runtime/src/control/tests.rs
+++ b/crates/borageswitch_runtime/src/control/tests.rs
@@ -52,6 +52,7 @@
         cancelled: Vec::new(),
         stale: Vec::new(),
         manual_limits: Vec::new(),
+        snapshot_revision: 0,
         intake_revision: 1,
     };
     let term = Term { token: 7, lease: LeaseId(1) };
--- a/crates/borageswitch_runtime/src/daemon.rs
+++ b/crates/borageswitch_runtime/src/daemon.rs
@@ -33,6 +33,7 @@
     peers::{self, Client, ExchangeError, KnownPeers, PeerRequest, PeerResponse},
     ports::{Platform, Revision},
     resend::StoreTimes,
+    snapshots::StoredSnapshot,
     store_health::{StoreHealth, monitor},
     watching,
 };
@@ -78,6 +79,7 @@
     pub(crate) order_semaphores: OrderSemaphores,
     pub(crate) executor_calls: ExecutorCalls,
     pub(crate) store_times: StoreTimes,
+    pub(crate) stored_snapshot: StoredSnapshot,
     client: Client,
     pub(crate) known_peers: Arc<KnownPeers>,
     pub(crate) peer_bytes: ByteCounter,
@@ -296,6 +298,7 @@
         order_semaphores: OrderSemaphores::default(),
         executor_calls: ExecutorCalls::default(),
         store_times: StoreTimes::default(),
+        stored_snapshot: StoredSnapshot::default(),
         client: Client::new(cfg.peer_address, known_peers.clone(), ex.clone(), peer_bytes.clone()),
         known_peers,
         peer_bytes,
--- a/crates/borageswitch_runtime/src/election.rs
+++ b/crates/borageswitch_runtime/src/election.rs
@@ -395,6 +395,7 @@
             }
         }
     };
+    shared.stored_snapshot.begin_term(term.token, recovered.snapshot_revision).await;
     let intake_revision = recovered.intake_revision;
     let executors_revision = executors.1;
     let took = clock::time().since(began).as_millis() as u64;
--- a/crates/borageswitch_runtime/src/lib.rs
+++ b/crates/borageswitch_runtime/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod resend;
 pub mod retry;
 pub mod settings;
+pub mod snapshots;
 pub mod store_health;
 pub mod takeover;
 pub mod watching;
--- a/crates/borageswitch_runtime/src/orders.rs
+++ b/crates/borageswitch_runtime/src/orders.rs
@@ -28,6 +28,7 @@
     control::{Message, PendingEffect},
     daemon::Shared,
     ports::{OrderIssuer, Platform, Transaction},
+    snapshots,
 };
 
 /// How many orders to one executor are in flight at once. Each needs a connection of its own, which
@@ -184,7 +185,7 @@
             }
         }
         Effect::StoreSnapshot { snapshot, remove } => {
-            appends::store_snapshot(shared, token, &snapshot, remove).await;
+            snapshots::store(shared, token, &snapshot, remove).await;
             None
         }
         Effect::Start(to, order) => Some(start(shared, token, to, order).await),
--- a/crates/borageswitch_runtime/src/takeover.rs
+++ b/crates/borageswitch_runtime/src/takeover.rs
@@ -24,6 +24,8 @@
     pub ledger: Ledger,
     /// The number of the next append.
     pub next_append: u64,
+    /// The revision of the snapshot; 0 if there is none.
+    pub snapshot_revision: Revision,
     /// Jobs whose cancellation was stored while the last leader could not be reached.
     pub cancelled: Vec<JobName>,
     /// Stored submissions of jobs that have ended, which can be removed.
@@ -100,7 +102,7 @@
 /// one call in three, while jobs keep being accepted.
 #[derive(Debug, Default)]
 pub struct LoadProgress {
-    snapshot: Option<Snapshot>,
+    snapshot: Option<(Snapshot, Revision)>,
     appends: Listing,
     intake: Listing,
 }
@@ -122,24 +124,29 @@
     progress.appends.read(platform, keys::LOG).await?;
     progress.intake.read(platform, keys::INTAKE).await?;
     let LoadProgress { snapshot, appends, intake } = std::mem::take(progress);
-    rebuild(snapshot.unwrap_or_default(), &appends.items, &intake)
+    let (snapshot, snapshot_revision) = snapshot.unwrap_or_default();
+    rebuild(snapshot, snapshot_revision, &appends.items, &intake)
 }
 
-async fn read_snapshot<P>(platform: &P) -> StoreResult<Snapshot>
+/// Reads the snapshot and its revision.
+async fn read_snapshot<P>(platform: &P) -> StoreResult<(Snapshot, Revision)>
 where
     P: Platform,
 {
     let Some(item) = platform.read(keys::SNAPSHOT).await?.item else {
-        return Ok(Snapshot::default());
+        return Ok(Default::default());
     };
     let added_fields = codec::FIELDS_ADDED_TO_SNAPSHOT;
-    require_decoded(
-        &item,
-        codec::decode_with_added_fields::<Snapshot>("snapshot", &item.value, added_fields),
-    )
+    let decoded = codec::decode_with_added_fields("snapshot", &item.value, added_fields);
+    Ok((require_decoded(&item, decoded)?, item.revision))
 }
 
-fn rebuild(snapshot: Snapshot, appends: &[Item], intake: &Listing) -> StoreResult<RecoveredState> {
+fn rebuild(
+    snapshot: Snapshot,
+    snapshot_revision: Revision,
+    appends: &[Item],
+    intake: &Listing,
+) -> StoreResult<RecoveredState> {
     let intake_revision = intake.first_revision.unwrap_or_default();
     let mut submissions = Vec::new();
     let mut cancelled = Vec::new();
@@ -178,6 +185,7 @@
     Ok(RecoveredState {
         ledger,
         next_append: last + 1,
+        snapshot_revision,
         cancelled,
         stale,
         manual_limits: manual_limits::decode_all(&intake.items),
--- a/crates/borageswitch_runtime/src/takeover/tests.rs
+++ b/crates/borageswitch_runtime/src/takeover/tests.rs
@@ -52,7 +52,7 @@
 
 fn rebuild_from(through: u64, appends: &[Item]) -> StoreResult<u64> {
     let snapshot = Snapshot { through, ..Snapshot::default() };
-    rebuild(snapshot, appends, &Listing::default()).map(|recovered| recovered.next_append)
+    rebuild(snapshot, 0, appends, &Listing::default()).map(|recovered| recovered.next_append)
 }
 
 #[test]
--- /dev/null
+++ b/crates/borageswitch_runtime/tests/snapshots.rs
@@ -0,0 +1,112 @@
+//! Snapshots whose calls get no response and are carried out late.
+
+mod support;
+
+use borageswitch_fakes::platform::{MemoryPlatform, example::cores};
+use borageswitch_runtime::{admission::Call, codec, intake, keys::SNAPSHOT, ports::CommitOutcome};
+use borageswitch_scheduler::{
+    ledger::{record::Outcome, snapshot::Snapshot},
+    reducer::view::JobStatus,
+};
+use borageswitch_types::names::JobName;
+use smol::Timer;
+use std::time::{Duration, Instant};
+use support::{Daemon, TIMEOUT, job_spec, platform, queue, run, start, submit};
+
+/// The tasks of each job.
+const TASKS: usize = 5;
+
+/// Jobs that were completed one after the other.
+struct Completed {
+    jobs: Vec<String>,
+}
+
+impl Completed {
+    /// Completes jobs until a condition holds.
+    async fn until<F>(&mut self, daemon: &Daemon, condition: F)
+    where
+        F: Fn() -> bool,
+    {
+        while !condition() {
+            let job = format!("{:016x}", self.jobs.len() + 1);
+            wait_for(async || submit(daemon, &job, job_spec()).await.ok()).await;
+            wait_for(async || is_completed(daemon, &job).await.then_some(())).await;
+            self.jobs.push(job);
+        }
+    }
+}
+
+async fn is_completed(daemon: &Daemon, job: &str) -> bool {
+    let status = intake::status(daemon, Call::without_key(&queue()), &JobName::from(job)).await;
+    matches!(status, Ok(JobStatus::Ended(Outcome::Completed)))
+}
+
+async fn wait_for<F, T>(mut attempt: F) -> T
+where
+    F: AsyncFnMut() -> Option<T>,
+{
+    let end = Instant::now() + TIMEOUT;
+    loop {
+        if let Some(found) = attempt().await {
+            return found;
+        }
+        assert!(Instant::now() < end, "timed out");
+        Timer::after(Duration::from_millis(10)).await;
+    }
+}
+
+/// The last append that the stored snapshot includes; 0 without a snapshot.
+fn stored_through(platform: &MemoryPlatform) -> u64 {
+    let stored = platform.get(SNAPSHOT);
+    stored.map_or(0, |item| codec::decode::<Snapshot>("snapshot", &item.value).unwrap().through)
+}
+
+fn platform_with_executor() -> MemoryPlatform {
+    let platform = platform();
+    platform.add_executor("e1", "payroll", cores(64));
+    platform
+}
+
+#[test]
+fn a_snapshot_that_is_carried_out_late_replaces_no_newer_one() {
+    // Guards against a next leader that has lost ends of tasks and finished jobs.
+    run(async |ex| {
+        let platform = platform_with_executor();
+        let first = start("d1", &platform, &ex);
+        let mut completed = Completed { jobs: Vec::new() };
+        platform.hold_next_write_of(SNAPSHOT);
+        completed.until(&first, || platform.holds_write()).await;
+        completed.until(&first, || stored_through(&platform) > 0).await;
+        let newer = stored_through(&platform);
+
+        let outcome = platform.carry_out_held_write();
+        first.begin_stop();
+        let second = start("d2", &platform, &ex);
+
+        assert!(matches!(outcome, Some(CommitOutcome::Conflict(_))), "{outcome:?}");
+        assert!(stored_through(&platform) >= newer);
+        for job in &completed.jobs {
+            wait_for(async || is_completed(&second, job).await.then_some(())).await;
+        }
+        assert_eq!(platform.started().len(), completed.jobs.len() * TASKS);
+    });
+}
+
+#[test]
+fn snapshots_continue_after_one_whose_response_was_lost() {
+    // Guards against a leader that waits for ever for a revision that its own call has replaced.
+    run(async |ex| {
+        let platform = platform_with_executor();
+        let daemon = start("d1", &platform, &ex);
+        let mut completed = Completed { jobs: Vec::new() };
+        platform.hold_next_write_of(SNAPSHOT);
+        completed.until(&daemon, || platform.holds_write()).await;
+
+        let outcome = platform.carry_out_held_write();
+        let late = stored_through(&platform);
+        completed.until(&daemon, || stored_through(&platform) > late).await;
+
+        assert!(matches!(outcome, Some(CommitOutcome::Done(_))), "{outcome:?}");
+        assert!(late > 0);
+    });
+}
