Let no late report of progress replace that of a completed wave

What an operator would see: a wave that stays in progress for ever.

Cause: the report that a wave is in progress required only that its author leads. Its call is repeated until it gets a response; an earlier copy whose response was lost may be carried out seconds later, after the report of the end.

Change: the report of progress also requires that there is no report.

The in-memory platform reads waves now.

--- a/crates/borageswitch_fakes/src/platform/mod.rs
+++ b/crates/borageswitch_fakes/src/platform/mod.rs
@@ -44,6 +44,8 @@
 
 /// How long a host is down whose executor a task has crashed.
 const DOWN_AFTER_TASK: Duration = Duration::from_millis(300);
+/// How long a wave may take.
+const WAVE_TIME: Duration = Duration::from_secs(20);
 /// How often a call that waits looks again.
 const LOOK_AGAIN: Duration = Duration::from_millis(2);
 
@@ -222,6 +224,11 @@
         self.lock().store.get(key)
     }
 
+    /// The operator requests a wave over some hosts, one at a time.
+    pub fn request_wave(&self, wave: u64, hosts: &[&str]) {
+        self.put(&format!("{}{wave}", self.wire.places.waves), hosts.join("\n").into_bytes());
+    }
+
     /// Holds the next transaction that writes this key: it gets no response, and is not carried out.
     pub fn hold_next_write_of(&self, key: &str) {
         self.lock().hold_next_write_of = Some(key.into());
--- a/crates/borageswitch_fakes/src/platform/port.rs
+++ b/crates/borageswitch_fakes/src/platform/port.rs
@@ -22,7 +22,7 @@
 use borageswitch_types::names::{ExecutorName, HostName};
 use smol::Timer;
 
-use super::{CRASHING_TEXT, Inner, LOOK_AGAIN, MemoryPlatform};
+use super::{CRASHING_TEXT, Inner, LOOK_AGAIN, MemoryPlatform, WAVE_TIME};
 
 impl Platform for MemoryPlatform {
     fn external_keys(&self) -> &ExternalKeys {
@@ -105,8 +105,10 @@
         }
     }
 
-    fn decode_wave(&self, _: &Item) -> Option<WaveRequest> {
-        None
+    fn decode_wave(&self, item: &Item) -> Option<WaveRequest> {
+        let number = item.key.strip_prefix(&*self.wire.places.waves)?;
+        let hosts = String::from_utf8_lossy(&item.value).lines().map(HostName::from).collect();
+        Some(WaveRequest { wave: number.parse().ok()?, hosts, allowed: WAVE_TIME, max_down: 1 })
     }
 
     fn encode_wave_report(&self, wave: u64, completed: bool) -> (Arc<str>, Vec<u8>) {
--- a/crates/borageswitch_runtime/src/orders.rs
+++ b/crates/borageswitch_runtime/src/orders.rs
@@ -345,16 +345,19 @@
 }
 
 /// Stores the report on a wave for the operator, for as long as this daemon leads.
+///
+/// A report that the wave is in progress replaces no other one: its call may be carried out late,
+/// after the wave was reported as completed.
 async fn report_wave<P>(shared: &Arc<Shared<P>>, token: u64, wave: u64, completed: bool)
 where
     P: Platform,
 {
     let (key, value) = shared.platform.encode_wave_report(wave, completed);
-    let tx = Transaction {
-        expect: vec![(crate::keys::LEADER.into(), token)],
-        write: vec![(key, value, None)],
-        remove: Vec::new(),
-    };
+    let mut expect = vec![(crate::keys::LEADER.into(), token)];
+    if !completed {
+        expect.push((key.clone(), 0));
+    }
+    let tx = Transaction { expect, write: vec![(key, value, None)], remove: Vec::new() };
     for _ in 0..REPORT_ATTEMPTS {
         if !shared.leads(token) {
             return;
--- a/crates/borageswitch_runtime/tests/snapshots.rs
+++ b/crates/borageswitch_runtime/tests/snapshots.rs
@@ -9,9 +9,7 @@
     reducer::view::JobStatus,
 };
 use borageswitch_types::names::JobName;
-use smol::Timer;
-use std::time::{Duration, Instant};
-use support::{Daemon, TIMEOUT, job_spec, platform, queue, run, start, submit};
+use support::{Daemon, job_spec, platform, queue, run, start, submit, wait_for};
 
 /// The tasks of each job.
 const TASKS: usize = 5;
@@ -41,20 +39,6 @@
     matches!(status, Ok(JobStatus::Ended(Outcome::Completed)))
 }
 
-async fn wait_for<F, T>(mut attempt: F) -> T
-where
-    F: AsyncFnMut() -> Option<T>,
-{
-    let end = Instant::now() + TIMEOUT;
-    loop {
-        if let Some(found) = attempt().await {
-            return found;
-        }
-        assert!(Instant::now() < end, "timed out");
-        Timer::after(Duration::from_millis(10)).await;
-    }
-}
-
 /// The last append that the stored snapshot includes; 0 without a snapshot.
 fn stored_through(platform: &MemoryPlatform) -> u64 {
     let stored = platform.get(SNAPSHOT);
--- a/crates/borageswitch_runtime/tests/support/mod.rs
+++ b/crates/borageswitch_runtime/tests/support/mod.rs
@@ -88,6 +88,21 @@
     unreachable!("the loop does not end")
 }
 
+/// Repeats an attempt until it gives something.
+pub async fn wait_for<F, T>(mut attempt: F) -> T
+where
+    F: AsyncFnMut() -> Option<T>,
+{
+    let end = Instant::now() + TIMEOUT;
+    loop {
+        if let Some(found) = attempt().await {
+            return found;
+        }
+        assert!(Instant::now() < end, "timed out");
+        Timer::after(Duration::from_millis(10)).await;
+    }
+}
+
 pub fn platform() -> MemoryPlatform {
     let platform = MemoryPlatform::new(Duration::from_millis(30));
     platform.configure(&example::config([queue()], [example::pool("payroll")]));
