Complete a wave only by a list of hosts that is newer than its request

Cause: a host that the last list lacks counted as one that does not exist, and the list may be older than the host. If all hosts of the wave were missing, it was recorded as completed, which no later list changes.

Evidence: wave-completed had no detail and has one now; on the code before "hosts=1 begun=0 list_age_ms=301", 97 ms after wave-heard, with the machine 0.3 s old. Ruled out: a request read without hosts (hosts=0), an order recorded and not sent (begun=1).

Tests: a_host_that_joins_just_before_its_wave_is_maintained, with the condition switched off ReportWave completed came at once; a_wave_over_a_host_that_does_not_exist_is_completed keeps a wave from waiting for ever.

--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -223,7 +223,7 @@
             }
             Event::HostsListed(hosts) => self.listed(now, hosts),
             Event::HostOrderAnswered { host, response } => self.host_answered(now, &host, response),
-            Event::WaveRequested(wave) => self.wave_requested(wave),
+            Event::WaveRequested(wave) => self.wave_requested(now, wave),
             Event::Tick => {}
         }
     }
--- a/crates/borageswitch_scheduler/src/reducer/waves.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waves.rs
@@ -3,9 +3,15 @@
 //! Hosts of the pools with the least work come first. A wave never has more hosts out of service at
 //! once than the operator permits; a host counts until the platform lists it as up again.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
-use borageswitch_types::names::{HostName, PoolName};
+use borageswitch_types::{
+    Time,
+    names::{HostName, PoolName},
+};
 
 use crate::{
     effect::Effect,
@@ -14,6 +20,7 @@
     ledger::record::Record,
     reducer::{
         Scheduler,
+        host_list::LIST_LAG,
         hosts::{Purpose, Stage},
     },
 };
@@ -21,7 +28,15 @@
 /// The waves that are not completed.
 #[derive(Debug, Default)]
 pub struct Waves {
-    open: BTreeMap<u64, WaveRequest>,
+    open: BTreeMap<u64, OpenWave>,
+}
+
+/// A wave that is not completed.
+#[derive(Clone, Debug)]
+struct OpenWave {
+    request: WaveRequest,
+    /// When this leader learned of the request in its present form.
+    known_since: Time,
 }
 
 impl Waves {
@@ -37,19 +52,21 @@
 
     /// The request for a wave that is not completed.
     pub fn request(&self, wave: u64) -> Option<&WaveRequest> {
-        self.open.get(&wave)
+        self.open.get(&wave).map(|wave| &wave.request)
     }
 }
 
 impl Scheduler {
-    pub(super) fn wave_requested(&mut self, request: WaveRequest) {
+    pub(super) fn wave_requested(&mut self, now: Now, request: WaveRequest) {
         let wave = request.wave;
         if self.ledger.completed_waves.contains(&wave) {
             self.effects.push(Effect::ReportWave { wave, completed: true });
             return;
         }
         if let Some(known) = self.waves.open.get_mut(&wave) {
-            *known = request;
+            if known.request != request {
+                *known = OpenWave { request, known_since: now.time };
+            }
             return;
         }
         self.log("wave-heard", wave, || {
@@ -61,23 +78,27 @@
             )
         });
         self.effects.push(Effect::ReportWave { wave, completed: false });
-        self.waves.open.insert(wave, request);
+        self.waves.open.insert(wave, OpenWave { request, known_since: now.time });
     }
 
     pub(super) fn advance_waves(&mut self, now: Now) {
         if self.fleet.listed.is_none_or(|listed| listed < self.took_over_at) {
             return;
         }
-        let waves: Vec<WaveRequest> = self.waves.open.values().cloned().collect();
+        let waves: Vec<OpenWave> = self.waves.open.values().cloned().collect();
         for wave in waves {
             self.advance_wave(now, &wave);
         }
     }
 
-    fn advance_wave(&mut self, now: Now, wave: &WaveRequest) {
+    fn advance_wave(&mut self, now: Now, wave: &OpenWave) {
+        let known_since = wave.known_since;
+        let wave = &wave.request;
         let due = self.due_hosts(wave);
         if due.is_empty() {
-            self.complete(wave.wave);
+            if self.has_begun(wave) || self.is_listed_after(known_since) {
+                self.complete(now, wave);
+            }
             return;
         }
         let taken = self.count_unavailable(now, wave);
@@ -110,6 +131,18 @@
         due.filter(|host| self.fleet.hosts.contains_key(*host)).cloned().collect()
     }
 
+    /// Whether the maintenance of all hosts of a wave has begun.
+    fn has_begun(&self, wave: &WaveRequest) -> bool {
+        let begun = self.ledger.maintained.get(&wave.wave);
+        wave.hosts.iter().all(|host| begun.is_some_and(|begun| begun.contains(host)))
+    }
+
+    /// Whether the last list proves that hosts which it lacks, and which were named at `moment`, do
+    /// not exist.
+    fn is_listed_after(&self, moment: Time) -> bool {
+        self.fleet.listed.is_some_and(|listed| listed.since(moment) > LIST_LAG)
+    }
+
     /// How many hosts count as out of service for the wave: those that are, those that are about to
     /// be, and those that an earlier leader's order may still take away. Without the last, a new
     /// leader could order the next host while such an order is in flight, and exceed the limit by
@@ -142,9 +175,15 @@
         self.executors.pools().map(|pool| (pool.clone(), work(pool))).collect()
     }
 
-    fn complete(&mut self, wave: u64) {
+    fn complete(&mut self, now: Now, request: &WaveRequest) {
+        let wave = request.wave;
         self.waves.open.remove(&wave);
-        self.log("wave-completed", wave, String::new);
+        let begun = self.ledger.maintained.get(&wave).map_or(0, Vec::len);
+        let list_age = self.fleet.listed.map_or(Duration::ZERO, |listed| now.time.since(listed));
+        self.log("wave-completed", wave, || {
+            let (hosts, age_ms) = (request.hosts.len(), list_age.as_millis());
+            format!("hosts={hosts} begun={begun} list_age_ms={age_ms}")
+        });
         self.record(Record::WaveCompleted { wave });
         self.outbox.defer_wave_report(wave);
     }
--- /dev/null
+++ b/crates/borageswitch_scheduler/tests/waves.rs
@@ -0,0 +1,70 @@
+//! Maintenance waves over hosts that the platform does not list.
+
+mod support;
+
+use borageswitch_scheduler::{
+    effect::{Effect, HostOrder},
+    event::Event,
+    fleet::HostEntry,
+};
+use borageswitch_types::names::HostName;
+use support::session::{Session, host, wave_over};
+
+/// The duration of a step, in milliseconds.
+const STEP: u64 = 50;
+
+/// Runs the session while the platform lists these hosts, and stores all appends.
+fn run(session: &mut Session, hosts: &[HostEntry], millis: u64) -> Vec<Effect> {
+    let mut all = Vec::new();
+    for _ in 0..millis / STEP {
+        for effect in session.advance(STEP) {
+            match &effect {
+                Effect::ListHosts => session.handle(Event::HostsListed(Some(hosts.to_vec()))),
+                Effect::Append { append, .. } => {
+                    session.handle(Event::Appended { append: *append });
+                }
+                _ => {}
+            }
+            all.push(effect);
+        }
+    }
+    all
+}
+
+fn is_completed(effects: &[Effect]) -> bool {
+    effects.iter().any(|effect| matches!(effect, Effect::ReportWave { completed: true, .. }))
+}
+
+fn is_maintained(effects: &[Effect], host: &str) -> bool {
+    let ordered = Effect::OrderHost(HostName::from(host), HostOrder::Maintain(1));
+    effects.contains(&ordered)
+}
+
+#[test]
+fn a_host_that_joins_just_before_its_wave_is_maintained() {
+    // Guards against a wave that is reported as completed without having maintained its host.
+    let mut session = Session::new(&["e1"]);
+    let before = [host("h", "e1")];
+    run(&mut session, &before, 2_000);
+
+    session.handle(wave_over(&["new"], 1));
+    let unlisted = run(&mut session, &before, 1_000);
+    let off = HostEntry { executor: None, ..host("new", "none") };
+    let listed = run(&mut session, &[host("h", "e1"), off], 1_000);
+
+    assert!(!is_completed(&unlisted), "{unlisted:?}");
+    assert!(is_maintained(&listed, "new"), "{listed:?}");
+}
+
+#[test]
+fn a_wave_over_a_host_that_does_not_exist_is_completed() {
+    // Guards against a wave that waits for ever for a host that has left.
+    let mut session = Session::new(&["e1"]);
+    let hosts = [host("h", "e1")];
+    run(&mut session, &hosts, 2_000);
+
+    session.handle(wave_over(&["gone"], 1));
+    let effects = run(&mut session, &hosts, 4_000);
+
+    assert!(is_completed(&effects), "{effects:?}");
+}
