Reset the connection of an order for a host that gets no response in time

Cause: the call times out after 1 s and its connection was closed in an orderly way, so the network delivers the order when the cut ends, after one of the next leader. The platform does not check tokens there, and the wait of the next leader (3 s) cannot be longer than any cut.

Evidence: the old leader has one host-order line ("no answer", 1 s after it was sent); its order arrives at 9.506 s, the moment the cut ends. Ruled out: an order sent twice (one line).

Change: Client::call_or_reset. While such a call is in flight, closing the connection in any way resets it, which discards what the network holds back, and the kernel gives up unacknowledged bytes after the timeout, also while the process is suspended. A complete response lifts both.

Test: a_call_that_must_not_arrive_late_resets_its_connection_on_a_timeout; with `call` in its place the server saw an orderly end (Ok(0) instead of ConnectionReset).

--- a/crates/borageswitch_http/src/client.rs
+++ b/crates/borageswitch_http/src/client.rs
@@ -62,6 +62,20 @@
     }
 }
 
+/// The limits of a call.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    time: Timeout,
+    /// Whether the connection is reset unless a complete response arrives, after at most this time.
+    reset: Option<Duration>,
+}
+
+impl Limits {
+    fn new(time: Timeout) -> Self {
+        Self { time, reset: None }
+    }
+}
+
 /// Makes calls and keeps their connections open for reuse.
 pub struct Client {
     connections: ConnectionPool,
@@ -91,7 +105,24 @@
         req: WholeRequest,
         timeout: Duration,
     ) -> Result<HttpResponse, CallError> {
-        self.call_with(address, req, Timeout::Total(Instant::now() + timeout)).await
+        self.call_with(address, req, Limits::new(Timeout::Total(Instant::now() + timeout))).await
+    }
+
+    /// Makes a call that must not arrive long after its timeout: without a complete response in
+    /// time the connection is reset, so that what the network still holds back of the request is
+    /// not delivered later.
+    ///
+    /// # Errors
+    ///
+    /// See [`Self::call`].
+    pub async fn call_or_reset(
+        &self,
+        address: SocketAddr,
+        req: WholeRequest,
+        timeout: Duration,
+    ) -> Result<HttpResponse, CallError> {
+        let time = Timeout::Total(Instant::now() + timeout);
+        self.call_with(address, req, Limits { time, reset: Some(timeout) }).await
     }
 
     /// Makes a call whose response may be large: `timeout` applies to the headers and to each body
@@ -107,17 +138,18 @@
         req: WholeRequest,
         timeout: Duration,
     ) -> Result<HttpResponse, CallError> {
-        self.call_with(address, req, Timeout::PerFrame(Instant::now() + timeout, timeout)).await
+        let time = Timeout::PerFrame(Instant::now() + timeout, timeout);
+        self.call_with(address, req, Limits::new(time)).await
     }
 
     async fn call_with(
         &self,
         address: SocketAddr,
         mut req: WholeRequest,
-        time_limit: Timeout,
+        limits: Limits,
     ) -> Result<HttpResponse, CallError> {
         while let Some(conn) = self.connections.take(address) {
-            match self.exchange(address, conn, req, true, time_limit).await {
+            match self.exchange(address, conn, req, true, limits).await {
                 Ok(res) => return Ok(res),
                 // The server closed the connection while it was idle. Tries the next connection
                 // with the unsent request.
@@ -125,7 +157,7 @@
                 Err(ExchangeError::Call(err)) => return Err(err),
             }
         }
-        self.connect_and_call(address, req, time_limit).await
+        self.connect_and_call(address, req, limits).await
     }
 
     /// Makes a call on a new connection even if idle ones exist.
@@ -139,18 +171,18 @@
         req: WholeRequest,
         deadline: Instant,
     ) -> Result<HttpResponse, CallError> {
-        self.connect_and_call(address, req, Timeout::Total(deadline)).await
+        self.connect_and_call(address, req, Limits::new(Timeout::Total(deadline))).await
     }
 
     async fn connect_and_call(
         &self,
         address: SocketAddr,
         req: WholeRequest,
-        time_limit: Timeout,
+        limits: Limits,
     ) -> Result<HttpResponse, CallError> {
-        let conn =
-            self.connect(address, time_limit.header_deadline()).await.ok_or(CallError::NotSent)?;
-        match self.exchange(address, conn, req, false, time_limit).await {
+        let deadline = limits.time.header_deadline();
+        let conn = self.connect(address, deadline).await.ok_or(CallError::NotSent)?;
+        match self.exchange(address, conn, req, false, limits).await {
             Ok(res) => Ok(res),
             Err(ExchangeError::Unsent(_)) => Err(CallError::NotSent),
             Err(ExchangeError::Call(err)) => Err(err),
@@ -161,6 +193,7 @@
         let until = deadline.min(Instant::now() + self.connect_timeout);
         let stream = with_deadline(until, TcpStream::connect(address)).await?.ok()?;
         stream.set_nodelay(true).ok()?;
+        let socket = Arc::downgrade(&Arc::from(stream.clone()));
         let (sender, driver) = http1::handshake(FuturesIo::new(stream)).await.ok()?;
         let driver = async move {
             if let Err(err) = driver.await {
@@ -168,7 +201,7 @@
             }
         };
         let driver = self.ex.spawn(driver);
-        Some(Connection { sender, opened: Instant::now(), _driver: driver })
+        Some(Connection { sender, opened: Instant::now(), socket, _driver: driver })
     }
 
     /// Sends a request and reads the complete response.
@@ -181,8 +214,14 @@
         mut conn: Connection,
         req: WholeRequest,
         reused: bool,
-        time_limit: Timeout,
+        limits: Limits,
     ) -> Result<HttpResponse, ExchangeError> {
+        let time_limit = limits.time;
+        if limits.reset.is_some()
+            && let Err(err) = conn.set_discard_unsent(limits.reset)
+        {
+            log::warn!("a connection to {address} cannot be reset on a timeout: {err}");
+        }
         let sending = conn.sender.try_send_request(req);
         let Some(sent) = with_overload_extension(time_limit.header_deadline(), sending).await
         else {
@@ -198,7 +237,9 @@
             self.connections.close_idle(address);
             return Err(ExchangeError::Call(CallError::Lost { reused }));
         };
-        self.connections.put(address, conn);
+        if limits.reset.is_none() || conn.set_discard_unsent(None).is_ok() {
+            self.connections.put(address, conn);
+        }
         Ok(HttpResponse { status: head.status, headers: head.headers, body })
     }
 }
--- a/crates/borageswitch_http/src/connections.rs
+++ b/crates/borageswitch_http/src/connections.rs
@@ -2,14 +2,17 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    io,
+    net::{SocketAddr, TcpStream},
+    sync::{Mutex, MutexGuard, PoisonError, Weak},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
+use rustix::net::sockopt;
+use smol::Async;
 
 /// The maximum number of idle connections per address.
 const MAX_IDLE: usize = 8;
@@ -18,9 +21,25 @@
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Full<Bytes>>,
     pub(super) opened: Instant,
+    /// Does not keep the socket open: the driver closes it once the server has closed it.
+    pub(super) socket: Weak<Async<TcpStream>>,
     pub(super) _driver: smol::Task<()>,
 }
 
+impl Connection {
+    /// Makes the system reset the connection, and discard what the server has not acknowledged, if
+    /// the connection is dropped, this process ends, or `limit` passes without an acknowledgement.
+    ///
+    /// The limit also holds while this process is suspended.
+    pub(super) fn set_discard_unsent(&self, limit: Option<Duration>) -> io::Result<()> {
+        let socket = self.socket.upgrade().ok_or(io::ErrorKind::NotConnected)?;
+        sockopt::set_socket_linger(&*socket, limit.map(|_| Duration::ZERO))?;
+        let limit_ms = limit.map_or(0, |limit| limit.as_millis() as u32);
+        sockopt::set_tcp_user_timeout(&*socket, limit_ms)?;
+        Ok(())
+    }
+}
+
 /// Idle connections by address.
 pub(super) struct ConnectionPool {
     idle: Mutex<BTreeMap<SocketAddr, Vec<Connection>>>,
--- /dev/null
+++ b/crates/borageswitch_http/tests/resets.rs
@@ -0,0 +1,49 @@
+//! Calls whose connection is reset unless a response arrives.
+
+use std::{
+    io::{self, ErrorKind, Read},
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use borageswitch_http::client::{CallError, Client};
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+
+/// Starts a server that reads a request and does not respond. Gives how the connection ends.
+fn start_silent_server() -> (SocketAddr, JoinHandle<io::Result<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("no free port");
+    let address = listener.local_addr().expect("the listener has no local address");
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("accept failed");
+        let mut buf = [0; 1_024];
+        assert!(stream.read(&mut buf).expect("reading the request failed") > 0);
+        stream.read(&mut buf)
+    });
+    (address, server)
+}
+
+fn request() -> Request<Full<Bytes>> {
+    Request::post("/").body(Full::new(Bytes::new())).expect("invalid request")
+}
+
+#[test]
+fn a_call_that_must_not_arrive_late_resets_its_connection_on_a_timeout() {
+    // Guards against an order that a cut network delivers after one of the next leader.
+    let (address, server) = start_silent_server();
+    let ex = Arc::new(smol::Executor::new());
+    let client = Client::new(Duration::from_secs(1), Duration::from_secs(10), ex.clone());
+
+    let call = client.call_or_reset(address, request(), Duration::from_millis(100));
+    let (result, end) = smol::block_on(ex.run(async {
+        let result = call.await;
+        let end = smol::unblock(|| server.join().expect("the server thread panicked")).await;
+        (result.map(|response| response.status), end)
+    }));
+
+    assert_eq!(result, Err(CallError::Lost { reused: false }));
+    assert_eq!(end.map_err(|err| err.kind()), Err(ErrorKind::ConnectionReset));
+}
