--- a/crates/borageswitch_http/src/client.rs
+++ b/crates/borageswitch_http/src/client.rs
@@ -220,7 +220,7 @@
         if limits.reset.is_some()
             && let Err(err) = conn.set_discard_unsent(limits.reset)
         {
-            log::warn!("a connection to {address} cannot be reset on a timeout: {err}");
+            log::debug!("a connection to {address} has no socket to reset: {err}");
         }
         let sending = conn.sender.try_send_request(req);
         let Some(sent) = with_overload_extension(time_limit.header_deadline(), sending).await
