--- a/crates/borageswitch_runtime/src/control/tests.rs
+++ b/crates/borageswitch_runtime/src/control/tests.rs
@@ -53,6 +53,7 @@
         stale: Vec::new(),
         manual_limits: Vec::new(),
         snapshot_revision: 0,
+        appends: Vec::new(),
         intake_revision: 1,
     };
     let term = Term { token: 7, lease: LeaseId(1) };
--- a/crates/borageswitch_runtime/src/election.rs
+++ b/crates/borageswitch_runtime/src/election.rs
@@ -385,7 +385,7 @@
 {
     let began = clock::time();
     let mut progress = takeover::LoadProgress::default();
-    let (recovered, executors) = loop {
+    let (mut recovered, executors) = loop {
         match load_state(shared, &mut progress).await {
             Ok(loaded) => break loaded,
             Err(err) => {
@@ -395,7 +395,8 @@
             }
         }
     };
-    shared.stored_snapshot.begin_term(term.token, recovered.snapshot_revision).await;
+    let appends = std::mem::take(&mut recovered.appends);
+    shared.stored_snapshot.begin_term(term.token, recovered.snapshot_revision, appends).await;
     let intake_revision = recovered.intake_revision;
     let executors_revision = executors.1;
     let took = clock::time().since(began).as_millis() as u64;
--- a/crates/borageswitch_runtime/src/snapshots.rs
+++ b/crates/borageswitch_runtime/src/snapshots.rs
@@ -23,6 +23,10 @@
 /// whose response was lost.
 const ATTEMPTS: usize = 2;
 
+/// The maximum number of appends that one call removes: the store accepts 32 entries per call, of
+/// which one is the leader key.
+const MAX_REMOVALS: usize = 31;
+
 /// The stored snapshot, as far as this daemon knows. Its lock is held during a call, so that
 /// snapshots are stored in their order.
 #[derive(Debug, Default)]
@@ -38,18 +42,22 @@
     revision: Revision,
     /// The last append that a snapshot of this term includes.
     through: u64,
+    /// Appends that the next snapshot includes and that may still be stored.
+    leftover: Vec<Arc<str>>,
 }
 
 impl StoredSnapshot {
-    /// Begins a term whose leader has read the snapshot at this revision, 0 if there is none.
-    pub async fn begin_term(&self, token: Revision, revision: Revision) {
-        *self.known.lock().await = Known { token, revision, through: 0 };
+    /// Begins a term whose leader has read the snapshot at this revision, 0 if there is none, and
+    /// these appends.
+    pub async fn begin_term(&self, token: Revision, revision: Revision, appends: Vec<Arc<str>>) {
+        *self.known.lock().await = Known { token, revision, through: 0, leftover: appends };
     }
 }
 
 /// Stores a snapshot and removes the appends that it includes.
 ///
-/// A failure is not retried: the appends remain, and a takeover skips them.
+/// A failure is not retried: the next snapshot includes the same appends, and they are removed after
+/// it.
 pub async fn store<P>(
     shared: &Arc<Shared<P>>,
     token: Revision,
@@ -76,7 +84,10 @@
     for _ in 0..ATTEMPTS {
         match shared.platform.commit(&tx).await {
             Ok(CommitOutcome::Done(revision)) => {
-                *known = Known { token, revision, through };
+                known.revision = revision;
+                known.through = through;
+                known.leftover.retain(|append| !tx.remove.contains(append));
+                remove_leftover(shared, &mut known).await;
                 return;
             }
             Ok(CommitOutcome::Conflict(items)) if is_leader(&items, token) => {
@@ -88,12 +99,35 @@
             }
             other => {
                 log::warn!(through = through; "snapshot-not-stored: {other:?}");
+                known.leftover.append(&mut tx.remove);
                 return;
             }
         }
     }
 }
 
+/// Removes appends that the stored snapshot includes and whose removal has failed.
+async fn remove_leftover<P>(shared: &Arc<Shared<P>>, known: &mut Known)
+where
+    P: Platform,
+{
+    let count = known.leftover.len().min(MAX_REMOVALS);
+    if count == 0 {
+        return;
+    }
+    let tx = Transaction {
+        expect: vec![(keys::LEADER.into(), known.token)],
+        write: Vec::new(),
+        remove: known.leftover[..count].to_vec(),
+    };
+    match shared.platform.commit(&tx).await {
+        Ok(CommitOutcome::Done(_)) => {
+            known.leftover.drain(..count);
+        }
+        other => log::debug!(appends = count; "removing appends failed; retrying later: {other:?}"),
+    }
+}
+
 /// Whether the leader key is still that of the term of `token`, in which only this daemon stores
 /// snapshots.
 fn is_leader(items: &[Item], token: Revision) -> bool {
--- a/crates/borageswitch_runtime/src/takeover.rs
+++ b/crates/borageswitch_runtime/src/takeover.rs
@@ -26,6 +26,8 @@
     pub next_append: u64,
     /// The revision of the snapshot; 0 if there is none.
     pub snapshot_revision: Revision,
+    /// The keys of the stored appends.
+    pub appends: Vec<Arc<str>>,
     /// Jobs whose cancellation was stored while the last leader could not be reached.
     pub cancelled: Vec<JobName>,
     /// Stored submissions of jobs that have ended, which can be removed.
@@ -186,6 +188,7 @@
         ledger,
         next_append: last + 1,
         snapshot_revision,
+        appends: appends.iter().map(|item| item.key.clone()).collect(),
         cancelled,
         stale,
         manual_limits: manual_limits::decode_all(&intake.items),
--- a/crates/borageswitch_runtime/tests/snapshots.rs
+++ b/crates/borageswitch_runtime/tests/snapshots.rs
@@ -3,7 +3,12 @@
 mod support;
 
 use borageswitch_fakes::platform::{MemoryPlatform, example::cores};
-use borageswitch_runtime::{admission::Call, codec, intake, keys::SNAPSHOT, ports::CommitOutcome};
+use borageswitch_runtime::{
+    admission::Call,
+    codec, intake,
+    keys::{self, SNAPSHOT},
+    ports::CommitOutcome,
+};
 use borageswitch_scheduler::{
     ledger::{record::Outcome, snapshot::Snapshot},
     reducer::view::JobStatus,
@@ -94,3 +99,22 @@
         assert!(late > 0);
     });
 }
+
+#[test]
+fn appends_of_a_snapshot_that_was_not_stored_are_removed() {
+    // Guards against appends that pile up with each lost call and make takeovers slower and slower.
+    run(async |ex| {
+        let platform = platform_with_executor();
+        let first = start("d1", &platform, &ex);
+        let mut completed = Completed { jobs: Vec::new() };
+        platform.hold_next_write_of(SNAPSHOT);
+        completed.until(&first, || platform.holds_write()).await;
+        first.begin_stop();
+        let second = start("d2", &platform, &ex);
+
+        completed.until(&second, || stored_through(&platform) > 0).await;
+        let through = stored_through(&platform);
+        let is_left = |number: &u64| platform.get(&keys::append(*number)).is_some();
+        wait_for(async || (!(1..=through).any(|number| is_left(&number))).then_some(())).await;
+    });
+}
