--- a/crates/borageswitch_fakes/src/platform/mod.rs
+++ b/crates/borageswitch_fakes/src/platform/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod example;
 mod executors;
+mod held_write;
 mod hosts;
 mod leader;
 mod port;
@@ -33,6 +34,7 @@
 
 use self::{
     executors::MemoryExecutor,
+    held_write::HeldWrite,
     hosts::{LifeChange, MemoryHosts},
     store::MemoryStore,
 };
@@ -82,8 +84,7 @@
     executors: BTreeMap<ExecutorName, MemoryExecutor>,
     hosts: MemoryHosts,
     faults: PlatformFaults,
-    hold_next_write_of: Option<Arc<str>>,
-    held_write: Option<Transaction>,
+    held_write: HeldWrite,
     runs: Vec<RunRecord>,
     task_time: Duration,
     most_in_maintenance: usize,
@@ -92,12 +93,7 @@
 impl Inner {
     /// Commits a transaction, or holds it and gives nothing.
     fn commit(&mut self, tx: &Transaction) -> Option<CommitOutcome> {
-        let writes = |key: &Arc<str>| tx.write.iter().any(|(written, ..)| written == key);
-        if self.hold_next_write_of.take_if(|key| writes(key)).is_some() {
-            self.held_write = Some(tx.clone());
-            return None;
-        }
-        Some(self.store.commit(tx))
+        if self.held_write.takes(tx) { None } else { Some(self.store.commit(tx)) }
     }
 
     /// Lets what is due happen: leases end, hosts come back.
@@ -182,8 +178,7 @@
             executors: BTreeMap::new(),
             hosts: MemoryHosts::default(),
             faults: PlatformFaults::default(),
-            hold_next_write_of: None,
-            held_write: None,
+            held_write: HeldWrite::default(),
             runs: Vec::new(),
             task_time,
             most_in_maintenance: 0,
@@ -229,23 +224,6 @@
         self.put(&format!("{}{wave}", self.wire.places.waves), hosts.join("\n").into_bytes());
     }
 
-    /// Holds the next transaction that writes this key: it gets no response, and is not carried out.
-    pub fn hold_next_write_of(&self, key: &str) {
-        self.lock().hold_next_write_of = Some(key.into());
-    }
-
-    /// Whether a transaction is held.
-    pub fn holds_write(&self) -> bool {
-        self.lock().held_write.is_some()
-    }
-
-    /// Carries out the transaction that is held, if there is one.
-    pub fn carry_out_held_write(&self) -> Option<CommitOutcome> {
-        let mut inner = self.lock();
-        let tx = inner.held_write.take()?;
-        Some(inner.store.commit(&tx))
-    }
-
     /// Adds an executor to a pool, on a host of its own.
     pub fn add_executor(&self, name: &str, pool: &str, capacity: Size) {
         self.add_host(HostSpec {
--- a/crates/borageswitch_runtime/src/control/tests.rs
+++ b/crates/borageswitch_runtime/src/control/tests.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use borageswitch_scheduler::{
     config::{Pool, Queue},
@@ -53,7 +53,7 @@
         stale: Vec::new(),
         manual_limits: Vec::new(),
         snapshot_revision: 0,
-        appends: Vec::new(),
+        appends: BTreeSet::new(),
         intake_revision: 1,
     };
     let term = Term { token: 7, lease: LeaseId(1) };
--- a/crates/borageswitch_runtime/src/takeover.rs
+++ b/crates/borageswitch_runtime/src/takeover.rs
@@ -3,7 +3,7 @@
 //! The state is read only after this daemon has become the leader. As every append requires its
 //! author to be the leader, nothing is added while it is read.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use borageswitch_scheduler::{
     job::Submission,
@@ -26,8 +26,8 @@
     pub next_append: u64,
     /// The revision of the snapshot; 0 if there is none.
     pub snapshot_revision: Revision,
-    /// The keys of the stored appends.
-    pub appends: Vec<Arc<str>>,
+    /// The numbers of the stored appends, also of those that the snapshot includes.
+    pub appends: BTreeSet<u64>,
     /// Jobs whose cancellation was stored while the last leader could not be reached.
     pub cancelled: Vec<JobName>,
     /// Stored submissions of jobs that have ended, which can be removed.
@@ -188,7 +188,7 @@
         ledger,
         next_append: last + 1,
         snapshot_revision,
-        appends: appends.iter().map(|item| item.key.clone()).collect(),
+        appends: appends.iter().filter_map(|item| keys::append_number(&item.key)).collect(),
         cancelled,
         stale,
         manual_limits: manual_limits::decode_all(&intake.items),
--- a/crates/borageswitch_runtime/tests/snapshots.rs
+++ b/crates/borageswitch_runtime/tests/snapshots.rs
@@ -1,4 +1,4 @@
-//! Snapshots whose calls get no response and are carried out late.
+//! Snapshots and removals of appends whose calls get no response or are carried out late.
 
 mod support;
 
@@ -50,6 +50,10 @@
     stored.map_or(0, |item| codec::decode::<Snapshot>("snapshot", &item.value).unwrap().through)
 }
 
+fn has_append_up_to(platform: &MemoryPlatform, through: u64) -> bool {
+    (1..=through).any(|number| platform.get(&keys::append(number)).is_some())
+}
+
 fn platform_with_executor() -> MemoryPlatform {
     let platform = platform();
     platform.add_executor("e1", "payroll", cores(64));
@@ -81,6 +85,30 @@
     });
 }
 
+#[test]
+fn a_removal_of_appends_that_is_carried_out_late_takes_nothing_that_is_needed() {
+    // Guards against a late call that is safe only as long as the store refuses it.
+    run(async |ex| {
+        let platform = platform_with_executor();
+        let first = start("d1", &platform, &ex);
+        let mut completed = Completed { jobs: Vec::new() };
+        platform.hold_next_removal_under(keys::LOG);
+        completed.until(&first, || platform.holds_write()).await;
+        let before = stored_through(&platform);
+        completed.until(&first, || stored_through(&platform) > before).await;
+
+        let outcome = platform.carry_out_held_write();
+        first.begin_stop();
+        let second = start("d2", &platform, &ex);
+
+        assert!(matches!(outcome, Some(CommitOutcome::Done(_))), "{outcome:?}");
+        for job in &completed.jobs {
+            wait_for(async || is_completed(&second, job).await.then_some(())).await;
+        }
+        assert_eq!(platform.started().len(), completed.jobs.len() * TASKS);
+    });
+}
+
 #[test]
 fn snapshots_continue_after_one_whose_response_was_lost() {
     // Guards against a leader that waits for ever for a revision that its own call has replaced.
@@ -114,7 +142,25 @@
 
         completed.until(&second, || stored_through(&platform) > 0).await;
         let through = stored_through(&platform);
-        let is_left = |number: &u64| platform.get(&keys::append(*number)).is_some();
-        wait_for(async || (!(1..=through).any(|number| is_left(&number))).then_some(())).await;
+        wait_for(async || (!has_append_up_to(&platform, through)).then_some(())).await;
+    });
+}
+
+#[test]
+fn appends_whose_removal_is_lost_are_removed_after_the_next_snapshot() {
+    // Guards against a log that grows for as long as one leader stays.
+    run(async |ex| {
+        let platform = platform_with_executor();
+        let daemon = start("d1", &platform, &ex);
+        let mut completed = Completed { jobs: Vec::new() };
+        platform.hold_next_removal_under(keys::LOG);
+        completed.until(&daemon, || platform.holds_write()).await;
+        let through = stored_through(&platform);
+        let was_left = has_append_up_to(&platform, through);
+
+        completed.until(&daemon, || stored_through(&platform) > through).await;
+
+        assert!(was_left);
+        wait_for(async || (!has_append_up_to(&platform, through)).then_some(())).await;
     });
 }
--- a/crates/borageswitch_scheduler/src/effect.rs
+++ b/crates/borageswitch_scheduler/src/effect.rs
@@ -67,11 +67,11 @@
         /// Jobs whose stored submissions can be deleted.
         forget: Vec<JobName>,
     },
-    /// Store a snapshot of the ledger and remove the appends that it includes.
+    /// Store a snapshot of the ledger, then remove the appends that it includes.
     StoreSnapshot {
         /// The state of the ledger to store.
         snapshot: Box<Snapshot>,
-        /// The sequence numbers of the appends to remove.
+        /// The sequence numbers of the appends to remove once the snapshot is stored.
         remove: RangeInclusive<u64>,
     },
     /// Start a run on an executor.
--- a/crates/borageswitch_scheduler/src/reducer/outbox.rs
+++ b/crates/borageswitch_scheduler/src/reducer/outbox.rs
@@ -49,8 +49,7 @@
 }
 
 /// The number of appends after which a snapshot of the ledger is stored, so that a takeover reads
-/// little. The call that stores the snapshot also removes these appends, and the store accepts at
-/// most 32 entries per call.
+/// little. One call removes these appends, and the store accepts at most 32 entries per call.
 const APPENDS_PER_SNAPSHOT: u64 = 28;
 /// The maximum number of records in one append: at some hundred bytes each, well below the largest
 /// value that the store accepts.
@@ -154,12 +153,9 @@
         }
         self.outbox.in_flight = None;
         if let Some(snapshot) = self.outbox.snapshot.take() {
-            let first_uncompacted = self.outbox.first_uncompacted;
-            // A long backlog of appends is removed in parts.
-            let through = snapshot.through.min(first_uncompacted + APPENDS_PER_SNAPSHOT);
-            self.outbox.first_uncompacted = through + 1;
-            self.effects
-                .push(Effect::StoreSnapshot { snapshot, remove: first_uncompacted..=through });
+            let remove = self.outbox.first_uncompacted..=snapshot.through;
+            self.outbox.first_uncompacted = snapshot.through + 1;
+            self.effects.push(Effect::StoreSnapshot { snapshot, remove });
         }
         for deferred in std::mem::take(&mut self.outbox.in_flight_actions) {
             self.run_deferred(now, deferred);
