Complete a wave before its deadline only if its missing hosts were listed

Cause: LIST_LAG.

Change: a host has left if a list of this term named it and the last one does not. One that was never named is waited for until the deadline of the wave, counted from when the leader learned of it. wave-completed says how many hosts were never listed. Why this works: until the deadline nothing is concluded from when a list comes, only from what it named.

Tests: a_host_that_is_listed_late_is_maintained failed before. a_wave_over_a_host_that_does_not_exist_is_completed demanded the assumption (a host that was never listed counts as gone after 4 s). Two tests as strict replace it: a host that has left completes the wave in the same 4 s, and one that was never listed completes it when its time is over, not before (this one failed before, too).

--- a/crates/borageswitch_scheduler/src/reducer/host_list.rs
+++ b/crates/borageswitch_scheduler/src/reducer/host_list.rs
@@ -30,10 +30,9 @@
 const IDLE_LIST_INTERVAL: Duration = Duration::from_millis(1_500);
 /// A list that has not arrived after this time is requested again.
 const LIST_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// How long before the request of a list an executor or host must have been known for its absence
-/// from the list to prove that it is gone: a new one appears there a moment after it has registered
-/// or was named in a wave.
-pub(super) const LIST_LAG: Duration = Duration::from_millis(1_500);
+/// How long before the request of a list an executor must have been known for its absence from the
+/// list to prove that it is gone: a new one appears there a moment after it has registered.
+const LIST_LAG: Duration = Duration::from_millis(1_500);
 
 /// The executors in one list of hosts, by their registered names.
 #[derive(Debug, Default)]
@@ -166,6 +165,7 @@
                 entry.executor = Some(latest.clone());
             }
         }
+        self.waves.note_listed(&self.fleet.hosts);
         self.end_unlisted(now, asked);
         self.return_to_service(asked);
     }
--- a/crates/borageswitch_scheduler/src/reducer/waves.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waves.rs
@@ -2,6 +2,9 @@
 //!
 //! Hosts of the pools with the least work come first. A wave never has more hosts out of service at
 //! once than the operator permits; a host counts until the platform lists it as up again.
+//!
+//! The platform may list a new host late. A host that was listed and no longer is has left; one that
+//! was never listed may still appear, until the wave's time is over.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -16,11 +19,10 @@
 use crate::{
     effect::Effect,
     event::Now,
-    fleet::{HostState, WaveRequest},
+    fleet::{HostEntry, HostState, WaveRequest},
     ledger::record::Record,
     reducer::{
         Scheduler,
-        host_list::LIST_LAG,
         hosts::{Purpose, Stage},
     },
 };
@@ -37,6 +39,24 @@
     request: WaveRequest,
     /// When this leader learned of the request in its present form.
     known_since: Time,
+    /// The hosts of the wave that any list in this term has named.
+    listed: BTreeSet<HostName>,
+}
+
+impl OpenWave {
+    fn new(request: WaveRequest, now: Time) -> Self {
+        Self { request, known_since: now, listed: BTreeSet::new() }
+    }
+
+    fn note_listed(&mut self, hosts: &BTreeMap<HostName, HostEntry>) {
+        let listed = self.request.hosts.iter().filter(|host| hosts.contains_key(*host));
+        self.listed.extend(listed.cloned());
+    }
+
+    /// Whether the time that the operator allows is over.
+    fn is_overdue(&self, now: Time) -> bool {
+        now.since(self.known_since) >= self.request.allowed
+    }
 }
 
 impl Waves {
@@ -50,6 +70,13 @@
         self.open.keys().copied()
     }
 
+    /// Records which hosts of open waves are listed.
+    pub(super) fn note_listed(&mut self, hosts: &BTreeMap<HostName, HostEntry>) {
+        for wave in self.open.values_mut() {
+            wave.note_listed(hosts);
+        }
+    }
+
     /// The request for a wave that is not completed.
     pub fn request(&self, wave: u64) -> Option<&WaveRequest> {
         self.open.get(&wave).map(|wave| &wave.request)
@@ -65,7 +92,9 @@
         }
         if let Some(known) = self.waves.open.get_mut(&wave) {
             if known.request != request {
-                *known = OpenWave { request, known_since: now.time };
+                known.request = request;
+                known.known_since = now.time;
+                known.note_listed(&self.fleet.hosts);
             }
             return;
         }
@@ -78,7 +107,9 @@
             )
         });
         self.effects.push(Effect::ReportWave { wave, completed: false });
-        self.waves.open.insert(wave, OpenWave { request, known_since: now.time });
+        let mut open = OpenWave::new(request, now.time);
+        open.note_listed(&self.fleet.hosts);
+        self.waves.open.insert(wave, open);
     }
 
     pub(super) fn advance_waves(&mut self, now: Now) {
@@ -92,15 +123,14 @@
     }
 
     fn advance_wave(&mut self, now: Now, wave: &OpenWave) {
-        let known_since = wave.known_since;
-        let wave = &wave.request;
-        let due = self.due_hosts(wave);
+        let due = self.due_hosts(&wave.request);
         if due.is_empty() {
-            if self.has_begun(wave) || self.is_listed_after(known_since) {
+            if self.never_listed(wave).is_empty() || wave.is_overdue(now.time) {
                 self.complete(now, wave);
             }
             return;
         }
+        let wave = &wave.request;
         let taken = self.count_unavailable(now, wave);
         let free = (wave.max_down as usize).saturating_sub(taken);
         if free == 0 {
@@ -131,16 +161,12 @@
         due.filter(|host| self.fleet.hosts.contains_key(*host)).cloned().collect()
     }
 
-    /// Whether the maintenance of all hosts of a wave has begun.
-    fn has_begun(&self, wave: &WaveRequest) -> bool {
-        let begun = self.ledger.maintained.get(&wave.wave);
-        wave.hosts.iter().all(|host| begun.is_some_and(|begun| begun.contains(host)))
-    }
-
-    /// Whether the last list proves that hosts which it lacks, and which were named at `moment`, do
-    /// not exist.
-    fn is_listed_after(&self, moment: Time) -> bool {
-        self.fleet.listed.is_some_and(|listed| listed.since(moment) > LIST_LAG)
+    /// The hosts of a wave whose maintenance has not begun and that no list in this term has named.
+    fn never_listed<'a>(&self, wave: &'a OpenWave) -> Vec<&'a HostName> {
+        let begun = self.ledger.maintained.get(&wave.request.wave);
+        let is_begun = |host: &HostName| begun.is_some_and(|begun| begun.contains(host));
+        let unlisted = wave.request.hosts.iter().filter(|host| !wave.listed.contains(*host));
+        unlisted.filter(|host| !is_begun(host)).collect()
     }
 
     /// How many hosts count as out of service for the wave: those that are, those that are about to
@@ -175,14 +201,15 @@
         self.executors.pools().map(|pool| (pool.clone(), work(pool))).collect()
     }
 
-    fn complete(&mut self, now: Now, request: &WaveRequest) {
-        let wave = request.wave;
+    fn complete(&mut self, now: Now, open: &OpenWave) {
+        let wave = open.request.wave;
         self.waves.open.remove(&wave);
+        let never_listed = self.never_listed(open).len();
         let begun = self.ledger.maintained.get(&wave).map_or(0, Vec::len);
         let list_age = self.fleet.listed.map_or(Duration::ZERO, |listed| now.time.since(listed));
         self.log("wave-completed", wave, || {
-            let (hosts, age_ms) = (request.hosts.len(), list_age.as_millis());
-            format!("hosts={hosts} begun={begun} list_age_ms={age_ms}")
+            let (hosts, age_ms) = (open.request.hosts.len(), list_age.as_millis());
+            format!("hosts={hosts} begun={begun} never_listed={never_listed} list_age_ms={age_ms}")
         });
         self.record(Record::WaveCompleted { wave });
         self.outbox.defer_wave_report(wave);
--- a/crates/borageswitch_scheduler/tests/waves.rs
+++ b/crates/borageswitch_scheduler/tests/waves.rs
@@ -12,6 +12,8 @@
 
 /// The duration of a step, in milliseconds.
 const STEP: u64 = 50;
+/// The time that the waves are allowed, in milliseconds.
+const ALLOWED: u64 = 20_000;
 
 /// Runs the session while the platform lists these hosts, and stores all appends.
 fn run(session: &mut Session, hosts: &[HostEntry], millis: u64) -> Vec<Effect> {
@@ -57,14 +59,45 @@
 }
 
 #[test]
-fn a_wave_over_a_host_that_does_not_exist_is_completed() {
-    // Guards against a wave that waits for ever for a host that has left.
+fn a_host_that_is_listed_late_is_maintained() {
+    // Guards against a wave that is reported as completed before the platform lists its host.
+    let mut session = Session::new(&["e1"]);
+    let before = [host("h", "e1")];
+    run(&mut session, &before, 2_000);
+
+    session.handle(wave_over(&["new"], 1));
+    let unlisted = run(&mut session, &before, 15_000);
+    let off = HostEntry { executor: None, ..host("new", "none") };
+    let listed = run(&mut session, &[host("h", "e1"), off], 1_000);
+
+    assert!(!is_completed(&unlisted), "{unlisted:?}");
+    assert!(is_maintained(&listed, "new"), "{listed:?}");
+}
+
+#[test]
+fn a_wave_over_a_host_that_has_left_is_completed() {
+    // Guards against a wave that waits for a host that was listed and no longer is.
+    let mut session = Session::new(&["e1"]);
+    let left = HostEntry { executor: None, ..host("left", "none") };
+    run(&mut session, &[host("h", "e1"), left], 4_000);
+
+    session.handle(wave_over(&["left"], 1));
+    let effects = run(&mut session, &[host("h", "e1")], 4_000);
+
+    assert!(is_completed(&effects), "{effects:?}");
+}
+
+#[test]
+fn a_wave_over_a_host_that_was_never_listed_is_completed_when_its_time_is_over() {
+    // Guards against a wave that waits for ever for a host that does not exist.
     let mut session = Session::new(&["e1"]);
     let hosts = [host("h", "e1")];
     run(&mut session, &hosts, 2_000);
 
-    session.handle(wave_over(&["gone"], 1));
-    let effects = run(&mut session, &hosts, 4_000);
+    session.handle(wave_over(&["none"], 1));
+    let before_deadline = run(&mut session, &hosts, ALLOWED - 2_000);
+    let after_deadline = run(&mut session, &hosts, 4_000);
 
-    assert!(is_completed(&effects), "{effects:?}");
+    assert!(!is_completed(&before_deadline), "{before_deadline:?}");
+    assert!(is_completed(&after_deadline), "{after_deadline:?}");
 }
