Keep executors that the platform lists late

What callers would see: their jobs never start, or tasks run twice.

An executor known for 1.5 s that a list lacks counted as ended, and its runs were released without waiting for its lease.

Change: such a list counts only for an executor that an earlier list of this term has named, or that is not registered any more. Why this works: what was listed and no longer is has left, and the registry is a source of its own. The lease still ends the runs of an executor that is silent.

Cost: an executor that crashes before this leader has seen it listed is detected when its registration or its lease ends.

Tests: an_executor_that_is_listed_late_keeps_its_tasks failed before; an_executor_that_is_neither_listed_nor_registered_has_ended keeps the detection.

--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -184,6 +184,8 @@
     pub ended: bool,
     /// When this leader learned of it.
     pub known_since: Time,
+    /// Whether any list of hosts has named it in this term.
+    pub was_listed: bool,
     /// Whether it has answered a poll with this leader's fencing token. From then on it refuses
     /// orders of earlier leaders that are still in flight, and its runs are known.
     pub fenced: bool,
@@ -236,6 +238,7 @@
             known_from_ledger_only: false,
             ended: false,
             known_since: now,
+            was_listed: false,
             fenced: false,
             clock: None,
             lease_until_ms: 0,
--- a/crates/borageswitch_scheduler/src/reducer/host_list.rs
+++ b/crates/borageswitch_scheduler/src/reducer/host_list.rs
@@ -31,7 +31,8 @@
 /// A list that has not arrived after this time is requested again.
 const LIST_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long before the request of a list an executor must have been known for its absence from the
-/// list to prove that it is gone: a new one appears there a moment after it has registered.
+/// list to count: one that restarts under its name appears there again a moment after it has
+/// registered.
 const LIST_LAG: Duration = Duration::from_millis(1_500);
 
 /// The executors in one list of hosts, by their registered names.
@@ -166,18 +167,38 @@
             }
         }
         self.waves.note_listed(&self.fleet.hosts);
+        self.note_listed_executors();
         self.end_unlisted(now, asked);
         self.return_to_service(asked);
     }
 
+    fn note_listed_executors(&mut self) {
+        let listing = &self.fleet.listing;
+        let new = self
+            .executors
+            .iter()
+            .filter(|(executor, known)| !known.was_listed && listing.host_of(executor).is_some());
+        let new: Vec<ExecutorName> = new.map(|(executor, _)| executor.clone()).collect();
+        for executor in new {
+            if let Some(known) = self.executors.get_mut(&executor) {
+                known.was_listed = true;
+            }
+        }
+    }
+
     /// Ends executors that no host has any more, so that their runs need not wait for their leases.
+    ///
+    /// An executor that was never listed may be listed late. It counts as ended only if its
+    /// registration is missing too.
     fn end_unlisted(&mut self, now: Now, asked: Time) {
         let listed = &self.fleet.listing;
         let over: Vec<ExecutorName> = self
             .executors
             .iter()
             .filter(|(executor, known)| {
-                asked.since(known.known_since) > LIST_LAG && listed.host_of(executor).is_none()
+                asked.since(known.known_since) > LIST_LAG
+                    && (known.was_listed || !known.is_registered)
+                    && listed.host_of(executor).is_none()
             })
             .map(|(executor, _)| executor.clone())
             .collect();
--- a/crates/borageswitch_scheduler/tests/crashes.rs
+++ b/crates/borageswitch_scheduler/tests/crashes.rs
@@ -110,3 +110,31 @@
 
     assert_eq!(lines_of_kind(&logged, "executor-crashed").len(), 1, "{logged:?}");
 }
+
+#[test]
+fn an_executor_that_is_listed_late_keeps_its_tasks() {
+    // Guards against tasks that run twice, as the platform lists a new host later than others.
+    let mut session = Session::new(&["e1", "e2"]);
+    session.submit("j", vec![step(16)]);
+    session.store_and_start();
+
+    let mut logged = list_hosts(&mut session, vec![host("h1", "e1")]);
+    logged.extend(list_hosts(&mut session, vec![host("h1", "e1")]));
+
+    assert!(lines_of_kind(&logged, "executor-ended").is_empty(), "{logged:?}");
+}
+
+#[test]
+fn an_executor_that_is_neither_listed_nor_registered_has_ended() {
+    // Guards against tasks that wait for the lease of an executor that ended before it was listed.
+    let mut session = Session::new(&["e1", "e2"]);
+    session.submit("j", vec![step(16)]);
+    session.store_and_start();
+    list_hosts(&mut session, vec![host("h1", "e1")]);
+    let gone = RegistrationChange::Unregistered("e2".into());
+    session.handle(Event::RegistrationChanged(gone));
+
+    let logged = list_hosts(&mut session, vec![host("h1", "e1")]);
+
+    assert_eq!(lines_of_kind(&logged, "executor-ended").len(), 1, "{logged:?}");
+}
