Wait for a slow list of hosts, and count each list from its own request

What operators would see: while the platform takes over 1 s for a page of its list of machines, waves are never completed and executors that have crashed are noticed only by their leases.

Cause: a page had to arrive within 1 s, which no page of the users gives, so every list failed. Beside that, a list that arrived after the next one had been requested counted as the answer to that one: it passed for newer than it was, and could show a host as gone or as back.

Change: a list may take 10 s. After 2.5 s another is requested beside it, in case a connection has gone silent; request and response carry the time of the request, and a list older than the one in use is dropped. Why this works: what is concluded from a list depends on when it was requested, which the response now says itself.

--- a/crates/borageswitch_runtime/src/orders.rs
+++ b/crates/borageswitch_runtime/src/orders.rs
@@ -40,6 +40,8 @@
 /// How long a stop is repeated at once while responses get lost; the scheduler repeats it after
 /// 600 ms.
 const STOP_REPEAT_WINDOW: Duration = Duration::from_millis(300);
+/// A list of hosts that takes longer than this counts as failed.
+const MAX_LIST_TIME: Duration = Duration::from_secs(10);
 /// The pause before storing a wave's report is retried.
 const REPORT_RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// How often storing a wave's report is attempted.
@@ -199,7 +201,10 @@
             let permitted = shared.platform.advise(&step, &candidates).await;
             Some(Event::AdviceReceived { step, sent, candidates, permitted })
         }
-        Effect::ListHosts => Some(Event::HostsListed(shared.platform.list_hosts().await)),
+        Effect::ListHosts { requested } => {
+            let list = with_timeout(MAX_LIST_TIME, shared.platform.list_hosts()).await;
+            Some(Event::HostsListed { requested, hosts: list.flatten() })
+        }
         Effect::OrderHost(host, order) => Some(order_host(shared, token, host, order).await),
         Effect::ReportWave { wave, completed } => {
             report_wave(shared, token, wave, completed).await;
--- a/crates/borageswitch_scheduler/src/effect.rs
+++ b/crates/borageswitch_scheduler/src/effect.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, ops::RangeInclusive, sync::Arc, time::Duration};
 
-use borageswitch_types::names::{ExecutorName, HostName, JobName, PoolName, QueueName};
+use borageswitch_types::{
+    Time,
+    names::{ExecutorName, HostName, JobName, PoolName, QueueName},
+};
 
 use crate::{
     ledger::{record::Record, snapshot::Snapshot},
@@ -84,8 +87,11 @@
     LimitSpeed(Recipient, TaskKey, u32, u8),
     /// Request from the advisor which of these executors may run a step.
     RequestAdvice(StepKey, Vec<ExecutorName>),
-    /// Read the list of hosts from the platform.
-    ListHosts,
+    /// Read the list of hosts from the platform. The response repeats the time of the request.
+    ListHosts {
+        /// When the list was requested.
+        requested: Time,
+    },
     /// Send an order for a host to the platform.
     OrderHost(HostName, HostOrder),
     /// Report the state of a wave to the operator.
--- a/crates/borageswitch_scheduler/src/event.rs
+++ b/crates/borageswitch_scheduler/src/event.rs
@@ -200,8 +200,13 @@
         /// Executors that may run the step, each with its ticket; `None` without a response.
         permitted: Option<Vec<(ExecutorName, Arc<str>)>>,
     },
-    /// The platform's list of all hosts; `None` if it did not respond.
-    HostsListed(Option<Vec<HostEntry>>),
+    /// A list of all hosts was received, or was not.
+    HostsListed {
+        /// When the list was requested.
+        requested: Time,
+        /// The platform's list; `None` if it did not respond.
+        hosts: Option<Vec<HostEntry>>,
+    },
     /// An order for a host was responded to, or timed out.
     HostOrderAnswered {
         /// The host of the order.
--- a/crates/borageswitch_scheduler/src/reducer/host_list.rs
+++ b/crates/borageswitch_scheduler/src/reducer/host_list.rs
@@ -28,8 +28,9 @@
 const LIST_INTERVAL: Duration = Duration::from_millis(700);
 /// How often the hosts are listed otherwise.
 const IDLE_LIST_INTERVAL: Duration = Duration::from_millis(1_500);
-/// A list that has not arrived after this time is requested again.
-const LIST_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// A list that has not arrived after this time is requested once more, in case a connection has gone
+/// silent. The first that arrives is used.
+const LIST_OVERDUE: Duration = Duration::from_millis(2_500);
 /// How long before the request of a list an executor must have been known for its absence from the
 /// list to count: one that restarts under its name appears there again a moment after it has
 /// registered.
@@ -60,6 +61,7 @@
     pub withdrawals: BTreeMap<HostName, Withdrawal>,
     listing: Listing,
     previous_listing: Listing,
+    /// When the last list was requested that has not arrived, or when its call failed.
     requested_at: Option<Time>,
     /// Kinds of hosts of which there are few.
     scarce: BTreeSet<Arc<str>>,
@@ -145,19 +147,21 @@
             || !self.fleet.withdrawals.is_empty();
         let interval = if busy { LIST_INTERVAL } else { IDLE_LIST_INTERVAL };
         let fresh = self.fleet.listed.is_some_and(|at| now.time.since(at) < interval);
-        let asked = self.fleet.requested_at.is_some_and(|at| now.time.since(at) < LIST_TIMEOUT);
+        let asked = self.fleet.requested_at.is_some_and(|at| now.time.since(at) < LIST_OVERDUE);
         if !fresh && !asked {
             self.fleet.requested_at = Some(now.time);
-            self.effects.push(Effect::ListHosts);
+            self.effects.push(Effect::ListHosts { requested: now.time });
         }
     }
 
-    pub(super) fn listed(&mut self, now: Now, hosts: Option<Vec<HostEntry>>) {
-        let Some(asked) = self.fleet.requested_at.take() else { return };
-        let Some(hosts) = hosts else {
-            self.fleet.requested_at = Some(now.time);
-            return;
-        };
+    pub(super) fn listed(&mut self, now: Now, asked: Time, hosts: Option<Vec<HostEntry>>) {
+        let is_latest = self.fleet.requested_at == Some(asked);
+        if is_latest {
+            // A failed call is repeated as late as an overdue one.
+            self.fleet.requested_at = hosts.is_none().then_some(now.time);
+        }
+        let is_newer = self.fleet.listed.is_none_or(|listed| listed < asked);
+        let Some(hosts) = hosts.filter(|_| is_newer) else { return };
         self.fleet.apply_list(asked, hosts);
         for entry in self.fleet.hosts.values_mut() {
             let latest =
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -221,7 +221,7 @@
             Event::AdviceReceived { step, sent, candidates, permitted } => {
                 self.handle_advice(now, sent, &step, &candidates, permitted);
             }
-            Event::HostsListed(hosts) => self.listed(now, hosts),
+            Event::HostsListed { requested, hosts } => self.listed(now, requested, hosts),
             Event::HostOrderAnswered { host, response } => self.host_answered(now, &host, response),
             Event::WaveRequested(wave) => self.wave_requested(now, wave),
             Event::Tick => {}
