Wait for slow orders for hosts as long as no next leader may order

What operators would see: while the platform takes over 1 s for an order, waves are never completed.

Cause: an order was given up after 1 s, whatever the platform's time to respond.

Change: the runtime gives the timeout, 0.5 s less than the pause after which the next leader orders the same host (lease_ms), at least 1 s as before. Why this works: the connection of an order that gets no response is reset at its timeout, so it is not delivered after one of the next leader.

--- a/crates/borageswitch_fakes/src/platform/mod.rs
+++ b/crates/borageswitch_fakes/src/platform/mod.rs
@@ -66,6 +66,8 @@
     pub store_hangs: Duration,
     /// The store carries writes out, hangs for so long and then does not answer.
     pub store_hangs_after_writes: Duration,
+    /// Orders for hosts are carried out and answered so much later.
+    pub host_order_delay: Duration,
 }
 
 /// What a test asks of an executor.
--- a/crates/borageswitch_fakes/src/platform/port.rs
+++ b/crates/borageswitch_fakes/src/platform/port.rs
@@ -200,7 +200,13 @@
         _: &OrderIssuer,
         host: &HostName,
         order: &HostOrder,
+        timeout: Duration,
     ) -> HostOrderResponse {
+        let delay = self.lock().faults.host_order_delay;
+        Timer::after(delay.min(timeout)).await;
+        if delay > timeout {
+            return HostOrderResponse::Lost;
+        }
         let clock_ms = self.clock_ms();
         let mut inner = self.lock();
         let (answer, change) = inner.hosts.order(host, order);
--- a/crates/borageswitch_runtime/src/orders.rs
+++ b/crates/borageswitch_runtime/src/orders.rs
@@ -40,6 +40,10 @@
 /// How long a stop is repeated at once while responses get lost; the scheduler repeats it after
 /// 600 ms.
 const STOP_REPEAT_WINDOW: Duration = Duration::from_millis(300);
+/// How long before the next leader may order a host an order for it has been given up.
+const HOST_ORDER_MARGIN: Duration = Duration::from_millis(500);
+/// The minimum timeout of an order for a host.
+const MIN_HOST_ORDER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// A list of hosts that takes longer than this counts as failed.
 const MAX_LIST_TIME: Duration = Duration::from_secs(10);
 /// The pause before storing a wave's report is retried.
@@ -331,6 +335,11 @@
     Event::Polled { executor: to.executor, sent, order, response: answer }
 }
 
+/// How long an order for a host may be in flight: the next leader orders the host after `pause`.
+fn host_order_timeout(pause: Duration) -> Duration {
+    pause.saturating_sub(HOST_ORDER_MARGIN).max(MIN_HOST_ORDER_TIMEOUT)
+}
+
 async fn order_host<P>(
     shared: &Arc<Shared<P>>,
     token: u64,
@@ -344,7 +353,8 @@
     let answer = if shared.authority.remaining(token) < MIN_AUTHORITY {
         HostOrderResponse::Lost
     } else {
-        shared.platform.order_host(&by, &host, &order).await
+        let timeout = host_order_timeout(shared.cfg.limits.host_order_pause);
+        shared.platform.order_host(&by, &host, &order, timeout).await
     };
     Event::HostOrderAnswered { host, response: answer }
 }
--- a/crates/borageswitch_runtime/src/ports.rs
+++ b/crates/borageswitch_runtime/src/ports.rs
@@ -233,11 +233,13 @@
     /// Lists the hosts; `None` without a response.
     fn list_hosts(&self) -> impl Future<Output = Option<Vec<HostEntry>>> + Send;
 
-    /// Sends an order for a host.
+    /// Sends an order for a host. Without a response after `timeout` it must not be delivered any
+    /// more.
     fn order_host(
         &self,
         by: &OrderIssuer,
         host: &HostName,
         order: &HostOrder,
+        timeout: Duration,
     ) -> impl Future<Output = HostOrderResponse> + Send;
 }
