Take a host for back only when it is listed with another executor

What operators would see: more hosts of a wave in maintenance at once than they permit.

Cause: a host was back once a list that was requested after the order showed it as up.

Change: a list that still names the executor which the order has ended tells of a time before the order. Why this works: after an order a new executor joins ("On 200, everything running on the machine terminates immediately, and a new executor joins the pool").

Open: a new leader that reads such a list knows only from the last 3 s of orders what is away.

Test: a_list_from_before_an_order_does_not_show_its_host_as_back failed before.

--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -79,6 +79,13 @@
         (ORDER_RETRY_DELAY * (1 << self.failed.saturating_sub(2).min(3))).min(MAX_ORDER_RETRY_DELAY)
     }
 
+    /// Whether a list shows the host as back. One that still shows the executor which the order has
+    /// ended tells of a time before the order.
+    fn is_back(&self, entry: &HostEntry) -> bool {
+        let is_outdated = self.drained.is_some() && entry.executor == self.drained;
+        entry.state == HostState::Up && !is_outdated
+    }
+
     /// Whether an order for the host was recorded or sent, whether or not it was answered.
     pub(super) fn is_ordered(&self) -> bool {
         !matches!(self.stage, Stage::Emptying { .. })
@@ -102,7 +109,7 @@
         let hosts = &self.fleet.hosts;
         let returned = |host: &HostName, withdrawal: &Withdrawal| {
             let entry = hosts.get(host);
-            let up = entry.is_none_or(|entry| entry.state == HostState::Up);
+            let up = entry.is_none_or(|entry| withdrawal.is_back(entry));
             match withdrawal.stage {
                 Stage::Emptying { .. } => false,
                 Stage::Away { since } => up && listed > since,
--- a/crates/borageswitch_scheduler/tests/waves.rs
+++ b/crates/borageswitch_scheduler/tests/waves.rs
@@ -4,7 +4,7 @@
 
 use borageswitch_scheduler::{
     effect::{Effect, HostOrder},
-    event::Event,
+    event::{Event, HostOrderResponse},
     fleet::HostEntry,
 };
 use borageswitch_types::{Time, names::HostName};
@@ -143,3 +143,22 @@
     assert!(!is_completed(&effects), "{effects:?}");
     assert!(is_maintained(&effects, "new"), "{effects:?}");
 }
+
+#[test]
+fn a_list_from_before_an_order_does_not_show_its_host_as_back() {
+    // Guards against more hosts in maintenance at once than the operator permits.
+    let mut session = Session::new(&["e1", "e2"]);
+    let outdated = [host("h1", "e1"), host("h2", "e2")];
+    run(&mut session, &outdated, 4_000);
+    session.handle(wave_over(&["h1", "h2"], 1));
+    run(&mut session, &outdated, 1_000);
+    let done = Event::HostOrderAnswered { host: "h1".into(), response: HostOrderResponse::Done };
+    session.handle(done);
+
+    let still_away = run(&mut session, &outdated, 4_000);
+    let back = [host("h1", "e3"), host("h2", "e2")];
+    let after = run(&mut session, &back, 2_000);
+
+    assert!(!is_maintained(&still_away, "h2"), "{still_away:?}");
+    assert!(is_maintained(&after, "h2"), "{after:?}");
+}
