Let earlier runs of a task exonerate it from later crashes

What callers saw: a service taken away by our own verdict.

Cause: each crash is weighed by itself, although a task that crashes executors does so at about the same time after each start.

Change: a crash does not count if an earlier run of the task has lived twice as long and half a second. Why this works: that run shows that the start was not the cause.

Test: crashes_soon_after_a_start_do_not_count_against_a_task_that_has_lived_longer failed before.

--- a/crates/borageswitch_scheduler/src/ledger/crashes.rs
+++ b/crates/borageswitch_scheduler/src/ledger/crashes.rs
@@ -65,11 +65,17 @@
 }
 
 /// Adds a crash unless it is known, and removes those from which its run exonerates the task.
+///
+/// A crash from which an earlier run exonerates the task is not added: a task that crashes executors
+/// does so at about the same time after each start.
 pub(super) fn add(crashes: &mut Vec<Crash>, crash: &Crash) {
     if crashes.iter().any(|known| known.executor == crash.executor) {
         return;
     }
     clear_survived(crashes, crash.lived_ms);
+    if crashes.iter().any(|earlier| exonerates(earlier.lived_ms, crash)) {
+        return;
+    }
     crashes.push(crash.clone());
     if crashes.len() > MAX_KEPT {
         crashes.remove(0);
@@ -78,6 +84,9 @@
 
 /// Removes the crashes from which a run that has lived for `lived_ms` exonerates its task.
 pub(super) fn clear_survived(crashes: &mut Vec<Crash>, lived_ms: u64) {
-    let lived = Duration::from_millis(lived_ms);
-    crashes.retain(|crash| !crash_attribution::exonerates(lived, crash));
+    crashes.retain(|crash| !exonerates(lived_ms, crash));
+}
+
+fn exonerates(lived_ms: u64, crash: &Crash) -> bool {
+    crash_attribution::exonerates(Duration::from_millis(lived_ms), crash)
 }
--- a/crates/borageswitch_scheduler/src/ledger/tests.rs
+++ b/crates/borageswitch_scheduler/src/ledger/tests.rs
@@ -238,6 +238,20 @@
     assert_eq!(ledger.crashes_of(&key("j", 1)).len(), 1, "the run has outlived the first one");
 }
 
+#[test]
+fn crashes_soon_after_a_start_do_not_count_against_a_task_that_has_lived_longer() {
+    // Guards against giving up a sound lasting job whose executors crash one after the other.
+    let mut ledger = Ledger::default();
+    ledger.submit(submission("j", vec![step(1)]));
+
+    ledger.apply(&crashed("j", 0, "e1", 9_000, 8_500));
+    for executor in ["e2", "e3", "e4", "e5", "e6"] {
+        ledger.apply(&crashed("j", 0, executor, 1_000, 600));
+    }
+
+    assert_eq!(ledger.crashes_of(&key("j", 0)).len(), 1);
+}
+
 #[test]
 fn suspects_and_tasks_given_up_are_part_of_a_snapshot() {
     // Guards against crashes that each leader counts anew, and reasons that are lost with a leader.
