Drain a host whose executor may not be listed yet before ordering it

What callers would see: their tasks end with a host that is maintained or moved without a drain.

Cause: a host that is listed without an executor counted as off and was ordered at once.

Change: such a host is ordered once every registered executor of its pool has been listed in this term. Why this works: whatever runs tasks of ours is registered, and one that a list has named belongs to the host that it was named with.

Test: a_host_whose_executor_is_not_listed_yet_is_drained_before_its_maintenance failed before.

--- a/crates/borageswitch_scheduler/src/reducer/host_list.rs
+++ b/crates/borageswitch_scheduler/src/reducer/host_list.rs
@@ -8,7 +8,7 @@
 
 use borageswitch_types::{
     Time,
-    names::{ExecutorName, HostName},
+    names::{ExecutorName, HostName, PoolName},
 };
 
 use crate::{
@@ -190,6 +190,12 @@
         }
     }
 
+    /// Whether an executor of a pool is registered that no list in this term has named.
+    pub(super) fn has_unlisted_executor(&self, pool: &PoolName) -> bool {
+        let mut of_pool = self.executors.of_pool(pool);
+        of_pool.any(|(_, known)| known.is_registered && !known.ended && !known.was_listed)
+    }
+
     /// Ends executors that no host has any more, so that their runs need not wait for their leases.
     ///
     /// An executor that was never listed may be listed late. It counts as ended only if its
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -170,12 +170,15 @@
                 if entry.state != HostState::Up {
                     return;
                 }
-                // A host that is off needs no drain.
-                let executor = entry.executor.clone();
-                if let Some(executor) = &executor {
-                    self.drain_executor(now, executor);
-                }
-                let ready = executor.is_none_or(|executor| self.is_drained(&executor));
+                let ready = match entry.executor {
+                    Some(executor) => {
+                        self.drain_executor(now, &executor);
+                        self.is_drained(&executor)
+                    }
+                    // A host that is off needs no drain; an executor that is not listed yet may be
+                    // its own.
+                    None => !self.has_unlisted_executor(&entry.pool),
+                };
                 if ready && now.time >= not_before {
                     self.record_host_order(now, host);
                 }
--- a/crates/borageswitch_scheduler/tests/waves.rs
+++ b/crates/borageswitch_scheduler/tests/waves.rs
@@ -162,3 +162,18 @@
     assert!(!is_maintained(&still_away, "h2"), "{still_away:?}");
     assert!(is_maintained(&after, "h2"), "{after:?}");
 }
+
+#[test]
+fn a_host_whose_executor_is_not_listed_yet_is_drained_before_its_maintenance() {
+    // Guards against tasks that end with a host which was taken for one that is off.
+    let mut session = Session::new(&["e1", "e2"]);
+    let unlisted = [host("h1", "e1"), HostEntry { executor: None, ..host("h2", "none") }];
+    run(&mut session, &unlisted, 4_000);
+
+    session.handle(wave_over(&["h2"], 1));
+    let effects = run(&mut session, &unlisted, 4_000);
+    let listed = run(&mut session, &[host("h1", "e1"), host("h2", "e2")], 2_000);
+
+    assert!(!is_maintained(&effects, "h2"), "{effects:?}");
+    assert!(is_maintained(&listed, "h2"), "{listed:?}");
+}
