Show a host as back only by a new executor or after it was listed away

What operators would see: more hosts of a wave in maintenance at once than they permit, where lists are seconds old and the host was listed without an executor when it was ordered.

Cause: a list that showed the host as up, with no executor or another one, counted as its return. A host that was ordered without a listed executor has nothing that an older list could contradict.

Change: a host is back when it is listed as up with a new executor, or as up after a list since the order has shown it away; after 30 s in any case, as for a move. Why this works: both are states that the host only has after the order.

Test: lists_of_hosts_that_are_late_lead_to_no_wrong_conclusion plays lists that take up to 4 s, are up to 3 s old (in order) and name new hosts and executors up to 6 s late, beside waves, crashes, removals and changes of leader, and checks that waves leave no host out and take no more at once than permitted.

--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -15,7 +15,7 @@
     event::{HostOrderResponse, Now},
     fleet::{HostEntry, HostState},
     ledger::record::Record,
-    reducer::{Scheduler, crashes::EndDetection},
+    reducer::{Scheduler, crashes::EndDetection, host_list::Fleet},
 };
 
 /// The delay before an order that got no response, or was temporarily rejected, is repeated; it
@@ -24,6 +24,9 @@
 /// The maximum delay between two orders for a host, so that a platform that has recovered is used
 /// soon.
 const MAX_ORDER_RETRY_DELAY: Duration = Duration::from_millis(4_000);
+/// The time after which a host that is listed as up counts as back, although no list has shown it as
+/// away.
+const RETURN_TIMEOUT: Duration = Duration::from_secs(30);
 /// The time after which a host that has not returned from a move is no longer expected; many times
 /// the duration of a move.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -57,6 +60,8 @@
     Away {
         /// When the response arrived.
         since: Time,
+        /// Whether a list has shown the host as away since then.
+        seen: bool,
     },
 }
 
@@ -79,11 +84,13 @@
         (ORDER_RETRY_DELAY * (1 << self.failed.saturating_sub(2).min(3))).min(MAX_ORDER_RETRY_DELAY)
     }
 
-    /// Whether a list shows the host as back. One that still shows the executor which the order has
-    /// ended tells of a time before the order.
-    fn is_back(&self, entry: &HostEntry) -> bool {
-        let is_outdated = self.drained.is_some() && entry.executor == self.drained;
-        entry.state == HostState::Up && !is_outdated
+    /// Whether a list that was requested at `listed` shows the host as back. A list may be older than
+    /// the order; one that shows another executor, or the host as up after it was away, is not.
+    fn is_back(&self, entry: &HostEntry, listed: Time) -> bool {
+        let Stage::Away { since, seen } = self.stage else { return false };
+        let has_new_executor = entry.executor.is_some() && entry.executor != self.drained;
+        let is_overdue = listed.since(since) >= RETURN_TIMEOUT;
+        entry.state == HostState::Up && (has_new_executor || seen || is_overdue)
     }
 
     /// Whether an order for the host was recorded or sent, whether or not it was answered.
@@ -109,10 +116,13 @@
         let hosts = &self.fleet.hosts;
         let returned = |host: &HostName, withdrawal: &Withdrawal| {
             let entry = hosts.get(host);
-            let up = entry.is_none_or(|entry| withdrawal.is_back(entry));
+            let up = entry.is_none_or(|entry| entry.state == HostState::Up);
             match withdrawal.stage {
                 Stage::Emptying { .. } => false,
-                Stage::Away { since } => up && listed > since,
+                Stage::Away { since, .. } => {
+                    let is_back = entry.is_none_or(|entry| withdrawal.is_back(entry, listed));
+                    is_back && listed > since
+                }
                 // The response was lost, and the host is in the pool that it was to move to.
                 Stage::Ordered { at, answered } => {
                     let there =
@@ -132,6 +142,20 @@
             self.fleet.withdrawals.remove(&host);
             self.log("host-back", &host, String::new);
         }
+        self.note_hosts_away(listed);
+    }
+
+    fn note_hosts_away(&mut self, listed: Time) {
+        let Fleet { hosts, withdrawals, .. } = &mut self.fleet;
+        for (host, withdrawal) in withdrawals {
+            let is_up = hosts.get(host).is_none_or(|entry| entry.state == HostState::Up);
+            if let Stage::Away { since, seen } = &mut withdrawal.stage
+                && listed > *since
+                && !is_up
+            {
+                *seen = true;
+            }
+        }
     }
 
     /// Begins to drain a host.
@@ -154,7 +178,7 @@
             return;
         };
         match withdrawal.stage {
-            Stage::Away { since } => {
+            Stage::Away { since, .. } => {
                 let moves = matches!(withdrawal.purpose, Purpose::Move(_));
                 if moves && now.time.since(since) >= MOVE_TIMEOUT {
                     self.fleet.withdrawals.remove(host);
@@ -245,7 +269,7 @@
         let Some(withdrawal) = self.fleet.withdrawals.get_mut(host) else { return };
         match answer {
             HostOrderResponse::Done => {
-                withdrawal.stage = Stage::Away { since: now.time };
+                withdrawal.stage = Stage::Away { since: now.time, seen: false };
                 if let Purpose::Maintain(wave) = purpose {
                     self.record(Record::Maintained { wave, host: host.clone() });
                 }
--- a/crates/borageswitch_scheduler/tests/randomised.rs
+++ b/crates/borageswitch_scheduler/tests/randomised.rs
@@ -244,3 +244,23 @@
         assert_invariants(seed, &simulation);
     }
 }
+
+#[test]
+fn lists_of_hosts_that_are_late_lead_to_no_wrong_conclusion() {
+    // Guards against tasks that run twice and waves that leave hosts out, or take too many at once.
+    let faults = [
+        Faults { wave: 1, ..Faults::default() },
+        Faults { wave: 1, executor_crash: 1, host_removal: 1, ..Faults::default() },
+        Faults { wave: 1, host_removal: 1, host_list_outage: 1, ..Faults::default() },
+        Faults { leader_crash: 1, executor_crash: 1, host_removal: 1, ..Faults::default() },
+    ];
+    for seed in seeds() {
+        let faults = faults[seed as usize % faults.len()];
+        let late_lists = Faults { late_lists: true, ..faults };
+        let mut simulation = Simulation::with_hosts(seed, 9, true, late_lists);
+        simulation.submit(lasting_steps(3));
+        let simulation = run_simulation(simulation);
+
+        assert_invariants(seed, &simulation);
+    }
+}
--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -2,11 +2,13 @@
 //!
 //! - [`orders`]: delivery of orders to executors and of their responses.
 //! - [`hosts`]: hosts that crash, lose capacity, are removed and are maintained.
+//! - [`late_lists`]: lists of hosts that are slow, old or incomplete.
 //! - [`poison_tasks`]: tasks that crash the executors that run them.
 //! - [`checks`]: the invariants.
 
 mod checks;
 mod hosts;
+mod late_lists;
 mod orders;
 pub mod poison_tasks;
 
@@ -82,6 +84,9 @@
     pub reuse_names: bool,
     /// Executors list two ended runs at a time. This is a switch, not a probability.
     pub truncated_reports: bool,
+    /// Lists of hosts take seconds, are seconds old, and name new hosts seconds late. This is a
+    /// switch, not a probability.
+    pub late_lists: bool,
 }
 
 enum Due {
@@ -412,6 +417,7 @@
         self.deliver();
         self.crash_poisoned_executors();
         self.advance_hosts();
+        self.record_hosts();
         self.stall_incomplete_gangs();
         for (name, executor) in &mut self.executors {
             if !self.dead.contains(name) {
@@ -554,11 +560,14 @@
                 }
                 Effect::Start(..) | Effect::Stop(..) | Effect::Poll(..) => self.send(token, effect),
                 Effect::ListHosts { requested } => {
-                    let event = Event::HostsListed { requested, hosts: self.list_hosts() };
-                    self.due.push((self.now + 10, Due::Event { token, event }));
+                    let hosts = self.list_hosts();
+                    let at = self.now + self.list_delay();
+                    let event = Event::HostsListed { requested, hosts };
+                    self.due.push((at, Due::Event { token, event }));
                 }
                 Effect::OrderHost(host, order) => self.order_host(token, &host, &order),
-                Effect::ReportWave { .. } | Effect::Count(_) => {}
+                Effect::ReportWave { wave, completed } => self.check_wave_report(wave, completed),
+                Effect::Count(_) => {}
                 Effect::StoreSnapshot { snapshot, remove } => {
                     self.snapshot = *snapshot;
                     self.appends.retain(|number, _| !remove.contains(number));
--- a/crates/borageswitch_scheduler/tests/support/simulation/hosts.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation/hosts.rs
@@ -17,7 +17,7 @@
 };
 use borageswitch_types::names::{DataCentreName, ExecutorName, HostName, PoolName};
 
-use super::{Due, Simulation};
+use super::{Due, Simulation, late_lists::LateLists};
 use crate::support::fixtures::{cores, queue};
 
 /// How long a crashed executor stays registered, in milliseconds.
@@ -32,12 +32,12 @@
 const RACKS: usize = 3;
 
 #[derive(Clone, Debug)]
-struct SimHost {
+pub(super) struct SimHost {
     pool: PoolName,
     rack: usize,
     port: u16,
     enforces_capacity: bool,
-    state: HostState,
+    pub(super) state: HostState,
     executor: Option<ExecutorName>,
     /// The last incarnation of its executor that has ended.
     last_executor: Option<ExecutorName>,
@@ -47,19 +47,32 @@
     /// The time of the loss of capacity, and the capacity before it.
     capacity_dropped: Option<(u64, Size)>,
     restored_at: u64,
+    /// The waves for which it was maintained.
+    pub(super) maintained: Vec<u64>,
+    /// From when lists name it, and its present executor.
+    pub(super) listed_from: u64,
+    pub(super) executor_listed_from: u64,
+}
+
+/// A maintenance wave.
+#[derive(Clone, Debug)]
+pub(super) struct SimWave {
+    pub(super) requested_at: u64,
+    pub(super) request: WaveRequest,
 }
 
 /// All hosts of a simulation, and the registrations of their executors.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Hosts {
-    all: BTreeMap<HostName, SimHost>,
+    pub(super) all: BTreeMap<HostName, SimHost>,
     /// Registrations of executors that have ended, each with the time of its expiry.
     expiring: Vec<(u64, Registration)>,
     /// Executors that crashed while their host stayed up, so that connections are reset.
     reset_connections: BTreeSet<ExecutorName>,
     list_outage_until: u64,
-    waves: u64,
+    pub(super) waves: BTreeMap<u64, SimWave>,
     next_host: u32,
+    pub(super) lists: LateLists,
 }
 
 impl SimHost {
@@ -88,6 +101,24 @@
         live.chain(expiring.map(|(_, registration)| registration.clone())).collect()
     }
 
+    /// The hosts as the platform lists them at this moment.
+    pub(super) fn entries(&self, now: u64) -> Vec<HostEntry> {
+        let listed = self.all.iter().filter(|(_, host)| host.listed_from <= now);
+        let entries = listed.map(|(name, host)| HostEntry {
+            host: name.clone(),
+            pool: host.pool.clone(),
+            state: host.state,
+            labels: host.labels(),
+            capacity: host.capacity,
+            executor: host
+                .executor
+                .as_ref()
+                .filter(|_| host.executor_listed_from <= now)
+                .map(|e| ExecutorName::from(incarnation::registered_name(e))),
+        });
+        entries.collect()
+    }
+
     fn host_of(&self, executor: &ExecutorName) -> Option<&SimHost> {
         self.all.values().find(|host| host.executor.as_ref() == Some(executor))
     }
@@ -100,6 +131,7 @@
 
     pub(super) fn add_host_to(&mut self, pool: PoolName, enforces_capacity: bool) {
         let executor = self.add_executor(enforces_capacity);
+        let listed_from = self.now + self.listing_lag();
         let Some(hosts) = &mut self.hosts else { return };
         hosts.next_host += 1;
         let name = HostName::from(format!("h{}", hosts.next_host));
@@ -116,6 +148,9 @@
             capacity: cores(16),
             capacity_dropped: None,
             restored_at: 0,
+            maintained: Vec::new(),
+            listed_from,
+            executor_listed_from: 0,
         };
         hosts.all.insert(name, host);
     }
@@ -184,10 +219,12 @@
             // Some executors come back at the same address, some at another one.
             let port = self.rng.u16(2_000..60_000);
             let changes_port = self.rng.bool();
+            let listed_from = self.now + self.listing_lag();
             let host = self.hosts.as_mut().and_then(|hosts| hosts.all.get_mut(name));
             let Some(host) = host else { continue };
             host.state = HostState::Up;
             host.executor = Some(executor);
+            host.executor_listed_from = listed_from;
             host.port = if changes_port { port } else { host.port };
         }
         if changed || !back.is_empty() {
@@ -313,38 +350,29 @@
 
     fn request_wave(&mut self) {
         let Some(hosts) = &mut self.hosts else { return };
-        hosts.waves += 1;
-        let wave = hosts.waves;
+        let wave = hosts.waves.len() as u64 + 1;
         let due: Vec<HostName> = hosts.all.keys().step_by(2).cloned().collect();
         let request =
             WaveRequest { wave, hosts: due, allowed: Duration::from_secs(20), max_down: 2 };
+        hosts.waves.insert(wave, SimWave { requested_at: self.now, request: request.clone() });
         let moment = self.moment();
         if let Some(leader) = &mut self.leader {
             leader.handle(moment, Event::WaveRequested(request));
         }
     }
 
-    pub(super) fn list_hosts(&self) -> Option<Vec<HostEntry>> {
+    pub(super) fn list_hosts(&mut self) -> Option<Vec<HostEntry>> {
         let hosts = self.hosts.as_ref().filter(|hosts| hosts.list_outage_until <= self.now)?;
-        let entries = hosts.all.iter().map(|(name, host)| HostEntry {
-            host: name.clone(),
-            pool: host.pool.clone(),
-            state: host.state,
-            labels: host.labels(),
-            capacity: host.capacity,
-            executor: host
-                .executor
-                .as_ref()
-                .map(|e| ExecutorName::from(incarnation::registered_name(e))),
-        });
-        Some(entries.collect())
+        let current = hosts.entries(self.now);
+        Some(self.late_list(current))
     }
 
     pub(super) fn order_host(&mut self, token: u64, name: &HostName, order: &HostOrder) {
         let host = self.hosts.as_ref().and_then(|hosts| hosts.all.get(name));
         let up = host.filter(|host| host.state == HostState::Up && !host.draining);
         let response = match (up.and_then(|host| host.executor.clone()), order) {
-            (Some(executor), HostOrder::Maintain(_)) => {
+            (Some(executor), HostOrder::Maintain(wave)) => {
+                self.check_wave_order(*wave, name);
                 self.end_incarnation(&executor, HostState::InMaintenance, self.now + MAINTENANCE);
                 HostOrderResponse::Done
             }
