--- a/crates/borageswitch_scheduler/src/reducer/host_list.rs
+++ b/crates/borageswitch_scheduler/src/reducer/host_list.rs
@@ -28,8 +28,8 @@
 const LIST_INTERVAL: Duration = Duration::from_millis(700);
 /// How often the hosts are listed otherwise.
 const IDLE_LIST_INTERVAL: Duration = Duration::from_millis(1_500);
-/// A list that has not arrived after this time is requested once more, in case a connection has gone
-/// silent. The first that arrives is used.
+/// A list that has not arrived after this time is requested again, in case a connection has gone
+/// silent. The responses count by the times of their requests.
 const LIST_OVERDUE: Duration = Duration::from_millis(2_500);
 /// How long before the request of a list an executor must have been known for its absence from the
 /// list to count: one that restarts under its name appears there again a moment after it has
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -24,8 +24,8 @@
 /// The maximum delay between two orders for a host, so that a platform that has recovered is used
 /// soon.
 const MAX_ORDER_RETRY_DELAY: Duration = Duration::from_millis(4_000);
-/// The time after which a host that is listed as up counts as back, although no list has shown it as
-/// away.
+/// The time after an order from which a host that is listed as up counts as back, although no list
+/// has shown it as away or with a new executor: a host that stays off has none.
 const RETURN_TIMEOUT: Duration = Duration::from_secs(30);
 /// The time after which a host that has not returned from a move is no longer expected; many times
 /// the duration of a move.
@@ -84,8 +84,10 @@
         (ORDER_RETRY_DELAY * (1 << self.failed.saturating_sub(2).min(3))).min(MAX_ORDER_RETRY_DELAY)
     }
 
-    /// Whether a list that was requested at `listed` shows the host as back. A list may be older than
-    /// the order; one that shows another executor, or the host as up after it was away, is not.
+    /// Whether a list that was requested at `listed` shows the host as back.
+    ///
+    /// A list may show the state before the order, even if it was requested after it. One that shows
+    /// a new executor, or the host as up after another list has shown it as away, does not.
     fn is_back(&self, entry: &HostEntry, listed: Time) -> bool {
         let Stage::Away { since, seen } = self.stage else { return false };
         let has_new_executor = entry.executor.is_some() && entry.executor != self.drained;
