Account for the time of the leader's control thread

Cause: a leader on a large site starts jobs seconds late. Nothing that it writes says where its time goes: leader-late tells only that one decision was long, and none has to be long for all starts to be late.

Change: each second the control thread logs leader-load: the time by part of a decision, messages that wait, starts and polls decided on. The same as counters on the metrics address.

--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod cancels;
 mod decision_interval;
+mod load_account;
 mod message;
 mod overview;
 mod slow_decisions;
@@ -32,7 +33,10 @@
 
 use crate::{
     clock,
-    control::slow_decisions::SlowDecisionLog,
+    control::{
+        load_account::{LoadAccount, Part},
+        slow_decisions::SlowDecisionLog,
+    },
     election::Term,
     instruments::Instruments,
     manual_limits::LimitChange,
@@ -66,6 +70,7 @@
     config: Option<Arc<Config>>,
     leading: Option<LeaderState>,
     slow_decisions: SlowDecisionLog,
+    load: LoadAccount,
 }
 
 impl Control {
@@ -80,6 +85,7 @@
             limits,
             messages,
             effects,
+            load: LoadAccount::new(instruments.clone()),
             instruments,
             config: None,
             leading: None,
@@ -97,6 +103,7 @@
                 thread::sleep(decision_interval::delay(last_decision.elapsed()));
             }
             last_decision = Instant::now();
+            self.load.begin();
             if let Some(message) = message {
                 self.handle_message(message);
             }
@@ -106,13 +113,12 @@
                 self.handle_message(message);
                 batched += 1;
             }
+            self.load.charge(Part::Messages);
             self.decide();
             if self.leading.is_some() {
-                self.slow_decisions.warn_if_slow(
-                    last_decision.elapsed(),
-                    batched,
-                    self.messages.len(),
-                );
+                let (took, waiting) = (last_decision.elapsed(), self.messages.len());
+                self.slow_decisions.warn_if_slow(took, batched, waiting);
+                self.load.end(took, batched, waiting);
             }
         }
     }
@@ -293,7 +299,12 @@
 
     fn decide(&mut self) {
         let Some(leading) = &mut self.leading else { return };
-        for effect in leading.scheduler.settle(clock::now()) {
+        let load = &mut self.load;
+        let effects = leading
+            .scheduler
+            .settle_observed(clock::now(), |part| load.charge(Part::Decision(part)));
+        for effect in effects {
+            load.count_effect(&effect);
             match effect {
                 Effect::Log(line) => {
                     self.instruments.count_decision(line.kind);
@@ -315,6 +326,7 @@
                 }
             }
         }
+        load.charge(Part::Dispatch);
     }
 }
 
--- a/crates/borageswitch_runtime/src/instruments.rs
+++ b/crates/borageswitch_runtime/src/instruments.rs
@@ -7,6 +7,10 @@
 //! | `borageswitch_calls` | `to`, `answer` | calls to the platform on the leader's behalf |
 //! | `borageswitch_call_seconds` | `to` | duration of such a call |
 //! | `borageswitch_decisions` | `kind` | the scheduler's decisions, as in the log |
+//! | `borageswitch_control_seconds` | `part` | time of the control thread while it leads |
+//! | `borageswitch_decision_seconds` | | duration of a decision with the messages that it covers |
+//! | `borageswitch_waiting_messages` | | messages in the queue at the end of a decision |
+//! | `borageswitch_orders` | `kind` | calls to executors that the scheduler has decided on |
 //! | `borageswitch_executor_crashes` | `queue` | executors that crashed while tasks of the queue ran there |
 //! | `borageswitch_tasks_given_up` | `queue` | tasks given up because executors crashed while running them |
 //! | `borageswitch_unreadable` | `what` | values of other programs in the store that cannot be read |
@@ -15,7 +19,7 @@
 //! | `borageswitch_leading` | | 1 on the daemon that leads |
 //! | `borageswitch_peer_bytes` | `direction` | bytes on connections between daemons |
 
-use std::time::Duration;
+use std::{fmt::Display, time::Duration};
 
 use borageswitch_scheduler::{effect::CountedEvent, policy::admission::RefusalReason};
 use borageswitch_types::names::QueueName;
@@ -44,6 +48,10 @@
     refused_jobs: Counter<u64>,
     ignored_limits: Counter<u64>,
     leading: Gauge<u64>,
+    control_seconds: Counter<f64>,
+    decision_seconds: Histogram<f64>,
+    waiting_messages: Gauge<u64>,
+    orders: Counter<u64>,
 }
 
 impl Instruments {
@@ -63,6 +71,10 @@
             refused_jobs: meter.u64_counter("borageswitch_refused_jobs").build(),
             ignored_limits: meter.u64_counter("borageswitch_ignored_limits").build(),
             leading: meter.u64_gauge("borageswitch_leading").build(),
+            control_seconds: meter.f64_counter("borageswitch_control_seconds").build(),
+            decision_seconds: histogram("borageswitch_decision_seconds"),
+            waiting_messages: meter.u64_gauge("borageswitch_waiting_messages").build(),
+            orders: meter.u64_counter("borageswitch_orders").build(),
         }
     }
 
@@ -110,6 +122,26 @@
         self.ignored_limits.add(1, &[KeyValue::new("reason", reason.to_string())]);
     }
 
+    /// Adds time of the control thread to a part of its work.
+    pub fn record_control_time<T>(&self, part: T, took: Duration)
+    where
+        T: Display,
+    {
+        let part = KeyValue::new("part", part.to_string());
+        self.control_seconds.add(took.as_secs_f64(), &[part]);
+    }
+
+    /// Records a decision of the control thread, and how many messages wait at its end.
+    pub fn record_decision(&self, took: Duration, waiting: usize) {
+        self.decision_seconds.record(took.as_secs_f64(), &[]);
+        self.waiting_messages.record(waiting as u64, &[]);
+    }
+
+    /// Counts calls to executors that the scheduler has decided on.
+    pub fn count_orders(&self, kind: &'static str, count: u64) {
+        self.orders.add(count, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Sets whether this daemon leads.
     pub fn set_leading(&self, leads: bool) {
         self.leading.record(u64::from(leads), &[]);
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -138,6 +138,29 @@
     }
 }
 
+/// A part of a decision, for the account of the leader's time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+pub enum DecisionPart {
+    /// Checks for changes that no event reports.
+    #[display("sweep")]
+    Sweep,
+    /// Crashes of executors and ends of jobs.
+    #[display("ends")]
+    Ends,
+    /// The order of the waiting steps, with free capacity and shares.
+    #[display("order")]
+    Order,
+    /// Placement of waiting tasks.
+    #[display("placement")]
+    Placement,
+    /// Orders for hosts.
+    #[display("fleet")]
+    Fleet,
+    /// Polls and records to store.
+    #[display("effects")]
+    Effects,
+}
+
 /// The leader's state.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -230,6 +253,14 @@
 
     /// Decides on the events applied so far, and returns the effects to carry out.
     pub fn settle(&mut self, now: Now) -> Vec<Effect> {
+        self.settle_observed(now, |_| {})
+    }
+
+    /// As [`Self::settle`]; calls `observe` at the end of each part of the decision.
+    pub fn settle_observed<F>(&mut self, now: Now, mut observe: F) -> Vec<Effect>
+    where
+        F: FnMut(DecisionPart),
+    {
         let sweep = now.time.since(self.last_sweep) >= SWEEP_INTERVAL;
         if sweep {
             self.last_sweep = now.time;
@@ -240,8 +271,10 @@
             self.last_slow_sweep = now.time;
             self.sweep_runs(now);
         }
+        observe(DecisionPart::Sweep);
         self.process_crashes(now);
         self.finish_jobs(now);
+        observe(DecisionPart::Ends);
         self.update_free_capacity(now, sweep);
         if !sweep {
             self.release_shares();
@@ -250,14 +283,18 @@
         if sweep {
             self.update_shares(now);
         }
+        observe(DecisionPart::Order);
         self.place_waiting(now);
+        observe(DecisionPart::Placement);
         if slow_sweep {
             // This follows the placement pass: until then a host that has just returned is idle,
             // and would be sent away again although tasks wait for it.
             self.advance_fleet(now);
         }
+        observe(DecisionPart::Fleet);
         self.send_polls(now, sweep);
         self.flush(now);
+        observe(DecisionPart::Effects);
         std::mem::take(&mut self.effects)
     }
 
