--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -4,6 +4,7 @@
 //! - [`hosts`]: hosts that crash, lose capacity, are removed and are maintained.
 //! - [`late_lists`]: lists of hosts that are slow, old or incomplete.
 //! - [`poison_tasks`]: tasks that crash the executors that run them.
+//! - [`processor`]: the time that calls and events take the leader.
 //! - [`checks`]: the invariants.
 
 mod checks;
@@ -11,6 +12,7 @@
 mod late_lists;
 mod orders;
 pub mod poison_tasks;
+pub mod processor;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -47,6 +49,7 @@
 };
 use hosts::Hosts;
 use poison_tasks::PoisonTasks;
+use processor::{Processor, Work};
 
 /// One step of the simulation, in milliseconds.
 const STEP: u64 = 5;
@@ -129,6 +132,8 @@
     pub poison_tasks: PoisonTasks,
     /// The actual run times of the tasks of some jobs, in percent of the declared ones.
     pub run_time_percent: BTreeMap<JobName, u64>,
+    /// Takes time for the leader's calls and events; without it they take none.
+    pub processor: Option<Processor>,
     reuse_names: bool,
     ended_per_report: usize,
 }
@@ -164,6 +169,7 @@
             hosts: None,
             poison_tasks: PoisonTasks::default(),
             run_time_percent: BTreeMap::new(),
+            processor: None,
             reuse_names: faults.reuse_names,
             ended_per_report: if faults.truncated_reports { 2 } else { usize::MAX },
         };
@@ -425,6 +431,7 @@
             }
         }
         self.commit_appends();
+        self.run_processor(STEP as i64 * 1_000);
         self.run_leader();
         self.check();
     }
@@ -558,7 +565,11 @@
                 Effect::Append { append, records, forget } => {
                     self.pending_appends.push((token, append, records, forget));
                 }
-                Effect::Start(..) | Effect::Stop(..) | Effect::Poll(..) => self.send(token, effect),
+                Effect::Start(..) | Effect::Stop(..) | Effect::Poll(..) => match &mut self.processor
+                {
+                    Some(processor) => processor.enqueue(Work::Send { token, effect }),
+                    None => self.send(token, effect),
+                },
                 Effect::ListHosts { requested } => {
                     let hosts = self.list_hosts();
                     let at = self.now + self.list_delay();
--- a/crates/borageswitch_scheduler/tests/support/simulation/orders.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation/orders.rs
@@ -7,7 +7,7 @@
 };
 use borageswitch_types::{Time, names::ExecutorName};
 
-use super::{CALL_TIMEOUT, Due, LONGEST_DELAY, RESET_TIME, Simulation};
+use super::{CALL_TIMEOUT, Due, LONGEST_DELAY, RESET_TIME, Simulation, processor::Work};
 use crate::support::executor::Behaviour;
 
 impl Simulation {
@@ -18,12 +18,10 @@
         let now: Vec<(u64, Due)> = now;
         for (_, due) in now {
             match due {
-                Due::Event { token, event } => {
-                    let moment = self.moment();
-                    if let Some(leader) = self.leader.as_mut().filter(|_| token == self.token) {
-                        leader.handle(moment, event);
-                    }
-                }
+                Due::Event { token, event } => match &mut self.processor {
+                    Some(processor) => processor.enqueue(Work::Handle { token, event }),
+                    None => self.handle(token, event),
+                },
                 // An order that is delayed at an incarnation is lost when the incarnation ends.
                 Due::Order { held_by: Some(id), .. } if self.dead.contains(&id) => {}
                 Due::Order { token, effect, answered, .. } => self.execute(token, effect, answered),
