Let daemons on strong hosts make the leader's calls

Cause: each task needs a call for its start and about one poll for its end, and one process makes all of them.

Change: daemons with a fifth of a core or more offer themselves to the leader as relays, over one stream each. Above 2,500 calls a second and core the leader hands each start, stop and poll to the relay of its executor (rendezvous hashing over at most eight), many in a frame. The end of the leader's authority travels with each frame, on the relay's clock, and is checked right before each call. A call without an outcome in time, or whose relay is lost, counts as one without a response, for which the scheduler has rules. Smaller sites do not reach the rate, or only at peaks. The task of a call is boxed: a profile shows 12.7 % of a leader's time in memmove, mostly of these futures on their way into their tasks.

--- a/crates/borageswitch_runtime/src/authority.rs
+++ b/crates/borageswitch_runtime/src/authority.rs
@@ -38,6 +38,15 @@
         self.until_micros.fetch_max(until.as_micros(), Ordering::SeqCst);
     }
 
+    /// Takes over the authority of a leader for which this daemon makes calls, until `until`.
+    pub fn adopt(&self, token: u64, until: Time) {
+        if self.token.load(Ordering::SeqCst) != token {
+            self.end();
+            self.token.store(token, Ordering::SeqCst);
+        }
+        self.until_micros.store(until.as_micros(), Ordering::SeqCst);
+    }
+
     /// Ends the authority, as the lease has ended or was given up.
     pub fn end(&self) {
         self.until_micros.store(0, Ordering::SeqCst);
@@ -68,7 +77,8 @@
         self.until().since(clock::time())
     }
 
-    fn until(&self) -> Time {
+    /// When the authority ends.
+    pub fn until(&self) -> Time {
         Time::from_micros(self.until_micros.load(Ordering::SeqCst))
     }
 }
--- a/crates/borageswitch_runtime/src/control/load_account.rs
+++ b/crates/borageswitch_runtime/src/control/load_account.rs
@@ -44,7 +44,9 @@
     decisions: u64,
     messages: u64,
     starts: u64,
+    /// Polls that wait for the end of a run, and others.
     polls: u64,
+    immediate_polls: u64,
     /// The most messages that waited at the end of a decision.
     most_waiting: usize,
     longest: Duration,
@@ -62,6 +64,7 @@
             messages: 0,
             starts: 0,
             polls: 0,
+            immediate_polls: 0,
             most_waiting: 0,
             longest: Duration::ZERO,
         }
@@ -84,6 +87,7 @@
     pub(super) fn count_effect(&mut self, effect: &Effect) {
         match effect {
             Effect::Start(..) => self.starts += 1,
+            Effect::Poll(_, order) if order.wait.is_zero() => self.immediate_polls += 1,
             Effect::Poll(..) => self.polls += 1,
             _ => {}
         }
@@ -110,6 +114,7 @@
         }
         self.instruments.count_orders("start", self.starts);
         self.instruments.count_orders("poll", self.polls);
+        self.instruments.count_orders("immediate poll", self.immediate_polls);
     }
 
     fn log(&self) {
@@ -124,7 +129,7 @@
             over_ms = self.since.elapsed().as_millis() as u64, busy_ms = total / 1_000,
             parts_ms = parts.as_str(), decisions = self.decisions, messages = self.messages,
             most_waiting = self.most_waiting, longest_ms = self.longest.as_millis() as u64,
-            starts = self.starts, polls = self.polls;
+            starts = self.starts, polls = self.polls, immediate_polls = self.immediate_polls;
             "leader-load"
         );
     }
--- a/crates/borageswitch_runtime/src/daemon.rs
+++ b/crates/borageswitch_runtime/src/daemon.rs
@@ -30,8 +30,9 @@
     instruments::Instruments,
     keys::LeaderRecord,
     orders::{self, ExecutorCalls, OrderSemaphores},
-    peers::{self, Client, ExchangeError, KnownPeers, PeerRequest, PeerResponse},
+    peers::{self, Client, ExchangeError, KnownPeers, PeerRequest, PeerResponse, RelaySession},
     ports::{Platform, Revision},
+    relays::{self, Relays},
     resend::StoreTimes,
     snapshots::StoredSnapshot,
     store_health::{StoreHealth, monitor},
@@ -80,6 +81,8 @@
     pub(crate) executor_calls: ExecutorCalls,
     pub(crate) store_times: StoreTimes,
     pub(crate) stored_snapshot: StoredSnapshot,
+    /// The daemons that make this one's calls while it leads.
+    pub relays: Relays,
     client: Client,
     pub(crate) known_peers: Arc<KnownPeers>,
     pub(crate) peer_bytes: ByteCounter,
@@ -209,6 +212,11 @@
         self.client.exchange_once(address, request).await
     }
 
+    /// Offers this daemon to the leader at `address` as a relay. Gives `None` without a response.
+    pub(crate) async fn offer_relay(&self, address: SocketAddr) -> Option<RelaySession> {
+        self.client.offer_relay(address, self.cfg.weight).await
+    }
+
     /// Requests the leader's record from known peers, while the store is unavailable to this
     /// daemon. Gives whether a newer leader was found.
     pub(crate) async fn find_leader(&self) -> bool {
@@ -299,6 +307,7 @@
         executor_calls: ExecutorCalls::default(),
         store_times: StoreTimes::default(),
         stored_snapshot: StoredSnapshot::default(),
+        relays: Relays::default(),
         client: Client::new(cfg.peer_address, known_peers.clone(), ex.clone(), peer_bytes.clone()),
         known_peers,
         peer_bytes,
@@ -315,5 +324,6 @@
     ex.spawn(monitor::run(shared.clone())).detach();
     ex.spawn(election::run(shared.clone())).detach();
     ex.spawn(orders::run(shared.clone(), effects)).detach();
+    ex.spawn(relays::run(shared.clone())).detach();
     Ok(shared)
 }
--- a/crates/borageswitch_runtime/src/lib.rs
+++ b/crates/borageswitch_runtime/src/lib.rs
@@ -16,7 +16,7 @@
 //! - [`manual_limits`]: limits that operators store.
 //! - [`store_health`]: whether the store is available to this daemon; [`retry`]: backoff between calls to it;
 //!   [`resend`]: repetition of calls whose response is overdue.
-//! - [`peers`]: requests between daemons.
+//! - [`peers`]: requests between daemons; [`relays`]: daemons that make the leader's calls.
 //! - [`operators`]: explanations and state dumps for operators; [`instruments`]: metrics.
 //! - [`settings`]: the settings of the process; [`reloading`]: changes of their file.
 //! - [`clock`]: the clocks of the process.
@@ -40,6 +40,7 @@
 pub mod orders;
 pub mod peers;
 pub mod ports;
+pub mod relays;
 pub mod reloading;
 pub mod resend;
 pub mod retry;
--- a/crates/borageswitch_runtime/src/orders.rs
+++ b/crates/borageswitch_runtime/src/orders.rs
@@ -24,10 +24,12 @@
 
 use crate::{
     appends::{self, AppendOutcome},
+    authority::Authority,
     clock,
     control::{Message, PendingEffect},
     daemon::Shared,
     ports::{OrderIssuer, Platform, Transaction},
+    relays::Routed,
     snapshots,
 };
 
@@ -131,8 +133,13 @@
     P: Platform,
 {
     while let Ok(pending) = effects.recv().await {
+        let PendingEffect { token, effect, cancels } = pending;
+        let routed = shared.relays.route(clock::time(), shared.cfg.weight, token, effect);
+        let Routed::Own(effect) = routed else { continue };
+        let pending = PendingEffect { token, effect, cancels };
         let own = shared.clone();
-        let task = async move { carry_out(&own, pending).await };
+        // Boxed, as a spawned future is moved several times on its way into its task.
+        let task = Box::pin(async move { carry_out(&own, pending).await });
         shared.ex.spawn(task).detach();
     }
 }
@@ -194,9 +201,11 @@
             snapshots::store(shared, token, &snapshot, remove).await;
             None
         }
-        Effect::Start(to, order) => Some(start(shared, token, to, order).await),
-        Effect::Stop(to, task, run) => Some(stop(shared, token, to, task, run).await),
-        Effect::Poll(to, order) => Some(poll(shared, token, to, order).await),
+        Effect::Start(to, order) => Some(start(shared, &shared.authority, token, to, order).await),
+        Effect::Stop(to, task, run) => {
+            Some(stop(shared, &shared.authority, token, to, task, run).await)
+        }
+        Effect::Poll(to, order) => Some(poll(shared, &shared.authority, token, to, order).await),
         Effect::LimitSpeed(to, task, run, percent) => {
             Some(set_speed_limit(shared, token, to, task, run, percent).await)
         }
@@ -219,14 +228,21 @@
     }
 }
 
-async fn start<P>(shared: &Arc<Shared<P>>, token: u64, to: Recipient, order: StartOrder) -> Event
+/// Starts a run, if `authority` still permits it.
+pub(crate) async fn start<P>(
+    shared: &Arc<Shared<P>>,
+    authority: &Authority,
+    token: u64,
+    to: Recipient,
+    order: StartOrder,
+) -> Event
 where
     P: Platform,
 {
     let semaphore = shared.order_semaphores.get(&to.executor);
     let _permit = semaphore.acquire().await;
     let sent = clock::time();
-    let (answer, clock_ms) = if shared.authority.remaining(token) < MIN_AUTHORITY {
+    let (answer, clock_ms) = if authority.remaining(token) < MIN_AUTHORITY {
         (StartResponse::NotSent, None)
     } else {
         let timeouts = shared.executor_calls.timeouts();
@@ -248,8 +264,10 @@
     }
 }
 
-async fn stop<P>(
+/// Stops a run, if `authority` still permits it.
+pub(crate) async fn stop<P>(
     shared: &Arc<Shared<P>>,
+    authority: &Authority,
     token: u64,
     to: Recipient,
     task: TaskKey,
@@ -260,7 +278,7 @@
 {
     let semaphore = shared.order_semaphores.get(&to.executor);
     let _permit = semaphore.acquire().await;
-    let answer = send_stop(shared, token, &to, &task, run).await;
+    let answer = send_stop(shared, authority, token, &to, &task, run).await;
     Event::StopAnswered { executor: to.executor, task, run, response: answer }
 }
 
@@ -268,6 +286,7 @@
 /// carried out cannot run elsewhere until its stop has a response.
 async fn send_stop<P>(
     shared: &Arc<Shared<P>>,
+    authority: &Authority,
     token: u64,
     to: &Recipient,
     task: &TaskKey,
@@ -279,7 +298,7 @@
     let began = clock::time();
     loop {
         let sent = clock::time();
-        if shared.authority.remaining(token) < MIN_AUTHORITY {
+        if authority.remaining(token) < MIN_AUTHORITY {
             return OrderResponse::Lost;
         }
         let timeouts = shared.executor_calls.timeouts();
@@ -313,12 +332,19 @@
     Event::SpeedLimitAnswered { executor: to.executor, task, response: answer }
 }
 
-async fn poll<P>(shared: &Arc<Shared<P>>, token: u64, to: Recipient, order: PollOrder) -> Event
+/// Polls an executor, if `authority` still permits it.
+pub(crate) async fn poll<P>(
+    shared: &Arc<Shared<P>>,
+    authority: &Authority,
+    token: u64,
+    to: Recipient,
+    order: PollOrder,
+) -> Event
 where
     P: Platform,
 {
     let sent = clock::time();
-    let answer = if shared.authority.may_keep_alive(token) {
+    let answer = if authority.may_keep_alive(token) {
         let timeouts = shared.executor_calls.timeouts();
         let mut shorter = order;
         if let Some(limits) = &timeouts {
--- a/crates/borageswitch_runtime/src/peers/client.rs
+++ b/crates/borageswitch_runtime/src/peers/client.rs
@@ -11,15 +11,19 @@
 
 use borageswitch_http::h2_stream::{ByteCounter, H2Stream};
 use bytes::Bytes;
-use h2::client::SendRequest;
-use http::Request;
+use h2::{RecvStream, SendStream, client::SendRequest};
+use http::{Request, StatusCode};
 use smol::net::TcpStream;
 
 use super::{
     KnownPeers, LIMITS_HEADER, MAX_MESSAGE_BYTES, PeerRequest, PeerResponse,
     known_peers::{OTHER_PEERS_HEADER, REQUESTER_HEADER},
 };
-use crate::{codec, orders::with_timeout};
+use crate::{
+    codec,
+    orders::with_timeout,
+    relays::{CORES_HEADER, RELAY_PATH},
+};
 
 /// The timeout of a request. A response that waits for the store takes some 10 ms.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(700);
@@ -38,12 +42,23 @@
     NoResponse,
 }
 
-struct Connection {
+/// A connection to another daemon. Dropping it closes the connection.
+pub(crate) struct Connection {
     address: SocketAddr,
     sender: SendRequest<Bytes>,
     _driver: smol::Task<()>,
 }
 
+/// An accepted offer: frames can be received and sent until it is dropped.
+pub struct RelaySession {
+    /// Receives the leader's frames.
+    pub(crate) receive: RecvStream,
+    /// Sends frames to the leader.
+    pub(crate) send: SendStream<Bytes>,
+    /// Keeps the connection open.
+    pub(crate) connection: Connection,
+}
+
 /// Sends requests to the leader over one connection, which stays open until another leader is
 /// contacted, and to other daemons over a connection for each request.
 pub struct Client {
@@ -123,6 +138,33 @@
         response.ok_or_else(|| error(&sent))
     }
 
+    /// Offers this daemon, whose host has `cores`, to the leader at `address` as a relay, over a
+    /// connection of its own. Gives `None` without a response: a leader of an earlier version waits
+    /// for the end of the request.
+    pub(crate) async fn offer_relay(
+        &self,
+        address: SocketAddr,
+        cores: f64,
+    ) -> Option<RelaySession> {
+        let attempt = async {
+            let connection = self.connect(address).await?;
+            let mut ready = connection.sender.clone().ready().await.ok()?;
+            let req = Request::post(format!("http://leader{RELAY_PATH}"))
+                .header(REQUESTER_HEADER, self.own_address.to_string())
+                .header(CORES_HEADER, cores.to_string())
+                .body(())
+                .ok()?;
+            let (response, send) = ready.send_request(req, false).ok()?;
+            let response = response.await.ok()?;
+            (response.status() == StatusCode::OK).then(|| RelaySession {
+                receive: response.into_body(),
+                send,
+                connection,
+            })
+        };
+        with_timeout(REQUEST_TIMEOUT, attempt).await.flatten()
+    }
+
     /// Sends a request over a connection. `sent` is set once the request has been handed over
     /// completely; from then on it may arrive.
     async fn exchange_over(
--- a/crates/borageswitch_runtime/src/peers/mod.rs
+++ b/crates/borageswitch_runtime/src/peers/mod.rs
@@ -26,7 +26,7 @@
 };
 
 pub use self::{
-    client::{Client, ExchangeError},
+    client::{Client, ExchangeError, RelaySession},
     known_peers::KnownPeers,
     server::serve,
 };
--- a/crates/borageswitch_runtime/src/peers/server.rs
+++ b/crates/borageswitch_runtime/src/peers/server.rs
@@ -23,6 +23,7 @@
     failures::Failure,
     intake,
     ports::{Platform, StoreError},
+    relays::{self, RELAY_PATH},
     store_health::{OutageReport, StoreCall, monitor},
 };
 
@@ -86,6 +87,10 @@
     let requester: Option<SocketAddr> =
         req.headers().get(REQUESTER_HEADER).and_then(|address| address.to_str().ok()?.parse().ok());
     requester.into_iter().for_each(|address| shared.known_peers.add(address));
+    if req.uri().path() == RELAY_PATH {
+        let (head, body) = req.into_parts();
+        return relays::serve(&head.headers, requester, body, respond, shared).await;
+    }
     let decodes_limits = req.headers().contains_key(LIMITS_HEADER);
     let bytes = read(req.into_body()).await?;
     let request: PeerRequest = codec::decode("question", &bytes).map_err(io::Error::other)?;
--- a/crates/borageswitch_scheduler/src/effect.rs
+++ b/crates/borageswitch_scheduler/src/effect.rs
@@ -13,7 +13,7 @@
 };
 
 /// The incarnation of an executor that an order is for, and its address.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Recipient {
     /// The incarnation; any other one at the same address rejects the order.
     pub executor: ExecutorName,
@@ -22,7 +22,7 @@
 }
 
 /// An order to start a run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct StartOrder {
     /// The task to run.
     pub task: TaskKey,
@@ -39,7 +39,7 @@
 }
 
 /// A poll of an executor, which may extend its lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct PollOrder {
     /// The new end of the executor's lease, in milliseconds by its clock, if it is extended.
     pub until_ms: Option<u64>,
--- a/crates/borageswitch_scheduler/src/event.rs
+++ b/crates/borageswitch_scheduler/src/event.rs
@@ -18,7 +18,9 @@
 };
 
 /// How an executor responded to an order to start a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize, derive_more::Display,
+)]
 pub enum StartResponse {
     /// The run has started.
     #[display("started")]
@@ -56,7 +58,9 @@
 }
 
 /// How an executor responded to an order other than a start or a poll.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize, derive_more::Display,
+)]
 pub enum OrderResponse {
     /// The order was carried out.
     #[display("done")]
@@ -76,7 +80,7 @@
 }
 
 /// How an executor responded to a poll.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum PollResponse {
     /// The runs of the executor.
     Report(Report),
--- a/crates/borageswitch_scheduler/src/executor.rs
+++ b/crates/borageswitch_scheduler/src/executor.rs
@@ -49,7 +49,7 @@
 }
 
 /// A run that is active on an executor.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct ActiveRun {
     /// The task of the run.
     pub task: TaskKey,
@@ -90,7 +90,7 @@
 }
 
 /// An ended run, which an executor reports until it is acknowledged.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct EndedRun {
     /// The sequence number among the ended runs of the executor.
     pub number: u64,
@@ -105,7 +105,7 @@
 }
 
 /// The response of an executor to a poll.
-#[derive(Clone, Debug, PartialEq, Eq, Default)]
+#[derive(Clone, Debug, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
 pub struct Report {
     /// The executor's clock, in milliseconds.
     pub clock_ms: u64,
