Choose the jobs to be on time by what a slow leader can start

What callers saw: at a peak nearly all jobs of the short queues end late, for seconds after it, though 300 and more end each second.

The jobs that are to be on time are chosen by the cores of the hosts alone, and only where jobs are refused, which is off by default. With a leader that cannot start them all, each job starts at the last moment at which it can be on time. 2. A slow leader learns late that a run has ended. It took that for the run time, so its own delay moved the deadlines that it works for. 3. Late jobs of the first pool by name took starts from jobs of other pools that could be on time.

Change: while responses to starts are slow, or the window of starts is full, the jobs are chosen by the rate at which tasks start while others wait and by the overhead that runs are seen to have (mean and two mean deviations), on any deployment; run times are not learned; and the late jobs of all pools come after the others. With a prompt leader nothing changes.

--- a/crates/borageswitch_scheduler/src/policy/mod.rs
+++ b/crates/borageswitch_scheduler/src/policy/mod.rs
@@ -27,7 +27,9 @@
 //! - [`circuit_breaker`]: which executors get no work because runs failed there.
 //! - [`response_loss`]: whether responses of working executors get lost, and how long calls wait then.
 //! - [`response_time`]: how long a response can be expected to take.
-//! - [`start_window`]: how many starts are in flight at once.
+//! - [`run_overhead`]: how much longer a run takes than its work.
+//! - [`start_window`]: how many starts are in flight at once; [`start_rate`]: how many per second a
+//!   slow leader carries out.
 //! - [`start_backoff`]: how long a task waits after failed starts.
 //! - [`stragglers`]: which slow runs are stopped and restarted on another host.
 //! - [`speed_limits`]: how fast best-effort tasks may run beside serving tasks.
@@ -55,9 +57,11 @@
 pub mod quotas;
 pub mod response_loss;
 pub mod response_time;
+pub mod run_overhead;
 pub mod runtime_estimates;
 pub mod speed_limits;
 pub mod start_backoff;
+pub mod start_rate;
 pub mod start_window;
 pub mod stragglers;
 pub mod virtual_queue;
--- a/crates/borageswitch_scheduler/src/policy/on_time_set.rs
+++ b/crates/borageswitch_scheduler/src/policy/on_time_set.rs
@@ -5,6 +5,9 @@
 //! next delay of some milliseconds makes it late, and the pool is busy with jobs that all end just
 //! late. In a replay of 10 s, a pool completed less than a third of its capacity on time.
 //!
+//! The same happens where the hosts have room and the leader cannot start as many tasks as are
+//! requested: see [`start_rate`](super::start_rate).
+//!
 //! While the waiting work does not fit, the jobs are therefore chosen that end on time with some
 //! margin, in the order of their deadlines. The others are treated like late ones until there is
 //! room. A job that was chosen stays chosen while it can be on time: if a newer one could take its
@@ -25,6 +28,50 @@
 /// The part of its margin that a chosen job needs to stay chosen.
 const KEPT_MARGIN: f64 = 0.5;
 
+/// What limits how soon waiting jobs end.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Capacity {
+    /// What the pool completes; `None` if its hosts are not considered.
+    pub drain: Option<Drain>,
+    /// The tasks per second that the leader starts; `None` if it is not the limit.
+    pub starts_per_s: Option<f64>,
+    /// The time from the decision on a start to its response, and from an end to its report,
+    /// together, where the leader is the limit.
+    pub delay: Duration,
+}
+
+/// What a job takes of a [`Capacity`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, derive_more::Add, derive_more::AddAssign)]
+pub struct Load {
+    /// Work, in core-seconds.
+    pub work: f64,
+    /// The number of tasks.
+    pub tasks: f64,
+}
+
+impl Capacity {
+    /// Whether nothing ever completes.
+    fn is_zero(&self) -> bool {
+        self.drain.is_some_and(|drain| drain.is_zero())
+    }
+
+    /// The time until `load` has run, in seconds.
+    fn time_for(&self, load: Load) -> f64 {
+        let on_hosts = self.drain.map_or(0.0, |drain| drain.time_for(load.work).as_secs_f64());
+        on_hosts.max(self.time_to_start(load))
+    }
+
+    /// The time by which `load` delays what follows it, in seconds.
+    fn time_behind(&self, load: Load) -> f64 {
+        let on_hosts = self.drain.map_or(0.0, |drain| load.work / drain.per_second());
+        on_hosts.max(self.time_to_start(load))
+    }
+
+    fn time_to_start(&self, load: Load) -> f64 {
+        self.starts_per_s.map_or(0.0, |rate| load.tasks / rate)
+    }
+}
+
 /// A waiting job that can be on time if it runs now.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -34,8 +81,8 @@
     pub deadline: Time,
     /// The longest chain of work that is left.
     pub remaining: Duration,
-    /// Its waiting work, in core-seconds.
-    pub work: f64,
+    /// Its waiting work and tasks.
+    pub load: Load,
     /// Whether it was chosen before.
     pub chosen: bool,
 }
@@ -48,30 +95,30 @@
         (OVERHEAD + self.remaining.mul_f64(UNCERTAINTY)).min(slack / 2)
     }
 
-    /// The time left between its end and its deadline, in seconds, with `ahead` core-seconds of
-    /// other work before it.
-    fn spare(&self, now: Time, drain: &Drain, ahead: f64) -> f64 {
-        let end = drain.time_for(ahead + self.work) + self.remaining;
-        (self.deadline - now).as_secs_f64() - end.as_secs_f64()
+    /// The time left between its end and its deadline, in seconds, with other jobs `ahead` of it.
+    fn spare(&self, now: Time, capacity: &Capacity, ahead: Load) -> f64 {
+        let rest = self.remaining + capacity.delay;
+        let end = capacity.time_for(ahead + self.load) + rest.as_secs_f64();
+        (self.deadline - now).as_secs_f64() - end
     }
 }
 
 /// Returns for each candidate whether it is chosen; none if all of them fit. The candidates are in
 /// the order in which they are served.
-pub fn choose(now: Time, drain: &Drain, candidates: &[Candidate]) -> Option<Vec<bool>> {
-    if drain.is_zero() || all_fit(now, drain, candidates) {
+pub fn choose(now: Time, capacity: &Capacity, candidates: &[Candidate]) -> Option<Vec<bool>> {
+    if capacity.is_zero() || all_fit(now, capacity, candidates) {
         return None;
     }
     let mut kept = vec![false; candidates.len()];
     let mut spare = vec![f64::INFINITY; candidates.len()];
-    let mut ahead = 0.0;
+    let mut ahead = Load::default();
     for (index, candidate) in candidates.iter().enumerate().filter(|(_, c)| c.chosen) {
-        let left = candidate.spare(now, drain, ahead);
+        let left = candidate.spare(now, capacity, ahead);
         let margin = candidate.margin().as_secs_f64();
         if left >= margin * KEPT_MARGIN {
             kept[index] = true;
             spare[index] = left - margin;
-            ahead += candidate.work;
+            ahead += candidate.load;
         }
     }
     // The delay that each position can take without a job behind it that loses its margin.
@@ -80,28 +127,27 @@
         least = least.min(*own);
         *own = least;
     }
-    let rate = drain.per_second();
-    let (mut ahead, mut added) = (0.0, 0.0);
+    let (mut ahead, mut added) = (Load::default(), Load::default());
     for (index, candidate) in candidates.iter().enumerate() {
         if !kept[index] {
-            let delay = (added + candidate.work) / rate;
-            let fits = candidate.spare(now, drain, ahead) >= candidate.margin().as_secs_f64();
+            let delay = capacity.time_behind(added + candidate.load);
+            let fits = candidate.spare(now, capacity, ahead) >= candidate.margin().as_secs_f64();
             if !fits || spare[index] < delay {
                 continue;
             }
             kept[index] = true;
-            added += candidate.work;
+            added += candidate.load;
         }
-        ahead += candidate.work;
+        ahead += candidate.load;
     }
     Some(kept)
 }
 
-fn all_fit(now: Time, drain: &Drain, candidates: &[Candidate]) -> bool {
-    let mut ahead = 0.0;
+fn all_fit(now: Time, capacity: &Capacity, candidates: &[Candidate]) -> bool {
+    let mut ahead = Load::default();
     candidates.iter().all(|candidate| {
-        let fits = candidate.spare(now, drain, ahead) >= 0.0;
-        ahead += candidate.work;
+        let fits = candidate.spare(now, capacity, ahead) >= 0.0;
+        ahead += candidate.load;
         fits
     })
 }
--- a/crates/borageswitch_scheduler/src/policy/on_time_set/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/on_time_set/tests.rs
@@ -3,12 +3,18 @@
 use borageswitch_types::Time;
 use fastrand::Rng;
 
-use super::{Candidate, choose};
+use super::{Candidate, Capacity, Load, choose};
 use crate::policy::backlog::{Drain, EFFICIENCY};
 
 /// A pool that completes one core-second per second.
-fn drain() -> Drain {
-    Drain::new(1.0 / EFFICIENCY, 0.0, Duration::ZERO)
+fn hosts() -> Capacity {
+    let drain = Drain::new(1.0 / EFFICIENCY, 0.0, Duration::ZERO);
+    Capacity { drain: Some(drain), ..Capacity::default() }
+}
+
+/// A leader that starts ten tasks per second, on hosts with ample room.
+fn leader() -> Capacity {
+    Capacity { starts_per_s: Some(10.0), ..Capacity::default() }
 }
 
 fn candidate(deadline_ms: u64, remaining_ms: u64) -> Candidate {
@@ -17,7 +23,7 @@
         objective: deadline,
         deadline: Time::ZERO + deadline,
         remaining: Duration::ZERO,
-        work: remaining_ms as f64 / 1_000.0,
+        load: Load { work: remaining_ms as f64 / 1_000.0, tasks: remaining_ms as f64 / 100.0 },
         chosen: false,
     }
 }
@@ -26,7 +32,7 @@
 fn the_order_is_unchanged_where_all_fit() {
     let candidates: Vec<Candidate> = (1..20).map(|n| candidate(n * 500, 500)).collect();
 
-    assert_eq!(choose(Time::ZERO, &drain(), &candidates), None);
+    assert_eq!(choose(Time::ZERO, &hosts(), &candidates), None);
 }
 
 #[test]
@@ -36,7 +42,7 @@
     let chosen = Candidate { chosen: true, ..candidate(1_600, 1_000) };
     let newer = candidate(1_500, 800);
 
-    let kept = choose(Time::ZERO, &drain(), &[newer, chosen]).unwrap();
+    let kept = choose(Time::ZERO, &hosts(), &[newer, chosen]).unwrap();
 
     assert_eq!(kept, [false, true]);
 }
@@ -46,7 +52,7 @@
     let hopeless = Candidate { chosen: true, ..candidate(500, 1_000) };
     let other = candidate(1_500, 800);
 
-    let kept = choose(Time::ZERO, &drain(), &[hopeless, other]).unwrap();
+    let kept = choose(Time::ZERO, &hosts(), &[hopeless, other]).unwrap();
 
     assert_eq!(kept, [false, true]);
 }
@@ -57,7 +63,7 @@
         let mut end = 0.0;
         for (index, candidate) in candidates.iter().enumerate() {
             if subset & 1 << index != 0 {
-                end += candidate.work;
+                end += candidate.load.work;
                 if end > candidate.deadline.since(Time::ZERO).as_secs_f64() {
                     return 0.0;
                 }
@@ -78,10 +84,10 @@
         let mut candidates: Vec<Candidate> =
             (0..12).map(|_| candidate(rng.u64(8_000..20_000), rng.u64(1_500..3_000))).collect();
         candidates.sort_by_key(|candidate| candidate.deadline);
-        let Some(kept) = choose(Time::ZERO, &drain(), &candidates) else { continue };
+        let Some(kept) = choose(Time::ZERO, &hosts(), &candidates) else { continue };
         let kept: Vec<Candidate> =
             candidates.iter().zip(kept).filter(|(_, kept)| *kept).map(|(c, _)| *c).collect();
-        let work: f64 = kept.iter().map(|candidate| candidate.work).sum();
+        let work: f64 = kept.iter().map(|candidate| candidate.load.work).sum();
         assert!(best(&kept) >= work - 1e-9, "seed {seed}: not all are on time");
         chosen += work;
         bound += best(&candidates);
@@ -89,3 +95,14 @@
 
     assert!(chosen >= 0.9 * bound, "{chosen} of {bound}");
 }
+
+#[test]
+fn a_leader_that_can_start_too_few_tasks_chooses_like_hosts_with_too_little_room() {
+    // Guards against jobs that all end late behind a slow leader while hosts have room.
+    let candidates: Vec<Candidate> = (0..10).map(|_| candidate(2_000, 500)).collect();
+
+    let by_leader = choose(Time::ZERO, &leader(), &candidates).unwrap();
+
+    assert_eq!(by_leader, choose(Time::ZERO, &hosts(), &candidates).unwrap());
+    assert_eq!(by_leader.iter().filter(|kept| **kept).count(), 3);
+}
--- a/crates/borageswitch_scheduler/src/policy/start_window.rs
+++ b/crates/borageswitch_scheduler/src/policy/start_window.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Returns whether responses are so slow that they queue up on the way.
+    pub fn is_slow(&self) -> bool {
+        self.mean_response >= PROMPT.as_secs_f64()
+    }
+
     /// Returns how many more starts may be sent.
     pub fn available(&self, in_flight: usize) -> usize {
         (self.size as usize).saturating_sub(in_flight)
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -58,6 +58,8 @@
     pub start_sent: Option<Time>,
     /// When the executor confirmed the start.
     pub started: Time,
+    /// When the run was placed; `None` if an earlier leader placed it.
+    pub placed: Option<Time>,
     /// Its progress, as last reported by the executor.
     pub percent: u8,
     /// Its recent load or tail of response times, as last reported by the executor.
@@ -88,6 +90,7 @@
             phase_since: now,
             start_sent: None,
             started: now,
+            placed: (phase == Phase::Recorded).then_some(now),
             percent: 0,
             recent: 0,
             // The speed limit that an earlier leader may have set is not known.
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -250,7 +250,15 @@
         let Some(step) = job.step(task.step) else { return };
         let declared = step.estimate;
         let queue = job.submission.queue.name.clone();
-        self.runtime_estimates.observe(&queue, declared, now.time.since(held.started));
+        if let Some(placed) = held.placed {
+            let work = self.runtime_estimates.estimate(&queue, declared);
+            self.run_overhead.record(now.time.since(placed), work);
+        }
+        // A slow leader learns late that a run has ended. Taken for its run time, that would make
+        // the deadline of the next job seem later than it is.
+        if !self.pending_starts.is_leader_slow(now.time) {
+            self.runtime_estimates.observe(&queue, declared, now.time.since(held.started));
+        }
     }
 
     /// The inputs of the order in which occurrences of jobs are placed.
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -89,7 +89,9 @@
     effect::{Effect, LogLine},
     event::{Event, Now},
     ledger::{Ledger, record::Record},
-    policy::{caller_shares::JobBucket, runtime_estimates::RuntimeEstimates},
+    policy::{
+        caller_shares::JobBucket, run_overhead::RunOverhead, runtime_estimates::RuntimeEstimates,
+    },
     reducer::{
         admission::Admission, advice::Advice, containment::Containment, crashes::EndedExecutor,
         executor_table::ExecutorTable, failed_starts::FailedStarts,
@@ -186,6 +188,7 @@
     inherited_host_orders: BTreeMap<HostName, Duration>,
     job_states: BTreeMap<JobName, JobState>,
     runtime_estimates: RuntimeEstimates,
+    run_overhead: RunOverhead,
     outbox: Outbox,
     advice: Advice,
     gang_reservations: GangReservations,
--- a/crates/borageswitch_scheduler/src/reducer/on_time_set.rs
+++ b/crates/borageswitch_scheduler/src/reducer/on_time_set.rs
@@ -1,12 +1,12 @@
 //! Marks the waiting jobs that cannot all be on time, by [`crate::policy::on_time_set`].
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use borageswitch_types::names::{JobName, PoolName};
 
 use crate::{
     event::Now,
-    policy::on_time_set::{self, Candidate},
+    policy::on_time_set::{self, Candidate, Capacity, Load},
     reducer::{Scheduler, quotas::QuotaAllocation, waiting::WaitingStep},
 };
 
@@ -37,21 +37,28 @@
 impl Scheduler {
     /// Chooses the jobs of each pool that are to be on time.
     pub(super) fn update_on_time_sets(&mut self, now: Now) {
-        if !self.limits.refuses_jobs {
+        let slow = self.pending_starts.is_leader_slow(now.time);
+        let limited = self.limits.refuses_jobs || slow;
+        if !limited && self.waiting.on_time_set.contended.is_empty() {
             return;
         }
         let mut fresh = OnTimeSet::default();
         // In a pool that is divided among callers, the shares decide whose jobs go first.
         let undivided = self.waiting.pools().filter(|pool| !self.shares.are_in_force(pool));
-        let pools: Vec<PoolName> = undivided.cloned().collect();
+        let pools: Vec<PoolName> = undivided.filter(|_| limited).cloned().collect();
         for pool in pools {
             let candidates = self.candidates(&pool);
             if candidates.is_empty() {
                 continue;
             }
-            let drain = self.drain_of(&pool, 0.0, 1.0);
+            self.pending_starts.record_waiting(now.time, &pool);
+            let capacity = Capacity {
+                drain: self.limits.refuses_jobs.then(|| self.drain_of(&pool, 0.0, 1.0)),
+                starts_per_s: self.pending_starts.rate_of(now.time, &pool).filter(|_| slow),
+                delay: if slow { self.run_overhead.expected() } else { Duration::ZERO },
+            };
             let views: Vec<Candidate> = candidates.iter().map(|(_, view)| *view).collect();
-            let Some(kept) = on_time_set::choose(now.time, &drain, &views) else { continue };
+            let Some(kept) = on_time_set::choose(now.time, &capacity, &views) else { continue };
             fresh.contended.insert(pool);
             for ((key, _), kept) in candidates.into_iter().zip(kept) {
                 let set = if kept { &mut fresh.chosen } else { &mut fresh.surplus };
@@ -74,20 +81,21 @@
         let mut allocation = self.quota_allocation();
         let mut candidates: Vec<(OccurrenceKey, Candidate)> = Vec::new();
         for step in steps {
-            let waiting = step.task_core_seconds * step.waiting.len() as f64;
-            let work = waiting * self.startable_part(pool, step, &mut allocation);
-            if work <= 0.0 {
+            let tasks =
+                step.waiting.len() as f64 * self.startable_part(pool, step, &mut allocation);
+            let load = Load { work: step.task_core_seconds * tasks, tasks };
+            if load.work <= 0.0 {
                 continue;
             }
             let same = |key: &OccurrenceKey| key.0 == step.key.job && key.1 == step.key.occurrence;
             if let Some((_, last)) = candidates.last_mut().filter(|(key, _)| same(key)) {
-                last.work += work;
+                last.load += load;
                 continue;
             }
             let key = (step.key.job.clone(), step.key.occurrence);
             let WaitingStep { objective, deadline, remaining, .. } = *step;
             let chosen = self.waiting.on_time_set.chosen.contains(&key);
-            candidates.push((key, Candidate { objective, deadline, remaining, work, chosen }));
+            candidates.push((key, Candidate { objective, deadline, remaining, load, chosen }));
         }
         candidates
     }
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -3,7 +3,7 @@
 //! A pass handles one pool: its steps by urgency, and their waiting tasks. Capacity that a task
 //! takes is unavailable for the rest of the pass.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use borageswitch_types::names::{ExecutorName, PoolName};
 
@@ -31,6 +31,27 @@
 /// load peak.
 const LASTING_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The steps that a pass places.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Round {
+    /// All steps.
+    All,
+    /// Steps that can be on time, and those at their last chance.
+    Urgent,
+    /// The other ones.
+    Late,
+}
+
+impl Round {
+    fn includes(self, step: &WaitingStep) -> bool {
+        match self {
+            Round::All => true,
+            Round::Urgent => !step.urgency.is_late(),
+            Round::Late => step.urgency.is_late(),
+        }
+    }
+}
+
 /// The result of an attempt to place a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Placement {
@@ -75,15 +96,26 @@
     /// Runs a placement pass for each pool in which something has changed.
     pub(super) fn place_waiting(&mut self, now: Now) {
         self.refresh_containment(now);
-        for pool in std::mem::take(&mut self.dirty_pools) {
-            let order = self.waiting.take(&pool);
+        let pools = std::mem::take(&mut self.dirty_pools);
+        if !self.pending_starts.is_leader_slow(now.time) {
+            self.place_in(now, &pools, Round::All);
+            return;
+        }
+        // Where starts are limited, late work of one pool must not take them from another pool.
+        self.place_in(now, &pools, Round::Urgent);
+        self.place_in(now, &pools, Round::Late);
+    }
+
+    fn place_in(&mut self, now: Now, pools: &BTreeSet<PoolName>, round: Round) {
+        for pool in pools {
+            let order = self.waiting.take(pool);
             if order.is_empty() {
                 continue;
             }
-            let mut available = self.free_capacity.take(&pool);
-            self.place_all(now, &pool, &order, &mut available);
-            self.free_capacity.put_back(&pool, available);
-            self.waiting.put_back(&pool, order);
+            let mut available = self.free_capacity.take(pool);
+            self.place_all(now, pool, &order, &mut available, round);
+            self.free_capacity.put_back(pool, available);
+            self.waiting.put_back(pool, order);
         }
     }
 
@@ -93,11 +125,18 @@
         pool: &PoolName,
         order: &WaitingOrder,
         available: &mut FreeCapacity,
+        round: Round,
     ) {
         self.update_reservation(now, pool, order);
-        let ahead = self.last_chance_steps(now, pool, order);
+        let ahead = match round {
+            Round::All | Round::Urgent => self.last_chance_steps(now, pool, order),
+            Round::Late => Vec::new(),
+        };
         let (first, rest) = split_lasting(order);
-        let rest = rest.filter(|step| !ahead.iter().any(|other| other.key == step.key));
+        let first = first.filter(|step| round.includes(step));
+        let rest = rest.filter(|step| {
+            round.includes(step) && !ahead.iter().any(|other| other.key == step.key)
+        });
         let mut contained_capacity = self.place_probes(now, pool, order, available);
         let mut unplaceable = UnplaceableSizes::default();
         for step in first.chain(ahead.iter()).chain(rest) {
@@ -109,7 +148,7 @@
                 continue;
             }
             if self.pending_starts.remaining() == 0 {
-                self.pending_starts.add_blocked_pool(pool);
+                self.pending_starts.add_blocked_pool(now.time, pool);
                 break;
             }
             let may_use_reserved =
@@ -274,7 +313,7 @@
         self.executors.insert_run(executor, task, held);
         let Some(known) = self.executors.get_mut(executor) else { return };
         known.circuit_breaker.record_placement(now.time);
-        self.pending_starts.begin(task, run);
+        self.pending_starts.begin(&known.registration.pool, task, run);
         self.track_suspect(now, executor, task);
         self.record(Record::Assigned { task: task.clone(), run, executor: executor.clone() });
         self.outbox.defer_start(executor.clone(), task.clone(), run);
--- a/crates/borageswitch_scheduler/src/reducer/pending_starts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pending_starts.rs
@@ -8,13 +8,22 @@
 
 use borageswitch_types::{Time, names::PoolName};
 
-use crate::{event::StartResponse, policy::start_window::StartWindow, task::TaskKey};
+use crate::{
+    event::StartResponse,
+    policy::{start_rate::StartRate, start_window::StartWindow},
+    task::TaskKey,
+};
 
+/// How long the leader counts as slow after the last sign of it.
+const SLOW_LINGER: Duration = Duration::from_secs(1);
 /// The starts in flight, from the decision to the response.
 #[derive(Debug, Default)]
 pub struct PendingStarts {
     runs: BTreeMap<TaskKey, u32>,
     window: StartWindow,
+    /// When responses last were slow, or the window was full.
+    slow_at: Option<Time>,
+    rates: BTreeMap<PoolName, StartRate>,
     /// Pools whose tasks wait because the window was full.
     blocked_pools: BTreeSet<PoolName>,
 }
@@ -26,16 +35,38 @@
     }
 
     /// Records that tasks of a pool wait until a start is answered.
-    pub(super) fn add_blocked_pool(&mut self, pool: &PoolName) {
+    pub(super) fn add_blocked_pool(&mut self, now: Time, pool: &PoolName) {
+        self.slow_at = Some(now);
         self.blocked_pools.insert(pool.clone());
     }
 
+    /// Whether tasks have waited for this leader lately, and not just for hosts.
+    pub(super) fn is_leader_slow(&self, now: Time) -> bool {
+        self.slow_at.is_some_and(|at| now.since(at) < SLOW_LINGER)
+    }
+
+    /// Records that tasks of a pool wait.
+    pub(super) fn record_waiting(&mut self, now: Time, pool: &PoolName) {
+        if let Some(rate) = self.rates.get_mut(pool) {
+            rate.record_waiting(now);
+        }
+    }
+
+    /// The tasks per second that a slow leader starts in a pool.
+    pub(super) fn rate_of(&self, now: Time, pool: &PoolName) -> Option<f64> {
+        self.rates.get(pool)?.per_second(now)
+    }
+
     /// Takes the pools in which more starts may be decided now.
     pub(super) fn take_blocked_pools(&mut self) -> BTreeSet<PoolName> {
         std::mem::take(&mut self.blocked_pools)
     }
 
-    pub(super) fn begin(&mut self, task: &TaskKey, run: u32) {
+    pub(super) fn begin(&mut self, pool: &PoolName, task: &TaskKey, run: u32) {
+        match self.rates.get_mut(pool) {
+            Some(rate) => rate.record_start(),
+            None => self.rates.entry(pool.clone()).or_default().record_start(),
+        }
         self.runs.insert(task.clone(), run);
     }
 
@@ -50,6 +81,9 @@
     ) {
         if !matches!(answer, StartResponse::Lost | StartResponse::NotSent) {
             self.window.record_response(now, took, self.runs.len());
+            if self.window.is_slow() {
+                self.slow_at = Some(now);
+            }
         }
         self.finish(task, run);
     }
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -18,7 +18,7 @@
     executor::Registration,
     job::Size,
     ledger::{Ledger, host_orders::HostOrders, job::Job, record::Record},
-    policy::runtime_estimates::RuntimeEstimates,
+    policy::{run_overhead::RunOverhead, runtime_estimates::RuntimeEstimates},
     reducer::{
         Limits, Scheduler,
         admission::Admission,
@@ -69,6 +69,7 @@
             poll_candidates: Default::default(),
             job_states: Default::default(),
             runtime_estimates: RuntimeEstimates::default(),
+            run_overhead: RunOverhead::default(),
             outbox: Outbox::new(next_append),
             advice: Advice::default(),
             gang_reservations: GangReservations::default(),
--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -565,11 +565,12 @@
                 Effect::Append { append, records, forget } => {
                     self.pending_appends.push((token, append, records, forget));
                 }
-                Effect::Start(..) | Effect::Stop(..) | Effect::Poll(..) => match &mut self.processor
-                {
-                    Some(processor) => processor.enqueue(Work::Send { token, effect }),
-                    None => self.send(token, effect),
-                },
+                Effect::Start(..) | Effect::Stop(..) | Effect::Poll(..) => {
+                    match &mut self.processor {
+                        Some(processor) => processor.enqueue(Work::Send { token, effect }),
+                        None => self.send(token, effect),
+                    }
+                }
                 Effect::ListHosts { requested } => {
                     let hosts = self.list_hosts();
                     let at = self.now + self.list_delay();
