--- a/crates/borageswitch_scheduler/tests/slow_leader.rs
+++ b/crates/borageswitch_scheduler/tests/slow_leader.rs
@@ -27,7 +27,6 @@
 
 #[derive(Debug, Default)]
 struct Outcome {
-    submitted: usize,
     /// Jobs that ended on time, and at all, while the load lasted.
     on_time: usize,
     ended: usize,
@@ -59,7 +58,7 @@
         }
         site.run(STEP_MS);
     }
-    let mut outcome = Outcome { submitted: submitted.len(), ..Outcome::default() };
+    let mut outcome = Outcome::default();
     let objective = (TASK_MS as f64 * 1.6) as u64 + 600;
     for (job, at) in submitted {
         let ended = site.reported_at.get(&job).copied().unwrap_or(u64::MAX);
