Place a late task at its last chance once with a slow leader

What callers saw: a task runs on two executors at a time.

Late steps at their last chance are urgent too, the order of waiting steps was that from before the first round, and so their tasks were placed again.

Change: the order is updated between the rounds, and a task that has a run is never assigned another one (placed-again).

--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -103,6 +103,8 @@
         }
         // Where starts are limited, late work of one pool must not take them from another pool.
         self.place_in(now, &pools, Round::Urgent);
+        // Takes what was placed out of the order: late steps at their last chance are in both rounds.
+        self.update_waiting(now, false);
         self.place_in(now, &pools, Round::Late);
     }
 
@@ -308,6 +310,10 @@
         run: Option<u32>,
     ) {
         let Some(state) = self.ledger.task(task) else { return };
+        if !state.is_waiting() {
+            self.log("placed-again", task, || format!("executor={executor}"));
+            return;
+        }
         let run = run.unwrap_or(state.last_run + 1);
         let Some(held) = self.held_for(now.time, task, run, Phase::Recorded) else { return };
         self.executors.insert_run(executor, task, held);
--- a/crates/borageswitch_scheduler/tests/slow_leader.rs
+++ b/crates/borageswitch_scheduler/tests/slow_leader.rs
@@ -58,6 +58,7 @@
         }
         site.run(STEP_MS);
     }
+    assert!(site.violations.is_empty(), "{:?}", site.violations);
     let mut outcome = Outcome::default();
     let objective = (TASK_MS as f64 * 1.6) as u64 + 600;
     for (job, at) in submitted {
