Use relays from a higher, steadier rate of calls

Cause: the rate was counted over 100 ms, so that a single large job of a small site put relays into use, where the delay of the frames costs more than the leader saves.

Change: relays are used from 3,500 instead of 2,500 calls a second and core, counted over 500 instead of 100 ms.

--- a/crates/borageswitch_runtime/src/relays/registry.rs
+++ b/crates/borageswitch_runtime/src/relays/registry.rs
@@ -22,15 +22,15 @@
 };
 
 /// The number of calls per second and core of the leader's host above which relays are used: they
-/// then take about a third of the core.
-const CALLS_PER_CORE_S: f64 = 2_500.0;
+/// then take about half of the core. Below that, the delay of the frames costs more than it saves.
+const CALLS_PER_CORE_S: f64 = 3_500.0;
 /// Relays are used until the rate has been below this part of it for [`LINGER`].
 const LOW_RATE: f64 = 0.25;
 /// How long relays stay in use at a low rate, so that connections to executors are not given up
 /// between two peaks.
 const LINGER: Duration = Duration::from_secs(20);
-/// The interval over which the rate of calls is counted.
-const RATE_INTERVAL: Duration = Duration::from_millis(100);
+/// The interval over which the rate of calls is counted, longer than the burst of a single large job.
+const RATE_INTERVAL: Duration = Duration::from_millis(500);
 /// How many relays are used at most: each one costs frames, and a few carry the calls of one leader.
 const MAX_RELAYS: usize = 8;
 /// How long a call to an executor takes at most, besides the time that the executor may hold it.
