--- a/review/standin-2/src/executor.rs
+++ b/review/standin-2/src/executor.rs
@@ -32,12 +32,48 @@
     pub first_kind: &'static str,
 }
 
+/// What a `spec` of these scripts says: `takes=MS`, `gang=COUNT` and `lasting`.
+#[derive(Clone, Copy)]
+struct Work {
+    takes: u64,
+    gang: Option<u64>,
+    lasting: bool,
+}
+
+impl Work {
+    fn parse(spec: &str) -> Work {
+        let number = |name: &str| {
+            let value = spec.split(' ').find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
+            value.and_then(|value| value.parse().ok())
+        };
+        let lasting = spec.split(' ').any(|word| word == "lasting");
+        Work { takes: number("takes").unwrap_or(1_000), gang: number("gang"), lasting }
+    }
+}
+
+/// The members of one run of a gang, on all executors.
+#[derive(Default)]
+pub struct Gang {
+    present: u64,
+    working_since: Option<Instant>,
+    broken: bool,
+}
+
+/// All gangs, by their step and run.
+pub type Gangs = Arc<Mutex<BTreeMap<(String, u64), Gang>>>;
+
 struct Run {
     run: u64,
     began: u64,
-    takes: u64,
+    arrived: Instant,
+    work: Work,
 }
 
+/// `gang_timeout_ms`.
+const GANG_TIMEOUT: Duration = Duration::from_secs(3);
+/// The startup of a work unit that lasts.
+const STARTUP_MS: u64 = 500;
+
 struct Ended {
     number: u64,
     task: String,
@@ -81,13 +117,14 @@
     address: OnceLock<SocketAddr>,
     boot: Mutex<Option<Arc<Boot>>>,
     boots: AtomicU64,
+    gangs: Gangs,
     /// The state of the machine while it has no executor.
     away: Mutex<&'static str>,
     record: Arc<Record>,
 }
 
 impl Executor {
-    pub fn start(number: usize, shape: &Shape, record: Arc<Record>) -> Arc<Executor> {
+    pub fn start(number: usize, shape: &Shape, gangs: Gangs, record: Arc<Record>) -> Arc<Executor> {
         let executor = Arc::new(Executor {
             machine: format!("m-{number}"),
             cpu: shape.cpu,
@@ -96,6 +133,7 @@
             address: OnceLock::new(),
             boot: Mutex::default(),
             boots: AtomicU64::new(0),
+            gangs,
             away: Mutex::new("down"),
             record,
         });
@@ -144,6 +182,13 @@
         true
     }
 
+    /// How many work units of a job run here.
+    pub fn running(&self, job: &str) -> usize {
+        let Some(boot) = self.current() else { return 0 };
+        let state = boot.state.lock().unwrap();
+        state.active.keys().filter(|task| task.starts_with(job)).count()
+    }
+
     fn current(&self) -> Option<Arc<Boot>> {
         self.boot.lock().unwrap().clone()
     }
@@ -196,21 +241,46 @@
             return;
         }
         let lapsed = state.until < now;
-        let over: Vec<(String, &'static str)> = state
-            .active
-            .iter()
-            .filter(|(_, run)| lapsed || run.began + run.takes <= now)
-            .map(|(task, run)| {
-                (task.clone(), if run.began + run.takes <= now { "done" } else { "lapsed" })
-            })
-            .collect();
+        let mut over = Vec::new();
+        for (task, run) in &state.active {
+            let how = if lapsed { Some("lapsed") } else { self.end_of(task, run, now) };
+            over.extend(how.map(|how| (task.clone(), how)));
+        }
         for (task, how) in over {
             self.end(boot, &mut state, &task, how);
         }
     }
 
+    /// How a run ends by now, if it does.
+    fn end_of(&self, task: &str, run: &Run, now: u64) -> Option<&'static str> {
+        if run.work.gang.is_none() {
+            return (run.began + run.work.takes <= now).then_some("done");
+        }
+        let gangs = self.gangs.lock().unwrap();
+        let gang = gangs.get(&(step_of(task), run.run))?;
+        match gang.working_since {
+            _ if gang.broken => Some("broken"),
+            Some(since) => (since.elapsed().as_millis() as u64 >= run.work.takes).then_some("done"),
+            None => (run.arrived.elapsed() >= GANG_TIMEOUT).then_some("alone"),
+        }
+    }
+
+    /// A member of a gang has arrived.
+    fn join_gang(&self, task: &str, run: u64, members: u64) {
+        let mut gangs = self.gangs.lock().unwrap();
+        let gang = gangs.entry((step_of(task), run)).or_default();
+        gang.present += 1;
+        if gang.present == members {
+            gang.working_since = Some(Instant::now());
+        }
+    }
+
     fn end(&self, boot: &Boot, state: &mut State, task: &str, how: &'static str) {
         let Some(run) = state.active.remove(task) else { return };
+        if run.work.gang.is_some() && how != "done" {
+            let mut gangs = self.gangs.lock().unwrap();
+            gangs.entry((step_of(task), run.run)).or_default().broken = true;
+        }
         state.ends += 1;
         state.over.insert(task.to_owned(), run.run);
         let number = state.ends;
@@ -260,8 +330,12 @@
                 if (state.active.len() as u64 + 1) * self.unit_cpu > self.cpu {
                     return refused(409, "room");
                 }
-                let takes = body.get("spec").str().parse().unwrap_or(1_000);
-                state.active.insert(task.clone(), Run { run, began: now, takes });
+                let work = Work::parse(body.get("spec").str());
+                if let Some(members) = work.gang {
+                    self.join_gang(&task, run, members);
+                }
+                let arrived = Instant::now();
+                state.active.insert(task.clone(), Run { run, began: now, arrived, work });
                 self.record.count("started");
                 self.record.run(&format!("{} starts {task} run {run}", boot.id));
                 fine
@@ -299,7 +373,11 @@
 
     fn report(&self, now: u64, state: &State) -> Json {
         let active = state.active.iter().map(|(task, run)| {
-            let percent = ((now - run.began) * 100 / run.takes.max(1)).min(99);
+            let age = now - run.began;
+            let percent = match run.work.lasting {
+                true => (age * 100 / STARTUP_MS).min(100),
+                false => (age * 100 / run.work.takes.max(1)).min(99),
+            };
             Json::Arr(vec![text(task), num(run.run), text(""), num(percent), num(self.unit_cpu)])
         });
         let ended = state.ended.iter().take(ENDED_PER_ANSWER).map(|ended| {
@@ -313,3 +391,8 @@
         ])
     }
 }
+
+/// The step of a work unit's name, ID.K.STEP.INDEX.
+fn step_of(task: &str) -> String {
+    task.rsplit_once('.').map_or(task, |(step, _)| step).to_owned()
+}
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -33,6 +33,7 @@
     let record = Arc::new(Record::new(record));
     match &**case {
         "large-job" => large_job(record, trouble),
+        "lasting-gang" => lasting_gang(record, trouble),
         "frozen-leader" => frozen_leader(record, trouble),
         "crashing-machine" => crashing_machine(record, trouble),
         _ => std::process::exit(2),
@@ -121,7 +122,7 @@
         });
     }));
     let body = format!(
-        r#"{{"spec":"4000","steps":[{{"count":{UNITS},"cpu":100,"mem_mb":16,"estimate_ms":4000}}]}}"#
+        r#"{{"spec":"takes=4000","steps":[{{"count":{UNITS},"cpu":100,"mem_mb":16,"estimate_ms":4000}}]}}"#
     );
     if !submit(&site, job, &body) {
         record.note("the job is not accepted");
@@ -192,15 +193,14 @@
     }
     thread::sleep(Duration::from_secs(4));
     let job = "5c0e7a21d94b36f8";
-    let body = r#"{"spec":"1500","steps":[{"count":4,"cpu":1000,"mem_mb":16,"estimate_ms":1500,"requirements":"b"}]}"#;
+    let body = r#"{"spec":"takes=1500","steps":[{"count":4,"cpu":1000,"mem_mb":16,"estimate_ms":1500,"requirements":"b"}]}"#;
     let own = site.clone();
     // Ordinary jobs, on all machines.
     let others: Arc<Mutex<Vec<String>>> = Arc::default();
     let (handed_in, stopping) = (others.clone(), Arc::new(AtomicBool::new(false)));
     let stop = stopping.clone();
     let client = thread::spawn(move || {
-        let body =
-            r#"{"spec":"800","steps":[{"count":6,"cpu":1000,"mem_mb":16,"estimate_ms":800}]}"#;
+        let body = r#"{"spec":"takes=800","steps":[{"count":6,"cpu":1000,"mem_mb":16,"estimate_ms":800}]}"#;
         let mut number = 0u64;
         while !stop.load(Ordering::SeqCst) {
             number += 1;
@@ -329,3 +329,48 @@
         std::process::exit(2);
     }
 }
+
+/// The work units of a gang that lasts end, all together, as `done`. Beside it the same without a
+/// gang.
+fn lasting_gang(record: Arc<Record>, trouble: bool) {
+    // With `TROUBLE=0` no work unit ends by itself.
+    let takes = if trouble { 6_000 } else { 1_000_000 };
+    let shape = Shape { cpu: 16_000, unit_cpu: 1_000, first_kind: "a" };
+    let site = Site::start(record.clone(), 4, &shape);
+    if !site.wait_until_ready() {
+        record.note("the daemons are not ready");
+        site.finish(2);
+    }
+    thread::sleep(Duration::from_secs(4));
+    let (gang, plain) = ("5c0e7a21d94b36f8", "6d1f8b32ea5c47a9");
+    let gang_body = format!(
+        r#"{{"spec":"takes={takes} gang=3 lasting","steps":[{{"count":3,"cpu":1000,"mem_mb":16,"estimate_ms":500,"gang":true,"long_running":true}}]}}"#
+    );
+    let plain_body = format!(
+        r#"{{"spec":"takes={takes} lasting","steps":[{{"count":3,"cpu":1000,"mem_mb":16,"estimate_ms":500,"long_running":true}}]}}"#
+    );
+    if !submit(&site, gang, &gang_body) || !submit(&site, plain, &plain_body) {
+        site.finish(2);
+    }
+    // Since when nothing of a job runs, and the longest time of that.
+    let mut away = [(gang, None::<Instant>, Duration::ZERO), (plain, None, Duration::ZERO)];
+    let until = Instant::now() + Duration::from_secs(30);
+    while Instant::now() < until {
+        for (job, since, longest) in &mut away {
+            let running: usize = site.executors.iter().map(|executor| executor.running(job)).sum();
+            match running {
+                0 => *longest = (*longest).max(since.get_or_insert_with(Instant::now).elapsed()),
+                _ => *since = None,
+            }
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    for (job, _, longest) in &away {
+        let (name, address) = site.callers().remove(0);
+        state(&site, &name, address, job);
+        record.note(&format!("of {job} nothing has run for {} ms on end", longest.as_millis()));
+    }
+    // "from 6 s after its last run", "for 3 s".
+    let bound = Duration::from_secs(9);
+    site.finish(i32::from(away.iter().any(|(_, _, longest)| *longest > bound)));
+}
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    executor::{Executor, Shape},
+    executor::{Executor, Gangs, Shape},
     hosts::Hosts,
     http::{self, Gate},
     json::{Json, num, obj, text},
@@ -75,8 +75,10 @@
     /// Starts the platform, executors and three daemons.
     pub fn start(record: Arc<Record>, executors: usize, shape: &Shape) -> Arc<Site> {
         let store = Store::new();
-        let executors: Vec<_> =
-            (1..=executors).map(|number| Executor::start(number, shape, record.clone())).collect();
+        let gangs = Gangs::default();
+        let executors: Vec<_> = (1..=executors)
+            .map(|number| Executor::start(number, shape, gangs.clone(), record.clone()))
+            .collect();
         let store_address = http::serve(store.handler());
         let hosts = Hosts::new(executors.clone(), record.clone());
         let gate = Arc::new(Gate::default());
