--- a/review/standin-2/src/executor.rs
+++ b/review/standin-2/src/executor.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     sync::{
         Arc, Condvar, Mutex, OnceLock,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -67,8 +67,12 @@
     began: u64,
     arrived: Instant,
     work: Work,
+    fails: bool,
 }
 
+/// When a run fails on an executor that fails all that it starts.
+const FAILS_AFTER_MS: u64 = 300;
+
 /// `gang_timeout_ms`.
 const GANG_TIMEOUT: Duration = Duration::from_secs(3);
 /// The startup of a work unit that lasts.
@@ -117,6 +121,8 @@
     address: OnceLock<SocketAddr>,
     boot: Mutex<Option<Arc<Boot>>>,
     boots: AtomicU64,
+    /// It fails all that it starts.
+    grey: AtomicBool,
     gangs: Gangs,
     /// The state of the machine while it has no executor.
     away: Mutex<&'static str>,
@@ -133,6 +139,7 @@
             address: OnceLock::new(),
             boot: Mutex::default(),
             boots: AtomicU64::new(0),
+            grey: AtomicBool::new(false),
             gangs,
             away: Mutex::new("down"),
             record,
@@ -251,8 +258,16 @@
         }
     }
 
+    /// From now on it fails all that it starts, or no longer.
+    pub fn set_grey(&self, grey: bool) {
+        self.grey.store(grey, Ordering::SeqCst);
+    }
+
     /// How a run ends by now, if it does.
     fn end_of(&self, task: &str, run: &Run, now: u64) -> Option<&'static str> {
+        if run.fails {
+            return (run.began + FAILS_AFTER_MS <= now).then_some("failed");
+        }
         if run.work.gang.is_none() {
             return (run.began + run.work.takes <= now).then_some("done");
         }
@@ -335,7 +350,8 @@
                     self.join_gang(&task, run, members);
                 }
                 let arrived = Instant::now();
-                state.active.insert(task.clone(), Run { run, began: now, arrived, work });
+                let fails = self.grey.load(Ordering::SeqCst);
+                state.active.insert(task.clone(), Run { run, began: now, arrived, work, fails });
                 self.record.count("started");
                 self.record.run(&format!("{} starts {task} run {run}", boot.id));
                 fine
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -33,6 +33,7 @@
     let record = Arc::new(Record::new(record));
     match &**case {
         "large-job" => large_job(record, trouble),
+        "failing-gang" => failing_gang(record, trouble),
         "lasting-gang" => lasting_gang(record, trouble),
         "frozen-leader" => frozen_leader(record, trouble),
         "crashing-machine" => crashing_machine(record, trouble),
@@ -374,3 +375,38 @@
     let bound = Duration::from_secs(9);
     site.finish(i32::from(away.iter().any(|(_, _, longest)| *longest > bound)));
 }
+
+/// One executor of seven fails all that it starts, for 6.5 s. A gang starts there.
+fn failing_gang(record: Arc<Record>, trouble: bool) {
+    const GREY: Duration = Duration::from_millis(6_500);
+    let shape = Shape { cpu: 16_000, unit_cpu: 1_000, first_kind: "a" };
+    let site = Site::start(record.clone(), 7, &shape);
+    if !site.wait_until_ready() {
+        record.note("the daemons are not ready");
+        site.finish(2);
+    }
+    thread::sleep(Duration::from_secs(4));
+    if trouble {
+        site.executors[0].set_grey(true);
+        record.note(&format!("{} fails all that it starts", site.executors[0].machine));
+    }
+    let job = "5c0e7a21d94b36f8";
+    let body = r#"{"spec":"takes=1000 gang=4","steps":[{"count":4,"cpu":1000,"mem_mb":16,"estimate_ms":1000,"gang":true}]}"#;
+    if !submit(&site, job, body) {
+        site.finish(2);
+    }
+    thread::sleep(GREY);
+    site.executors[0].set_grey(false);
+    thread::sleep(Duration::from_secs(14));
+    let (name, address) = site.callers().remove(0);
+    let (_, shown) = state(&site, &name, address, job);
+    record.note(&format!(
+        "work units: {} starts, {} done, {} failed, {} broken",
+        record.counted("started"),
+        record.counted("done"),
+        record.counted("failed"),
+        record.counted("broken")
+    ));
+    // Four attempts of four work units would be 16 starts.
+    site.finish(i32::from(shown == "failed" && record.counted("started") < 16));
+}
