--- a/review/standin-2/src/executor.rs
+++ b/review/standin-2/src/executor.rs
@@ -32,12 +32,14 @@
     pub first_kind: &'static str,
 }
 
-/// What a `spec` of these scripts says: `takes=MS`, `gang=COUNT` and `lasting`.
+/// What a `spec` of these scripts says: `takes=MS`, `gang=COUNT`, `lasting` and `together`.
 #[derive(Clone, Copy)]
 struct Work {
     takes: u64,
     gang: Option<u64>,
     lasting: bool,
+    /// All work units of the step end at one moment, `takes` after the first has started.
+    together: bool,
 }
 
 impl Work {
@@ -46,8 +48,13 @@
             let value = spec.split(' ').find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
             value.and_then(|value| value.parse().ok())
         };
-        let lasting = spec.split(' ').any(|word| word == "lasting");
-        Work { takes: number("takes").unwrap_or(1_000), gang: number("gang"), lasting }
+        let has = |name: &str| spec.split(' ').any(|word| word == name);
+        Work {
+            takes: number("takes").unwrap_or(1_000),
+            gang: number("gang"),
+            lasting: has("lasting"),
+            together: has("together"),
+        }
     }
 }
 
@@ -268,6 +275,11 @@
         if run.fails {
             return (run.began + FAILS_AFTER_MS <= now).then_some("failed");
         }
+        if run.work.together {
+            let firsts = self.gangs.lock().unwrap();
+            let since = firsts.get(&(step_of(task), 0))?.working_since?;
+            return (since.elapsed().as_millis() as u64 >= run.work.takes).then_some("done");
+        }
         if run.work.gang.is_none() {
             return (run.began + run.work.takes <= now).then_some("done");
         }
@@ -350,6 +362,11 @@
                     self.join_gang(&task, run, members);
                 }
                 let arrived = Instant::now();
+                if work.together {
+                    let mut firsts = self.gangs.lock().unwrap();
+                    let first = firsts.entry((step_of(&task), 0)).or_default();
+                    first.working_since.get_or_insert(arrived);
+                }
                 let fails = self.grey.load(Ordering::SeqCst);
                 state.active.insert(task.clone(), Run { run, began: now, arrived, work, fails });
                 self.record.count("started");
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -73,13 +73,13 @@
 /// A job of many short work units ends while the store is slow, and the leader, which is the daemon
 /// that last wrote to the store under a condition, loses power meanwhile.
 fn large_job(record: Arc<Record>, trouble: bool) {
-    const UNITS: u64 = 7_200;
-    const EXECUTORS: usize = 15;
+    const UNITS: u64 = 9_600;
+    const EXECUTORS: usize = 20;
     /// An answer of the slow store takes 60 times as long, for 4.5 s (`platform_slow` of sr-jhb).
     const SLOW_FACTOR: u32 = 60;
     const SLOW_FOR: Duration = Duration::from_millis(4_500);
-    /// The power is lost this long after the store has confirmed a write of the leader.
-    const LOST_AFTER: Duration = Duration::from_millis(200);
+    /// The power is lost this long after the store has carried out a write of the leader.
+    const LOST_AFTER: Duration = Duration::from_millis(100);
     /// The power is away for this long (`node_kill` of sr-jhb).
     const POWER_AWAY: Duration = Duration::from_millis(3_500);
 
@@ -102,14 +102,14 @@
             .map(|(key, value)| format!("{key} ({} bytes)", value.len()))
             .collect();
         own.record.run(&format!(
-            "the store confirms a write of {written:?}, removal of {:?}",
+            "the store carries out a write of {written:?}, removal of {:?}",
             done.removed
         ));
         if !trouble || !done.removed.contains(&watched) || was_lost.swap(true, Ordering::SeqCst) {
             return;
         }
         own.record.note(&format!(
-            "the store confirms a write of {written:?}, removal of {:?}",
+            "the store carries out a write of {written:?}, removal of {:?}",
             done.removed
         ));
         let own = own.clone();
@@ -123,7 +123,7 @@
         });
     }));
     let body = format!(
-        r#"{{"spec":"takes=4000","steps":[{{"count":{UNITS},"cpu":100,"mem_mb":16,"estimate_ms":4000}}]}}"#
+        r#"{{"spec":"takes=4000 together","steps":[{{"count":{UNITS},"cpu":100,"mem_mb":16,"estimate_ms":4000}}]}}"#
     );
     if !submit(&site, job, &body) {
         record.note("the job is not accepted");
@@ -329,8 +329,8 @@
 }
 
 fn signal(name: &str, pid: u32) {
-    let done =
-        std::process::Command::new("kill").args([format!("-{name}"), pid.to_string()]).status();
+    let command = format!("kill -{name} {pid}");
+    let done = std::process::Command::new("sh").args(["-c", &command]).status();
     if !done.is_ok_and(|status| status.success()) {
         eprintln!("the signal {name} cannot be sent");
         std::process::exit(2);
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -41,10 +41,8 @@
         usual(info);
         let started = STARTED.lock().map(|started| started.clone()).unwrap_or_default();
         for pid in started {
-            let _ = Command::new("kill")
-                .args(["-KILL", &pid.to_string()])
-                .stderr(Stdio::null())
-                .status();
+            let command = format!("kill -KILL {pid}");
+            let _ = Command::new("sh").args(["-c", &command]).stderr(Stdio::null()).status();
         }
         std::process::exit(2);
     }));
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -124,9 +124,16 @@
         }
     }
 
+    /// A slow store carries a call out when it arrives, and answers late.
     fn serve(&self, req: &Request) -> Reply {
+        let reply = self.carry_out(req);
         let slower = self.lock().slower;
-        thread::sleep(LATENCY + slower);
+        thread::sleep(slower);
+        reply
+    }
+
+    fn carry_out(&self, req: &Request) -> Reply {
+        thread::sleep(LATENCY);
         let parameter = |name: &str| req.query.get(name).cloned().unwrap_or_default();
         match (&*req.method, &*req.path) {
             ("GET", "/-/kv-key") => {
