--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     fs::{self, File},
+    io::Write,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -34,6 +35,14 @@
 /// The processes that were started, to end them if this program panics.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Notes a process in the file that `PIDS` names, so that an interrupted script can end it.
+fn note_started(pid: u32) {
+    let Some(path) = std::env::var_os("PIDS") else { return };
+    if let Ok(mut file) = File::options().create(true).append(true).open(path) {
+        let _ = writeln!(file, "{pid}");
+    }
+}
+
 /// Ends all processes if a thread of this program panics, as a closed output does to it.
 pub fn end_on_panic() {
     let usual = std::panic::take_hook();
@@ -171,6 +180,7 @@
         match process {
             Ok(process) => {
                 STARTED.lock().unwrap().push(process.id());
+                note_started(process.id());
                 daemon.process = Some(process);
             }
             Err(err) => {
