Restore why a job was given up although its submission is removed

What callers saw: after a change of leader the state of a job that was given up says that its task crashed executors, and names none of them.

Cause: a crash is kept as evidence only if the ledger knows the task.

Change: evidence is kept for a job that the ledger does not know and that has not ended; the end of the job, which is a later record of the same log, drops it again. The reducer records evidence only against open tasks of known jobs, as attribute_crash did already.

--- a/crates/borageswitch_scheduler/src/ledger/mod.rs
+++ b/crates/borageswitch_scheduler/src/ledger/mod.rs
@@ -156,7 +156,13 @@
 
     fn add_suspicion(&mut self, suspicion: &Suspicion) {
         let task = &suspicion.task;
-        if self.task(task).is_some_and(|state| !state.done) {
+        let may_be_open = match self.jobs.get(&task.job) {
+            Some(job) => job.task(task).is_some_and(|state| !state.done),
+            // When records are read again, the submission of a job that ends by a later one may
+            // have been removed.
+            None => !self.finished.contains_key(&task.job),
+        };
+        if may_be_open {
             let crashes = self.suspects.entry(task.clone()).or_default();
             crashes::add(crashes, &suspicion.crash);
         }
--- a/crates/borageswitch_scheduler/src/ledger/tests.rs
+++ b/crates/borageswitch_scheduler/src/ledger/tests.rs
@@ -252,6 +252,31 @@
     assert_eq!(ledger.crashes_of(&key("j", 0)).len(), 1);
 }
 
+#[test]
+fn a_given_up_job_keeps_its_reason_when_the_log_is_read_without_its_submission() {
+    // Guards against a caller who is told after a change of leader that a job was given up without
+    // any crash.
+    let records = [
+        crashed("a", 0, "e1", 15, 0),
+        Record::GivenUp { task: key("a", 0) },
+        Record::Finished {
+            job: JobName::from("a"),
+            queue: queue().name,
+            outcome: Outcome::Failed,
+            at: UnixMillis(5),
+        },
+    ];
+    let mut ledger = Ledger::default();
+    ledger.submit(submission("a", vec![step(1)]));
+    records.iter().for_each(|record| ledger.apply(record));
+
+    let mut restored = Ledger::default();
+    records.iter().for_each(|record| restored.apply(record));
+
+    assert_eq!(restored, ledger);
+    assert_eq!(restored.given_up[&JobName::from("a")].crashes.len(), 1);
+}
+
 #[test]
 fn suspects_and_tasks_given_up_are_part_of_a_snapshot() {
     // Guards against crashes that each leader counts anew, and reasons that are lost with a leader.
--- a/crates/borageswitch_scheduler/src/reducer/suspects.rs
+++ b/crates/borageswitch_scheduler/src/reducer/suspects.rs
@@ -103,9 +103,8 @@
         others: usize,
         started_on: &BTreeMap<JobName, usize>,
     ) {
-        let is_open =
-            |lost: &&LostRun| self.ledger.task(&lost.task).is_some_and(|state| !state.done);
-        let runs: Vec<&LostRun> = ended.runs.iter().filter(is_open).collect();
+        let runs: Vec<&LostRun> =
+            ended.runs.iter().filter(|lost| self.is_open(&lost.task)).collect();
         let jobs: BTreeSet<JobName> = runs.iter().map(|lost| lost.task.job.clone()).collect();
         self.count_crash(&jobs);
         let present: Vec<PossibleCause> = jobs.iter().map(|job| self.present(job, &runs)).collect();
@@ -136,12 +135,18 @@
     /// They count for the limit on restarts: a drain may hide a crash, or an earlier leader may
     /// have seen a crash that it could not store.
     pub(super) fn note_unattributed_loss(&mut self, now: Now, ended: &EndedExecutor) {
-        let recent =
-            ended.runs.iter().filter(|lost| crash_attribution::is_start_related(lost.min_age));
+        let recent = ended.runs.iter().filter(|lost| {
+            crash_attribution::is_start_related(lost.min_age) && self.is_open(&lost.task)
+        });
         let suspicions = recent.map(|lost| suspicion(now, ended, lost, 0));
         self.record_suspicions(suspicions.collect());
     }
 
+    /// Whether a task belongs to a job that has not ended, and is not done itself.
+    fn is_open(&self, task: &TaskKey) -> bool {
+        self.ledger.task(task).is_some_and(|state| !state.done)
+    }
+
     fn record_suspicions(&mut self, suspicions: Vec<Suspicion>) {
         if suspicions.is_empty() {
             return;
