Release effects and remove keys only after the records that they depend on

Cause: an append carries at most 2,000 records. Removals of keys left with the next append whatever it carried; actions waited until everything queued fitted into one append. Neither knew which record it depends on.

Ruled out: a stored end that the takeover skips (no append of that term has the end), and an outcome that is dropped too early (no such record).

Change: each action and removal is kept with the position of the last record queued before it and leaves when that is stored; nothing can be added without. A removal may go with the append that stores the end of its job. The number of records in one append is a limit of the scheduler, so that tests can lower it.

--- a/crates/borageswitch_scheduler/src/effect.rs
+++ b/crates/borageswitch_scheduler/src/effect.rs
@@ -67,7 +67,8 @@
         append: u64,
         /// The records to store.
         records: Vec<Record>,
-        /// Jobs whose stored submissions can be deleted.
+        /// Jobs whose stored submissions are deleted by the same call. Their ends are among these
+        /// records or those of earlier appends.
         forget: Vec<JobName>,
     },
     /// Store a snapshot of the ledger, then remove the appends that it includes.
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -193,7 +193,7 @@
             )
         });
         self.mark_pool_dirty(job);
-        self.ending_jobs.insert(job.clone(), self.outbox.next_append());
+        self.ending_jobs.insert(job.clone());
         for record in self.lingering_runs_of(job) {
             self.record(record);
         }
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -120,6 +120,9 @@
     pub host_move: Duration,
     /// The minimum interval between two appends.
     pub append_interval: Duration,
+    /// The maximum number of records in one append: at some hundred bytes each, well below the
+    /// largest value that the store accepts.
+    pub records_per_append: usize,
     /// Whether jobs are refused that would end after they are of use, and the waiting jobs that can
     /// be on time are chosen accordingly.
     pub refuses_jobs: bool,
@@ -135,6 +138,7 @@
             host_calls_per_s: 64.0,
             host_move: Duration::from_millis(1_500),
             append_interval: Duration::from_millis(15),
+            records_per_append: 2_000,
             refuses_jobs: true,
         }
     }
@@ -202,8 +206,8 @@
     dirty_pools: BTreeSet<PoolName>,
     /// Jobs to be checked for their end.
     maybe_ended: BTreeSet<JobName>,
-    /// Jobs whose end is being stored, with the number of the append.
-    ending_jobs: BTreeMap<JobName, u64>,
+    /// Jobs whose end is not stored yet.
+    ending_jobs: BTreeSet<JobName>,
     /// Executors that ended since the last decision.
     ended_executors: Vec<EndedExecutor>,
     suspects: Suspects,
--- a/crates/borageswitch_scheduler/src/reducer/outbox.rs
+++ b/crates/borageswitch_scheduler/src/reducer/outbox.rs
@@ -2,7 +2,11 @@
 //!
 //! One append is in flight at a time and carries all records that accumulated meanwhile, so the
 //! store gets some tens of calls per second regardless of load. An effect that depends on a record
-//! is released only when the append with that record is confirmed.
+//! is released only when the append with that record is confirmed: [`AfterStored`] keeps with each
+//! effect the position of the last record queued before it.
+
+mod after_stored;
+mod removals;
 
 use borageswitch_types::{
     Time,
@@ -13,7 +17,13 @@
     effect::Effect,
     event::Now,
     ledger::{record::Record, snapshot::Snapshot},
-    reducer::Scheduler,
+    reducer::{
+        Scheduler,
+        outbox::{
+            after_stored::{AfterStored, Position, RecordQueue},
+            removals::Removals,
+        },
+    },
     task::TaskKey,
 };
 
@@ -32,32 +42,34 @@
     ReportWave(u64),
 }
 
+/// An append that is on its way to the store.
+#[derive(Debug)]
+struct InFlight {
+    append: u64,
+    /// The position after its records.
+    through: Position,
+    /// The ledger after its records, if it is to be stored as a snapshot.
+    snapshot: Option<Box<Snapshot>>,
+}
+
 /// Records on their way to the store, and the actions that wait for them.
 #[derive(Debug)]
 pub struct Outbox {
     next_append: u64,
-    in_flight: Option<u64>,
+    in_flight: Option<InFlight>,
     sent_at: Time,
-    pending: Vec<Record>,
-    forget: Vec<JobName>,
-    deferred_actions: Vec<Deferred>,
-    in_flight_actions: Vec<Deferred>,
+    records: RecordQueue,
+    /// The position after the records that are stored.
+    stored: Position,
+    actions: AfterStored<Deferred>,
+    removals: Removals,
     /// The first append that no snapshot covers.
     first_uncompacted: u64,
-    /// The ledger including the append in flight, to be stored as a snapshot.
-    snapshot: Option<Box<Snapshot>>,
 }
 
 /// The number of appends after which a snapshot of the ledger is stored, so that a takeover reads
 /// little. One call removes these appends, and the store accepts at most 32 entries per call.
 const APPENDS_PER_SNAPSHOT: u64 = 28;
-/// The maximum number of records in one append: at some hundred bytes each, well below the largest
-/// value that the store accepts.
-const MAX_RECORDS: usize = 2_000;
-/// The maximum number of jobs whose keys one append removes. The store accepts 32 entries per call
-/// and rejects a larger call as a whole each time, so nothing would be stored any more. Three
-/// entries of a call are already taken, and a job has up to two keys.
-const MAX_FORGOTTEN_JOBS: usize = 14;
 
 impl Outbox {
     /// Creates an outbox whose first append has the number `next_append`.
@@ -66,58 +78,56 @@
             next_append,
             in_flight: None,
             sent_at: Time::ZERO,
-            pending: Vec::new(),
-            forget: Vec::new(),
-            deferred_actions: Vec::new(),
-            in_flight_actions: Vec::new(),
+            records: RecordQueue::default(),
+            stored: Position::default(),
+            actions: AfterStored::default(),
+            removals: Removals::default(),
             first_uncompacted: next_append.saturating_sub(APPENDS_PER_SNAPSHOT),
-            snapshot: None,
         }
     }
 
     pub(super) fn add(&mut self, record: Record) {
-        self.pending.push(record);
+        self.records.push(record);
+    }
+
+    /// Carries out an action once all records added so far are stored.
+    fn defer(&mut self, action: Deferred) {
+        self.actions.push(&self.records, action);
     }
 
     pub(super) fn defer_start(&mut self, executor: ExecutorName, task: TaskKey, run: u32) {
-        self.deferred_actions.push(Deferred::Start(executor, task, run));
+        self.defer(Deferred::Start(executor, task, run));
     }
 
     pub(super) fn defer_acknowledge(&mut self, executor: ExecutorName, number: u64) {
-        self.deferred_actions.push(Deferred::Acknowledge(executor, number));
+        self.defer(Deferred::Acknowledge(executor, number));
     }
 
     pub(super) fn defer_host_order(&mut self, host: HostName) {
-        self.deferred_actions.push(Deferred::OrderHost(host));
+        self.defer(Deferred::OrderHost(host));
     }
 
     pub(super) fn defer_show_end(&mut self, job: JobName) {
         self.forget(job.clone());
-        self.deferred_actions.push(Deferred::ShowEnd(job));
+        self.defer(Deferred::ShowEnd(job));
     }
 
     pub(super) fn defer_wave_report(&mut self, wave: u64) {
-        self.deferred_actions.push(Deferred::ReportWave(wave));
+        self.defer(Deferred::ReportWave(wave));
     }
 
-    /// Removes the stored submission of a job that has ended.
+    /// Removes the keys of a job that has ended, once its end is stored.
     pub(super) fn forget(&mut self, job: JobName) {
-        if !self.forget.contains(&job) {
-            self.forget.push(job);
-        }
-    }
-
-    /// The number of the append that will carry the records added now.
-    pub(super) fn next_append(&self) -> u64 {
-        self.next_append
+        self.removals.push(&self.records, job);
     }
 }
 
 impl Scheduler {
-    /// Sends the pending records, unless an append is in flight or was sent very recently.
+    /// Sends the next records, unless an append is in flight or was sent very recently.
     pub(super) fn flush(&mut self, now: Now) {
+        self.release_actions(now);
         let outbox = &self.outbox;
-        let idle = outbox.pending.is_empty() && outbox.forget.is_empty();
+        let idle = outbox.records.is_empty() && !outbox.removals.are_due();
         let paused = now.time.since(outbox.sent_at) < self.limits.append_interval;
         if idle || outbox.in_flight.is_some() || (paused && outbox.sent_at > Time::ZERO) {
             return;
@@ -128,37 +138,38 @@
         }
         let outbox = &mut self.outbox;
         let append = outbox.next_append;
-        let complete = outbox.pending.len() <= MAX_RECORDS;
-        let rest = outbox.pending.split_off(outbox.pending.len().min(MAX_RECORDS));
-        let records = std::mem::replace(&mut outbox.pending, rest);
-        let postponed = outbox.forget.split_off(outbox.forget.len().min(MAX_FORGOTTEN_JOBS));
-        let forget = std::mem::replace(&mut outbox.forget, postponed);
-        if complete {
-            outbox.in_flight_actions.append(&mut outbox.deferred_actions);
-        }
-        outbox.next_append += 1;
-        outbox.in_flight = Some(append);
-        outbox.sent_at = now.time;
+        let records = outbox.records.take(self.limits.records_per_append);
+        let through = outbox.records.sent();
+        // The keys of a job may go with its end, as an append takes effect as a whole.
+        let forget = outbox.removals.take(through);
         // A snapshot must not contain records that are still to be stored: a later append would
         // apply them a second time when it is read after the snapshot.
-        if complete && append >= outbox.first_uncompacted + APPENDS_PER_SNAPSHOT {
-            outbox.snapshot = Some(Box::new(Snapshot::of(&self.ledger, append)));
-        }
+        let is_due = append >= outbox.first_uncompacted + APPENDS_PER_SNAPSHOT;
+        let snapshot = (is_due && outbox.records.is_empty())
+            .then(|| Box::new(Snapshot::of(&self.ledger, append)));
+        outbox.next_append += 1;
+        outbox.in_flight = Some(InFlight { append, through, snapshot });
+        outbox.sent_at = now.time;
         self.effects.push(Effect::Append { append, records, forget });
     }
 
     pub(super) fn appended(&mut self, now: Now, append: u64) {
-        if self.outbox.in_flight != Some(append) {
+        let outbox = &mut self.outbox;
+        let Some(in_flight) = outbox.in_flight.take_if(|sent| sent.append == append) else {
             return;
-        }
-        self.outbox.in_flight = None;
-        if let Some(snapshot) = self.outbox.snapshot.take() {
-            let remove = self.outbox.first_uncompacted..=snapshot.through;
-            self.outbox.first_uncompacted = snapshot.through + 1;
+        };
+        outbox.stored = in_flight.through;
+        if let Some(snapshot) = in_flight.snapshot {
+            let remove = outbox.first_uncompacted..=snapshot.through;
+            outbox.first_uncompacted = snapshot.through + 1;
             self.effects.push(Effect::StoreSnapshot { snapshot, remove });
         }
-        for deferred in std::mem::take(&mut self.outbox.in_flight_actions) {
-            self.run_deferred(now, deferred);
+        self.release_actions(now);
+    }
+
+    fn release_actions(&mut self, now: Now) {
+        for action in self.outbox.actions.take(self.outbox.stored, usize::MAX) {
+            self.run_deferred(now, action);
         }
     }
 
--- a/crates/borageswitch_scheduler/src/reducer/view.rs
+++ b/crates/borageswitch_scheduler/src/reducer/view.rs
@@ -43,7 +43,7 @@
             if finished.queue != *queue {
                 return None;
             }
-            if self.ending_jobs.contains_key(job) {
+            if self.ending_jobs.contains(job) {
                 return Some(JobStatus::Running);
             }
             let given_up = self.ledger.given_up.get(job);
--- a/crates/borageswitch_scheduler/tests/support/session.rs
+++ b/crates/borageswitch_scheduler/tests/support/session.rs
@@ -114,7 +114,17 @@
     }
 
     pub fn with_config(executors: &[&str], ledger: Ledger, config: Arc<Config>) -> Self {
-        let mut session = Self::before_reports(executors, ledger, config);
+        let mut session = Self::before_reports(executors, ledger, config, Limits::default());
+        for name in executors {
+            session.report(name, &[], &[], 0);
+        }
+        session
+    }
+
+    /// A leader whose appends have at most this many records.
+    pub fn with_records_per_append(executors: &[&str], records_per_append: usize) -> Self {
+        let limits = Limits { records_per_append, ..Limits::default() };
+        let mut session = Self::before_reports(executors, Ledger::default(), config(true), limits);
         for name in executors {
             session.report(name, &[], &[], 0);
         }
@@ -123,14 +133,18 @@
 
     /// A leader that has just taken over; its executors have not reported yet.
     pub fn without_reports(executors: &[&str], ledger: Ledger) -> Self {
-        Self::before_reports(executors, ledger, config(true))
+        Self::before_reports(executors, ledger, config(true), Limits::default())
     }
 
-    fn before_reports(executors: &[&str], ledger: Ledger, config: Arc<Config>) -> Self {
+    fn before_reports(
+        executors: &[&str],
+        ledger: Ledger,
+        config: Arc<Config>,
+        limits: Limits,
+    ) -> Self {
         let now = Now { time: Time::from_millis(10_000), wall: UnixMillis(1_000_000) };
         let registrations = executors.iter().map(|name| registration(name)).collect();
-        let scheduler =
-            Scheduler::recover(Limits::default(), now, ledger, 1, config, registrations);
+        let scheduler = Scheduler::recover(limits, now, ledger, 1, config, registrations);
         let mut session = Self { scheduler, now: 10_000, list_requested: Time::ZERO };
         // A leader that inherits orders for hosts starts with an append.
         for effect in session.settle() {
--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -4,6 +4,7 @@
 //! - [`hosts`]: hosts that crash, lose capacity, are removed and are maintained.
 //! - [`late_lists`]: lists of hosts that are slow, old or incomplete.
 //! - [`poison_tasks`]: tasks that crash the executors that run them.
+//! - [`store`]: what is stored, and what the next leader would know.
 //! - [`processor`]: the time that calls and events take the leader.
 //! - [`checks`]: the invariants.
 
@@ -13,6 +14,7 @@
 mod orders;
 pub mod poison_tasks;
 pub mod processor;
+pub mod store;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -28,11 +30,7 @@
     executor::Registration,
     incarnation,
     job::{JobSpec, Schedule, Size, Step, Submission},
-    ledger::{
-        Ledger,
-        record::{Outcome, Record},
-        snapshot::Snapshot,
-    },
+    ledger::record::{Outcome, Record},
     reducer::{Limits, Scheduler},
     task::TaskKey,
 };
@@ -50,6 +48,7 @@
 use hosts::Hosts;
 use poison_tasks::PoisonTasks;
 use processor::{Processor, Work};
+use store::{Store, TermEnd};
 
 /// One step of the simulation, in milliseconds.
 const STEP: u64 = 5;
@@ -107,10 +106,8 @@
     partitioned_until: BTreeMap<ExecutorName, u64>,
     dead: BTreeSet<ExecutorName>,
     submissions: BTreeMap<JobName, Arc<Submission>>,
-    stored_jobs: BTreeSet<JobName>,
+    pub store: Store,
     cancelled: BTreeMap<JobName, u64>,
-    appends: BTreeMap<u64, Vec<Record>>,
-    snapshot: Snapshot,
     store_outage_until: u64,
     pending_appends: Vec<(u64, u64, Vec<Record>, Vec<JobName>)>,
     leader: Option<Scheduler>,
@@ -120,6 +117,9 @@
     due: Vec<(u64, Due)>,
     next_executor: u32,
     config: Arc<Config>,
+    pub limits: Limits,
+    /// Ends terms at certain appends.
+    pub term_end: Option<TermEnd>,
     /// Quotas of earlier configurations, each with the time until which starts may rely on it.
     earlier_quotas: Vec<(u64, CallerName, Size)>,
     pub reported: BTreeMap<JobName, Outcome>,
@@ -148,10 +148,8 @@
             partitioned_until: BTreeMap::new(),
             dead: BTreeSet::new(),
             submissions: BTreeMap::new(),
-            stored_jobs: BTreeSet::new(),
+            store: Store::default(),
             cancelled: BTreeMap::new(),
-            appends: BTreeMap::new(),
-            snapshot: Snapshot::default(),
             store_outage_until: 0,
             pending_appends: Vec::new(),
             leader: None,
@@ -161,6 +159,8 @@
             due: Vec::new(),
             next_executor: 0,
             config: config(enforces_capacity),
+            limits: Limits { append_interval: Duration::from_millis(10), ..Limits::default() },
+            term_end: None,
             earlier_quotas: Vec::new(),
             reported: BTreeMap::new(),
             reported_at: BTreeMap::new(),
@@ -383,13 +383,25 @@
             caller,
         });
         self.submissions.insert(name.clone(), submission.clone());
-        self.stored_jobs.insert(name.clone());
+        self.store_submission(submission);
+    }
+
+    /// Stores a submission, or stores it again: its caller's request may arrive twice.
+    fn store_submission(&mut self, submission: Arc<Submission>) {
+        self.store.submit(&submission);
         let moment = self.moment();
         if let Some(leader) = &mut self.leader {
             leader.handle(moment, Event::Submitted(submission));
         }
     }
 
+    /// The request of a random job arrives once more.
+    pub fn resubmit_one(&mut self) {
+        let jobs: Vec<&Arc<Submission>> = self.submissions.values().collect();
+        let again = jobs[self.rng.usize(..jobs.len())].clone();
+        self.store_submission(again);
+    }
+
     fn cancel_one(&mut self) {
         let open: Vec<JobName> = self
             .submissions
@@ -433,6 +445,7 @@
         self.commit_appends();
         self.run_processor(STEP as i64 * 1_000);
         self.run_leader();
+        self.end_term_after_effects();
         self.check();
     }
 
@@ -498,26 +511,20 @@
         }
         self.token += 1;
         self.pending_appends.clear();
-        let jobs: Vec<Arc<Submission>> =
-            self.stored_jobs.iter().map(|job| self.submissions[job].clone()).collect();
-        let mut ledger: Ledger = self.snapshot.clone().restore(jobs.iter().cloned());
-        let mut next = self.snapshot.through + 1;
-        for (number, records) in &self.appends {
-            if *number > self.snapshot.through {
-                records.iter().for_each(|record| ledger.apply(record));
-                next = number + 1;
-            }
-        }
-        let limits = Limits { append_interval: Duration::from_millis(10), ..Limits::default() };
+        let (ledger, next) = self.store.restore();
+        let stale = self.store.stale_submissions(&ledger);
         let moment = self.moment();
         let mut leader = Scheduler::recover(
-            limits,
+            self.limits.clone(),
             moment,
             ledger,
             next,
             self.config.clone(),
             self.registrations(),
         );
+        for submission in stale {
+            leader.handle(moment, Event::Submitted(submission));
+        }
         for job in self.cancelled.keys() {
             leader.handle(moment, Event::Cancelled(job.clone()));
         }
@@ -533,9 +540,10 @@
             if token != self.token || self.leader.is_none() {
                 continue;
             }
-            self.appends.insert(append, records);
-            for job in forget {
-                self.stored_jobs.remove(&job);
+            self.store.append(append, records, &forget);
+            self.violations.extend(self.store.check());
+            if self.ends_term_before_confirmation(append) {
+                continue;
             }
             let moment = self.moment();
             let leader = self.leader.as_mut().unwrap();
@@ -556,11 +564,13 @@
                 _ => None,
             };
             if let Some(outcome) = outcome {
+                self.violations.extend(self.store.check_reported(job, outcome));
                 self.reported.entry(job.clone()).or_insert(outcome);
                 self.reported_at.entry(job.clone()).or_insert(self.now);
             }
         }
         for effect in effects {
+            self.violations.extend(self.store.check_effect(&effect));
             match effect {
                 Effect::Append { append, records, forget } => {
                     self.pending_appends.push((token, append, records, forget));
@@ -581,8 +591,8 @@
                 Effect::ReportWave { wave, completed } => self.check_wave_report(wave, completed),
                 Effect::Count(_) => {}
                 Effect::StoreSnapshot { snapshot, remove } => {
-                    self.snapshot = *snapshot;
-                    self.appends.retain(|number, _| !remove.contains(number));
+                    self.store.replace_snapshot(*snapshot, &remove);
+                    self.violations.extend(self.store.check());
                 }
                 Effect::StepDown => {
                     self.violations.push("stepped down without another leader".to_owned());
