--- a/crates/borageswitch_scheduler/src/reducer/outbox.rs
+++ b/crates/borageswitch_scheduler/src/reducer/outbox.rs
@@ -65,6 +65,8 @@
     removals: Removals,
     /// The first append that no snapshot covers.
     first_uncompacted: u64,
+    /// The ledger at a position that is not sent yet, to be stored as a snapshot.
+    snapshot: Option<(Position, Box<Snapshot>)>,
 }
 
 /// The number of appends after which a snapshot of the ledger is stored, so that a takeover reads
@@ -83,6 +85,7 @@
             actions: AfterStored::default(),
             removals: Removals::default(),
             first_uncompacted: next_append.saturating_sub(APPENDS_PER_SNAPSHOT),
+            snapshot: None,
         }
     }
 
@@ -136,23 +139,36 @@
             let millis = self.led_millis(now.time);
             self.record(Record::TermTime { millis });
         }
+        self.take_snapshot();
         let outbox = &mut self.outbox;
         let append = outbox.next_append;
-        let records = outbox.records.take(self.limits.records_per_append);
+        let until = outbox.snapshot.as_ref().map_or(outbox.records.end(), |(end, _)| *end);
+        let records = outbox.records.take(self.limits.records_per_append, until);
         let through = outbox.records.sent();
         // The keys of a job may go with its end, as an append takes effect as a whole.
         let forget = outbox.removals.take(through);
-        // A snapshot must not contain records that are still to be stored: a later append would
-        // apply them a second time when it is read after the snapshot.
-        let is_due = append >= outbox.first_uncompacted + APPENDS_PER_SNAPSHOT;
-        let snapshot = (is_due && outbox.records.is_empty())
-            .then(|| Box::new(Snapshot::of(&self.ledger, append)));
+        let snapshot = outbox.snapshot.take_if(|(end, _)| *end == through);
+        let snapshot =
+            snapshot.map(|(_, snapshot)| Box::new(Snapshot { through: append, ..*snapshot }));
         outbox.next_append += 1;
         outbox.in_flight = Some(InFlight { append, through, snapshot });
         outbox.sent_at = now.time;
         self.effects.push(Effect::Append { append, records, forget });
     }
 
+    /// Takes a snapshot if one is due.
+    ///
+    /// It contains all records that are queued. A later append with one of these would apply it a
+    /// second time, so the snapshot is stored after the append with the last of them.
+    fn take_snapshot(&mut self) {
+        let outbox = &mut self.outbox;
+        let due = outbox.next_append >= outbox.first_uncompacted + APPENDS_PER_SNAPSHOT;
+        if due && outbox.snapshot.is_none() {
+            let snapshot = Box::new(Snapshot::of(&self.ledger, outbox.next_append));
+            outbox.snapshot = Some((outbox.records.end(), snapshot));
+        }
+    }
+
     pub(super) fn appended(&mut self, now: Now, append: u64) {
         let outbox = &mut self.outbox;
         let Some(in_flight) = outbox.in_flight.take_if(|sent| sent.append == append) else {
--- a/crates/borageswitch_scheduler/src/reducer/outbox/after_stored.rs
+++ b/crates/borageswitch_scheduler/src/reducer/outbox/after_stored.rs
@@ -35,9 +35,10 @@
         Position(self.sent + self.records.len() as u64)
     }
 
-    /// Takes the next records to send, at most `limit`.
-    pub(super) fn take(&mut self, limit: usize) -> Vec<Record> {
-        let count = self.records.len().min(limit);
+    /// Takes the next records to send: at most `limit`, and none after `until`.
+    pub(super) fn take(&mut self, limit: usize, until: Position) -> Vec<Record> {
+        let before_end = until.0.saturating_sub(self.sent) as usize;
+        let count = self.records.len().min(limit).min(before_end);
         self.sent += count as u64;
         self.records.drain(..count).collect()
     }
--- a/crates/borageswitch_scheduler/tests/queued_records.rs
+++ b/crates/borageswitch_scheduler/tests/queued_records.rs
@@ -1,4 +1,4 @@
-//! Effects and removals of keys while more records are queued than one append carries.
+//! Effects, removals of keys and snapshots while more records are queued than one append carries.
 
 mod support;
 
@@ -8,7 +8,7 @@
     effect::Effect,
     event::Event,
     job::{Size, Step},
-    ledger::record::Record,
+    ledger::{Ledger, record::Record, snapshot::Snapshot},
 };
 use borageswitch_types::names::JobName;
 use support::session::{Session, active, done, key, step};
@@ -17,6 +17,8 @@
 const TASKS: u32 = 4_500;
 /// Enough appends to start them.
 const ROUNDS_TO_START: u32 = 4;
+/// The number of appends of a session whose queue never drains.
+const APPENDS: u64 = 60;
 
 /// Stores the next append and returns its records and the jobs whose submissions it removes.
 fn store_next(session: &mut Session) -> Option<(Vec<Record>, Vec<JobName>)> {
@@ -74,3 +76,37 @@
 
     assert_eq!(started(&effects), 2, "{effects:?}");
 }
+
+#[test]
+fn snapshots_are_stored_although_the_queue_never_drains() {
+    // Guards against a log that grows for as long as records are queued faster than they are stored.
+    let mut session = Session::with_records_per_append(&[], 4);
+    let mut stored: Vec<Record> = Vec::new();
+    let mut last_snapshot: Option<Snapshot> = None;
+    let mut after_snapshot: Vec<Record> = Vec::new();
+
+    for append in 1..=APPENDS {
+        for number in 0..5 {
+            let job = format!("{append}-{number}");
+            session.submit(&job, vec![step(1)]);
+            session.handle(Event::Cancelled(JobName::from(&*job)));
+        }
+        let (records, _) = store_next(&mut session).unwrap();
+        stored.extend(records.iter().cloned());
+        after_snapshot.extend(records);
+        for effect in session.settle() {
+            if let Effect::StoreSnapshot { snapshot, .. } = effect {
+                assert_eq!(snapshot.through, append);
+                last_snapshot = Some(*snapshot);
+                after_snapshot.clear();
+            }
+        }
+    }
+
+    let snapshot = last_snapshot.expect("a snapshot");
+    let mut restored = snapshot.restore([]);
+    after_snapshot.iter().for_each(|record| restored.apply(record));
+    let mut expected = Ledger::default();
+    stored.iter().for_each(|record| expected.apply(record));
+    assert_eq!(restored, expected);
+}
