Keep the outcome of a job until its submission is removed

What would happen: a job that ended more than 160 s ago is taken for a new one by the next leader, and runs again.

Cause: if the store refuses the removals of an append, they were cleared and left to the next leader, while the outcome of the job was dropped after its retention. The same holds for removals that wait for more than that time.

Change: the runtime reports an append that was stored without its removals; they are sent again after 10 s, with the stored cancellations that go with them.

--- a/crates/borageswitch_runtime/src/appends.rs
+++ b/crates/borageswitch_runtime/src/appends.rs
@@ -27,8 +27,10 @@
 /// The outcome of storing an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AppendOutcome {
-    /// The append is stored.
+    /// The append is stored, and the keys are removed.
     Stored,
+    /// The append is stored, but the store has refused to remove the keys.
+    StoredWithoutRemovals,
     /// Another daemon leads, or this one has lost its lease.
     Deposed,
 }
@@ -53,17 +55,18 @@
         remove: forget.iter().map(keys::job).chain(cancels.iter().map(keys::cancel)).collect(),
     };
     let sent = clock::time();
+    let mut stored = AppendOutcome::Stored;
     loop {
         match with_resend(&shared.store_times, || shared.platform.commit(&tx)).await {
             Ok(CommitOutcome::Done(_)) => {
                 warn_if_slow(append, records.len(), clock::time().since(sent));
-                return AppendOutcome::Stored;
+                return stored;
             }
             Ok(CommitOutcome::Conflict(items)) => {
                 let leads = items.iter().any(|i| &*i.key == keys::LEADER && i.revision == token);
                 let exists = items.iter().any(|item| item.key == key);
                 if leads && exists {
-                    return AppendOutcome::Stored;
+                    return stored;
                 }
                 if !leads {
                     return AppendOutcome::Deposed;
@@ -71,10 +74,11 @@
                 log::error!(append = append; "conflict without a conflicting key; retrying the append");
             }
             Ok(CommitOutcome::NoLease) => return AppendOutcome::Deposed,
-            // The records must be stored in any case. The next leader removes the remaining keys.
+            // The records must be stored in any case.
             Err(StoreError::Malformed) if !tx.remove.is_empty() => {
                 log::error!(append = append, keys = tx.remove.len(); "removal-refused");
                 tx.remove.clear();
+                stored = AppendOutcome::StoredWithoutRemovals;
                 continue;
             }
             Err(err) => log::debug!(append = append; "append failed; retrying: {err}"),
--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -12,7 +12,7 @@
 mod slow_decisions;
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     sync::Arc,
     thread,
     time::{Duration, Instant},
@@ -27,7 +27,6 @@
     policy::manual_limits::ManualLimits,
     reducer::{Limits, Scheduler},
 };
-use borageswitch_types::names::JobName;
 use futures_lite::future;
 use smol::Timer;
 
@@ -55,7 +54,7 @@
     token: u64,
     scheduler: Scheduler,
     ended: Sender<&'static str>,
-    stored_cancels: BTreeSet<JobName>,
+    stored_cancels: cancels::StoredCancels,
     waiting_cancels: cancels::WaitingCancels,
     manual_limits: ManualLimits,
     refusals: overview::Refusals,
@@ -216,7 +215,7 @@
             token: term.token,
             scheduler,
             ended,
-            stored_cancels: recovered.cancelled.into_iter().collect(),
+            stored_cancels: cancels::StoredCancels::new(recovered.cancelled),
             waiting_cancels: BTreeMap::new(),
         });
     }
@@ -225,7 +224,11 @@
         let Some(leading) = self.leading.as_mut().filter(|leading| leading.token == token) else {
             return;
         };
-        let appended = matches!(event, Event::Appended { .. });
+        let appended =
+            matches!(event, Event::Appended { .. } | Event::AppendedWithoutRemovals { .. });
+        if matches!(event, Event::AppendedWithoutRemovals { .. }) {
+            leading.stored_cancels.keep_last();
+        }
         // After a watch was cut, jobs and cancellations are read again, and a cancellation may
         // arrive before its job. Without this the job would run although its caller cancelled it.
         let cancelled = match &event {
@@ -319,7 +322,7 @@
                     let _ = leading.ended.try_send("a newer leader was met");
                 }
                 effect => {
-                    let cancels = cancels::obsolete(&effect, &mut leading.stored_cancels);
+                    let cancels = leading.stored_cancels.take_obsolete(&effect);
                     let token = leading.token;
                     // Fails only when the process ends.
                     let _ = self.effects.try_send(PendingEffect { token, effect, cancels });
--- a/crates/borageswitch_runtime/src/control/cancels.rs
+++ b/crates/borageswitch_runtime/src/control/cancels.rs
@@ -29,8 +29,37 @@
     });
 }
 
-/// The jobs whose stored cancellation is obsolete once an append is stored.
-pub(super) fn obsolete(effect: &Effect, stored: &mut BTreeSet<JobName>) -> Vec<JobName> {
-    let Effect::Append { forget, .. } = effect else { return Vec::new() };
-    forget.iter().filter(|job| stored.remove(*job)).cloned().collect()
+/// The cancellations that are stored.
+#[derive(Debug)]
+pub(super) struct StoredCancels {
+    known: BTreeSet<JobName>,
+    /// Those that the last append removes.
+    removing: Vec<JobName>,
+}
+
+impl StoredCancels {
+    pub(super) fn new(known: Vec<JobName>) -> Self {
+        Self { known: known.into_iter().collect(), removing: Vec::new() }
+    }
+
+    pub(super) fn insert(&mut self, job: JobName) {
+        self.known.insert(job);
+    }
+
+    pub(super) fn contains(&self, job: &JobName) -> bool {
+        self.known.contains(job)
+    }
+
+    /// Takes the jobs whose stored cancellation goes with an append: those of the ended jobs whose
+    /// submissions it removes.
+    pub(super) fn take_obsolete(&mut self, effect: &Effect) -> Vec<JobName> {
+        let Effect::Append { forget, .. } = effect else { return Vec::new() };
+        self.removing = forget.iter().filter(|job| self.known.remove(*job)).cloned().collect();
+        self.removing.clone()
+    }
+
+    /// The last append has removed no keys.
+    pub(super) fn keep_last(&mut self) {
+        self.known.extend(self.removing.drain(..));
+    }
 }
--- a/crates/borageswitch_runtime/src/control/tests.rs
+++ b/crates/borageswitch_runtime/src/control/tests.rs
@@ -11,7 +11,7 @@
     },
 };
 use borageswitch_types::{
-    names::{PoolName, QueueName},
+    names::{JobName, PoolName, QueueName},
     time::UnixMillis,
 };
 
@@ -91,6 +91,20 @@
     assert_eq!(append, Some((job.clone(), job)));
 }
 
+#[test]
+fn a_cancellation_whose_removal_is_refused_is_removed_later() {
+    // Guards against a stored cancellation that cancels a later job of the same name.
+    let mut cancels = cancels::StoredCancels::new(vec![JobName::from("j")]);
+    let job = vec![JobName::from("j")];
+    let append = Effect::Append { append: 1, records: Vec::new(), forget: job.clone() };
+
+    let first = cancels.take_obsolete(&append);
+    cancels.keep_last();
+    let second = cancels.take_obsolete(&append);
+
+    assert_eq!((first, second), (job.clone(), job));
+}
+
 #[test]
 fn events_of_an_earlier_term_change_nothing() {
     // The response to an order of an earlier term arrives after the daemon has become the leader
--- a/crates/borageswitch_runtime/src/orders.rs
+++ b/crates/borageswitch_runtime/src/orders.rs
@@ -163,7 +163,9 @@
 /// out, as most of them wait for something to happen.
 fn call_labels(event: &Event) -> Option<(&'static str, String)> {
     match event {
-        Event::Appended { .. } => Some(("store", "stored".to_owned())),
+        Event::Appended { .. } | Event::AppendedWithoutRemovals { .. } => {
+            Some(("store", "stored".to_owned()))
+        }
         Event::StartAnswered { response, .. } => Some(("executor", response.to_string())),
         Event::StopAnswered { response, .. } | Event::SpeedLimitAnswered { response, .. } => {
             Some(("executor", response.to_string()))
@@ -191,6 +193,9 @@
         Effect::Append { append, records, forget } => {
             match appends::store(shared, token, append, &records, &forget, cancels).await {
                 AppendOutcome::Stored => Some(Event::Appended { append }),
+                AppendOutcome::StoredWithoutRemovals => {
+                    Some(Event::AppendedWithoutRemovals { append })
+                }
                 AppendOutcome::Deposed => {
                     shared.depose(token).await;
                     None
--- a/crates/borageswitch_scheduler/src/event.rs
+++ b/crates/borageswitch_scheduler/src/event.rs
@@ -142,11 +142,16 @@
     RegistrationChanged(RegistrationChange),
     /// The complete list of registered executors; those that are missing were removed.
     RegistrationsListed(Vec<Registration>),
-    /// Records were stored.
+    /// Records were stored, and the keys of ended jobs removed with them.
     Appended {
         /// The sequence number of the append.
         append: u64,
     },
+    /// Records were stored, but the store has refused to remove keys with them.
+    AppendedWithoutRemovals {
+        /// The sequence number of the append.
+        append: u64,
+    },
     /// An order to start a run was responded to, or timed out.
     StartAnswered {
         /// The incarnation to which the order was sent.
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -13,7 +13,7 @@
     event::Now,
     job::{JobSpec, Submission},
     ledger::{
-        OUTCOME_RETENTION,
+        Finished, OUTCOME_RETENTION,
         job::{Job, Occurrence},
         record::{LingeringRun, Outcome, Record},
     },
@@ -241,10 +241,26 @@
         let slack = FORGET_INTERVAL.as_millis() as u64;
         let overdue = self.ledger.finished.values().any(|f| f.at.0 + slack < before.0);
         if overdue {
+            self.renew_outcomes(now, before);
             self.record(Record::OutcomesDropped { before });
         }
     }
 
+    /// Renews the outcomes that would be dropped although the submission of the job may still be
+    /// stored: without its outcome, the next leader would take the job for a new one.
+    fn renew_outcomes(&mut self, now: Now, before: UnixMillis) {
+        let finished = &self.ledger.finished;
+        let stored = self.outbox.stored_submissions();
+        let renewed = stored.filter_map(|job| {
+            let Finished { queue, outcome, at } = finished.get(job)?;
+            let (job, queue, outcome) = (job.clone(), queue.clone(), *outcome);
+            (*at < before).then_some(Record::Finished { job, queue, outcome, at: now.wall })
+        });
+        for record in renewed.collect::<Vec<_>>() {
+            self.record(record);
+        }
+    }
+
     pub(super) fn learn_duration(&mut self, now: Now, task: &TaskKey, held: &HeldRun) {
         let Some(job) = self.ledger.jobs.get(&task.job) else { return };
         let Some(step) = job.step(task.step) else { return };
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -236,6 +236,10 @@
             Event::RegistrationChanged(seen) => self.handle_registration(now, seen),
             Event::RegistrationsListed(all) => self.handle_registration_list(now, all),
             Event::Appended { append } => self.appended(now, append),
+            Event::AppendedWithoutRemovals { append } => {
+                self.outbox.retry_removals(now, append);
+                self.appended(now, append);
+            }
             Event::StartAnswered { executor, task, run, sent, clock_ms, response } => {
                 self.start_answered(now, &executor, &task, run, sent, clock_ms, response);
             }
--- a/crates/borageswitch_scheduler/src/reducer/outbox.rs
+++ b/crates/borageswitch_scheduler/src/reducer/outbox.rs
@@ -123,6 +123,18 @@
     pub(super) fn forget(&mut self, job: JobName) {
         self.removals.push(&self.records, job);
     }
+
+    /// Sends the removals of an append again later, as the store has refused them.
+    pub(super) fn retry_removals(&mut self, now: Now, append: u64) {
+        if self.in_flight.as_ref().is_some_and(|sent| sent.append == append) {
+            self.removals.retry(now.time, &self.records);
+        }
+    }
+
+    /// The ended jobs whose submissions may still be stored.
+    pub(super) fn stored_submissions(&self) -> impl Iterator<Item = &JobName> {
+        self.removals.outstanding()
+    }
 }
 
 impl Scheduler {
@@ -130,7 +142,7 @@
     pub(super) fn flush(&mut self, now: Now) {
         self.release_actions(now);
         let outbox = &self.outbox;
-        let idle = outbox.records.is_empty() && !outbox.removals.are_due();
+        let idle = outbox.records.is_empty() && !outbox.removals.are_due(now.time);
         let paused = now.time.since(outbox.sent_at) < self.limits.append_interval;
         if idle || outbox.in_flight.is_some() || (paused && outbox.sent_at > Time::ZERO) {
             return;
@@ -146,7 +158,7 @@
         let records = outbox.records.take(self.limits.records_per_append, until);
         let through = outbox.records.sent();
         // The keys of a job may go with its end, as an append takes effect as a whole.
-        let forget = outbox.removals.take(through);
+        let forget = outbox.removals.take(now.time, through);
         let snapshot = outbox.snapshot.take_if(|(end, _)| *end == through);
         let snapshot =
             snapshot.map(|(_, snapshot)| Box::new(Snapshot { through: append, ..*snapshot }));
@@ -175,6 +187,7 @@
             return;
         };
         outbox.stored = in_flight.through;
+        outbox.removals.confirm();
         if let Some(snapshot) = in_flight.snapshot {
             let remove = outbox.first_uncompacted..=snapshot.through;
             outbox.first_uncompacted = snapshot.through + 1;
--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -78,6 +78,8 @@
     pub capacity_drop: u32,
     /// A host is removed permanently after a notice, and replaced by another one.
     pub host_removal: u32,
+    /// The store refuses to remove keys with an append.
+    pub refused_removal: u32,
     /// A maintenance wave over half of the hosts is requested.
     pub wave: u32,
     /// The platform's list of hosts is unavailable for some seconds.
@@ -540,14 +542,20 @@
             if token != self.token || self.leader.is_none() {
                 continue;
             }
-            self.store.append(append, records, &forget);
+            let refused = !forget.is_empty() && self.chance(self.faults.refused_removal);
+            let removed = if refused { Vec::new() } else { forget };
+            self.store.append(append, records, &removed);
             self.violations.extend(self.store.check());
             if self.ends_term_before_confirmation(append) {
                 continue;
             }
             let moment = self.moment();
             let leader = self.leader.as_mut().unwrap();
-            leader.handle(moment, Event::Appended { append });
+            let event = match refused {
+                true => Event::AppendedWithoutRemovals { append },
+                false => Event::Appended { append },
+            };
+            leader.handle(moment, event);
         }
     }
 
--- a/crates/borageswitch_scheduler/tests/term_ends.rs
+++ b/crates/borageswitch_scheduler/tests/term_ends.rs
@@ -32,7 +32,13 @@
 /// Simulates jobs whose records are queued faster than they are stored, and requests that arrive
 /// twice, then enough time for all jobs to end.
 fn simulate(seed: u64, jobs: u32, term_end: Option<TermEnd>) -> Simulation {
-    let faults = Faults { lost_response: 10, delayed_order: 10, cancel: 2, ..Faults::default() };
+    let faults = Faults {
+        lost_response: 10,
+        delayed_order: 10,
+        cancel: 2,
+        refused_removal: 100,
+        ..Faults::default()
+    };
     let mut simulation = Simulation::new(seed, 4, true, faults);
     simulation.limits.records_per_append = simulation.rng.usize(1..8);
     simulation.term_end = term_end;
@@ -108,3 +114,20 @@
         }
     }
 }
+
+#[test]
+fn submissions_whose_removal_is_refused_are_not_taken_for_new_jobs() {
+    // Guards against dropping the outcome of a job whose submission is still stored.
+    let faults = Faults { refused_removal: 900, ..Faults::default() };
+    let mut simulation = Simulation::new(7, 4, true, faults);
+    for _ in 0..100 {
+        let steps = random_steps(&mut simulation);
+        simulation.submit(steps);
+        simulation.run(2_000);
+    }
+    simulation.crash_leader(50);
+    simulation.clear_faults();
+    simulation.run(40_000);
+
+    assert_invariants("a store that refuses removals", &simulation);
+}
