Decide in one place what the end of a run means, for lasting gangs too

Cause: two functions applied ends, one for a task and one for a gang; only the first asked whether the step lasts. A third rule limited attempts, and two more places acted on a done end whatever the step.

Ruled out: a gang that waits for a place, and a member that counts as running (the job would be in progress).

Change: ledger/run_end.rs alone decides what an end means and applies it to a task or to all members of a gang. Run times are learned, and other runs of a task stopped, only if its work is done by that.

The three of the ledger's own tests name the new module or stored states.

--- a/crates/borageswitch_scheduler/src/ledger/job.rs
+++ b/crates/borageswitch_scheduler/src/ledger/job.rs
@@ -7,6 +7,7 @@
 use crate::{
     executor::EndKind,
     job::{Step, Submission},
+    ledger::run_end::{self, RunEnd},
     task::TaskKey,
 };
 
@@ -66,6 +67,16 @@
         Self { tasks: vec![TaskState::default(); step.count as usize], done: 0 }
     }
 
+    fn completed(step: &Step) -> Self {
+        let task = TaskState { done: true, ..TaskState::default() };
+        Self { tasks: vec![task; step.count as usize], done: step.count }
+    }
+
+    fn reopen(&mut self) {
+        self.tasks.iter_mut().for_each(|task| task.done = false);
+        self.done = 0;
+    }
+
     /// Returns whether every task is done.
     pub fn is_done(&self) -> bool {
         self.done as usize == self.tasks.len()
@@ -116,6 +127,29 @@
         job
     }
 
+    /// Creates a job with the progress that a leader has stored.
+    ///
+    /// Earlier versions took a lasting gang for done when its runs ended. Such gangs, and the
+    /// occurrences that were closed with them, are opened again.
+    pub(super) fn with_progress(submission: Arc<Submission>, progress: Progress) -> Self {
+        let mut job = Self { submission, progress };
+        if !job.submission.spec.is_lasting() {
+            return job;
+        }
+        let steps = &job.submission.spec.steps;
+        for occurrence in 0..job.progress.begun {
+            let open = job.progress.open.entry(occurrence).or_insert_with(|| Occurrence {
+                steps: steps.iter().map(StepState::completed).collect(),
+            });
+            for (state, step) in open.steps.iter_mut().zip(steps) {
+                if step.lasting && state.done > 0 {
+                    state.reopen();
+                }
+            }
+        }
+        job
+    }
+
     /// Begins an occurrence that is due: its tasks may run.
     pub(super) fn begin_occurrence(&mut self, occurrence: u32) {
         if occurrence < self.progress.begun {
@@ -183,77 +217,9 @@
         let Some(step) = self.step(task.step).cloned() else { return };
         let Some(occurrence) = self.progress.open.get_mut(&task.occurrence) else { return };
         let Some(state) = occurrence.steps.get_mut(usize::from(task.step)) else { return };
-        if state.tasks.get(task.index as usize).is_none_or(|task| task.done) {
-            return;
-        }
-        let checkpoint = checkpoint.filter(|_| step.checkpointing);
-        if step.gang {
-            end_of_gang(state, task, run, kind, checkpoint);
-        } else {
-            end_of_task(state, &step, task, run, kind, checkpoint);
-        }
+        run_end::apply(state, &step, &RunEnd { index: task.index, run, kind, checkpoint });
         if occurrence.is_done() {
             self.progress.open.remove(&task.occurrence);
         }
     }
 }
-
-/// Applies the end of a task that does its work alone.
-fn end_of_task(
-    state: &mut StepState,
-    step: &Step,
-    key: &TaskKey,
-    run: u32,
-    kind: EndKind,
-    checkpoint: Option<&Arc<str>>,
-) {
-    let task = &mut state.tasks[key.index as usize];
-    task.release(run);
-    if let Some(checkpoint) = checkpoint {
-        task.checkpoint = Some(checkpoint.clone());
-    }
-    match kind {
-        EndKind::Done if !step.lasting => {
-            task.done = true;
-            task.assigned = None;
-            state.done += 1;
-        }
-        EndKind::Failed => task.failures = task.failures.saturating_add(1),
-        EndKind::Done
-        | EndKind::Stopped
-        | EndKind::LeaseExpired
-        | EndKind::GangBroken
-        | EndKind::GangIncomplete => {}
-    }
-}
-
-/// Applies the end of a gang member. The members of a gang end together: one that is done completes
-/// all of them, and one that failed is a failure of the whole gang. It is counted once per run, as
-/// the other members are reported as broken.
-fn end_of_gang(
-    state: &mut StepState,
-    key: &TaskKey,
-    run: u32,
-    kind: EndKind,
-    checkpoint: Option<&Arc<str>>,
-) {
-    if kind == EndKind::Done {
-        for task in &mut state.tasks {
-            task.done = true;
-            task.assigned = None;
-        }
-        state.done = state.tasks.len() as u32;
-        return;
-    }
-    if let Some(checkpoint) = checkpoint {
-        for task in &mut state.tasks {
-            task.checkpoint = Some(checkpoint.clone());
-        }
-    }
-    if kind == EndKind::Failed {
-        for task in &mut state.tasks {
-            task.failures = task.failures.saturating_add(1);
-        }
-    }
-    state.tasks[key.index as usize].release(run);
-}
--- a/crates/borageswitch_scheduler/src/ledger/mod.rs
+++ b/crates/borageswitch_scheduler/src/ledger/mod.rs
@@ -8,6 +8,7 @@
 pub mod host_orders;
 pub mod job;
 pub mod record;
+pub mod run_end;
 pub mod snapshot;
 
 #[cfg(test)]
--- a/crates/borageswitch_scheduler/src/ledger/snapshot.rs
+++ b/crates/borageswitch_scheduler/src/ledger/snapshot.rs
@@ -85,10 +85,10 @@
             if ledger.finished.contains_key(&name) {
                 continue;
             }
-            let mut job = Job::new(submission);
-            if let Some(progress) = progress.remove(&name) {
-                job.progress = progress;
-            }
+            let job = match progress.remove(&name) {
+                Some(progress) => Job::with_progress(submission, progress),
+                None => Job::new(submission),
+            };
             ledger.jobs.insert(name, job);
         }
         ledger
--- a/crates/borageswitch_scheduler/src/ledger/tests.rs
+++ b/crates/borageswitch_scheduler/src/ledger/tests.rs
@@ -181,6 +181,81 @@
     assert!(ledger.jobs[&JobName::from("g")].is_done());
 }
 
+const ALL_ENDS: [EndKind; 6] = [
+    EndKind::Done,
+    EndKind::Failed,
+    EndKind::Stopped,
+    EndKind::LeaseExpired,
+    EndKind::GangBroken,
+    EndKind::GangIncomplete,
+];
+
+#[test]
+fn no_end_completes_or_fails_a_lasting_task_or_gang() {
+    // Guards against showing a lasting job as completed or failed when its runs end.
+    for (gang, kind) in ALL_ENDS.iter().flat_map(|kind| [(false, *kind), (true, *kind)]) {
+        let lasting = Step { gang, lasting: true, ..step(2) };
+        let mut ledger = Ledger::default();
+        ledger.submit(submission("l", vec![lasting.clone()]));
+
+        for run in 1..4 {
+            for index in 0..2 {
+                ledger.apply(&assigned("l", index, run));
+                ledger.apply(&ended("l", index, run, u64::from(2 * run + index), kind));
+            }
+        }
+
+        let job = &ledger.jobs[&JobName::from("l")];
+        assert!(!job.is_done(), "gang {gang}, {kind}");
+        let state = job.step_state(0, 0).unwrap();
+        assert!(!run_end::has_used_up_attempts(state, &lasting, 1), "gang {gang}, {kind}");
+        assert!(state.tasks.iter().all(job::TaskState::is_waiting), "gang {gang}, {kind}");
+    }
+}
+
+#[test]
+fn a_lasting_gang_that_an_earlier_version_completed_is_opened_again() {
+    // Guards against completing a lasting job after an upgrade, from a snapshot of earlier versions.
+    let gang = Step { gang: true, lasting: true, after: vec![0], ..step(2) };
+    let job = submission("l", vec![step(2), gang]);
+    let mut ledger = Ledger::default();
+    ledger.submit(job.clone());
+    let mut stored = Snapshot::of(&ledger, 1);
+    let progress = job::Progress { begun: 1, started: true, ..job::Progress::default() };
+    stored.jobs.insert(JobName::from("l"), progress);
+
+    let restored = stored.restore([job]);
+
+    let job = &restored.jobs[&JobName::from("l")];
+    assert!(!job.is_done());
+    assert!(job.step_state(0, 0).unwrap().is_done(), "tasks that were done do not run again");
+    let gang = job.step_state(0, 1).unwrap();
+    assert!(gang.tasks.iter().all(job::TaskState::is_waiting), "{gang:?}");
+}
+
+#[test]
+fn an_open_occurrence_with_a_lasting_gang_marked_as_done_is_repaired() {
+    // Guards against a lasting gang that stays done after an upgrade, beside steps that still run.
+    let gang = Step { gang: true, lasting: true, ..step(2) };
+    let job = submission("l", vec![gang, step(1)]);
+    let mut ledger = Ledger::default();
+    ledger.submit(job.clone());
+    ledger.apply(&assigned("l", 0, 1));
+    let mut stored = Snapshot::of(&ledger, 1);
+    let progress = stored.jobs.get_mut(&JobName::from("l")).unwrap();
+    let state = &mut progress.open.get_mut(&0).unwrap().steps[0];
+    state.done = 2;
+    for task in &mut state.tasks {
+        *task = job::TaskState { done: true, last_run: 4, ..job::TaskState::default() };
+    }
+
+    let restored = stored.restore([job]);
+
+    let gang = restored.jobs[&JobName::from("l")].step_state(0, 0).unwrap();
+    assert_eq!((gang.done, gang.tasks[0].last_run), (0, 4));
+    assert!(gang.tasks.iter().all(job::TaskState::is_waiting), "{gang:?}");
+}
+
 #[test]
 fn an_occurrence_that_waits_is_part_of_a_snapshot() {
     // Guards against an occurrence that is due, but waits for capacity when the leader changes, and
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -16,6 +16,7 @@
         Finished, OUTCOME_RETENTION,
         job::{Job, Occurrence},
         record::{LingeringRun, Outcome, Record},
+        run_end,
     },
     policy::{
         caller_shares::JobBucket,
@@ -306,9 +307,11 @@
 fn has_failed(job: &Job, max_attempts: u16) -> bool {
     let steps = &job.submission.spec.steps;
     job.progress.open.values().any(|occurrence| {
-        occurrence.steps.iter().zip(steps).any(|(state, step)| {
-            !step.lasting && state.tasks.iter().any(|task| task.failures >= max_attempts)
-        })
+        occurrence
+            .steps
+            .iter()
+            .zip(steps)
+            .any(|(state, step)| run_end::has_used_up_attempts(state, step, max_attempts))
     })
 }
 
--- a/crates/borageswitch_scheduler/src/reducer/run_ends.rs
+++ b/crates/borageswitch_scheduler/src/reducer/run_ends.rs
@@ -5,7 +5,7 @@
 use crate::{
     event::Now,
     executor::{EndKind, EndedRun},
-    ledger::record::Record,
+    ledger::{record::Record, run_end::EndMeaning},
     reducer::Scheduler,
     task::TaskKey,
 };
@@ -50,7 +50,11 @@
             EndKind::GangIncomplete => self.note_gang_incomplete(now, &ended.task),
             EndKind::Stopped | EndKind::LeaseExpired | EndKind::GangBroken => {}
         }
-        if let Some(held) = held.filter(|_| ended.how == EndKind::Done) {
+        let job = self.ledger.jobs.get(&ended.task.job);
+        let step = job.and_then(|job| job.step(ended.task.step));
+        let meaning = step.map(|step| EndMeaning::of(step, ended.how));
+        let is_completed = meaning == Some(EndMeaning::Completed);
+        if let Some(held) = held.filter(|_| is_completed) {
             self.learn_duration(now, &ended.task, &held);
         }
         self.dirty_pools.insert(pool);
@@ -70,7 +74,9 @@
             checkpoint: ended.checkpoint.clone(),
         });
         self.outbox.defer_acknowledge(executor.clone(), ended.number);
-        self.stop_redundant_runs(now, &ended.task, ended.how);
+        if is_completed {
+            self.stop_redundant_runs(now, &ended.task);
+        }
     }
 
     /// Counts a failed run against the executor, unless the task has failed before or its job has
--- a/crates/borageswitch_scheduler/src/reducer/starts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/starts.rs
@@ -15,7 +15,6 @@
 use crate::{
     effect::{Effect, StartOrder},
     event::{Now, OrderResponse, StartResponse},
-    executor::EndKind,
     reducer::{Scheduler, crashes::EndDetection, executors::Phase},
     task::TaskKey,
 };
@@ -272,16 +271,13 @@
         }
     }
 
-    /// Stops the other runs of a task once one of them is done.
-    pub(super) fn stop_redundant_runs(&mut self, now: Now, ended: &TaskKey, how: EndKind) {
-        if how != EndKind::Done {
-            return;
-        }
-        let redundant = self.executors.runs_of(&ended.job).filter(|(_, task)| task == ended);
+    /// Stops the other runs of a task that is done.
+    pub(super) fn stop_redundant_runs(&mut self, now: Now, done: &TaskKey) {
+        let redundant = self.executors.runs_of(&done.job).filter(|(_, task)| task == done);
         let redundant: Vec<ExecutorName> =
             redundant.map(|(executor, _)| executor.clone()).collect();
         for executor in redundant {
-            self.order_stop(now, &executor, ended);
+            self.order_stop(now, &executor, done);
         }
     }
 }
--- a/crates/borageswitch_scheduler/tests/randomised.rs
+++ b/crates/borageswitch_scheduler/tests/randomised.rs
@@ -132,6 +132,28 @@
     }
 }
 
+#[test]
+fn lasting_tasks_and_gangs_start_again_however_their_runs_end() {
+    // Guards against lasting jobs that are taken for completed or failed, under changes of leader.
+    let faults = Faults {
+        leader_crash: 4,
+        lost_response: 20,
+        executor_crash: 1,
+        truncated_reports: true,
+        lasting_ends: true,
+        ..Faults::default()
+    };
+    for seed in seeds() {
+        let mut simulation = Simulation::new(seed, 6, true, faults);
+        let gang = Step { gang: true, max_per_host: None, ..lasting_steps(3)[0].clone() };
+        simulation.submit(vec![gang]);
+        simulation.submit(lasting_steps(3));
+        let simulation = run_simulation(simulation);
+
+        assert_invariants(seed, &simulation);
+    }
+}
+
 #[test]
 fn crashed_and_partitioned_executors_run_no_task_twice() {
     // A partitioned executor continues its runs until its lease expires. A crashed one never
--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -91,6 +91,8 @@
     /// Lists of hosts take seconds, are seconds old, and name new hosts seconds late. This is a
     /// switch, not a probability.
     pub late_lists: bool,
+    /// Runs of lasting tasks end by themselves. This is a switch, not a probability.
+    pub lasting_ends: bool,
 }
 
 enum Due {
@@ -249,6 +251,7 @@
     ) -> SimExecutor {
         let mut executor = SimExecutor::new(cores(16), enforces_capacity, clock_offset, slow_clock);
         executor.ended_per_report = self.ended_per_report;
+        executor.ends_lasting = self.faults.lasting_ends;
         executor
     }
 
