Count a run of a gang as one failure however many members fail

Cause: each failed member counted as a failure of the whole gang.

Change: the ledger keeps the failed runs of each gang, whose members share the number of a run, and counts each run once, also if it is listed late or to the next leader.

The tests failed before: failures [3, 3, 3] in place of [1, 1, 1], and [3, 3] in place of [2, 2].

--- a/crates/borageswitch_runtime/src/codec.rs
+++ b/crates/borageswitch_runtime/src/codec.rs
@@ -48,8 +48,8 @@
 /// The number of fields appended to the first layout of a submission: the caller.
 const FIELDS_ADDED_TO_SUBMISSION: usize = 1;
 /// The number of fields appended to the first layout of a snapshot: lingering runs, suspects,
-/// given-up jobs.
-pub const FIELDS_ADDED_TO_SNAPSHOT: usize = 3;
+/// given-up jobs, failed runs of gangs.
+pub const FIELDS_ADDED_TO_SNAPSHOT: usize = 4;
 
 /// Decodes a stored value whose last `added_fields` fields were appended to its first layout and
 /// may be missing.
--- a/crates/borageswitch_runtime/src/codec/tests.rs
+++ b/crates/borageswitch_runtime/src/codec/tests.rs
@@ -32,7 +32,7 @@
     let mut snapshot = encode(&before);
 
     assert_eq!(decode_submission(&stored), Ok(now));
-    for added_field in ["given up jobs", "suspects", "lingering runs"] {
+    for added_field in ["failed runs of gangs", "given up jobs", "suspects", "lingering runs"] {
         assert_eq!(snapshot.pop(), Some(0), "{added_field} are a last byte");
         let decoded =
             decode_with_added_fields::<Snapshot>("snapshot", &snapshot, FIELDS_ADDED_TO_SNAPSHOT);
--- a/crates/borageswitch_scheduler/src/ledger/mod.rs
+++ b/crates/borageswitch_scheduler/src/ledger/mod.rs
@@ -14,7 +14,11 @@
 #[cfg(test)]
 mod tests;
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use borageswitch_types::{
     names::{ExecutorName, HostName, JobName, QueueName},
@@ -30,7 +34,7 @@
         job::Job,
         record::{LingeringRun, Outcome, Record},
     },
-    task::TaskKey,
+    task::{StepKey, TaskKey},
 };
 
 /// How long the outcome of a job is kept after its end: the two minutes that callers are promised,
@@ -70,6 +74,8 @@
     pub suspects: BTreeMap<TaskKey, Vec<Crash>>,
     /// Jobs that have failed because one of their tasks crashes executors.
     pub given_up: BTreeMap<JobName, GivenUp>,
+    /// For each gang, the runs that have failed. The members of a gang share the number of a run.
+    pub failed_gang_runs: BTreeMap<StepKey, BTreeSet<u32>>,
 }
 
 impl Ledger {
@@ -116,6 +122,7 @@
             Record::Finished { job, queue, outcome, at } => {
                 self.jobs.remove(job);
                 self.suspects.retain(|task, _| task.job != *job);
+                self.failed_gang_runs.retain(|step, _| step.job != *job);
                 let finished = Finished { queue: queue.clone(), outcome: *outcome, at: *at };
                 self.finished.insert(job.clone(), finished);
             }
@@ -208,9 +215,13 @@
     }
 
     fn end(&mut self, task: &TaskKey, run: u32, kind: EndKind, checkpoint: Option<&Arc<str>>) {
-        if let Some(job) = self.jobs.get_mut(&task.job) {
-            job.end(task, run, kind, checkpoint);
-        }
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(step) = job.step(task.step) else { return };
+        let failed_runs = &mut self.failed_gang_runs;
+        let kind = run_end::as_part_of_gang(step, kind, || {
+            failed_runs.entry(task.step_key()).or_default().insert(run)
+        });
+        job.end(task, run, kind, checkpoint);
     }
 
     /// Returns the state of a task of a job that has not ended.
--- a/crates/borageswitch_scheduler/src/ledger/run_end.rs
+++ b/crates/borageswitch_scheduler/src/ledger/run_end.rs
@@ -31,6 +31,19 @@
     }
 }
 
+/// How the end of a task counts that may be a member of a gang.
+///
+/// A gang fails as a whole, so of the members that fail in one run only the first counts;
+/// `note_failure` notes that the run has failed and returns whether that is new.
+pub(super) fn as_part_of_gang<F>(step: &Step, kind: EndKind, note_failure: F) -> EndKind
+where
+    F: FnOnce() -> bool,
+{
+    // The failures of a lasting gang are not limited, so its runs need not be kept.
+    let is_shared = kind == EndKind::Failed && step.gang && !step.lasting;
+    if is_shared && !note_failure() { EndKind::GangBroken } else { kind }
+}
+
 /// The end of a run of one task of a step.
 #[derive(Debug)]
 pub(super) struct RunEnd<'a> {
--- a/crates/borageswitch_scheduler/src/ledger/snapshot.rs
+++ b/crates/borageswitch_scheduler/src/ledger/snapshot.rs
@@ -1,6 +1,9 @@
 //! The stored form of the ledger at one point.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use borageswitch_types::names::{ExecutorName, HostName, JobName};
 
@@ -13,7 +16,7 @@
         job::{Job, Progress},
         record::LingeringRun,
     },
-    task::TaskKey,
+    task::{StepKey, TaskKey},
 };
 
 /// The ledger without the submissions of the jobs, which are stored when the callers' requests are
@@ -41,6 +44,8 @@
     pub suspects: BTreeMap<TaskKey, Vec<Crash>>,
     /// Jobs that have failed because one of their tasks crashes executors.
     pub given_up: BTreeMap<JobName, GivenUp>,
+    /// For each gang, the runs that have failed.
+    pub failed_gang_runs: BTreeMap<StepKey, BTreeSet<u32>>,
 }
 
 impl Snapshot {
@@ -58,6 +63,7 @@
             lingering_runs: ledger.lingering_runs.clone(),
             suspects: ledger.suspects.clone(),
             given_up: ledger.given_up.clone(),
+            failed_gang_runs: ledger.failed_gang_runs.clone(),
         }
     }
 
@@ -78,6 +84,7 @@
             lingering_runs: self.lingering_runs,
             suspects: self.suspects,
             given_up: self.given_up,
+            failed_gang_runs: self.failed_gang_runs,
         };
         let mut progress = self.jobs;
         for submission in submissions {
--- a/crates/borageswitch_scheduler/src/ledger/tests.rs
+++ b/crates/borageswitch_scheduler/src/ledger/tests.rs
@@ -168,6 +168,54 @@
     assert_eq!(failures, [1, 1, 1]);
 }
 
+fn gang_failures(ledger: &Ledger) -> Vec<u16> {
+    ledger.jobs[&JobName::from("g")]
+        .step_state(0, 0)
+        .unwrap()
+        .tasks
+        .iter()
+        .map(|task| task.failures)
+        .collect()
+}
+
+#[test]
+fn a_gang_fails_once_although_each_member_is_listed_as_failed() {
+    // Guards against using up all attempts of a gang with one run on an executor that fails all.
+    let gang = Step { gang: true, ..step(3) };
+    let job = submission("g", vec![gang]);
+    let mut ledger = Ledger::default();
+    ledger.submit(job.clone());
+    for index in 0..3 {
+        ledger.apply(&assigned("g", index, 1));
+    }
+
+    ledger.apply(&ended("g", 0, 1, 1, EndKind::Failed));
+    ledger.apply(&ended("g", 1, 1, 2, EndKind::Failed));
+    let mut next = Snapshot::of(&ledger, 1).restore([job]);
+    next.apply(&ended("g", 2, 1, 3, EndKind::Failed));
+
+    assert_eq!(gang_failures(&next), [1, 1, 1]);
+    assert!(next.jobs[&JobName::from("g")].task(&key("g", 2)).unwrap().is_waiting());
+}
+
+#[test]
+fn each_run_of_a_gang_that_fails_counts_whenever_it_is_listed() {
+    // Guards against starting a gang again after its last attempt, as failures of an earlier run
+    // are listed late.
+    let gang = Step { gang: true, ..step(2) };
+    let mut ledger = Ledger::default();
+    ledger.submit(submission("g", vec![gang]));
+    for (run, index) in [(1, 0), (1, 1), (2, 0), (2, 1)] {
+        ledger.apply(&assigned("g", index, run));
+    }
+
+    ledger.apply(&ended("g", 0, 2, 1, EndKind::Failed));
+    ledger.apply(&ended("g", 1, 1, 2, EndKind::Failed));
+    ledger.apply(&ended("g", 1, 2, 3, EndKind::Failed));
+
+    assert_eq!(gang_failures(&ledger), [2, 2]);
+}
+
 #[test]
 fn one_member_that_is_done_completes_the_gang() {
     let gang = Step { gang: true, ..step(2) };
--- a/crates/borageswitch_scheduler/src/task.rs
+++ b/crates/borageswitch_scheduler/src/task.rs
@@ -18,7 +18,7 @@
 }
 
 /// One step of one occurrence of a job.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
 pub struct StepKey {
     /// The job that it belongs to.
     pub job: JobName,
