Ask for the leader's authority when an order for a host is written

Cause: authority was asked before the connection was made. The system completes a connection while the process is suspended, and nothing asked again.

Change: the call carries a permit, and the connection asks it right before each write. If nothing was written the call ends as not sent.

--- a/crates/borageswitch_fakes/src/platform/port.rs
+++ b/crates/borageswitch_fakes/src/platform/port.rs
@@ -9,7 +9,7 @@
     codec,
     ports::{
         Change, Changes, CommitOutcome, ExternalKeys, Item, LeaseId, OrderIssuer, Page, Platform,
-        ReadResponse, Revision, StoreError, StoreResult, Transaction,
+        ReadResponse, Revision, StoreError, StoreResult, Transaction, WritePermit,
     },
 };
 use borageswitch_scheduler::{
@@ -201,10 +201,11 @@
         host: &HostName,
         order: &HostOrder,
         timeout: Duration,
+        permit: WritePermit,
     ) -> HostOrderResponse {
         let delay = self.lock().faults.host_order_delay;
         Timer::after(delay.min(timeout)).await;
-        if delay > timeout {
+        if delay > timeout || !permit.is_in_force() {
             return HostOrderResponse::Lost;
         }
         let clock_ms = self.clock_ms();
--- a/crates/borageswitch_http/src/client.rs
+++ b/crates/borageswitch_http/src/client.rs
@@ -14,7 +14,10 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use crate::connections::{Connection, ConnectionPool};
+use crate::{
+    connections::{Connection, ConnectionPool},
+    write_gate::{Gate, GatedStream, WritePermit},
+};
 
 /// The largest response body that is read, in bytes. A list of values stays well below it.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -63,16 +66,18 @@
 }
 
 /// The limits of a call.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Limits {
     time: Timeout,
     /// Whether the connection is reset unless a complete response arrives, after at most this time.
     reset: Option<Duration>,
+    /// Asked before bytes of the request are written.
+    permit: Option<WritePermit>,
 }
 
 impl Limits {
     fn new(time: Timeout) -> Self {
-        Self { time, reset: None }
+        Self { time, reset: None, permit: None }
     }
 }
 
@@ -108,9 +113,9 @@
         self.call_with(address, req, Limits::new(Timeout::Total(Instant::now() + timeout))).await
     }
 
-    /// Makes a call that must not arrive long after its timeout: without a complete response in
-    /// time the connection is reset, so that what the network still holds back of the request is
-    /// not delivered later.
+    /// Makes a call that must not arrive long after its timeout, or be sent once `permit` is no
+    /// longer in force: without a complete response in time the connection is reset, so that what
+    /// the network still holds back of the request is not delivered later.
     ///
     /// # Errors
     ///
@@ -120,9 +125,11 @@
         address: SocketAddr,
         req: WholeRequest,
         timeout: Duration,
+        permit: WritePermit,
     ) -> Result<HttpResponse, CallError> {
         let time = Timeout::Total(Instant::now() + timeout);
-        self.call_with(address, req, Limits { time, reset: Some(timeout) }).await
+        let limits = Limits { time, reset: Some(timeout), permit: Some(permit) };
+        self.call_with(address, req, limits).await
     }
 
     /// Makes a call whose response may be large: `timeout` applies to the headers and to each body
@@ -149,7 +156,7 @@
         limits: Limits,
     ) -> Result<HttpResponse, CallError> {
         while let Some(conn) = self.connections.take(address) {
-            match self.exchange(address, conn, req, true, limits).await {
+            match self.exchange(address, conn, req, true, &limits).await {
                 Ok(res) => return Ok(res),
                 // The server closed the connection while it was idle. Tries the next connection
                 // with the unsent request.
@@ -157,7 +164,7 @@
                 Err(ExchangeError::Call(err)) => return Err(err),
             }
         }
-        self.connect_and_call(address, req, limits).await
+        self.connect_and_call(address, req, &limits).await
     }
 
     /// Makes a call on a new connection even if idle ones exist.
@@ -171,14 +178,14 @@
         req: WholeRequest,
         deadline: Instant,
     ) -> Result<HttpResponse, CallError> {
-        self.connect_and_call(address, req, Limits::new(Timeout::Total(deadline))).await
+        self.connect_and_call(address, req, &Limits::new(Timeout::Total(deadline))).await
     }
 
     async fn connect_and_call(
         &self,
         address: SocketAddr,
         req: WholeRequest,
-        limits: Limits,
+        limits: &Limits,
     ) -> Result<HttpResponse, CallError> {
         let deadline = limits.time.header_deadline();
         let conn = self.connect(address, deadline).await.ok_or(CallError::NotSent)?;
@@ -194,6 +201,8 @@
         let stream = with_deadline(until, TcpStream::connect(address)).await?.ok()?;
         stream.set_nodelay(true).ok()?;
         let socket = Arc::downgrade(&Arc::from(stream.clone()));
+        let gate = Gate::default();
+        let stream = GatedStream::new(stream, gate.clone());
         let (sender, driver) = http1::handshake(FuturesIo::new(stream)).await.ok()?;
         let driver = async move {
             if let Err(err) = driver.await {
@@ -201,7 +210,7 @@
             }
         };
         let driver = self.ex.spawn(driver);
-        Some(Connection { sender, opened: Instant::now(), socket, _driver: driver })
+        Some(Connection { sender, opened: Instant::now(), gate, socket, _driver: driver })
     }
 
     /// Sends a request and reads the complete response.
@@ -214,7 +223,7 @@
         mut conn: Connection,
         req: WholeRequest,
         reused: bool,
-        limits: Limits,
+        limits: &Limits,
     ) -> Result<HttpResponse, ExchangeError> {
         let time_limit = limits.time;
         if limits.reset.is_some()
@@ -222,6 +231,7 @@
         {
             log::debug!("a connection to {address} has no socket to reset: {err}");
         }
+        conn.gate.begin_request(limits.permit.clone());
         let sending = conn.sender.try_send_request(req);
         let Some(sent) = with_overload_extension(time_limit.header_deadline(), sending).await
         else {
@@ -230,6 +240,7 @@
         };
         let response = sent.map_err(|mut err| match err.take_message() {
             Some(unsent) => ExchangeError::Unsent(Box::new(unsent)),
+            None if !conn.gate.has_written() => ExchangeError::Call(CallError::NotSent),
             None => ExchangeError::Call(CallError::Lost { reused }),
         })?;
         let (head, body) = response.into_parts();
@@ -237,6 +248,7 @@
             self.connections.close_idle(address);
             return Err(ExchangeError::Call(CallError::Lost { reused }));
         };
+        conn.gate.end_request();
         if limits.reset.is_none() || conn.set_discard_unsent(None).is_ok() {
             self.connections.put(address, conn);
         }
--- a/crates/borageswitch_http/src/connections.rs
+++ b/crates/borageswitch_http/src/connections.rs
@@ -14,6 +14,8 @@
 use rustix::net::sockopt;
 use smol::Async;
 
+use crate::write_gate::Gate;
+
 /// The maximum number of idle connections per address.
 const MAX_IDLE: usize = 8;
 
@@ -21,6 +23,7 @@
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Full<Bytes>>,
     pub(super) opened: Instant,
+    pub(super) gate: Gate,
     /// Does not keep the socket open: the driver closes it once the server has closed it.
     pub(super) socket: Weak<Async<TcpStream>>,
     pub(super) _driver: smol::Task<()>,
--- a/crates/borageswitch_http/src/lib.rs
+++ b/crates/borageswitch_http/src/lib.rs
@@ -4,8 +4,10 @@
 //! - [`client`] makes calls. Each returns a complete response, or an error that says whether the
 //!   server may have read the request.
 //! - [`connections`] pools idle connections for reuse, and closes those that stopped responding.
+//! - [`write_gate`] keeps a request that is no longer permitted from being written.
 //! - [`h2_stream`] adapts a connection between daemons for `h2`.
 
 pub mod client;
 pub mod connections;
 pub mod h2_stream;
+pub mod write_gate;
--- a/crates/borageswitch_runtime/src/authority.rs
+++ b/crates/borageswitch_runtime/src/authority.rs
@@ -7,10 +7,14 @@
 //! not send the order on resuming, as its successor may have decided otherwise by then.
 
 use std::{
-    sync::atomic::{AtomicU64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
+use borageswitch_http::write_gate::WritePermit;
 use borageswitch_types::Time;
 
 use crate::clock;
@@ -24,8 +28,13 @@
 pub const KEEP_ALIVE_GRACE: Duration = Duration::from_millis(6_000);
 
 /// The time until which this daemon may give orders. Shared by the threads of the process.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Authority {
+    held: Arc<Held>,
+}
+
+#[derive(Debug, Default)]
+struct Held {
     until_micros: AtomicU64,
     token: AtomicU64,
 }
@@ -34,23 +43,23 @@
     /// Records that a call sent at `sent` renewed the lease for `ttl`.
     pub fn record_renewal(&self, token: u64, sent: Time, ttl: Duration) {
         let until = sent + ttl.saturating_sub(LEASE_MARGIN);
-        self.token.store(token, Ordering::SeqCst);
-        self.until_micros.fetch_max(until.as_micros(), Ordering::SeqCst);
+        self.held.token.store(token, Ordering::SeqCst);
+        self.held.until_micros.fetch_max(until.as_micros(), Ordering::SeqCst);
     }
 
     /// Takes over the authority of a leader for which this daemon makes calls, until `until`.
     pub fn adopt(&self, token: u64, until: Time) {
-        if self.token.load(Ordering::SeqCst) != token {
+        if self.held.token.load(Ordering::SeqCst) != token {
             self.end();
-            self.token.store(token, Ordering::SeqCst);
+            self.held.token.store(token, Ordering::SeqCst);
         }
-        self.until_micros.store(until.as_micros(), Ordering::SeqCst);
+        self.held.until_micros.store(until.as_micros(), Ordering::SeqCst);
     }
 
     /// Ends the authority, as the lease has ended or was given up.
     pub fn end(&self) {
-        self.until_micros.store(0, Ordering::SeqCst);
-        self.token.store(0, Ordering::SeqCst);
+        self.held.until_micros.store(0, Ordering::SeqCst);
+        self.held.token.store(0, Ordering::SeqCst);
     }
 
     /// Whether orders with `token` may be sent now.
@@ -58,6 +67,12 @@
         self.remaining(token) > Duration::ZERO
     }
 
+    /// A permit for one order with `token`, in force while [`Self::may_order`] holds.
+    pub fn permit(&self, token: u64) -> WritePermit {
+        let own = self.clone();
+        WritePermit::new(move || own.may_order(token))
+    }
+
     /// Whether orders of any term may be sent now.
     pub fn is_current(&self) -> bool {
         clock::time() < self.until()
@@ -65,13 +80,13 @@
 
     /// Whether leases of executors may be extended with `token` now.
     pub fn may_keep_alive(&self, token: u64) -> bool {
-        self.token.load(Ordering::SeqCst) == token
+        self.held.token.load(Ordering::SeqCst) == token
             && clock::time() < self.until() + KEEP_ALIVE_GRACE
     }
 
     /// For how long orders with `token` may still be sent.
     pub fn remaining(&self, token: u64) -> Duration {
-        if self.token.load(Ordering::SeqCst) != token {
+        if self.held.token.load(Ordering::SeqCst) != token {
             return Duration::ZERO;
         }
         self.until().since(clock::time())
@@ -79,6 +94,9 @@
 
     /// When the authority ends.
     pub fn until(&self) -> Time {
-        Time::from_micros(self.until_micros.load(Ordering::SeqCst))
+        Time::from_micros(self.held.until_micros.load(Ordering::SeqCst))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/borageswitch_runtime/src/orders.rs
+++ b/crates/borageswitch_runtime/src/orders.rs
@@ -1,6 +1,7 @@
 //! Executes the scheduler's effects.
 //!
-//! Whether this daemon may still give orders is checked here, right before a call is sent.
+//! Whether this daemon may still give orders is checked here, before a call is made. An order for a
+//! host is checked once more when its bytes are written.
 
 use std::{
     collections::BTreeMap,
@@ -385,7 +386,8 @@
         HostOrderResponse::Lost
     } else {
         let timeout = host_order_timeout(shared.cfg.limits.host_order_pause);
-        shared.platform.order_host(&by, &host, &order, timeout).await
+        let permit = shared.authority.permit(token);
+        shared.platform.order_host(&by, &host, &order, timeout, permit).await
     };
     Event::HostOrderAnswered { host, response: answer }
 }
--- a/crates/borageswitch_runtime/src/ports.rs
+++ b/crates/borageswitch_runtime/src/ports.rs
@@ -5,6 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+pub use borageswitch_http::write_gate::WritePermit;
 use borageswitch_scheduler::{
     config::Config,
     effect::{HostOrder, PollOrder, Recipient, StartOrder},
@@ -233,13 +234,14 @@
     /// Lists the hosts; `None` without a response.
     fn list_hosts(&self) -> impl Future<Output = Option<Vec<HostEntry>>> + Send;
 
-    /// Sends an order for a host. Without a response after `timeout` it must not be delivered any
-    /// more.
+    /// Sends an order for a host while `permit` is in force, which is asked right before the order
+    /// is sent. Without a response after `timeout` it must not be delivered any more.
     fn order_host(
         &self,
         by: &OrderIssuer,
         host: &HostName,
         order: &HostOrder,
         timeout: Duration,
+        permit: WritePermit,
     ) -> impl Future<Output = HostOrderResponse> + Send;
 }
