Log what each crash adds against a task

Callers saw an accepted job of lasting tasks as failed. The log of the leader had evidence and ages only at the verdict, so it did not tell an assumed age from a known one, nor a crash from an end with another or an unknown cause.

One line for each crash and task: how the end was noticed, its cause, the most and the least time that the run can have existed (`unknown` if an earlier leader started it), the evidence, and the number and level that it leads to. No change of behaviour.

--- a/crates/borageswitch_scheduler/src/policy/crash_attribution.rs
+++ b/crates/borageswitch_scheduler/src/policy/crash_attribution.rs
@@ -49,18 +49,22 @@
 const MIN_COMMON_CAUSE: usize = 2;
 
 /// How strongly a task is suspected of crashing executors, and so how it is scheduled.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
 pub enum SuspicionLevel {
     /// No executor has crashed under it, or there is little evidence against it: it is scheduled
     /// like any other task.
+    #[display("clear")]
     Clear,
     /// It may have crashed an executor: it is kept away from other suspects while there is other
     /// capacity.
+    #[display("suspect")]
     Suspect,
     /// It is likely to have crashed several executors: it runs beside no other suspect, and nothing is
     /// started beside it for a while.
+    #[display("isolated")]
     Isolated,
     /// It is taken to be the cause and is not started any more.
+    #[display("poison")]
     Poison,
 }
 
--- a/crates/borageswitch_scheduler/src/reducer/crashes.rs
+++ b/crates/borageswitch_scheduler/src/reducer/crashes.rs
@@ -185,6 +185,21 @@
         &self.pool
     }
 
+    /// How the leader detected that it has ended.
+    pub(super) fn why(&self) -> &'static str {
+        self.detection.why()
+    }
+
+    /// Why it has ended.
+    pub(super) fn cause(&self) -> EndCause {
+        self.cause
+    }
+
+    /// The longest time that its run of a task can have existed, if it is known.
+    pub(super) fn max_age_of(&self, task: &TaskKey) -> Option<Duration> {
+        self.runs.iter().find(|lost| lost.task == *task)?.max_age
+    }
+
     /// The latest time at which it can have ended.
     pub(super) fn ended_by(&self) -> Time {
         self.ended_by
--- a/crates/borageswitch_scheduler/src/reducer/suspects.rs
+++ b/crates/borageswitch_scheduler/src/reducer/suspects.rs
@@ -126,7 +126,7 @@
         if !self.is_contained(ended.pool()) {
             self.suspects.history.add_crash(now.time, ended.host().cloned(), jobs);
         }
-        self.record_suspicions(suspicions);
+        self.record_suspicions(ended, suspicions);
     }
 
     /// Records suspicions without evidence against tasks that had recently started on an executor
@@ -139,7 +139,7 @@
             crash_attribution::is_start_related(lost.min_age) && self.is_open(&lost.task)
         });
         let suspicions = recent.map(|lost| suspicion(now, ended, lost, 0));
-        self.record_suspicions(suspicions.collect());
+        self.record_suspicions(ended, suspicions.collect());
     }
 
     /// Whether a task belongs to a job that has not ended, and is not done itself.
@@ -147,17 +147,39 @@
         self.ledger.task(task).is_some_and(|state| !state.done)
     }
 
-    fn record_suspicions(&mut self, suspicions: Vec<Suspicion>) {
+    fn record_suspicions(&mut self, ended: &EndedExecutor, suspicions: Vec<Suspicion>) {
         if suspicions.is_empty() {
             return;
         }
-        let tasks: Vec<TaskKey> = suspicions.iter().map(|s| s.task.clone()).collect();
-        self.record(Record::Crashed { suspicions });
-        for task in tasks {
-            self.review_suspect(&task);
+        self.record(Record::Crashed { suspicions: suspicions.clone() });
+        for suspicion in suspicions {
+            self.log_suspicion(ended, &suspicion);
+            self.review_suspect(&suspicion.task);
         }
     }
 
+    /// Logs what is held against a task, and what is known of the end of its run.
+    fn log_suspicion(&mut self, ended: &EndedExecutor, suspicion: &Suspicion) {
+        let Suspicion { task, crash } = suspicion;
+        let counted = self.ledger.crashes_of(task).len();
+        let level = self.suspicion_level(task);
+        self.log("task-suspected", task, || {
+            let age = ended
+                .max_age_of(task)
+                .map_or("unknown".to_owned(), |age| age.as_millis().to_string());
+            format!(
+                "run={} executor={} why={:?} cause={} age_ms={age} lived_ms={} evidence={} \
+                 crashes={counted} level={level}",
+                crash.run,
+                crash.executor,
+                ended.why(),
+                ended.cause(),
+                crash.lived_ms,
+                crash.evidence,
+            )
+        });
+    }
+
     fn evidence(&self, now: Now, ended: &EndedExecutor, lost: &LostRun, share: f64) -> u32 {
         let site = RateContext {
             job: &lost.task.job,
