--- a/crates/borageswitch_scheduler/tests/support/executor.rs
+++ b/crates/borageswitch_scheduler/tests/support/executor.rs
@@ -163,6 +163,13 @@
         *highest = (*highest).max(run);
     }
 
+    /// The active runs, each with its age in milliseconds.
+    pub fn run_ages(&self, now: u64) -> Vec<String> {
+        let runs = self.active.iter();
+        runs.map(|(task, run)| format!("{task} run {} {} ms", run.run, now - run.begun_at))
+            .collect()
+    }
+
     pub fn resources_in_use(&self) -> Size {
         let mut total = Size::default();
         for run in self.active.values() {
--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -454,6 +454,16 @@
         self.check();
     }
 
+    /// Prints what really happens, beside the leader's log lines.
+    fn trace<F>(&self, line: F)
+    where
+        F: FnOnce() -> String,
+    {
+        if std::env::var_os("BORAGESWITCH_LOG").is_some() {
+            println!("{} sim {}", self.now, line());
+        }
+    }
+
     fn chance(&mut self, per_mille: u32) -> bool {
         per_mille > 0 && self.rng.u32(..1_000) < per_mille
     }
@@ -462,6 +472,7 @@
         if self.chance(self.faults.leader_crash) && self.leader.is_some() {
             self.leader = None;
             self.leader_back_at = self.now + self.rng.u64(50..3_000);
+            self.trace(|| format!("leader ends, the next one at {}", self.leader_back_at));
         }
         if self.chance(self.faults.executor_crash) {
             self.crash_random_executor();
@@ -469,10 +480,13 @@
         if self.chance(self.faults.executor_partition) {
             let alive: Vec<_> = self.executors.keys().cloned().collect();
             let victim = alive[self.rng.usize(..alive.len())].clone();
-            self.partitioned_until.insert(victim, self.now + self.rng.u64(500..9_000));
+            let until = self.now + self.rng.u64(500..9_000);
+            self.trace(|| format!("{victim} is cut off until {until}"));
+            self.partitioned_until.insert(victim, until);
         }
         if self.chance(self.faults.store_outage) {
             self.store_outage_until = self.now + self.rng.u64(200..6_000);
+            self.trace(|| format!("the store is away until {}", self.store_outage_until));
         }
         if self.chance(self.faults.cancel) {
             self.cancel_one();
@@ -535,6 +549,7 @@
         }
         self.leader = Some(leader);
         self.leader_since = self.now;
+        self.trace(|| format!("leader {} takes over", self.token));
     }
 
     fn commit_appends(&mut self) {
--- a/crates/borageswitch_scheduler/tests/support/simulation/hosts.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation/hosts.rs
@@ -187,6 +187,10 @@
         if let Some(registration) = registration.filter(|_| state == HostState::Down) {
             hosts.expiring.push((now + REGISTRATION_TTL, registration));
         }
+        if std::env::var_os("BORAGESWITCH_LOG").is_some() {
+            let runs = self.executors.get(executor).map(|known| known.run_ages(now));
+            self.trace(|| format!("{executor} ends, its host is {state}; runs: {runs:?}"));
+        }
         if let Some(known) = self.executors.get_mut(executor) {
             known.active.clear();
         }
@@ -266,6 +270,7 @@
         }
         if self.chance(self.faults.rack_failure) {
             let rack = self.rng.usize(..RACKS);
+            self.trace(|| format!("rack {rack} fails"));
             for executor in self.executors_where(|host| host.rack == rack) {
                 self.crash(&executor);
             }
