Give a job up only for crashes that are attributed to its task

Callers saw an accepted job of lasting tasks as failed, and none of its tasks was started again.

Cause: what a leader did not know counted against a task. A run that an earlier leader had started was taken to be a second old, so its loss around a takeover counted as a crash at its start, with evidence for a window of a second. Ends by a drain, a removal or an unknown cause counted among the five crashes that give a job up whatever the evidence. An end whose host this leader had never seen was a crash although an order of an earlier leader might explain it. The evidence of a whole job named no task that had seen two crashes. A rack that is lost counted as well.

A loss whose time or cause is not known, or that shares a cause with its rack or a large part of the site, is recorded as not attributed: the task is restarted with more caution, and five such crashes give nothing up. A verdict after five takes that all of them are attributed, or two and 2.5 powers of ten. The verdict over a job names a task that was isolated and has crashed several executors.

--- a/crates/borageswitch_runtime/src/appends.rs
+++ b/crates/borageswitch_runtime/src/appends.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use borageswitch_scheduler::ledger::record::Record;
+use borageswitch_scheduler::ledger::record::StoredAppend;
 use borageswitch_types::names::JobName;
 use smol::Timer;
 
@@ -41,7 +41,7 @@
     shared: &Arc<Shared<P>>,
     token: u64,
     append: u64,
-    records: &[Record],
+    content: &StoredAppend,
     forget: &[JobName],
     cancels: &[JobName],
 ) -> AppendOutcome
@@ -51,7 +51,7 @@
     let key = keys::append(append);
     let mut tx = Transaction {
         expect: vec![(keys::LEADER.into(), token), (key.clone(), 0)],
-        write: vec![(key.clone(), codec::encode(&records), None)],
+        write: vec![(key.clone(), codec::encode(content), None)],
         remove: forget.iter().map(keys::job).chain(cancels.iter().map(keys::cancel)).collect(),
     };
     let sent = clock::time();
@@ -59,7 +59,7 @@
     loop {
         match with_resend(&shared.store_times, || shared.platform.commit(&tx)).await {
             Ok(CommitOutcome::Done(_)) => {
-                warn_if_slow(append, records.len(), clock::time().since(sent));
+                warn_if_slow(append, content.records.len(), clock::time().since(sent));
                 return stored;
             }
             Ok(CommitOutcome::Conflict(items)) => {
--- a/crates/borageswitch_runtime/src/codec.rs
+++ b/crates/borageswitch_runtime/src/codec.rs
@@ -1,6 +1,6 @@
 //! The encoding of stored values and of messages between daemons.
 
-use borageswitch_scheduler::job::Submission;
+use borageswitch_scheduler::{job::Submission, ledger::record::StoredAppend};
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Bytes that cannot be decoded as the expected value.
@@ -48,8 +48,10 @@
 /// The number of fields appended to the first layout of a submission: the caller.
 const FIELDS_ADDED_TO_SUBMISSION: usize = 1;
 /// The number of fields appended to the first layout of a snapshot: lingering runs, suspects,
-/// given-up jobs, failed runs of gangs.
-pub const FIELDS_ADDED_TO_SNAPSHOT: usize = 4;
+/// given-up jobs, failed runs of gangs, recent starts.
+pub const FIELDS_ADDED_TO_SNAPSHOT: usize = 5;
+/// The number of fields appended to the first layout of an append: when it was sent.
+const FIELDS_ADDED_TO_APPEND: usize = 1;
 
 /// Decodes a stored value whose last `added_fields` fields were appended to its first layout and
 /// may be missing.
@@ -88,5 +90,14 @@
     decode_with_added_fields("submission", bytes, FIELDS_ADDED_TO_SUBMISSION)
 }
 
+/// Decodes a stored append.
+///
+/// # Errors
+///
+/// If the bytes cannot be decoded as the expected value.
+pub fn decode_append(bytes: &[u8]) -> Result<StoredAppend, DecodeError> {
+    decode_with_added_fields("append", bytes, FIELDS_ADDED_TO_APPEND)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/borageswitch_runtime/src/orders.rs
+++ b/crates/borageswitch_runtime/src/orders.rs
@@ -13,6 +13,7 @@
 use borageswitch_scheduler::{
     effect::{Effect, HostOrder, PollOrder, Recipient, StartOrder},
     event::{Event, HostOrderResponse, OrderResponse, PollResponse, StartResponse},
+    ledger::record::StoredAppend,
     policy::response_loss::{CallTimeouts, ResponseLoss},
     task::TaskKey,
 };
@@ -191,8 +192,9 @@
     P: Platform,
 {
     match effect {
-        Effect::Append { append, records, forget } => {
-            match appends::store(shared, token, append, &records, &forget, cancels).await {
+        Effect::Append { append, at, records, forget } => {
+            let content = StoredAppend { records, at };
+            match appends::store(shared, token, append, &content, &forget, cancels).await {
                 AppendOutcome::Stored => Some(Event::Appended { append }),
                 AppendOutcome::StoredWithoutRemovals => {
                     Some(Event::AppendedWithoutRemovals { append })
--- a/crates/borageswitch_runtime/src/takeover.rs
+++ b/crates/borageswitch_runtime/src/takeover.rs
@@ -7,7 +7,7 @@
 
 use borageswitch_scheduler::{
     job::Submission,
-    ledger::{Ledger, record::Record, snapshot::Snapshot},
+    ledger::{Ledger, snapshot::Snapshot},
     policy::manual_limits::LimitSubject,
 };
 use borageswitch_types::names::JobName;
@@ -176,9 +176,7 @@
             log::error!(through = through, missing = last + 1, found = number; "log-gap");
             return Err(StoreError::Unreadable);
         }
-        for record in require_decoded(item, codec::decode::<Vec<Record>>("append", &item.value))? {
-            ledger.apply(&record);
-        }
+        ledger.apply_append(&require_decoded(item, codec::decode_append(&item.value))?);
         last = number;
     }
     log::info!(through = through, last = last, read = appends.len(); "log-read");
--- a/crates/borageswitch_runtime/src/takeover/tests.rs
+++ b/crates/borageswitch_runtime/src/takeover/tests.rs
@@ -1,5 +1,7 @@
 //! A takeover from a store that fails some calls.
 
+use borageswitch_scheduler::ledger::record::Record;
+
 use super::*;
 
 const PAGES: usize = 9;
--- a/crates/borageswitch_scheduler/src/effect.rs
+++ b/crates/borageswitch_scheduler/src/effect.rs
@@ -5,6 +5,7 @@
 use borageswitch_types::{
     Time,
     names::{ExecutorName, HostName, JobName, PoolName, QueueName},
+    time::UnixMillis,
 };
 
 use crate::{
@@ -65,6 +66,8 @@
     Append {
         /// The sequence number of the append, one more than that of the last append.
         append: u64,
+        /// The wall clock of the leader, which is stored with the records.
+        at: UnixMillis,
         /// The records to store.
         records: Vec<Record>,
         /// Jobs whose stored submissions are deleted by the same call. Their ends are among these
--- a/crates/borageswitch_scheduler/src/ledger/crashes.rs
+++ b/crates/borageswitch_scheduler/src/ledger/crashes.rs
@@ -12,6 +12,9 @@
 /// The maximum number of crashes that are kept for a task; the oldest are dropped.
 const MAX_KEPT: usize = 32;
 
+/// The age in a crash that is not attributed to the task.
+pub const UNATTRIBUTED: u64 = u64::MAX;
+
 /// The crash of an executor while a task ran there.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Crash {
@@ -21,7 +24,8 @@
     pub at: UnixMillis,
     /// The run of the task that was lost with it.
     pub run: u32,
-    /// The maximum time that the run had lived, in milliseconds.
+    /// The maximum time that the run had lived, in milliseconds; [`UNATTRIBUTED`] if it is not known,
+    /// or if the end of the executor has or may have another cause.
     pub age_ms: u64,
     /// The minimum time that the run had lived, in milliseconds.
     pub lived_ms: u64,
@@ -47,19 +51,38 @@
     pub crashes: Vec<Crash>,
 }
 
+impl Crash {
+    /// Whether the task is known to have run there for at most a certain time, and nothing else is
+    /// known that may have ended the executor.
+    pub fn is_attributed(&self) -> bool {
+        self.age_ms != UNATTRIBUTED
+    }
+
+    /// The maximum time that the run had lived, if the crash is attributed to the task.
+    pub fn max_age(&self) -> Option<Duration> {
+        self.is_attributed().then(|| Duration::from_millis(self.age_ms))
+    }
+}
+
 impl fmt::Display for Crash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let at = UNIX_EPOCH + Duration::from_millis(self.at.0);
         let at = humantime::format_rfc3339_millis(at);
-        let Self { executor, run, age_ms, .. } = self;
-        write!(f, "{executor} at {at}, at most {age_ms} ms after the start of run {run}")
+        let Self { executor, run, .. } = self;
+        match self.max_age() {
+            Some(age) => {
+                let age_ms = age.as_millis();
+                write!(f, "{executor} at {at}, at most {age_ms} ms after the start of run {run}")
+            }
+            None => write!(f, "{executor} at {at} with run {run}, not attributed to it"),
+        }
     }
 }
 
 impl fmt::Display for GivenUp {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let crashes: Vec<String> = self.crashes.iter().map(Crash::to_string).collect();
-        let count = crashes.len();
+        let count = self.crashes.iter().filter(|crash| crash.is_attributed()).count();
         write!(f, "task {} crashed {count} executors: {}", self.task, crashes.join("; "))
     }
 }
--- a/crates/borageswitch_scheduler/src/ledger/mod.rs
+++ b/crates/borageswitch_scheduler/src/ledger/mod.rs
@@ -7,6 +7,7 @@
 pub mod crashes;
 pub mod host_orders;
 pub mod job;
+pub mod recent_starts;
 pub mod record;
 pub mod run_end;
 pub mod snapshot;
@@ -32,7 +33,8 @@
         crashes::{Crash, GivenUp, Suspicion},
         host_orders::HostOrders,
         job::Job,
-        record::{LingeringRun, Outcome, Record},
+        recent_starts::RecentStarts,
+        record::{LingeringRun, Outcome, Record, StoredAppend},
     },
     task::{StepKey, TaskKey},
 };
@@ -76,6 +78,8 @@
     pub given_up: BTreeMap<JobName, GivenUp>,
     /// For each gang, the runs that have failed. The members of a gang share the number of a run.
     pub failed_gang_runs: BTreeMap<StepKey, BTreeSet<u32>>,
+    /// The runs that were assigned in the last seconds, and when.
+    pub recent_starts: RecentStarts,
 }
 
 impl Ledger {
@@ -89,6 +93,17 @@
         true
     }
 
+    /// Applies the records of an append that an earlier leader has stored.
+    pub fn apply_append(&mut self, append: &StoredAppend) {
+        append.records.iter().for_each(|record| self.apply(record));
+        self.note_sent(append.at, &append.records);
+    }
+
+    /// Notes when records were sent to the store that were applied before.
+    pub fn note_sent(&mut self, at: UnixMillis, records: &[Record]) {
+        self.recent_starts.note(at, records);
+    }
+
     /// Applies a record.
     ///
     /// A record about an unknown job has no effect: the job has ended since.
--- a/crates/borageswitch_scheduler/src/ledger/record.rs
+++ b/crates/borageswitch_scheduler/src/ledger/record.rs
@@ -152,6 +152,16 @@
     },
 }
 
+/// The records of one append, as they are stored.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct StoredAppend {
+    /// The records.
+    pub records: Vec<Record>,
+    /// When the append was sent, by the wall clock of the leader. This field was added later:
+    /// appends of earlier daemons end before it, and it is 0.
+    pub at: UnixMillis,
+}
+
 /// A run of an ended job that is being stopped.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct LingeringRun {
--- a/crates/borageswitch_scheduler/src/ledger/snapshot.rs
+++ b/crates/borageswitch_scheduler/src/ledger/snapshot.rs
@@ -14,6 +14,7 @@
         crashes::{Crash, GivenUp},
         host_orders::HostOrders,
         job::{Job, Progress},
+        recent_starts::RecentStarts,
         record::LingeringRun,
     },
     task::{StepKey, TaskKey},
@@ -46,6 +47,8 @@
     pub given_up: BTreeMap<JobName, GivenUp>,
     /// For each gang, the runs that have failed.
     pub failed_gang_runs: BTreeMap<StepKey, BTreeSet<u32>>,
+    /// The runs that were assigned in the last seconds, and when.
+    pub recent_starts: RecentStarts,
 }
 
 impl Snapshot {
@@ -64,6 +67,7 @@
             suspects: ledger.suspects.clone(),
             given_up: ledger.given_up.clone(),
             failed_gang_runs: ledger.failed_gang_runs.clone(),
+            recent_starts: ledger.recent_starts.clone(),
         }
     }
 
@@ -85,6 +89,7 @@
             suspects: self.suspects,
             given_up: self.given_up,
             failed_gang_runs: self.failed_gang_runs,
+            recent_starts: self.recent_starts,
         };
         let mut progress = self.jobs;
         for submission in submissions {
--- a/crates/borageswitch_scheduler/src/policy/crash_attribution.rs
+++ b/crates/borageswitch_scheduler/src/policy/crash_attribution.rs
@@ -23,9 +23,12 @@
 const EVIDENCE_THRESHOLD: u32 = 7_000;
 /// The minimum number of crashes before a task is given up.
 const MIN_CRASHES: usize = 2;
-/// A task is given up after this many crashes that its starts may have caused, whatever the
-/// evidence.
+/// A task is given up after this many crashes that its starts may have caused, if all of them are
+/// attributed to it or the evidence reaches [`LIMIT_EVIDENCE`].
 const MAX_CRASHES: usize = 5;
+/// Evidence from which a task is given up after [`MAX_CRASHES`] that are only in part attributed to
+/// it, in thousandths of a power of ten.
+const LIMIT_EVIDENCE: u32 = 2_500;
 /// Evidence below which a task is scheduled like one without crashes, in thousandths of a power of
 /// ten. Tasks that had run for long, or beside a job that had just started, collect less.
 const SUSPECT_EVIDENCE: u32 = 500;
@@ -36,6 +39,14 @@
 const ISOLATION_CRASHES: usize = 3;
 /// A crash within this time after a start may have been caused by the start.
 pub const START_RELATED_AGE: Duration = Duration::from_millis(1_000);
+/// The longest time after a start within which a crash has to have come to be attributed to it.
+/// Crashes are noticed late, but not so late.
+pub const MAX_ATTRIBUTED_AGE: Duration = Duration::from_millis(5_000);
+/// The same for a run that an earlier leader started: nothing is known of what happened to it while
+/// nobody led.
+pub const MAX_INHERITED_AGE: Duration = Duration::from_millis(2_000);
+/// How long a run has to live to exonerate its task from a crash that is not attributed to it.
+const UNATTRIBUTED_SURVIVAL: Duration = Duration::from_millis(2_500);
 /// The resolution of ages: calls take about as long.
 const MIN_AGE: Duration = Duration::from_millis(10);
 /// The range of ages at which a poison task may crash executors, from [`MIN_AGE`] to a minute, in
@@ -72,12 +83,13 @@
     /// Determines the level from the crashes under a task since one of its runs last exonerated it.
     pub fn of(crashes: &[Crash]) -> SuspicionLevel {
         let evidence: u32 = crashes.iter().map(|crash| crash.evidence).sum();
-        // Crashes are noticed late, so only the time that a run is known to have lived clears its
-        // start.
         let start_related =
             crashes.iter().filter(|crash| is_start_related(Duration::from_millis(crash.lived_ms)));
         let (start_related, several) = (start_related.count(), crashes.len() >= MIN_CRASHES);
-        if start_related >= MAX_CRASHES || several && evidence >= EVIDENCE_THRESHOLD {
+        let all_attributed = crashes.iter().all(Crash::is_attributed);
+        let likely = has_crashed_several(crashes) && evidence >= LIMIT_EVIDENCE;
+        let at_limit = start_related >= MAX_CRASHES && (all_attributed || likely);
+        if at_limit || several && evidence >= EVIDENCE_THRESHOLD {
             SuspicionLevel::Poison
         } else if start_related >= ISOLATION_CRASHES || several && evidence >= ISOLATION_EVIDENCE {
             SuspicionLevel::Isolated
@@ -110,14 +122,24 @@
 
 /// Returns whether the start of a run that is known to have lived for `lived` may have caused its
 /// crash.
+///
+/// Crashes are noticed late, so only the time that a run is known to have lived clears its start.
 pub fn is_start_related(lived: Duration) -> bool {
     lived <= START_RELATED_AGE
 }
 
+/// Returns whether at least [`MIN_CRASHES`] crashes are attributed to a task.
+pub fn has_crashed_several(crashes: &[Crash]) -> bool {
+    crashes.iter().filter(|crash| crash.is_attributed()).count() >= MIN_CRASHES
+}
+
 /// Returns whether a run that has lived for `lived` shows that the start did not cause an earlier
 /// crash.
 pub fn exonerates(lived: Duration, crash: &Crash) -> bool {
-    lived >= 2 * Duration::from_millis(crash.age_ms) + AGE_MARGIN
+    match crash.max_age() {
+        Some(age) => lived >= 2 * age + AGE_MARGIN,
+        None => lived >= UNATTRIBUTED_SURVIVAL,
+    }
 }
 
 /// A job that ran on an executor that crashed.
--- a/crates/borageswitch_scheduler/src/reducer/containment.rs
+++ b/crates/borageswitch_scheduler/src/reducer/containment.rs
@@ -84,7 +84,7 @@
         let pool = ended.pool().clone();
         let may_be_cause = |lost: &&LostRun| {
             let started_on = started_on.get(&lost.task.job).copied().unwrap_or(0);
-            crash_attribution::is_start_related(lost.min_age)
+            lost.is_start_related()
                 && !crash_attribution::has_common_cause(others, started_on)
                 && !self.has_survived(&pool, &lost.task.job)
         };
@@ -264,7 +264,7 @@
 }
 
 fn is_recent_start_crash(now: Now, crash: &Crash) -> bool {
-    // Evidence is recorded only for crashes without a common cause.
+    // Evidence is recorded only for crashes that are attributed to the task.
     crash.evidence > 0
         && crash_attribution::is_start_related(Duration::from_millis(crash.lived_ms))
         && Duration::from_millis(now.wall.0.saturating_sub(crash.at.0))
--- a/crates/borageswitch_scheduler/src/reducer/crashes.rs
+++ b/crates/borageswitch_scheduler/src/reducer/crashes.rs
@@ -7,6 +7,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     fmt,
+    sync::Arc,
     time::Duration,
 };
 
@@ -26,6 +27,9 @@
     task::TaskKey,
 };
 
+/// The part of all executors, as a divisor, whose loss at one moment points to the power supply of
+/// the site or of a data centre.
+const MAJOR_LOSS_DIVISOR: usize = 2;
 /// The most runs that one log line names.
 const MAX_LISTED_RUNS: usize = 50;
 
@@ -37,13 +41,11 @@
     /// Another incarnation is registered at its address.
     OtherIncarnationRegistered,
     /// It is registered again under its name, as a later incarnation.
-    Restarted(HostOutcome),
+    Restarted,
     /// No host in the platform's list has it.
     Unlisted {
         /// When the list was requested.
         listed_at: Time,
-        /// The present state of its host.
-        host_outcome: HostOutcome,
     },
     /// The platform has carried out an order that takes its host out of service.
     HostOrderCompleted,
@@ -57,7 +59,7 @@
         match self {
             EndDetection::OtherIncarnationAnswered => "another life answered",
             EndDetection::OtherIncarnationRegistered => "another life is registered at its address",
-            EndDetection::Restarted(_) => "it has restarted",
+            EndDetection::Restarted => "it has restarted",
             EndDetection::Unlisted { .. } => "no host has it",
             EndDetection::HostOrderCompleted => "its host was taken out of service",
             EndDetection::Expired => "registration and lease ended",
@@ -67,17 +69,7 @@
     /// A moment at which no executor of that name was running, if one is known.
     pub fn absent_at(&self) -> Option<Time> {
         match self {
-            EndDetection::Unlisted { listed_at, .. } => Some(*listed_at),
-            _ => None,
-        }
-    }
-
-    /// The present state of its host, if the detection involved the host list.
-    fn host_outcome(&self) -> Option<&HostOutcome> {
-        match self {
-            EndDetection::Unlisted { host_outcome, .. } | EndDetection::Restarted(host_outcome) => {
-                Some(host_outcome)
-            }
+            EndDetection::Unlisted { listed_at } => Some(*listed_at),
             _ => None,
         }
     }
@@ -115,7 +107,7 @@
     /// Its host was removed from the fleet.
     #[display("removal")]
     Removal,
-    /// It may have ended before this leader took over.
+    /// It may have ended before this leader took over, or by an order of an earlier leader.
     #[display("unknown")]
     Unknown,
 }
@@ -134,22 +126,55 @@
     pub task: TaskKey,
     /// The number of the run.
     pub run: u32,
-    /// The longest time that the run can have existed; `None` if an earlier leader started it.
+    /// The longest time that the run can have existed, if it is known.
     pub max_age: Option<Duration>,
     /// The time for which the run is known to have existed.
     pub min_age: Duration,
+    /// Whether an earlier leader started it.
+    pub is_inherited: bool,
     /// The window within which the executor crashed: since the start of the run, or since the
-    /// executor was last known to be up if the start got no response. `None` if an earlier leader
-    /// started the run.
+    /// executor was last known to be up if the start got no response. `None` if the age is not
+    /// known.
     pub window: Option<Duration>,
 }
 
+impl LostRun {
+    /// Whether its start may have caused the end of the executor.
+    pub(super) fn is_start_related(&self) -> bool {
+        crash_attribution::is_start_related(self.min_age)
+    }
+
+    /// The longest time that it can have existed, if a crash can be attributed to it.
+    pub(super) fn attributable_age(&self) -> Option<Duration> {
+        let limit = if self.is_inherited {
+            crash_attribution::MAX_INHERITED_AGE
+        } else {
+            crash_attribution::MAX_ATTRIBUTED_AGE
+        };
+        self.max_age.filter(|age| !self.is_start_related() || *age <= limit)
+    }
+}
+
+/// What the leader knows, besides the executor itself, when an executor has ended.
+#[derive(Clone, Debug)]
+pub(super) struct Circumstances {
+    /// When the platform last listed the executor as up.
+    pub(super) listed_up: Option<Time>,
+    /// What has happened to its host.
+    pub(super) host_outcome: HostOutcome,
+    /// Whether an order of an earlier leader may have ended it.
+    pub(super) earlier_order_possible: bool,
+    pub(super) took_over_at: Time,
+}
+
 /// An executor that has ended.
 #[derive(Clone, Debug)]
 pub struct EndedExecutor {
     pub(super) executor: ExecutorName,
     pool: PoolName,
+    rack: Option<Arc<str>>,
     detection: EndDetection,
+    host_outcome: HostOutcome,
     cause: EndCause,
     /// When it last responded.
     last_contact: Option<Time>,
@@ -159,21 +184,22 @@
 }
 
 impl EndedExecutor {
-    /// Describes an executor that was just found to have ended; `listed_up` is when the platform
-    /// last listed it as up.
+    /// Describes an executor that was just found to have ended.
     pub(super) fn new(
         known: &Executor,
         detection: EndDetection,
-        listed_up: Option<Time>,
+        circumstances: Circumstances,
         now: Time,
     ) -> Self {
         let mut runs = known.expired_runs.clone();
-        runs.extend(lost_runs(known, listed_up, now));
+        runs.extend(lost_runs(known, &circumstances, now));
         Self {
             executor: known.registration.executor.clone(),
             pool: known.registration.pool.clone(),
-            cause: cause(known, &detection, &runs),
+            rack: known.registration.rack().cloned(),
+            cause: cause(known, &detection, &circumstances, &runs),
             detection,
+            host_outcome: circumstances.host_outcome,
             last_contact: known.clock.map(|clock| clock.received),
             ended_by: ended_by(known, now),
             runs,
@@ -195,11 +221,6 @@
         self.cause
     }
 
-    /// The longest time that its run of a task can have existed, if it is known.
-    pub(super) fn max_age_of(&self, task: &TaskKey) -> Option<Duration> {
-        self.runs.iter().find(|lost| lost.task == *task)?.max_age
-    }
-
     /// The latest time at which it can have ended.
     pub(super) fn ended_by(&self) -> Time {
         self.ended_by
@@ -207,9 +228,9 @@
 
     /// Its host, if that is known and still listed.
     pub(super) fn host(&self) -> Option<&HostName> {
-        match self.detection.host_outcome() {
-            Some(HostOutcome::Listed(host, _)) => Some(host),
-            _ => None,
+        match &self.host_outcome {
+            HostOutcome::Listed(host, _) => Some(host),
+            HostOutcome::Unknown | HostOutcome::Ordered(_) | HostOutcome::Removed(_) => None,
         }
     }
 
@@ -223,30 +244,34 @@
 
 impl fmt::Display for EndedExecutor {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "runs={} why={} cause={}", self.runs.len(), self.detection.why(), self.cause)?;
-        match self.detection.host_outcome() {
-            Some(outcome) => write!(f, " host={outcome}"),
-            None => Ok(()),
-        }
+        let Self { runs, detection, cause, host_outcome, .. } = self;
+        write!(f, "runs={} why={} cause={cause} host={host_outcome}", runs.len(), detection.why())
     }
 }
 
-/// The runs of an executor that has ended; `listed_up` is when the platform last listed it as up.
-pub(super) fn lost_runs(known: &Executor, listed_up: Option<Time>, now: Time) -> Vec<LostRun> {
+/// The runs of an executor that has ended, or whose lease has expired.
+pub(super) fn lost_runs(
+    known: &Executor,
+    circumstances: &Circumstances,
+    now: Time,
+) -> Vec<LostRun> {
     let ended_by = ended_by(known, now);
-    let last_up = known.clock.map(|clock| clock.received).max(listed_up);
+    let last_up = known.clock.map(|clock| clock.received).max(circumstances.listed_up);
+    let since_takeover = ended_by.since(circumstances.took_over_at);
     let started =
         known.runs.iter().filter(|(_, held)| !matches!(held.phase, Phase::Recorded | Phase::Ended));
     let lost = started.map(|(task, held)| {
         let last_up = last_up.unwrap_or(Time::ZERO);
         // A start without a response may have been sent to an executor that had already crashed.
         let since = held.start_sent.map(|at| if held.confirmed { at } else { at.min(last_up) });
+        let inherited = held.inherited_age.map(|age| age + since_takeover);
         LostRun {
             task: task.clone(),
             run: held.run,
-            max_age: held.start_sent.map(|sent| ended_by.since(sent)),
+            max_age: held.start_sent.map(|sent| ended_by.since(sent)).or(inherited),
             min_age: known.min_run_age(held),
-            window: since.map(|since| ended_by.since(since)),
+            is_inherited: held.start_sent.is_none(),
+            window: since.map(|since| ended_by.since(since)).or(inherited),
         }
     });
     lost.collect()
@@ -258,14 +283,24 @@
     known.polling.silent_since.filter(|since| *since >= last_contact).unwrap_or(now)
 }
 
-fn cause(known: &Executor, detection: &EndDetection, runs: &[LostRun]) -> EndCause {
-    match (detection, detection.host_outcome()) {
-        (EndDetection::HostOrderCompleted, _) | (_, Some(HostOutcome::Ordered(_))) => {
-            EndCause::Order
-        }
+fn cause(
+    known: &Executor,
+    detection: &EndDetection,
+    circumstances: &Circumstances,
+    runs: &[LostRun],
+) -> EndCause {
+    match (detection, &circumstances.host_outcome) {
+        (EndDetection::HostOrderCompleted, _) | (_, HostOutcome::Ordered(_)) => EndCause::Order,
         _ if known.registration.draining => EndCause::Drain,
-        (_, Some(HostOutcome::Removed(_))) => EndCause::Removal,
+        (_, HostOutcome::Removed(_)) => EndCause::Removal,
         _ if known.known_from_ledger_only => EndCause::Unknown,
+        // It was there before this leader, which has never seen it on a host.
+        (_, HostOutcome::Unknown)
+            if circumstances.earlier_order_possible
+                && known.known_since <= circumstances.took_over_at =>
+        {
+            EndCause::Unknown
+        }
         // A registration remains after its executor has ended, and may be read again after the
         // crash was recorded.
         _ if known.clock.is_none() && runs.is_empty() => EndCause::Unknown,
@@ -277,28 +312,43 @@
     /// Logs each executor that has crashed, and updates the suspicions against its tasks.
     pub(super) fn process_crashes(&mut self, now: Now) {
         let ended = std::mem::take(&mut self.ended_executors);
+        let crashed: Vec<&EndedExecutor> =
+            ended.iter().filter(|executor| executor.cause == EndCause::Crash).collect();
         for executor in ended.iter().filter(|executor| executor.cause.may_hide_crash()) {
             self.note_unattributed_loss(now, executor);
         }
-        let crashed: Vec<&EndedExecutor> =
-            ended.iter().filter(|executor| executor.cause == EndCause::Crash).collect();
         let started_on = started_on(&crashed);
         for executor in &crashed {
-            let others = crashed
+            let others: Vec<&EndedExecutor> = crashed
                 .iter()
-                .filter(|other| other.executor != executor.executor && executor.coincides(other));
-            let others = others.count();
+                .copied()
+                .filter(|other| other.executor != executor.executor && executor.coincides(other))
+                .collect();
             self.log("executor-crashed", &executor.executor, || {
                 format!(
-                    "pool={} others={others} runs={}",
+                    "pool={} others={} runs={}",
                     executor.pool,
+                    others.len(),
                     format_runs(&executor.runs)
                 )
             });
+            let others = self.count_related(executor, &others);
             self.note_start_crash(now, executor, others, &started_on);
             self.attribute_crash(now, executor, others, &started_on);
         }
     }
+
+    /// The number of executors among `others`, which crashed at the same moment, that may have
+    /// crashed for the same reason: those of its rack, or all of them if a large part of all
+    /// executors is lost at once.
+    fn count_related(&self, executor: &EndedExecutor, others: &[&EndedExecutor]) -> usize {
+        let registered = self.executors.values().filter(|known| !known.ended).count();
+        let lost = others.len() + 1;
+        if lost * MAJOR_LOSS_DIVISOR >= registered + lost {
+            return others.len();
+        }
+        others.iter().filter(|other| other.rack == executor.rack).count()
+    }
 }
 
 /// The number of crashed executors on which each job had recently started.
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -56,6 +56,9 @@
     pub phase_since: Time,
     /// When the start order was sent; `None` if an earlier leader sent it.
     pub start_sent: Option<Time>,
+    /// How long it can have existed at most when this leader took over, if an earlier leader
+    /// started it and that is known.
+    pub inherited_age: Option<Duration>,
     /// When the executor confirmed the start.
     pub started: Time,
     /// When the run was placed; `None` if an earlier leader placed it.
@@ -89,6 +92,7 @@
             phase,
             phase_since: now,
             start_sent: None,
+            inherited_age: None,
             started: now,
             placed: (phase == Phase::Recorded).then_some(now),
             percent: 0,
--- a/crates/borageswitch_scheduler/src/reducer/host_list.rs
+++ b/crates/borageswitch_scheduler/src/reducer/host_list.rs
@@ -213,12 +213,7 @@
             .map(|(executor, _)| executor.clone())
             .collect();
         for executor in over {
-            let outcome = self.fleet.host_outcome(&executor);
-            self.end_incarnation(
-                now,
-                &executor,
-                EndDetection::Unlisted { listed_at: asked, host_outcome: outcome },
-            );
+            self.end_incarnation(now, &executor, EndDetection::Unlisted { listed_at: asked });
         }
     }
 }
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -31,6 +31,10 @@
 /// the duration of a move.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How long after an order of an earlier leader the end of an executor may be its effect: the order
+/// may be carried out late, and the host is away for some seconds.
+const EARLIER_ORDER_TIME: Duration = Duration::from_secs(20);
+
 /// Why a host is drained. Operators see the names of the variants.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Purpose {
@@ -255,6 +259,14 @@
             .is_some_and(|age| *age + now.since(self.took_over_at) < self.limits.host_order_pause)
     }
 
+    /// Whether an order that an earlier leader sent for a host may still have an effect that is not
+    /// explained otherwise.
+    pub(super) fn may_be_ordered(&self, now: Time, host: &HostName) -> bool {
+        self.inherited_host_orders
+            .get(host)
+            .is_some_and(|age| *age + now.since(self.took_over_at) < EARLIER_ORDER_TIME)
+    }
+
     /// How long this leader has been leading, in milliseconds.
     pub(super) fn led_millis(&self, now: Time) -> u64 {
         now.since(self.took_over_at).as_millis() as u64
--- a/crates/borageswitch_scheduler/src/reducer/lease_expiry.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lease_expiry.rs
@@ -4,15 +4,16 @@
 //! elsewhere only after the latest time at which the lease can expire: earlier, the work would be
 //! done twice, and a caller paid or charged twice.
 
-use borageswitch_types::names::ExecutorName;
+use borageswitch_types::names::{ExecutorName, HostName};
 
 use crate::{
     event::Now,
+    fleet::HostState,
     incarnation,
     ledger::record::Record,
     reducer::{
         Scheduler,
-        crashes::{EndDetection, EndedExecutor, lost_runs},
+        crashes::{Circumstances, EndDetection, EndedExecutor, HostOutcome, lost_runs},
         executors::{HeldRun, Phase},
     },
     task::TaskKey,
@@ -34,7 +35,7 @@
     }
 
     fn release_expired_runs(&mut self, now: Now, executor: &ExecutorName) {
-        let listed_up = self.fleet.last_listed(executor);
+        let circumstances = self.circumstances(now, executor);
         let Some(known) = self.executors.get_mut(executor) else { return };
         let tasks: Vec<TaskKey> = known
             .runs
@@ -47,7 +48,7 @@
         }
         // It must be polled for its runs before it is used again.
         known.fenced = false;
-        let lost = lost_runs(known, listed_up, now.time);
+        let lost = lost_runs(known, &circumstances, now.time);
         known.expired_runs.extend(lost);
         self.log("lease-ended", executor, || format!("runs={}", tasks.len()));
         for task in tasks {
@@ -84,21 +85,38 @@
 
     /// Records once how an incarnation has ended, and what it was running.
     fn note_executor_end(&mut self, now: Now, executor: &ExecutorName, detection: EndDetection) {
-        let listed_up = self.fleet.last_listed(executor);
+        let circumstances = self.circumstances(now, executor);
         let known = self.executors.get_mut(executor).filter(|known| !known.ended);
         let Some(known) = known else { return };
         known.is_registered = false;
         known.ended = true;
-        let ended = EndedExecutor::new(known, detection, listed_up, now.time);
+        let ended = EndedExecutor::new(known, detection, circumstances, now.time);
         self.log("executor-ended", executor, || ended.to_string());
         self.ended_executors.push(ended);
     }
 
+    /// What is known about the end of an executor besides its own state.
+    fn circumstances(&self, now: Now, executor: &ExecutorName) -> Circumstances {
+        let host_outcome = self.fleet.host_outcome(executor);
+        let of_earlier_leader = |host: &HostName| self.may_be_ordered(now.time, host);
+        let host_outcome = match host_outcome {
+            HostOutcome::Listed(host, HostState::Up) if of_earlier_leader(&host) => {
+                HostOutcome::Ordered(host)
+            }
+            other => other,
+        };
+        Circumstances {
+            listed_up: self.fleet.last_listed(executor),
+            host_outcome,
+            earlier_order_possible: self.inherited_host_orders.keys().any(of_earlier_leader),
+            took_over_at: self.took_over_at,
+        }
+    }
+
     /// Handles the restart of an executor under its name: moves runs that the later incarnation may
     /// have started to that one, and releases all others.
     pub(super) fn carry_over(&mut self, now: Now, before: &ExecutorName, next: &ExecutorName) {
-        let host = self.fleet.host_outcome(before);
-        self.note_executor_end(now, before, EndDetection::Restarted(host.clone()));
+        self.note_executor_end(now, before, EndDetection::Restarted);
         let Some(known) = self.executors.get(before) else { return };
         let inherited_until = known.inherited_until;
         let runs = known.runs.iter().filter(|(_, held)| held.may_start_later(None));
@@ -111,7 +129,7 @@
         for (task, held) in runs {
             self.carry_run(now, before, next, &task, held);
         }
-        self.end_incarnation(now, before, EndDetection::Restarted(host));
+        self.end_incarnation(now, before, EndDetection::Restarted);
     }
 
     fn carry_run(
--- a/crates/borageswitch_scheduler/src/reducer/outbox.rs
+++ b/crates/borageswitch_scheduler/src/reducer/outbox.rs
@@ -159,13 +159,17 @@
         let through = outbox.records.sent();
         // The keys of a job may go with its end, as an append takes effect as a whole.
         let forget = outbox.removals.take(now.time, through);
+        self.ledger.note_sent(now.wall, &records);
         let snapshot = outbox.snapshot.take_if(|(end, _)| *end == through);
-        let snapshot =
-            snapshot.map(|(_, snapshot)| Box::new(Snapshot { through: append, ..*snapshot }));
+        let recent_starts = &self.ledger.recent_starts;
+        let snapshot = snapshot.map(|(_, snapshot)| {
+            let recent_starts = recent_starts.clone();
+            Box::new(Snapshot { through: append, recent_starts, ..*snapshot })
+        });
         outbox.next_append += 1;
         outbox.in_flight = Some(InFlight { append, through, snapshot });
         outbox.sent_at = now.time;
-        self.effects.push(Effect::Append { append, records, forget });
+        self.effects.push(Effect::Append { append, at: now.wall, records, forget });
     }
 
     /// Takes a snapshot if one is due.
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -115,13 +115,15 @@
 
     fn inherit_runs(&mut self, now: Now) {
         let until = now.time + self.limits.inherited_lease;
+        let ages = self.ledger.recent_starts.max_ages(now.wall);
         let mut inherited = Vec::new();
         for job in self.ledger.jobs.values() {
             collect_assigned(job, &mut inherited);
         }
         for (task, executor, run) in inherited {
             let held = self.held_for(now.time, &task, run, Phase::Inherited);
-            let Some(held) = held else { continue };
+            let Some(mut held) = held else { continue };
+            held.inherited_age = ages.get(&(task.clone(), run)).copied();
             let Some(pool) = self.pool_of(&task.job).cloned() else { continue };
             self.inherit_run(now, &executor, pool, &task, held, until);
         }
--- a/crates/borageswitch_scheduler/src/reducer/suspects.rs
+++ b/crates/borageswitch_scheduler/src/reducer/suspects.rs
@@ -15,7 +15,7 @@
     effect::{CountedEvent, Effect},
     event::Now,
     ledger::{
-        crashes::{Crash, Suspicion},
+        crashes::{self, Crash, Suspicion},
         record::Record,
     },
     policy::{
@@ -29,8 +29,9 @@
     task::TaskKey,
 };
 
-/// The age that is assumed for a run that an earlier leader started.
-const UNKNOWN_AGE: Duration = crash_attribution::START_RELATED_AGE;
+/// The window that is assumed for a run of unknown age when the other runs on its executor are
+/// judged: it may be the cause as well as any of them.
+const UNKNOWN_WINDOW: Duration = crash_attribution::START_RELATED_AGE;
 /// How long nothing else is started on an executor after the start of an isolated suspect.
 const ISOLATION: Duration = crash_attribution::START_RELATED_AGE;
 
@@ -113,12 +114,14 @@
         let suspicions = runs.iter().filter_map(|lost| {
             let job = &lost.task.job;
             let started_on = started_on.get(job).copied().unwrap_or(0);
-            if !crash_attribution::has_common_cause(others, started_on) {
-                let evidence = self.evidence(now, ended, lost, shares[job]);
-                return Some(suspicion(now, ended, lost, evidence));
+            let is_shared = crash_attribution::has_common_cause(others, started_on);
+            match lost.attributable_age().zip(lost.window).filter(|_| !is_shared) {
+                Some((age, window)) => {
+                    let evidence = self.evidence(now, ended, lost, window, shares[job]);
+                    Some(suspicion(now, ended, lost, age.as_millis() as u64, evidence))
+                }
+                None => lost.is_start_related().then(|| unattributed(now, ended, lost)),
             }
-            crash_attribution::is_start_related(lost.min_age)
-                .then(|| suspicion(now, ended, lost, 0))
         });
         let suspicions: Vec<Suspicion> = suspicions.collect();
         // During a storm, crashes of contained jobs would count as unrelated ones for all others,
@@ -129,16 +132,15 @@
         self.record_suspicions(ended, suspicions);
     }
 
-    /// Records suspicions without evidence against tasks that had recently started on an executor
-    /// which ended for another or an unknown reason.
+    /// Records the loss of tasks that had recently started on an executor which ended for another
+    /// or an unknown reason.
     ///
-    /// They count for the limit on restarts: a drain may hide a crash, or an earlier leader may
-    /// have seen a crash that it could not store.
+    /// A drain may hide a crash, or an earlier leader may have seen a crash that it could not store.
+    /// So these tasks are restarted with more caution, but none is given up for it.
     pub(super) fn note_unattributed_loss(&mut self, now: Now, ended: &EndedExecutor) {
-        let recent = ended.runs.iter().filter(|lost| {
-            crash_attribution::is_start_related(lost.min_age) && self.is_open(&lost.task)
-        });
-        let suspicions = recent.map(|lost| suspicion(now, ended, lost, 0));
+        let recent =
+            ended.runs.iter().filter(|lost| lost.is_start_related() && self.is_open(&lost.task));
+        let suspicions = recent.map(|lost| unattributed(now, ended, lost));
         self.record_suspicions(ended, suspicions.collect());
     }
 
@@ -164,30 +166,35 @@
         let counted = self.ledger.crashes_of(task).len();
         let level = self.suspicion_level(task);
         self.log("task-suspected", task, || {
-            let age = ended
-                .max_age_of(task)
-                .map_or("unknown".to_owned(), |age| age.as_millis().to_string());
             format!(
-                "run={} executor={} why={:?} cause={} age_ms={age} lived_ms={} evidence={} \
+                "run={} executor={} why={:?} cause={} age_ms={} lived_ms={} evidence={} \
                  crashes={counted} level={level}",
                 crash.run,
                 crash.executor,
                 ended.why(),
                 ended.cause(),
+                crash.max_age().map_or("unknown".to_owned(), |age| age.as_millis().to_string()),
                 crash.lived_ms,
                 crash.evidence,
             )
         });
     }
 
-    fn evidence(&self, now: Now, ended: &EndedExecutor, lost: &LostRun, share: f64) -> u32 {
+    fn evidence(
+        &self,
+        now: Now,
+        ended: &EndedExecutor,
+        lost: &LostRun,
+        window: Duration,
+        share: f64,
+    ) -> u32 {
         let site = RateContext {
             job: &lost.task.job,
             host: ended.host(),
             executors: self.executors.len(),
         };
         let rate = self.suspects.history.rate(now.time, self.took_over_at, &site);
-        crash_attribution::evidence(share, lost.window.unwrap_or(UNKNOWN_AGE), rate)
+        crash_attribution::evidence(share, window, rate)
     }
 
     /// Summarises a job's runs on a crashed executor by the task that is the likeliest cause.
@@ -198,7 +205,7 @@
             let crashes = self.ledger.crashes_of(&lost.task);
             let evidence = crashes.iter().map(|crash| crash.evidence).sum();
             present.evidence = present.evidence.max(evidence);
-            present.window = present.window.min(lost.window.unwrap_or(UNKNOWN_AGE));
+            present.window = present.window.min(lost.window.unwrap_or(UNKNOWN_WINDOW));
         }
         present
     }
@@ -206,7 +213,7 @@
     /// Gives a suspect up if the evidence suffices; otherwise tracks the run that it may have.
     fn review_suspect(&mut self, task: &TaskKey) {
         let suspicion_level = self.suspicion_level(task);
-        if suspicion_level == SuspicionLevel::Poison || self.is_poison_job(&task.job) {
+        if suspicion_level == SuspicionLevel::Poison || self.is_poison_job(task) {
             self.give_up_poison_task(task);
             return;
         }
@@ -216,12 +223,23 @@
         }
     }
 
-    /// Whether the crashes under all tasks of a job together suffice as evidence against the job.
-    fn is_poison_job(&self, name: &JobName) -> bool {
-        let Some(job) = self.ledger.jobs.get(name) else { return false };
+    /// Whether the crashes under all tasks of the job of a task together suffice as evidence against
+    /// the job. The task itself has to have crashed several executors, the last one apart from
+    /// other suspects.
+    fn is_poison_job(&self, task: &TaskKey) -> bool {
+        let Some(job) = self.ledger.jobs.get(&task.job) else { return false };
+        let of_task = self.ledger.crashes_of(task);
+        let Some((last, before)) = of_task.split_last() else { return false };
+        let was_isolated = SuspicionLevel::of(before) == SuspicionLevel::Isolated;
+        if !was_isolated
+            || !last.is_attributed()
+            || !crash_attribution::has_crashed_several(of_task)
+        {
+            return false;
+        }
         let steps = &job.submission.spec.steps;
         let tasks: usize = steps.iter().map(|step| step.count as usize).sum();
-        let crashes = self.ledger.suspects_of(name).flat_map(|(_, crashes)| crashes);
+        let crashes = self.ledger.suspects_of(&task.job).flat_map(|(_, crashes)| crashes);
         crash_attribution::is_poison_job(crashes, tasks * job.progress.open.len().max(1))
     }
 
@@ -286,14 +304,25 @@
     }
 }
 
-fn suspicion(now: Now, ended: &EndedExecutor, lost: &LostRun, evidence: u32) -> Suspicion {
+fn suspicion(
+    now: Now,
+    ended: &EndedExecutor,
+    lost: &LostRun,
+    age_ms: u64,
+    evidence: u32,
+) -> Suspicion {
     let crash = Crash {
         executor: ended.executor.clone(),
         at: now.wall,
         run: lost.run,
-        age_ms: lost.max_age.unwrap_or(UNKNOWN_AGE).as_millis() as u64,
+        age_ms,
         lived_ms: lost.min_age.as_millis() as u64,
         evidence,
     };
     Suspicion { task: lost.task.clone(), crash }
 }
+
+/// A crash that is not attributed to the task of a run, as its time or its cause is not known.
+fn unattributed(now: Now, ended: &EndedExecutor, lost: &LostRun) -> Suspicion {
+    suspicion(now, ended, lost, crashes::UNATTRIBUTED, 0)
+}
--- a/crates/borageswitch_scheduler/tests/queued_records.rs
+++ b/crates/borageswitch_scheduler/tests/queued_records.rs
@@ -24,7 +24,7 @@
 fn store_next(session: &mut Session) -> Option<(Vec<Record>, Vec<JobName>)> {
     let effects = session.advance(20);
     let append = effects.into_iter().find_map(|effect| match effect {
-        Effect::Append { append, records, forget } => Some((append, records, forget)),
+        Effect::Append { append, records, forget, .. } => Some((append, records, forget)),
         _ => None,
     });
     let (append, records, forget) = append?;
--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -30,7 +30,7 @@
     executor::Registration,
     incarnation,
     job::{JobSpec, Schedule, Size, Step, Submission},
-    ledger::record::{Outcome, Record},
+    ledger::record::{Outcome, StoredAppend},
     reducer::{Limits, Scheduler},
     task::TaskKey,
 };
@@ -113,7 +113,7 @@
     pub store: Store,
     cancelled: BTreeMap<JobName, u64>,
     store_outage_until: u64,
-    pending_appends: Vec<(u64, u64, Vec<Record>, Vec<JobName>)>,
+    pending_appends: Vec<(u64, u64, StoredAppend, Vec<JobName>)>,
     leader: Option<Scheduler>,
     token: u64,
     leader_back_at: u64,
@@ -556,13 +556,13 @@
         if self.now < self.store_outage_until {
             return;
         }
-        for (token, append, records, forget) in std::mem::take(&mut self.pending_appends) {
+        for (token, append, content, forget) in std::mem::take(&mut self.pending_appends) {
             if token != self.token || self.leader.is_none() {
                 continue;
             }
             let refused = !forget.is_empty() && self.chance(self.faults.refused_removal);
             let removed = if refused { Vec::new() } else { forget };
-            self.store.append(append, records, &removed);
+            self.store.append(append, content, &removed);
             self.violations.extend(self.store.check());
             if self.ends_term_before_confirmation(append) {
                 continue;
@@ -598,8 +598,9 @@
         for effect in effects {
             self.violations.extend(self.store.check_effect(&effect));
             match effect {
-                Effect::Append { append, records, forget } => {
-                    self.pending_appends.push((token, append, records, forget));
+                Effect::Append { append, at, records, forget } => {
+                    let content = StoredAppend { records, at };
+                    self.pending_appends.push((token, append, content, forget));
                 }
                 Effect::Start(..) | Effect::Stop(..) | Effect::Poll(..) => {
                     match &mut self.processor {
--- a/crates/borageswitch_scheduler/tests/support/simulation/store.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation/store.rs
@@ -11,7 +11,7 @@
     job::Submission,
     ledger::{
         Ledger,
-        record::{Outcome, Record},
+        record::{Outcome, Record, StoredAppend},
         snapshot::Snapshot,
     },
 };
@@ -38,7 +38,7 @@
 #[derive(Debug, Default)]
 pub struct Store {
     submissions: BTreeMap<JobName, Arc<Submission>>,
-    appends: BTreeMap<u64, Vec<Record>>,
+    appends: BTreeMap<u64, StoredAppend>,
     snapshot: Snapshot,
     /// The last append.
     last: u64,
@@ -59,14 +59,14 @@
     }
 
     /// Stores an append and removes the submissions of some jobs.
-    pub fn append(&mut self, number: u64, records: Vec<Record>, removed: &[JobName]) {
-        for record in &records {
-            self.expected.apply(record);
+    pub fn append(&mut self, number: u64, content: StoredAppend, removed: &[JobName]) {
+        self.expected.apply_append(&content);
+        for record in &content.records {
             if let Record::ExecutorGone { executor } = record {
                 self.gone.insert(executor.clone());
             }
         }
-        self.appends.insert(number, records);
+        self.appends.insert(number, content);
         self.last = number;
         self.submissions.retain(|job, _| !removed.contains(job));
         *self.checked.entry("removal").or_default() += removed.len();
@@ -81,9 +81,9 @@
     pub fn restore(&self) -> (Ledger, u64) {
         let mut ledger = self.snapshot.clone().restore(self.submissions.values().cloned());
         let mut last = self.snapshot.through;
-        for (number, records) in self.appends.range(self.snapshot.through + 1..) {
+        for (number, content) in self.appends.range(self.snapshot.through + 1..) {
             assert_eq!(*number, last + 1, "an append is missing");
-            records.iter().for_each(|record| ledger.apply(record));
+            ledger.apply_append(content);
             last = *number;
         }
         (ledger, last + 1)
