Restart isolated suspects only while executors of their pool hardly crash

The starts that decide, after three crashes or two powers of ten, now wait until the executors of the pool have hardly crashed for three seconds: at most one in fifty a second, not counting those that an isolated suspect explains. A new leader observes for as long first. A crash then says something about the task, and a sound one survives and is exonerated. Nothing is given up later than before where hosts are stable.

--- a/crates/borageswitch_scheduler/src/policy/mod.rs
+++ b/crates/borageswitch_scheduler/src/policy/mod.rs
@@ -41,6 +41,7 @@
 pub mod caller_shares;
 pub mod circuit_breaker;
 pub mod crash_attribution;
+pub mod crash_calm;
 pub mod crash_containment;
 pub mod crash_rate;
 pub mod fair_shares;
--- a/crates/borageswitch_scheduler/src/reducer/containment/probes.rs
+++ b/crates/borageswitch_scheduler/src/reducer/containment/probes.rs
@@ -140,7 +140,12 @@
         for step in order.values().filter(|step| !step.urgency.is_lasting()) {
             let needed = self.needed_probe(pool, &step.key.job);
             let is_suspect = |index: &u32| self.is_suspect(&step.key.task(*index));
-            let suspects: Vec<u32> = step.waiting.iter().copied().filter(is_suspect).collect();
+            let awaits_calm = |index: &u32| self.awaits_calm(now, pool, &step.key.task(*index));
+            if step.gang && step.waiting.iter().any(awaits_calm) {
+                continue;
+            }
+            let suspects = step.waiting.iter().copied().filter(is_suspect);
+            let suspects: Vec<u32> = suspects.filter(|index| !awaits_calm(index)).collect();
             if needed.is_none() && suspects.is_empty() {
                 continue;
             }
@@ -169,6 +174,7 @@
                     Reverse((evidence, crashes.len()))
                 };
                 let first = step.waiting.iter().min_by_key(rank);
+                let first = first.filter(|index| !awaits_calm(index));
                 candidates.extend(first.map(|&index| candidate(vec![index])));
             }
         }
--- a/crates/borageswitch_scheduler/src/reducer/explain.rs
+++ b/crates/borageswitch_scheduler/src/reducer/explain.rs
@@ -165,7 +165,9 @@
             let treated = match SuspicionLevel::of(crashes) {
                 SuspicionLevel::Clear => "scheduled like others",
                 SuspicionLevel::Suspect => "kept away from other suspects",
-                SuspicionLevel::Isolated => "started apart from all suspects",
+                SuspicionLevel::Isolated => {
+                    "started apart from all suspects, while executors of its pool hardly crash"
+                }
                 SuspicionLevel::Poison => "not started any more",
             };
             let listed: Vec<String> = crashes.iter().map(ToString::to_string).collect();
--- a/crates/borageswitch_scheduler/src/reducer/gangs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/gangs.rs
@@ -30,6 +30,10 @@
         if self.stop_partial_gang(now, waiting) {
             return true;
         }
+        let mut members = waiting.waiting.iter().map(|&index| waiting.key.task(index));
+        if members.any(|member| self.awaits_calm(now, pool, &member)) {
+            return false;
+        }
         let without_suspects = self.capacity_without_suspects(waiting, available);
         let usable = without_suspects.as_ref().unwrap_or(available);
         let Some((places, mut left)) = self.places_for_gang(now, waiting, step, usable) else {
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -254,6 +254,7 @@
             let task = waiting.key.task(index);
             let suspicion_level = self.suspicion_level(&task);
             if suspicion_level == SuspicionLevel::Poison
+                || self.awaits_calm(now, pool, &task)
                 || self.failed_starts.is_backing_off(now.time, &task)
             {
                 continue;
--- a/crates/borageswitch_scheduler/src/reducer/suspects.rs
+++ b/crates/borageswitch_scheduler/src/reducer/suspects.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use borageswitch_types::names::{ExecutorName, JobName, QueueName};
+use borageswitch_types::names::{ExecutorName, JobName, PoolName, QueueName};
 
 use crate::{
     effect::{CountedEvent, Effect},
@@ -20,6 +20,7 @@
     },
     policy::{
         crash_attribution::{self, PossibleCause, SuspicionLevel},
+        crash_calm::{self, PoolCrashes},
         crash_rate::{CrashHistory, RateContext},
     },
     reducer::{
@@ -39,6 +40,8 @@
 #[derive(Debug, Default)]
 pub struct Suspects {
     history: CrashHistory,
+    /// The recent crashes of each pool that isolated suspects do not explain.
+    pool_crashes: BTreeMap<PoolName, PoolCrashes>,
     /// Tasks with crashes whose present run has not survived for long enough yet, by executor.
     on_probation: BTreeMap<ExecutorName, BTreeMap<TaskKey, SuspicionLevel>>,
 }
@@ -79,6 +82,33 @@
         host.is_some_and(|host| history.is_crash_prone(now.time, host))
     }
 
+    /// Whether a task has to wait until the executors of its pool have stopped crashing.
+    ///
+    /// The next crash under an isolated suspect may give its job up, so it must not be a crash that
+    /// any task would have seen.
+    pub(super) fn awaits_calm(&self, now: Now, pool: &PoolName, task: &TaskKey) -> bool {
+        self.suspicion_level(task) == SuspicionLevel::Isolated && !self.is_calm(now, pool)
+    }
+
+    fn is_calm(&self, now: Now, pool: &PoolName) -> bool {
+        if !crash_calm::is_observed(now.time, self.took_over_at) {
+            return false;
+        }
+        let Some(crashes) = self.suspects.pool_crashes.get(pool) else { return true };
+        let registered = self.executors.of_pool(pool).filter(|(_, known)| known.is_registered);
+        crashes.is_calm(now.time, registered.count())
+    }
+
+    /// Notes a crash that says how often the executors of a pool crash.
+    fn note_pool_crash(&mut self, now: Now, ended: &EndedExecutor) {
+        self.suspects.pool_crashes.retain(|_, crashes| !crashes.expire(now.time));
+        let is_isolated =
+            |lost: &LostRun| self.suspicion_level(&lost.task) >= SuspicionLevel::Isolated;
+        if !ended.runs.iter().any(is_isolated) {
+            self.suspects.pool_crashes.entry(ended.pool().clone()).or_default().add(now.time);
+        }
+    }
+
     /// Tracks a placed task if it is a suspect; an isolated one blocks its executor for a while.
     pub(super) fn track_suspect(&mut self, now: Now, executor: &ExecutorName, task: &TaskKey) {
         if self.ledger.crashes_of(task).is_empty() {
@@ -107,6 +137,7 @@
         let runs: Vec<&LostRun> =
             ended.runs.iter().filter(|lost| self.is_open(&lost.task)).collect();
         let jobs: BTreeSet<JobName> = runs.iter().map(|lost| lost.task.job.clone()).collect();
+        self.note_pool_crash(now, ended);
         self.count_crash(&jobs);
         let present: Vec<PossibleCause> = jobs.iter().map(|job| self.present(job, &runs)).collect();
         let shares: BTreeMap<&JobName, f64> =
