Log why a job has failed

Operators saw `outcome=failed` for two different faults: a task without attempts, and a task that crashes executors.

The line of a failed job now has a field `cause=`: `attempts` with the task and its failures, or `crashes` with the task. The rule that decides is unchanged.

--- a/crates/borageswitch_scheduler/src/ledger/run_end.rs
+++ b/crates/borageswitch_scheduler/src/ledger/run_end.rs
@@ -84,8 +84,12 @@
     }
 }
 
-/// Returns whether a task of a step has failed so often that its job fails.
-pub fn has_used_up_attempts(state: &StepState, step: &Step, max_attempts: u16) -> bool {
+/// Returns the index of the first task of a step that has failed so often that its job fails.
+pub fn task_without_attempts(state: &StepState, step: &Step, max_attempts: u16) -> Option<u32> {
     // A lasting task is started again however often it fails.
-    !step.lasting && state.tasks.iter().any(|task| task.failures >= max_attempts)
+    if step.lasting {
+        return None;
+    }
+    let index = state.tasks.iter().position(|task| task.failures >= max_attempts)?;
+    Some(index as u32)
 }
--- a/crates/borageswitch_scheduler/src/ledger/tests.rs
+++ b/crates/borageswitch_scheduler/src/ledger/tests.rs
@@ -256,7 +256,8 @@
         let job = &ledger.jobs[&JobName::from("l")];
         assert!(!job.is_done(), "gang {gang}, {kind}");
         let state = job.step_state(0, 0).unwrap();
-        assert!(!run_end::has_used_up_attempts(state, &lasting, 1), "gang {gang}, {kind}");
+        let failed = run_end::task_without_attempts(state, &lasting, 1);
+        assert_eq!(failed, None, "gang {gang}, {kind}");
         assert!(state.tasks.iter().all(job::TaskState::is_waiting), "gang {gang}, {kind}");
     }
 }
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -16,13 +16,12 @@
         Finished, OUTCOME_RETENTION,
         job::{Job, Occurrence},
         record::{LingeringRun, Outcome, Record},
-        run_end,
     },
     policy::{
         caller_shares::JobBucket,
         order::{JobView, USEFUL_FACTOR},
     },
-    reducer::{Scheduler, executors::HeldRun},
+    reducer::{Scheduler, executors::HeldRun, job_failures::FailureCause},
     task::TaskKey,
 };
 
@@ -164,34 +163,37 @@
     pub(super) fn cancel(&mut self, now: Now, job: &JobName) {
         let Some(known) = self.ledger.jobs.get(job) else { return };
         let queue = known.submission.queue.name.clone();
-        self.finish(now, job, queue, Outcome::Cancelled);
+        self.finish(now, job, queue, Outcome::Cancelled, None);
     }
 
     /// Finishes jobs that are done, have a task that failed too often, or were given up.
     pub(super) fn finish_jobs(&mut self, now: Now) {
         for name in std::mem::take(&mut self.maybe_ended) {
             let Some(job) = self.ledger.jobs.get(&name) else { continue };
-            let attempts =
-                self.job_states.get(&name).map_or(u16::MAX, |job_state| job_state.max_attempts);
-            let outcome = if job.is_done() {
-                Outcome::Completed
-            } else if has_failed(job, attempts) || self.ledger.given_up.contains_key(&name) {
-                Outcome::Failed
-            } else {
-                continue;
+            let cause = if job.is_done() { None } else { self.failure_cause(&name, job) };
+            let outcome = match &cause {
+                Some(_) => Outcome::Failed,
+                None if job.is_done() => Outcome::Completed,
+                None => continue,
             };
             let queue = job.submission.queue.name.clone();
-            self.finish(now, &name, queue, outcome);
+            self.finish(now, &name, queue, outcome, cause);
         }
     }
 
-    fn finish(&mut self, now: Now, job: &JobName, queue: QueueName, outcome: Outcome) {
+    fn finish(
+        &mut self,
+        now: Now,
+        job: &JobName,
+        queue: QueueName,
+        outcome: Outcome,
+        cause: Option<FailureCause>,
+    ) {
         let took = self.job_states.get(job).map(|job_state| now.time.since(job_state.accepted));
         self.log("job-ended", job, || {
-            format!(
-                "queue={queue} outcome={outcome} took_ms={}",
-                took.unwrap_or_default().as_millis()
-            )
+            let cause = cause.map(|cause| format!(" cause={cause}")).unwrap_or_default();
+            let took_ms = took.unwrap_or_default().as_millis();
+            format!("queue={queue} outcome={outcome}{cause} took_ms={took_ms}")
         });
         self.mark_pool_dirty(job);
         self.ending_jobs.insert(job.clone());
@@ -304,17 +306,6 @@
     }
 }
 
-fn has_failed(job: &Job, max_attempts: u16) -> bool {
-    let steps = &job.submission.spec.steps;
-    job.progress.open.values().any(|occurrence| {
-        occurrence
-            .steps
-            .iter()
-            .zip(steps)
-            .any(|(state, step)| run_end::has_used_up_attempts(state, step, max_attempts))
-    })
-}
-
 /// The expected duration of the longest chain of steps of a job, or of what remains of the
 /// occurrence `open`.
 fn longest_chain<F>(spec: &JobSpec, open: Option<&Occurrence>, expect: F) -> Duration
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -8,7 +8,8 @@
 //! - [`executor_table`]: all executors, indexed by pool and by job; [`executors`]: the leader's
 //!   view of each; [`clock`]: when the lease of an executor ends.
 //! - [`outbox`]: records to store, and the effects that wait until they are stored.
-//! - [`jobs`]: submission, cancellation, schedules and ends of jobs.
+//! - [`jobs`]: submission, cancellation, schedules and ends of jobs; `job_failures`: why a job has
+//!   failed.
 //! - [`polls`]: polls executors and compares their reports with the leader's view.
 //! - [`run_ends`]: handles the ends of runs and the proof that a run never started.
 //! - [`starts`]: sends starts and stops and handles the responses; [`failed_starts`] bounds their
@@ -49,6 +50,7 @@
 pub mod gangs;
 pub mod host_list;
 pub mod hosts;
+mod job_failures;
 pub mod jobs;
 pub mod lasting;
 pub mod lease_expiry;
