Do not count a run that an earlier leader may be stopping as available

Cause: a stop takes up to 400 ms, and until then the executor lists the run as active at 100 percent. Stops are not stored, so a new leader that polls within that time takes the run for one at work, and interrupts others of the step up to the limit.

A run that this leader did not start now counts as at work only from a report that is more than 400 ms younger, by the executor's clock, than the response from which on the executor refuses orders of earlier leaders: any stop accepted before has ended its run by then. Runs that this leader started are not affected.

--- a/crates/borageswitch_scheduler/src/reducer/draining.rs
+++ b/crates/borageswitch_scheduler/src/reducer/draining.rs
@@ -16,11 +16,7 @@
 
 use crate::{
     event::Now,
-    reducer::{
-        Scheduler,
-        executors::{Executor, HeldRun},
-        places::reserved_size,
-    },
+    reducer::{Scheduler, executors::Executor, places::reserved_size},
     task::{StepKey, TaskKey},
 };
 
@@ -162,6 +158,10 @@
     }
 
     /// Whether a task is known to be at work from a recent report of its executor.
+    ///
+    /// An executor lists a run that it is stopping as active. The orders of earlier leaders are not
+    /// known, so a run that one of them may have stopped counts as at work only once it has outlasted
+    /// such an order.
     fn is_at_work(&self, now: Time, task: &TaskKey, taken: &BTreeSet<&ExecutorName>) -> bool {
         let assigned = self.ledger.task(task).and_then(|state| state.assigned.as_ref());
         let executor = assigned.and_then(|assigned| self.executors.get(&assigned.executor));
@@ -170,8 +170,11 @@
                 known.clock.is_some_and(|clock| now.since(clock.received) < MAX_REPORT_AGE);
             recent && known.polling.failures == 0
         };
-        let held = executor.filter(responsive).and_then(|known| known.runs.get(task));
-        held.is_some_and(HeldRun::is_at_work)
+        let at_work = |known: &Executor| {
+            let held = known.runs.get(task).filter(|held| held.is_at_work());
+            held.is_some_and(|held| !known.may_be_stopping(held))
+        };
+        executor.filter(responsive).is_some_and(at_work)
             && assigned.is_some_and(|assigned| !taken.contains(&assigned.executor))
     }
 }
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -14,6 +14,10 @@
     task::TaskKey,
 };
 
+/// The maximum time between a stop order and the end of the run, which the executor lists as active
+/// until then.
+const MAX_STOP_TIME_MS: u64 = 400;
+
 /// The phase of a run, as far as the leader knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -196,6 +200,11 @@
     /// Whether it has answered a poll with this leader's fencing token. From then on it refuses
     /// orders of earlier leaders that are still in flight, and its runs are known.
     pub fenced: bool,
+    /// Its clock in the response that fenced it.
+    pub fenced_clock_ms: u64,
+    /// Whether its newest report postdates the end of every run that earlier leaders ordered it to
+    /// stop.
+    pub earlier_stops_done: bool,
     /// The newest reading of its clock.
     pub clock: Option<ClockReading>,
     /// The latest lease end that any order has carried, by the clock of the executor.
@@ -247,6 +256,8 @@
             known_since: now,
             was_listed: false,
             fenced: false,
+            fenced_clock_ms: 0,
+            earlier_stops_done: false,
             clock: None,
             lease_until_ms: 0,
             processed_end: 0,
@@ -268,6 +279,25 @@
         }
     }
 
+    /// Records that from the response with this reading of its clock on, it refuses orders of earlier
+    /// leaders.
+    pub(super) fn fence(&mut self, clock_ms: u64) {
+        self.fenced = true;
+        self.fenced_clock_ms = clock_ms;
+        self.earlier_stops_done = false;
+    }
+
+    /// Records a reading of its clock from its newest report.
+    pub(super) fn note_report(&mut self, clock_ms: u64) {
+        let since_fenced = clock_ms.saturating_sub(self.fenced_clock_ms);
+        self.earlier_stops_done |= self.fenced && since_fenced > MAX_STOP_TIME_MS;
+    }
+
+    /// Whether an earlier leader may have ordered it to stop a run that it lists as active.
+    pub fn may_be_stopping(&self, held: &HeldRun) -> bool {
+        held.start_sent.is_none() && !self.earlier_stops_done
+    }
+
     /// The recipient of orders for it.
     pub fn recipient(&self) -> Recipient {
         Recipient {
--- a/crates/borageswitch_scheduler/src/reducer/polls.rs
+++ b/crates/borageswitch_scheduler/src/reducer/polls.rs
@@ -124,7 +124,7 @@
         known.expired_runs.clear();
         known.read_clock(now.time, report.clock_ms);
         if !known.fenced {
-            known.fenced = true;
+            known.fence(report.clock_ms);
             if !report.active.is_empty() || !known.runs.is_empty() {
                 // Its present and possible runs hold a lease that an earlier leader granted.
                 let lease = self.limits.inherited_lease.as_millis() as u64;
@@ -136,6 +136,7 @@
         let newest = known.polling.last_answered_sent.is_none_or(|answered| sent >= answered);
         if newest {
             known.polling.last_answered_sent = Some(sent);
+            known.note_report(report.clock_ms);
         }
         if recovered {
             self.log("executor-answers", executor, || "after polls without a response".to_owned());
