Learn no run times from runs that an earlier leader started

Callers saw sound tasks stopped and started again after a change of leader: once inherited runs have ended, the expected run time of their queue is up to ten times too short, and later runs pass for stragglers. Where jobs are refused on overload, too many would be accepted.

Cause: the start of an inherited run is not known and stands at the takeover, or at the first report that lists it. Its end was taken for the end of a run of that age; the first such end sets the ratio of its queue, to no less than a tenth.

Ends of runs whose start this leader did not send no longer count. The overhead of runs already skipped them.

The new test in tests/takeovers.rs failed before: a run at 60 percent after 1.4 s of an expected 0.5 s was stopped.

--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -274,8 +274,9 @@
             self.run_overhead.record(now.time.since(placed), work);
         }
         // A slow leader learns late that a run has ended. Taken for its run time, that would make
-        // the deadline of the next job seem later than it is.
-        if !self.pending_starts.is_leader_slow(now.time) {
+        // the deadline of the next job seem later than it is. When an earlier leader's run started is
+        // not known; counted from the takeover, it would pass for a very short one.
+        if held.start_sent.is_some() && !self.pending_starts.is_leader_slow(now.time) {
             self.runtime_estimates.observe(&queue, declared, now.time.since(held.started));
         }
     }
--- a/crates/borageswitch_scheduler/tests/takeovers.rs
+++ b/crates/borageswitch_scheduler/tests/takeovers.rs
@@ -1,4 +1,4 @@
-//! What a new leader assumes about lasting tasks that earlier leaders started.
+//! What a new leader assumes about runs that earlier leaders started.
 
 mod support;
 
@@ -6,7 +6,7 @@
     effect::Effect,
     executor::{ActiveRun, EndKind, EndedRun},
 };
-use support::session::{Session, active, done, host, key, lasting, stop_count, wave_over};
+use support::session::{Session, active, done, host, key, lasting, step, stop_count, wave_over};
 
 /// A time within which any stop that an executor has accepted has ended the run, in milliseconds.
 const AFTER_STOPS: u64 = 600;
@@ -121,3 +121,29 @@
 
     assert_eq!(stop_count(&effects), 0, "{effects:?}");
 }
+
+#[test]
+fn ends_of_inherited_runs_do_not_make_later_runs_stragglers() {
+    // Guards against stopping sound runs because runs of unknown age, which ended just after the
+    // takeover, passed for very short ones.
+    let mut first = Session::new(&["e0", "e1"]);
+    first.submit("j", vec![step(4)]);
+    let inherited = first.store_and_start();
+    let mut session = Session::without_reports(&["e0", "e1"], first.scheduler.ledger().clone());
+    for executor in ["e0", "e1"] {
+        let here = inherited.iter().filter(|(on, _)| on.as_str() == executor);
+        let ends: Vec<EndedRun> =
+            here.zip(1..).map(|((_, task), number)| done(number, task)).collect();
+        session.report(executor, &[], &ends, 0);
+    }
+    session.submit("k", vec![step(1)]);
+    let started = session.store_and_start();
+    assert_eq!(started.len(), 1, "{started:?}");
+
+    session.now += 1_400;
+    let halfway = ActiveRun { percent: 60, ..active(&key("k", 0)) };
+    session.report(started[0].0.as_str(), &[halfway], &[], 4);
+    let effects = session.advance(110);
+
+    assert_eq!(stop_count(&effects), 0, "{effects:?}");
+}
