Give each run of the soak a loopback address of its own

Cause, by reading and by test: all runs listened on 127.0.0.1 with automatically assigned ports. A daemon that is killed gives its ports back and starts again under others. A daemon of another run can be given the old port, while callers, peers and the leader's record in the store of the first run still name it. Daemons do not tell sites apart.

Each run now reserves an address in 127.64.0.0/16 by a listener on a port below the automatically assigned range, and the stand-in, proxies and daemons of the run listen only there. Daemons inherit the listener as standard input, so that a daemon that outlives its run is not met by the next one either.

tests/addresses.rs: the two tests of two runs failed before the change ("127.0.0.1:38771 leads to the other run") and hold with it.

--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -5,6 +5,7 @@
 //! loopback delay, hold back and reset connections, the stand-in's store and hosts misbehave. What
 //! is checked is what callers and executors saw.
 //!
+//! - [`addresses`]: a loopback address for each run.
 //! - [`plan`]: which faults, when and for how long.
 //! - [`proxy`]: connections that can be disturbed.
 //! - [`process`]: a daemon as a process, and signals to it.
@@ -14,6 +15,7 @@
 //! - [`promises`]: what has to be true of what was seen.
 //! - [`run`]: one seed from start to verdict.
 
+pub mod addresses;
 pub mod callers;
 pub mod faults;
 pub mod plan;
--- a/tools/soak/src/process.rs
+++ b/tools/soak/src/process.rs
@@ -19,6 +19,8 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::addresses::Reservation;
+
 /// Where a daemon listens, as it says in its log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Listens {
@@ -45,16 +47,24 @@
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
+    reservation: Reservation,
     state: Arc<Mutex<State>>,
 }
 
 impl Daemon {
-    /// A daemon that does not run yet; `dir` gets its settings and its log.
+    /// A daemon that does not run yet; `dir` gets its settings and its log. The address that it
+    /// listens on stays reserved while its process runs.
     ///
     /// # Errors
     ///
     /// When the settings cannot be written.
-    pub fn new(name: &str, program: &Path, dir: &Path, settings: &str) -> io::Result<Self> {
+    pub fn new(
+        name: &str,
+        program: &Path,
+        dir: &Path,
+        settings: &str,
+        reservation: &Reservation,
+    ) -> io::Result<Self> {
         let settings_path = dir.join(format!("{name}.jsonc"));
         fs::write(&settings_path, settings)?;
         Ok(Self {
@@ -62,6 +72,7 @@
             program: program.to_owned(),
             settings: settings_path,
             log: dir.join(format!("{name}.log")),
+            reservation: reservation.clone(),
             state: Arc::default(),
         })
     }
@@ -81,7 +92,7 @@
         let mut child = Command::new(&self.program)
             .arg("--settings")
             .arg(&self.settings)
-            .stdin(Stdio::null())
+            .stdin(self.reservation.to_fd()?)
             .stdout(Stdio::piped())
             .stderr(log.try_clone()?)
             .spawn()?;
--- a/tools/soak/src/proxy.rs
+++ b/tools/soak/src/proxy.rs
@@ -97,13 +97,13 @@
 }
 
 impl Proxy {
-    /// Starts a proxy in front of `target`.
+    /// Starts a proxy in front of `target`, on the same IP address.
     ///
     /// # Errors
     ///
     /// When no port can be bound.
     pub fn start(ex: &Runner, target: SocketAddr) -> io::Result<Self> {
-        let listener = smol::Async::<std::net::TcpListener>::bind(([127, 0, 0, 1], 0))?;
+        let listener = smol::Async::<std::net::TcpListener>::bind((target.ip(), 0))?;
         let address = listener.get_ref().local_addr()?;
         let state = Arc::new(State::default());
         let (own, spawner) = (state.clone(), ex.clone());
--- a/tools/soak/src/site.rs
+++ b/tools/soak/src/site.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io,
+    net::SocketAddr,
     path::Path,
     sync::{
         Arc, Mutex, PoisonError,
@@ -25,7 +26,7 @@
 };
 use borageswitch_types::names::{ExecutorName, HostName, PoolName};
 
-use crate::{plan::Who, process::Daemon, proxy::Proxy};
+use crate::{addresses::Reservation, plan::Who, process::Daemon, proxy::Proxy};
 
 /// How long a task takes.
 const TASK_TIME: Duration = Duration::from_millis(80);
@@ -54,7 +55,7 @@
 }
 
 impl Site {
-    /// Puts a site together; no daemon runs yet.
+    /// Puts a site together on an address of its own; no daemon runs yet.
     ///
     /// # Errors
     ///
@@ -67,7 +68,8 @@
         hosts: usize,
     ) -> io::Result<Self> {
         let platform = standin::platform(TASK_TIME);
-        let addresses = standin::start(&platform, ex)?;
+        let reservation = Reservation::new()?;
+        let addresses = standin::start(&platform, reservation.ip(), ex)?;
         let mut host_links = Vec::new();
         for number in 0..hosts {
             let link = Proxy::start(ex, addresses.executors)?;
@@ -78,8 +80,8 @@
         for number in 0..daemons {
             let link = Proxy::start(ex, addresses.store)?;
             let name = format!("d{number}");
-            let settings = settings(&name, &link, &addresses);
-            started.push(Daemon::new(&name, program, dir, &settings)?);
+            let settings = settings(&name, reservation.any_port(), &link, &addresses);
+            started.push(Daemon::new(&name, program, dir, &settings, &reservation)?);
             store_links.push(link);
         }
         let config = config();
@@ -162,8 +164,7 @@
     example::config(queues, serving.into_iter().chain([standby]))
 }
 
-fn settings(name: &str, store: &Proxy, addresses: &standin::Addresses) -> String {
-    let any = "127.0.0.1:0";
+fn settings(name: &str, any: SocketAddr, store: &Proxy, addresses: &standin::Addresses) -> String {
     serde_json::json!({
         "name": name,
         "data_centre": "memory",
