Play series of outages and crashes under lasting jobs in the soak

The soak had one lasting job for each pool, and no fault in which the store is silent for all daemons while the leader ends.

Each pool now gets one lasting job more for each five hosts of a site. A series makes the store silent for 4 to 5 s, kills the leader, crashes the hosts of a rack twice, and has a host leave, daemons signalled and the configuration changed meanwhile. The states of lasting jobs are asked for during the whole run: one that was shown as failed at any time breaks a promise, cancelled or not. The run waits for every task of lasting jobs to run again. The cancelling of a lasting job is asked for until it is answered, and the special jobs are awaited before the end is judged: else a job that nobody settled would count as lost.

Each new check is noticed in tests/promises.rs.

--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -39,10 +39,18 @@
 const CONNECTION_AGE: Duration = Duration::from_secs(600);
 /// How often a job is handed in at the most.
 const TRIES: u32 = 8;
+/// How often the cancelling of a lasting job is asked for at the most. It has to be answered, as the
+/// job does not end otherwise: these tries outlast the longest outage.
+const LASTING_CANCEL_TRIES: u32 = 400;
 /// The longest that a caller waits before it comes back.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 /// The pause between two jobs of one caller.
 const PAUSE: Duration = Duration::from_millis(60);
+/// The pause before lasting jobs are asked for again.
+const WATCH_PAUSE: Duration = Duration::from_millis(250);
+/// The number of hosts of a site for which each pool gets one more lasting job. These jobs take at
+/// most a third of a pool's cores.
+const HOSTS_PER_LASTING_JOB: usize = 5;
 /// One job in so many is cancelled, can never be done, or is handed in twice.
 const RARE: u32 = 12;
 
@@ -72,6 +80,8 @@
     pub cancelling: bool,
     /// The last state that was shown.
     pub state: Option<String>,
+    /// It was shown as failed at least once.
+    pub was_failed: bool,
 }
 
 impl Fate {
@@ -136,13 +146,18 @@
         }
     }
 
-    /// Hands in one job whose tasks last and one that crashes executors, for each pool.
+    /// Hands in jobs whose tasks last and one that crashes executors, for each pool.
     pub async fn hand_in_special(self: Arc<Self>, seed: u64) {
         let mut rng = fastrand::Rng::with_seed(seed);
-        for (pool, spec) in site::POOLS
-            .iter()
-            .flat_map(|pool| [lasting_job(), crashing_job()].map(|spec| (*pool, spec)))
-        {
+        let more = self.site.host_links.len() / HOSTS_PER_LASTING_JOB;
+        let specs = || {
+            let more = (0..more).map(|number| match number % 2 {
+                0 => lasting_job_of(&[4], None),
+                _ => lasting_job_of(&[2, 2], Some(1)),
+            });
+            [lasting_job(), crashing_job()].into_iter().chain(more)
+        };
+        for (pool, spec) in site::POOLS.iter().flat_map(|pool| specs().map(|spec| (*pool, spec))) {
             while !self.hand_in(&mut rng, pool, spec.clone()).await {
                 if self.stopped.load(Ordering::SeqCst) {
                     return;
@@ -151,6 +166,18 @@
         }
     }
 
+    /// Asks for the states of lasting jobs again and again until it is stopped.
+    pub async fn watch_lasting(self: Arc<Self>, seed: u64) {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        while !self.stopped.load(Ordering::SeqCst) {
+            let fates = self.fates();
+            for (job, _) in fates.iter().filter(|(_, f)| f.is_lasting() && f.is_accepted()) {
+                self.look(&mut rng, job).await;
+            }
+            Timer::after(WATCH_PAUSE).await;
+        }
+    }
+
     /// Hands a job in until it is accepted or the tries are used up. Gives whether it was.
     async fn hand_in(&self, rng: &mut fastrand::Rng, pool: &str, spec: JobSpec) -> bool {
         let job = JobName::from(format!("{:016x}", rng.u64(..)));
@@ -162,6 +189,7 @@
             cancelled_ms: None,
             cancelling: false,
             state: None,
+            was_failed: false,
         };
         self.lock().insert(job.clone(), fate);
         let path = format!("{}{job}", queue.prefix);
@@ -184,7 +212,9 @@
         match rng.u32(..RARE) {
             0 => {
                 Timer::after(PAUSE.mul_f64(rng.f64() * 4.0)).await;
-                self.cancel(rng, job, path).await;
+                let lasts = self.lock().get(job).is_some_and(Fate::is_lasting);
+                let tries = if lasts { LASTING_CANCEL_TRIES } else { TRIES };
+                self.cancel(rng, job, path, tries).await;
             }
             // The same request again: it stays one job.
             1 => {
@@ -196,9 +226,9 @@
         }
     }
 
-    async fn cancel(&self, rng: &mut fastrand::Rng, job: &JobName, path: &str) {
+    async fn cancel(&self, rng: &mut fastrand::Rng, job: &JobName, path: &str, tries: u32) {
         self.change(job, |fate| fate.cancelling = true);
-        for _ in 0..TRIES {
+        for _ in 0..tries {
             let answer = self.ask(rng, Method::DELETE, path, Bytes::new()).await;
             if answer.is_some_and(|a| a.status.is_success() || a.status == 410) {
                 let at = self.site.platform.clock_ms();
@@ -222,7 +252,10 @@
             410 => "unknown".to_owned(),
             _ => return None,
         };
-        self.change(job, |fate| fate.state = Some(state.clone()));
+        self.change(job, |fate| {
+            fate.was_failed |= state == "failed";
+            fate.state = Some(state.clone());
+        });
         Some(state)
     }
 
@@ -307,6 +340,20 @@
     JobSpec { payload: LASTING_TEXT.into(), steps: vec![step], schedule: None }
 }
 
+/// A lasting job of small tasks, with a step for each of `counts`.
+fn lasting_job_of(counts: &[u32], max_unavailable: Option<u32>) -> JobSpec {
+    let step = |count: &u32| Step {
+        count: *count,
+        size: Size { cpu_milli: 1_000, memory_mb: 500, accelerators: 0 },
+        estimate: Duration::from_millis(100),
+        lasting: true,
+        max_unavailable,
+        ..Step::default()
+    };
+    let steps = counts.iter().map(step).collect();
+    JobSpec { payload: LASTING_TEXT.into(), steps, schedule: None }
+}
+
 fn crashing_job() -> JobSpec {
     let size = Size { cpu_milli: 1_000, memory_mb: 500, accelerators: 0 };
     let step = Step { count: 1, size, estimate: Duration::from_millis(100), ..Step::default() };
--- a/tools/soak/src/faults.rs
+++ b/tools/soak/src/faults.rs
@@ -66,6 +66,11 @@
             store_fault(&site, lasts, |faults, on| faults.store_delay = delay(on)).await;
         }
         Fault::StoreForgets => site.platform.forget_history(),
+        Fault::StoreSilentForAll => {
+            site.store_links.iter().for_each(|link| link.set(Link::Silent));
+            Timer::after(lasts).await;
+            site.store_links.iter().for_each(|link| link.set(Link::Open));
+        }
         Fault::StoreSilent(who) => store_link(&site, who, Link::Silent, lasts).await,
         Fault::StoreOneWay(who) => store_link(&site, who, Link::OneWay, lasts).await,
         Fault::StoreLoses(who) => {
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -46,6 +46,9 @@
     /// The store forgets its history.
     #[display("store forgets")]
     StoreForgets,
+    /// Nothing passes between any daemon and the store; what was held back arrives afterwards.
+    #[display("store silent for all")]
+    StoreSilentForAll,
     /// Nothing passes between a daemon and the store; what was held back arrives afterwards.
     #[display("store silent for {_0}")]
     StoreSilent(Who),
@@ -110,9 +113,31 @@
 /// How long a fault lasts, at the least and at the most: from a hiccup to longer than a leader's
 /// lease, its grace and an executor's lease together allow for.
 const LASTS: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(5_000));
+/// Separates the generator of the series from that of the single faults, whose course for a seed
+/// does not depend on the series.
+const SERIES_SEED: u64 = 1 << 63;
+/// The mean time from the end of the silence in one series to the next series.
+const MEAN_SERIES_GAP: Duration = Duration::from_secs(6);
+/// How long the store is silent in a series, at the least.
+const SILENT_LEAST: Duration = Duration::from_secs(4);
+/// How long the store is silent in a series, at the most.
+const SILENT_MOST: Duration = Duration::from_secs(5);
+/// How many hosts a series crashes, as many as stand in a rack.
+const RACK: usize = 3;
+/// How many daemons a series signals.
+const DAEMONS_IN_SERIES: usize = 3;
+/// The longest that a daemon or a host is away for a fault of a series.
+const AWAY_MOST: Duration = Duration::from_millis(1_200);
 
 /// The faults of a seed.
 pub fn draw(seed: u64, size: &Size) -> Vec<Planned> {
+    let mut planned = draw_single(seed, size);
+    planned.extend(draw_series(seed, size));
+    planned.sort_by_key(|planned| planned.at);
+    planned
+}
+
+fn draw_single(seed: u64, size: &Size) -> Vec<Planned> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut planned = Vec::new();
     let mut at = QUIET_START;
@@ -127,6 +152,38 @@
     planned
 }
 
+/// Series of a silent store, the leader's end, and hosts and daemons that go one after the other
+/// during the silence and shortly after it.
+fn draw_series(seed: u64, size: &Size) -> Vec<Planned> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ SERIES_SEED);
+    let mut planned = Vec::new();
+    let mut at = QUIET_START;
+    while at + SILENT_MOST + AWAY_MOST <= size.faults_for {
+        let silent = SILENT_LEAST + (SILENT_MOST - SILENT_LEAST).mul_f64(rng.f64());
+        planned.push(Planned { at, lasts: silent, fault: Fault::StoreSilentForAll });
+        let until = (at + silent + AWAY_MOST).min(size.faults_for - AWAY_MOST);
+        let mut next = |fault: Fault, from: Duration, until: Duration| {
+            let at = from + (until - from).mul_f64(rng.f64());
+            planned.push(Planned { at, lasts: AWAY_MOST.mul_f64(rng.f64()), fault });
+            rng.usize(..size.hosts)
+        };
+        let host = next(Fault::Kill(Who::Leader), at, at + silent);
+        // A rack, each of its hosts twice: the second crash ends tasks that have just started.
+        for number in (host..host + RACK).chain(host..host + RACK) {
+            next(Fault::HostCrashes(number % size.hosts), at, until);
+        }
+        let other = next(Fault::HostLeaves((host + RACK) % size.hosts), at, until);
+        next(Fault::NewQueue, at, until);
+        for number in other..other + DAEMONS_IN_SERIES {
+            let who = Who::Number(number % size.daemons);
+            let fault = if number % 2 == 0 { Fault::Terminate(who) } else { Fault::Reload(who) };
+            next(fault, at, until);
+        }
+        at += silent + MEAN_SERIES_GAP.mul_f64(-(1.0 - rng.f64()).ln());
+    }
+    planned
+}
+
 fn draw_fault(rng: &mut fastrand::Rng, size: &Size) -> Fault {
     let who = if rng.bool() { Who::Leader } else { Who::Number(rng.usize(..size.daemons)) };
     let host = rng.usize(..size.hosts);
--- a/tools/soak/src/promises.rs
+++ b/tools/soak/src/promises.rs
@@ -37,10 +37,33 @@
     broken.extend(seen.runs.iter().filter_map(|run| unasked(seen.fates, run)));
     broken.extend(seen.runs.iter().filter_map(|run| too_early(seen.fates, &by_task, run)));
     broken.extend(overfull(seen));
+    broken.extend(seen.fates.iter().filter_map(|(job, fate)| given_up(job, fate)));
     broken.extend(seen.fates.iter().filter_map(|(job, fate)| wrong_end(job, fate, &by_task)));
     broken
 }
 
+/// Tasks of lasting jobs that should be running and are not.
+pub fn idle_lasting(seen: &Seen<'_>) -> Vec<String> {
+    let by_task = by_task(seen.runs);
+    let lasting = seen
+        .fates
+        .iter()
+        .filter(|(_, f)| f.is_lasting() && f.is_accepted() && !f.cancelling && !f.is_failing());
+    let idle = |task: &TaskKey| !is_running(task, &by_task);
+    let tasks = lasting.flat_map(|(job, fate)| tasks(job, fate).filter(idle));
+    tasks.map(|task| format!("{task} lasts and does not run")).collect()
+}
+
+fn is_running(task: &TaskKey, by_task: &ByTask<'_>) -> bool {
+    by_task.get(task).is_some_and(|runs| runs.iter().any(|run| run.ended.is_none()))
+}
+
+/// A sound lasting job that was shown as failed at any time.
+fn given_up(job: &JobName, fate: &Fate) -> Option<String> {
+    let sound = fate.is_lasting() && !fate.is_failing();
+    (sound && fate.was_failed).then(|| format!("lasting job {job} was shown as failed"))
+}
+
 type ByTask<'a> = BTreeMap<&'a TaskKey, Vec<&'a RunRecord>>;
 
 fn by_task(runs: &[RunRecord]) -> ByTask<'_> {
@@ -165,7 +188,7 @@
         let runs = by_task.get(task).map(Vec::as_slice).unwrap_or_default();
         match state {
             "completed" => !runs.iter().any(|r| matches!(r.ended, Some((_, Some(EndKind::Done))))),
-            "in_progress" if fate.is_lasting() => !runs.iter().any(|run| run.ended.is_none()),
+            "in_progress" if fate.is_lasting() => !is_running(task, by_task),
             _ => false,
         }
     };
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -126,10 +126,12 @@
     planned: &[Planned],
     seed: u64,
 ) -> Vec<String> {
-    ex.spawn(callers.clone().hand_in_special(seed)).detach();
-    let calling: Vec<_> = (0..CALLERS)
-        .map(|number| ex.spawn(callers.clone().call(seed * CALLERS + number)))
-        .collect();
+    let mut calling = vec![
+        ex.spawn(callers.clone().hand_in_special(seed)),
+        ex.spawn(callers.clone().watch_lasting(seed)),
+    ];
+    calling
+        .extend((0..CALLERS).map(|number| ex.spawn(callers.clone().call(seed * CALLERS + number))));
     let carrying: Vec<_> = planned
         .iter()
         .map(|planned| ex.spawn(faults::carry_out(site.clone(), size, *planned)))
@@ -156,6 +158,8 @@
         let mut open = open_jobs(callers, &mut rng).await;
         open.extend(open_waves(site));
         open.extend(stale_daemons(site, callers).await);
+        let (fates, runs) = (callers.fates(), site.platform.runs());
+        open.extend(promises::idle_lasting(&Seen { fates: &fates, runs: &runs }));
         if open.is_empty() {
             return wave_promises(site);
         }
--- a/tools/soak/tests/promises.rs
+++ b/tools/soak/tests/promises.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use borageswitch_fakes::platform::RunRecord;
+use borageswitch_fakes::platform::{LASTING_TEXT, RunRecord};
 use borageswitch_scheduler::{
     executor::EndKind,
     job::{JobSpec, Size, Step},
@@ -32,9 +32,29 @@
         cancelled_ms: None,
         cancelling: false,
         state: Some(state.to_owned()),
+        was_failed: false,
     }
 }
 
+/// A lasting job of one task.
+fn lasting_fate(state: &str) -> Fate {
+    let mut fate = fate(&[Try::Accepted], state);
+    fate.spec.payload = LASTING_TEXT.into();
+    fate.spec.steps.truncate(1);
+    fate.spec.steps[0].lasting = true;
+    fate
+}
+
+fn lasting_run(ended: Option<(u64, Option<EndKind>)>) -> RunRecord {
+    let text = LASTING_TEXT.into();
+    RunRecord { text, ended, acknowledged_ms: None, ..run(0, 1, "e1", 100, 200) }
+}
+
+fn idle(fate: Fate, runs: &[RunRecord]) -> Vec<String> {
+    let fates = BTreeMap::from([(JobName::from(JOB), fate)]);
+    promises::idle_lasting(&Seen { fates: &fates, runs })
+}
+
 fn task(step: u16) -> TaskKey {
     TaskKey { job: JobName::from(JOB), occurrence: 0, step, index: 0 }
 }
@@ -148,3 +168,39 @@
 
     assert_noticed(&broken, "is shown as completed and");
 }
+
+#[test]
+fn a_lasting_job_that_runs_breaks_nothing() {
+    let runs = [lasting_run(None)];
+
+    let noticed =
+        [broken(lasting_fate("in_progress"), &runs), idle(lasting_fate("in_progress"), &runs)];
+
+    assert_eq!(noticed.concat(), Vec::<String>::new());
+}
+
+#[test]
+fn a_lasting_job_that_was_shown_as_failed_once_is_noticed() {
+    let fate = Fate { was_failed: true, ..lasting_fate("in_progress") };
+
+    let broken = broken(fate, &[lasting_run(None)]);
+
+    assert_noticed(&broken, "was shown as failed");
+}
+
+#[test]
+fn a_lasting_job_that_is_cancelled_after_it_was_shown_as_failed_is_noticed() {
+    let cancelled = Fate { cancelled_ms: Some(1_000), cancelling: true, ..lasting_fate("failed") };
+    let fate = Fate { was_failed: true, ..cancelled };
+
+    let broken = broken(fate, &[lasting_run(Some((200, Some(EndKind::Stopped))))]);
+
+    assert_noticed(&broken, "was shown as failed");
+}
+
+#[test]
+fn a_lasting_task_that_does_not_run_again_is_noticed() {
+    let idle = idle(lasting_fate("in_progress"), &[lasting_run(Some((200, None)))]);
+
+    assert_noticed(&idle, "lasts and does not run");
+}
