Simulate losses of power, moves between pools and lapses under lasting jobs

Lasting jobs were never simulated with two pools, gangs or ordinary steps, nor with the faults of a site: losses of power, outages of the store that end with another leader, leases and registrations that expire, and leaders that end right after an order for a host. The new faults are off by default and draw no random numbers then, so earlier seeds play as before.

Hosts in a pool of hosts that are off have no executor, and a host that replaces a removed one joins the same pool.

--- a/crates/borageswitch_scheduler/tests/crash_storms.rs
+++ b/crates/borageswitch_scheduler/tests/crash_storms.rs
@@ -10,7 +10,7 @@
 use borageswitch_types::names::{JobName, PoolName, QueueName};
 use support::{
     fixtures::{cores, queue},
-    simulation::{Simulation, poison_tasks::PoisonSpec},
+    simulation::{Faults, Simulation, poison_tasks::PoisonSpec},
 };
 
 /// The default number of seeds, used in CI.
@@ -108,7 +108,7 @@
 
 fn simulate(seed: u64, storm: Storm) -> Outcome {
     let queues = [(queue(), storm.hosts), (steady_queue(), storm.hosts / 2)];
-    let mut simulation = Simulation::with_queues(seed, &queues);
+    let mut simulation = Simulation::with_queues(seed, &queues, Faults::default());
     simulation.run(2_000);
     let began = simulation.now;
     let mut arrivals: Vec<(u64, JobName, usize)> = Vec::new();
--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -4,6 +4,7 @@
 //! - [`hosts`]: hosts that crash, lose capacity, are removed and are maintained.
 //! - [`late_lists`]: lists of hosts that are slow, old or incomplete.
 //! - [`poison_tasks`]: tasks that crash the executors that run them.
+//! - [`site_faults`]: losses of power, and outages of the store with their consequences.
 //! - [`store`]: what is stored, and what the next leader would know.
 //! - [`processor`]: the time that calls and events take the leader.
 //! - [`checks`]: the invariants.
@@ -14,6 +15,7 @@
 mod orders;
 pub mod poison_tasks;
 pub mod processor;
+mod site_faults;
 pub mod store;
 
 use std::{
@@ -36,7 +38,7 @@
 };
 use borageswitch_types::{
     Time,
-    names::{CallerName, DataCentreName, ExecutorName, HostName, JobName},
+    names::{CallerName, DataCentreName, ExecutorName, HostName, JobName, PoolName},
     time::UnixMillis,
 };
 use fastrand::Rng;
@@ -93,6 +95,23 @@
     pub late_lists: bool,
     /// Runs of lasting tasks end by themselves. This is a switch, not a probability.
     pub lasting_ends: bool,
+    /// All hosts of a data centre, or of the site, lose power at once. This and the following three
+    /// faults are rare: their probability is per hundred thousand steps.
+    pub power_loss: u32,
+    /// The store is away for seconds, the leader ends meanwhile, and the next one takes over when
+    /// the store is back.
+    pub outage_with_takeover: u32,
+    /// An executor is cut off until its lease expires, and comes back soon after.
+    pub lease_lapse: u32,
+    /// The store is away, registrations expire meanwhile, and executors register again within two
+    /// seconds.
+    pub registration_gap: u32,
+    /// The leader ends right after it has ordered a host to move or to be maintained, per thousand
+    /// orders.
+    pub end_after_host_order: u32,
+    /// The leader learns of no registration while the store is away. This is a switch, not a
+    /// probability.
+    pub silent_watch: bool,
 }
 
 enum Due {
@@ -140,6 +159,12 @@
     pub processor: Option<Processor>,
     reuse_names: bool,
     ended_per_report: usize,
+    /// Hosts belong to two data centres instead of one.
+    has_data_centres: bool,
+    /// Executors that are not registered until a time although they run.
+    unregistered_until: BTreeMap<ExecutorName, u64>,
+    /// The leader has not learned of all registrations.
+    registrations_due: bool,
 }
 
 impl Simulation {
@@ -176,6 +201,9 @@
             processor: None,
             reuse_names: faults.reuse_names,
             ended_per_report: if faults.truncated_reports { 2 } else { usize::MAX },
+            has_data_centres: faults.power_loss > 0,
+            unregistered_until: BTreeMap::new(),
+            registrations_due: false,
         };
         for _ in 0..hosts {
             simulation.add_executor(enforces_capacity);
@@ -193,9 +221,9 @@
         simulation
     }
 
-    /// Creates a simulation without faults, with a pool and its number of hosts for each queue.
-    pub fn with_queues(seed: u64, queues: &[(Queue, usize)]) -> Self {
-        let mut simulation = Self::with_hosts(seed, 0, true, Faults::default());
+    /// Creates a simulation with a pool and its number of hosts for each queue.
+    pub fn with_queues(seed: u64, queues: &[(Queue, usize)], faults: Faults) -> Self {
+        let mut simulation = Self::with_hosts(seed, 0, true, faults);
         let pools = queues.iter().map(|(queue, _)| Pool {
             name: queue.pool.clone(),
             enforces_capacity: true,
@@ -209,6 +237,20 @@
         simulation
     }
 
+    /// Adds a pool of hosts that are off until they move to another pool.
+    pub fn add_standby_pool(&mut self, name: &str, hosts: usize) {
+        let pool = Pool { name: name.into(), enforces_capacity: true, standby: true };
+        let mut config = Config::clone(&self.config);
+        config.pools.insert(pool.name.clone(), pool.clone());
+        self.config = Arc::new(config);
+        (0..hosts).for_each(|_| self.add_standby_host(&pool.name));
+    }
+
+    /// Whether the hosts of a pool are off.
+    fn is_standby(&self, pool: &PoolName) -> bool {
+        self.config.pools.get(pool).is_some_and(|pool| pool.standby)
+    }
+
     /// Ends the leader; another one takes over after a number of milliseconds.
     pub fn crash_leader(&mut self, pause: u64) {
         self.leader = None;
@@ -282,7 +324,9 @@
 
     fn registrations(&self) -> Vec<Registration> {
         if let Some(hosts) = &self.hosts {
-            return hosts.registrations(self.now);
+            let mut registrations = hosts.registrations(self.now);
+            registrations.retain(|r| !self.unregistered_until.contains_key(&r.executor));
+            return registrations;
         }
         let alive = self.executors.keys().filter(|name| !self.dead.contains(*name));
         alive
@@ -440,6 +484,7 @@
         self.deliver();
         self.crash_poisoned_executors();
         self.advance_hosts();
+        self.advance_registrations();
         self.record_hosts();
         self.stall_incomplete_gangs();
         for (name, executor) in &mut self.executors {
@@ -468,6 +513,10 @@
         per_mille > 0 && self.rng.u32(..1_000) < per_mille
     }
 
+    fn rare_chance(&mut self, per_100_000: u32) -> bool {
+        per_100_000 > 0 && self.rng.u32(..100_000) < per_100_000
+    }
+
     fn inject_faults(&mut self) {
         if self.chance(self.faults.leader_crash) && self.leader.is_some() {
             self.leader = None;
@@ -492,6 +541,7 @@
             self.cancel_one();
         }
         self.inject_host_faults();
+        self.inject_site_faults();
     }
 
     fn crash_random_executor(&mut self) {
@@ -513,6 +563,10 @@
     }
 
     fn send_registrations(&mut self) {
+        if self.faults.silent_watch && self.now < self.store_outage_until {
+            self.registrations_due = true;
+            return;
+        }
         let all = self.registrations();
         let moment = self.moment();
         if let Some(leader) = &mut self.leader {
@@ -614,7 +668,10 @@
                     let event = Event::HostsListed { requested, hosts };
                     self.due.push((at, Due::Event { token, event }));
                 }
-                Effect::OrderHost(host, order) => self.order_host(token, &host, &order),
+                Effect::OrderHost(host, order) => {
+                    self.order_host(token, &host, &order);
+                    self.end_after_host_order(&host);
+                }
                 Effect::ReportWave { wave, completed } => self.check_wave_report(wave, completed),
                 Effect::Count(_) => {}
                 Effect::StoreSnapshot { snapshot, remove } => {
--- a/crates/borageswitch_scheduler/tests/support/simulation/checks.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation/checks.rs
@@ -99,6 +99,7 @@
         self.faults = Faults::default();
         self.partitioned_until.clear();
         self.store_outage_until = 0;
+        self.unregistered_until.values_mut().for_each(|until| *until = (*until).min(self.now));
         self.executors.values_mut().for_each(|known| known.ends_lasting = false);
     }
 
@@ -121,18 +122,34 @@
         tasks.filter(over).collect()
     }
 
-    /// The number of lasting tasks of jobs that are not cancelled, and how many of them run.
+    /// Whether one of the job's tasks that do not last always fails.
+    pub fn may_fail(&self, name: &JobName) -> bool {
+        let steps = &self.submissions[name].spec.steps;
+        let mut tasks = steps.iter().enumerate().map(|(step, _)| TaskKey {
+            job: name.clone(),
+            occurrence: 0,
+            step: step as u16,
+            index: 0,
+        });
+        tasks.any(|task| self.behaviour(&task).fails)
+    }
+
+    /// The number of lasting tasks of jobs that are not cancelled and do not fail, and how many
+    /// of them run.
     pub fn lasting(&self) -> (usize, usize) {
         let mut wanted = 0;
         let mut running = 0;
         for (name, submission) in &self.submissions {
             let over = self.cancelled.contains_key(name) || self.poison_tasks.is_poison(name);
-            if !submission.spec.is_lasting() || over {
+            if !submission.spec.is_lasting() || over || self.may_fail(name) {
                 continue;
             }
-            wanted += submission.spec.steps[0].count as usize;
-            let runs =
-                |known: &SimExecutor| known.active.keys().filter(|task| task.job == *name).count();
+            let lasts = |task: &&TaskKey| {
+                task.job == *name && submission.spec.steps[usize::from(task.step)].lasting
+            };
+            let steps = submission.spec.steps.iter().filter(|step| step.lasting);
+            wanted += steps.map(|step| step.count as usize).sum::<usize>();
+            let runs = |known: &SimExecutor| known.active.keys().filter(lasts).count();
             let alive = self.executors.iter().filter(|(e, _)| !self.dead.contains(*e));
             running += alive.map(|(_, known)| runs(known)).sum::<usize>();
         }
--- a/crates/borageswitch_scheduler/tests/support/simulation/hosts.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation/hosts.rs
@@ -30,11 +30,14 @@
 const CAPACITY_DROP_GRACE: u64 = 4_500;
 /// The number of racks.
 const RACKS: usize = 3;
+/// The data centres of a simulation that has several.
+pub(super) const DATA_CENTRES: [&str; 2] = ["dc-1", "dc-2"];
 
 #[derive(Clone, Debug)]
 pub(super) struct SimHost {
     pool: PoolName,
     rack: usize,
+    data_centre: DataCentreName,
     port: u16,
     enforces_capacity: bool,
     pub(super) state: HostState,
@@ -85,7 +88,7 @@
             executor: self.executor.clone()?,
             pool: self.pool.clone(),
             address: SocketAddr::from(([127, 0, 0, 1], self.port)),
-            data_centre: DataCentreName::from("dc"),
+            data_centre: self.data_centre.clone(),
             draining: self.draining,
             remaining: self.draining.then_some(Duration::ZERO),
             capacity: self.capacity,
@@ -131,17 +134,36 @@
 
     pub(super) fn add_host_to(&mut self, pool: PoolName, enforces_capacity: bool) {
         let executor = self.add_executor(enforces_capacity);
+        self.insert_host(pool, Some(executor), enforces_capacity);
+    }
+
+    /// Adds a host that is off, so that it has no executor.
+    pub(super) fn add_standby_host(&mut self, pool: &PoolName) {
+        self.insert_host(pool.clone(), None, true);
+    }
+
+    fn insert_host(
+        &mut self,
+        pool: PoolName,
+        executor: Option<ExecutorName>,
+        enforces_capacity: bool,
+    ) {
         let listed_from = self.now + self.listing_lag();
+        let has_data_centres = self.has_data_centres;
         let Some(hosts) = &mut self.hosts else { return };
         hosts.next_host += 1;
         let name = HostName::from(format!("h{}", hosts.next_host));
         let host = SimHost {
             pool,
             rack: hosts.next_host as usize % RACKS,
+            data_centre: match has_data_centres {
+                true => DATA_CENTRES[hosts.next_host as usize % DATA_CENTRES.len()].into(),
+                false => "dc".into(),
+            },
             port: 1_000 + hosts.next_host as u16,
             enforces_capacity,
             state: HostState::Up,
-            executor: Some(executor),
+            executor,
             last_executor: None,
             back_at: 0,
             draining: false,
@@ -217,6 +239,9 @@
             changed = true;
         }
         for name in &back {
+            if self.switch_off(name) {
+                continue;
+            }
             let enforces_capacity =
                 self.hosts.as_ref().is_some_and(|hosts| hosts.all[name].enforces_capacity);
             let executor = self.restart_executor(name, enforces_capacity);
@@ -237,6 +262,17 @@
         self.sync_capacities();
     }
 
+    /// Leaves a host that is back without an executor if it is in a pool of hosts that are off.
+    fn switch_off(&mut self, name: &HostName) -> bool {
+        let pool = self.hosts.as_ref().map(|hosts| hosts.all[name].pool.clone());
+        let is_off = pool.is_some_and(|pool| self.is_standby(&pool));
+        let host = self.hosts.as_mut().and_then(|hosts| hosts.all.get_mut(name));
+        if let Some(host) = host.filter(|_| is_off) {
+            host.state = HostState::Up;
+        }
+        is_off
+    }
+
     /// Starts a new executor on a host, under the same name if `reuse_names` is set.
     fn restart_executor(&mut self, host: &HostName, enforces_capacity: bool) -> ExecutorName {
         let before = self.hosts.as_ref().and_then(|hosts| hosts.all[host].last_executor.clone());
@@ -292,7 +328,11 @@
         }
     }
 
-    fn executors_where<F>(&self, wanted: F) -> Vec<ExecutorName>
+    pub(super) fn executors_in(&self, data_centre: &str) -> Vec<ExecutorName> {
+        self.executors_where(|host| host.data_centre.as_str() == data_centre)
+    }
+
+    pub(super) fn executors_where<F>(&self, wanted: F) -> Vec<ExecutorName>
     where
         F: Fn(&SimHost) -> bool,
     {
@@ -340,16 +380,15 @@
         enforces_capacity: bool,
     ) {
         let there = self.hosts.as_ref().and_then(|hosts| hosts.all.get(name));
-        if there.is_none_or(|host| host.executor.as_ref() != executor) {
-            return;
-        }
+        let Some(host) = there.filter(|host| host.executor.as_ref() == executor) else { return };
+        let pool = host.pool.clone();
         if let Some(executor) = executor {
             self.end_incarnation(executor, HostState::Moving, u64::MAX);
         }
         if let Some(hosts) = &mut self.hosts {
             hosts.all.remove(name);
         }
-        self.add_host(enforces_capacity);
+        self.add_host_to(pool, enforces_capacity);
         self.send_registrations();
     }
 
@@ -388,12 +427,27 @@
                 }
                 HostOrderResponse::Done
             }
+            (None, HostOrder::Move(pool)) if self.is_off(name) => {
+                let back_at = self.now + MOVE;
+                if let Some(host) = self.hosts.as_mut().and_then(|hosts| hosts.all.get_mut(name)) {
+                    host.pool = pool.clone();
+                    host.state = HostState::Moving;
+                    host.back_at = back_at;
+                }
+                HostOrderResponse::Done
+            }
             _ => HostOrderResponse::Busy,
         };
+        self.trace(|| format!("{name} is ordered: {order:?}, answer {response:?}"));
         let event = Event::HostOrderAnswered { host: name.clone(), response };
         self.due.push((self.now + 10, Due::Event { token, event }));
     }
 
+    fn is_off(&self, name: &HostName) -> bool {
+        let host = self.hosts.as_ref().and_then(|hosts| hosts.all.get(name));
+        host.is_some_and(|host| host.state == HostState::Up && self.is_standby(&host.pool))
+    }
+
     /// The capacity that a start may rely on: the current one, or the one before a recent loss.
     pub(super) fn recent_capacity(&self, executor: &ExecutorName) -> Size {
         let host = self.hosts.as_ref().and_then(|hosts| hosts.host_of(executor));
