--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -16,7 +16,7 @@
 
 /// The maximum time between a stop order and the end of the run, which the executor lists as active
 /// until then.
-const MAX_STOP_TIME_MS: u64 = 400;
+const MAX_STOP_TIME_MS: u64 = 1_000;
 
 /// The phase of a run, as far as the leader knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
