Keep the processed ends of executors that register after a takeover

A task's failure was counted twice, so a job with ordinary steps could be shown as failed before its attempts were used up, and its lasting tasks stopped with it.

Cause: an executor whose registration has expired while the store is away, and that registers again after another leader has taken over, was added as one without processed ends, although the ledger has them. If its registration expired once more before it had answered a poll, the leader took all its ends for acknowledged and forgot them; listed again, each counted again. Until a new end was stored, its stored ends were never acknowledged either.

Both values come from the ledger now, as they do for executors that are known at the takeover.

--- a/crates/borageswitch_scheduler/src/reducer/registrations.rs
+++ b/crates/borageswitch_scheduler/src/reducer/registrations.rs
@@ -62,8 +62,7 @@
         self.dirty_pools.insert(registration.pool.clone());
         self.end_previous_incarnation(now, &registration);
         self.log("executor-restarted", &next, || format!("pool={}", registration.pool));
-        self.executors.insert(Executor::new(registration, now.time));
-        self.fleet.note_incarnation(&next);
+        self.insert_executor(now, registration);
         self.carry_over(now, before, &next);
     }
 
@@ -93,12 +92,23 @@
                 self.log("executor-known", &executor, || {
                     format!("pool={} draining={}", registration.pool, registration.draining)
                 });
-                self.executors.insert(Executor::new(registration, now.time));
-                self.fleet.note_incarnation(&executor);
+                self.insert_executor(now, registration);
             }
         }
     }
 
+    /// Adds an executor. Its ends that an earlier leader has stored are acknowledged: until it has
+    /// received that, it lists them again, and their numbers must be kept.
+    fn insert_executor(&mut self, now: Now, registration: Registration) {
+        let executor = registration.executor.clone();
+        let stored = self.ledger.last_ends.get(&executor).copied().unwrap_or(0);
+        let mut known = Executor::new(registration, now.time);
+        known.processed_end = stored;
+        known.stored_end = stored;
+        self.executors.insert(known);
+        self.fleet.note_incarnation(&executor);
+    }
+
     /// Ends the incarnation that was registered at the same address before. An address has one
     /// executor at a time, so its tasks need not wait for the lease to expire.
     fn end_previous_incarnation(&mut self, now: Now, registration: &Registration) {
