Keep the first time of an assignment, and bound the wait of suspects

Found by review. A run that is carried over to the next incarnation of its executor is assigned again, and counted from then: a later leader took it for younger than it is. A wall clock that was set back left times behind that were read again later. Seven powers of ten gave a task up with one attributed crash beside others that are not. An isolated suspect waited without end where an executor of its pool crashes all the time; now for a minute after its last crash.

The oldest assignment of a run counts; all times that lie ahead are dropped; two attributed crashes are required.

--- a/crates/borageswitch_scheduler/src/ledger/recent_starts.rs
+++ b/crates/borageswitch_scheduler/src/ledger/recent_starts.rs
@@ -37,9 +37,7 @@
             // Times that lie ahead are those of a clock that has been set back since.
             batch.at <= at && at.0 - batch.at.0 <= RETENTION.as_millis() as u64
         };
-        while self.batches.front().is_some_and(|batch| !is_kept(batch)) {
-            self.batches.pop_front();
-        }
+        self.batches.retain(is_kept);
         if at.0 == 0 {
             return;
         }
@@ -53,13 +51,16 @@
         }
     }
 
-    /// Returns how long each of the runs can have existed at most.
+    /// Returns how long each of the runs can have existed at most: a run that was carried over to
+    /// another incarnation of its executor counts from its first assignment.
     pub fn max_ages(&self, now: UnixMillis) -> BTreeMap<(TaskKey, u32), Duration> {
-        let past = self.batches.iter().filter(|batch| batch.at <= now);
-        let ages = past.flat_map(|batch| {
+        let mut ages = BTreeMap::new();
+        for batch in self.batches.iter().filter(|batch| batch.at <= now) {
             let age = Duration::from_millis(now.0 - batch.at.0);
-            batch.runs.iter().map(move |run| (run.clone(), age))
-        });
-        ages.collect()
+            for run in &batch.runs {
+                ages.entry(run.clone()).or_insert(age);
+            }
+        }
+        ages
     }
 }
--- a/crates/borageswitch_scheduler/src/policy/crash_attribution.rs
+++ b/crates/borageswitch_scheduler/src/policy/crash_attribution.rs
@@ -87,9 +87,10 @@
             crashes.iter().filter(|crash| is_start_related(Duration::from_millis(crash.lived_ms)));
         let (start_related, several) = (start_related.count(), crashes.len() >= MIN_CRASHES);
         let all_attributed = crashes.iter().all(Crash::is_attributed);
-        let likely = has_crashed_several(crashes) && evidence >= LIMIT_EVIDENCE;
+        let has_crashed_several = has_crashed_several(crashes);
+        let likely = has_crashed_several && evidence >= LIMIT_EVIDENCE;
         let at_limit = start_related >= MAX_CRASHES && (all_attributed || likely);
-        if at_limit || several && evidence >= EVIDENCE_THRESHOLD {
+        if at_limit || has_crashed_several && evidence >= EVIDENCE_THRESHOLD {
             SuspicionLevel::Poison
         } else if start_related >= ISOLATION_CRASHES || several && evidence >= ISOLATION_EVIDENCE {
             SuspicionLevel::Isolated
--- a/crates/borageswitch_scheduler/src/policy/crash_calm.rs
+++ b/crates/borageswitch_scheduler/src/policy/crash_calm.rs
@@ -14,6 +14,10 @@
 /// The rate of crashes of one executor up to which a pool is calm, per second.
 const CALM_RATE: f64 = 0.02;
 
+/// The longest time after its last crash that a suspect waits for its pool to calm down: where some
+/// executor crashes all the time, it would never start again.
+pub const MAX_WAIT: Duration = Duration::from_secs(60);
+
 /// The recent crashes of the executors of a pool.
 #[derive(Clone, Debug, Default)]
 pub struct PoolCrashes {
--- a/crates/borageswitch_scheduler/src/reducer/suspects.rs
+++ b/crates/borageswitch_scheduler/src/reducer/suspects.rs
@@ -87,7 +87,11 @@
     /// The next crash under an isolated suspect may give its job up, so it must not be a crash that
     /// any task would have seen.
     pub(super) fn awaits_calm(&self, now: Now, pool: &PoolName, task: &TaskKey) -> bool {
-        self.suspicion_level(task) == SuspicionLevel::Isolated && !self.is_calm(now, pool)
+        let Some(last) = self.ledger.crashes_of(task).last() else { return false };
+        let waited = Duration::from_millis(now.wall.0.saturating_sub(last.at.0));
+        self.suspicion_level(task) == SuspicionLevel::Isolated
+            && waited < crash_calm::MAX_WAIT
+            && !self.is_calm(now, pool)
     }
 
     fn is_calm(&self, now: Now, pool: &PoolName) -> bool {
@@ -167,7 +171,7 @@
     /// or an unknown reason.
     ///
     /// A drain may hide a crash, or an earlier leader may have seen a crash that it could not store.
-    /// So these tasks are restarted with more caution, but none is given up for it.
+    /// So these tasks are restarted with more caution. Alone, such losses give no task up.
     pub(super) fn note_unattributed_loss(&mut self, now: Now, ended: &EndedExecutor) {
         let recent =
             ended.runs.iter().filter(|lost| lost.is_start_related() && self.is_open(&lost.task));
