Count executors that start after a takeover as crashed, whoever ordered their hosts before

An order of an earlier leader can explain the end of an executor only if it was there at the takeover, and then its cause is unknown, so that the task is restarted with caution.

--- a/crates/borageswitch_scheduler/src/reducer/crashes.rs
+++ b/crates/borageswitch_scheduler/src/reducer/crashes.rs
@@ -294,10 +294,9 @@
         _ if known.registration.draining => EndCause::Drain,
         (_, HostOutcome::Removed(_)) => EndCause::Removal,
         _ if known.known_from_ledger_only => EndCause::Unknown,
-        // It was there before this leader, which has never seen it on a host.
-        (_, HostOutcome::Unknown)
-            if circumstances.earlier_order_possible
-                && known.known_since <= circumstances.took_over_at =>
+        // Orders of earlier leaders are for executors that were there before this leader.
+        _ if circumstances.earlier_order_possible
+            && known.known_since <= circumstances.took_over_at =>
         {
             EndCause::Unknown
         }
--- a/crates/borageswitch_scheduler/src/reducer/lease_expiry.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lease_expiry.rs
@@ -99,16 +99,15 @@
     fn circumstances(&self, now: Now, executor: &ExecutorName) -> Circumstances {
         let host_outcome = self.fleet.host_outcome(executor);
         let of_earlier_leader = |host: &HostName| self.may_be_ordered(now.time, host);
-        let host_outcome = match host_outcome {
-            HostOutcome::Listed(host, HostState::Up) if of_earlier_leader(&host) => {
-                HostOutcome::Ordered(host)
-            }
-            other => other,
+        let earlier_order_possible = match &host_outcome {
+            HostOutcome::Listed(host, HostState::Up) => of_earlier_leader(host),
+            HostOutcome::Unknown => self.inherited_host_orders.keys().any(of_earlier_leader),
+            HostOutcome::Listed(..) | HostOutcome::Ordered(_) | HostOutcome::Removed(_) => false,
         };
         Circumstances {
             listed_up: self.fleet.last_listed(executor),
             host_outcome,
-            earlier_order_possible: self.inherited_host_orders.keys().any(of_earlier_leader),
+            earlier_order_possible,
             took_over_at: self.took_over_at,
         }
     }
