--- a/crates/borageswitch_scheduler/src/policy/crash_attribution/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/crash_attribution/tests.rs
@@ -135,3 +135,14 @@
     assert_eq!(level(gained[0]), SuspicionLevel::Suspect);
     assert!(gained[1..].iter().all(|&evidence| level(evidence) == SuspicionLevel::Clear));
 }
+
+#[test]
+fn losses_of_unknown_cause_do_not_lower_the_proof() {
+    // Guards against a verdict that needs less evidence because the task was also lost with executors
+    // of which nothing is known.
+    let unknown = |number| crash(number, u64::MAX, 0);
+    let crashes =
+        [crash(1, 1_000, 1_500), unknown(2), unknown(3), unknown(4), crash(5, 500, 1_100)];
+
+    assert_eq!(SuspicionLevel::of(&crashes), SuspicionLevel::Isolated);
+}
--- a/crates/borageswitch_scheduler/tests/lasting_jobs.rs
+++ b/crates/borageswitch_scheduler/tests/lasting_jobs.rs
@@ -285,6 +285,15 @@
     assert_invariants(116, &session);
 }
 
+#[test]
+fn lasting_jobs_survive_crashes_that_a_new_leader_cannot_date() {
+    // Guards against verdicts that rest on crashes of unknown age, and on a rate of crashes that a new
+    // leader has not observed.
+    let session = simulate(48, all_faults());
+
+    assert_invariants(48, &session);
+}
+
 #[test]
 fn lasting_jobs_of_all_kinds_survive_faults_of_the_site() {
     // Guards against lasting jobs, gangs and mixed jobs that are given up or left without runs
