Hold against a task only what a leader knows of its crashes

Callers saw a sound lasting job shown as failed. Cause: coincidence passed for proof, as a verdict rested on what the leader did not know. Losses of unknown age or cause counted among the five that lower the proof; a new leader weighed crashes with the rate of a calm site; survival was counted anew by each leader; a crash stayed although its executor answered again; and the time within which an executor had crashed was known to half a second at best, as a silent host was noticed by a timeout. Class: what is not known counts against a task, now or for the next leader.

Change: a crash is attributed only if it is three times as likely to be caused by the start as by chance, and not while the store is silent. Losses that are not attributed isolate a task and give nothing up. A task is given up at seven powers of ten, after five crashes that are all attributed, or after two attributed crashes of isolated starts and two powers. An isolated start waits until its executor has answered within 250 ms and no other one has begun in its pool for 250 ms; its executor is polled each 50 ms, and a poll without answer dates the end. A start that was sent after its executor had stopped does not count.

--- a/crates/borageswitch_runtime/src/codec.rs
+++ b/crates/borageswitch_runtime/src/codec.rs
@@ -49,7 +49,7 @@
 const FIELDS_ADDED_TO_SUBMISSION: usize = 1;
 /// The number of fields appended to the first layout of a snapshot: lingering runs, suspects,
 /// given-up jobs, failed runs of gangs, recent starts.
-pub const FIELDS_ADDED_TO_SNAPSHOT: usize = 5;
+pub const FIELDS_ADDED_TO_SNAPSHOT: usize = 6;
 /// The number of fields appended to the first layout of an append: when it was sent.
 const FIELDS_ADDED_TO_APPEND: usize = 1;
 
--- a/crates/borageswitch_scheduler/src/ledger/crashes.rs
+++ b/crates/borageswitch_scheduler/src/ledger/crashes.rs
@@ -14,6 +14,10 @@
 
 /// The age in a crash that is not attributed to the task.
 pub const UNATTRIBUTED: u64 = u64::MAX;
+/// The minimum time lived in a crash that did not happen: the executor has answered since.
+///
+/// Earlier versions ignore such an entry, as they know the executor.
+const REFUTED: u64 = u64::MAX;
 
 /// The crash of an executor while a task ran there.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -42,6 +46,15 @@
     pub crash: Crash,
 }
 
+/// For how long the present run of a suspect is known to have lived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Survival {
+    /// The run.
+    pub run: u32,
+    /// The time in milliseconds.
+    pub millis: u64,
+}
+
 /// A task that was given up because it crashes executors.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct GivenUp {
@@ -52,6 +65,15 @@
 }
 
 impl Crash {
+    /// Creates the entry that refutes the crash of an executor.
+    pub fn refuted(executor: ExecutorName, at: UnixMillis) -> Self {
+        Self { executor, at, run: 0, age_ms: UNATTRIBUTED, lived_ms: REFUTED, evidence: 0 }
+    }
+
+    fn is_refuted(&self) -> bool {
+        self.lived_ms == REFUTED
+    }
+
     /// Whether the task is known to have run there for at most a certain time, and nothing else is
     /// known that may have ended the executor.
     pub fn is_attributed(&self) -> bool {
@@ -87,11 +109,16 @@
     }
 }
 
-/// Adds a crash unless it is known, and removes those from which its run exonerates the task.
+/// Adds a crash unless it is known, and removes those from which its run exonerates the task. A
+/// refuted crash is removed.
 ///
 /// A crash from which an earlier run exonerates the task is not added: a task that crashes executors
 /// does so at about the same time after each start.
 pub(super) fn add(crashes: &mut Vec<Crash>, crash: &Crash) {
+    if crash.is_refuted() {
+        crashes.retain(|known| known.executor != crash.executor);
+        return;
+    }
     if crashes.iter().any(|known| known.executor == crash.executor) {
         return;
     }
--- a/crates/borageswitch_scheduler/src/ledger/mod.rs
+++ b/crates/borageswitch_scheduler/src/ledger/mod.rs
@@ -30,7 +30,7 @@
     executor::EndKind,
     job::Submission,
     ledger::{
-        crashes::{Crash, GivenUp, Suspicion},
+        crashes::{Crash, GivenUp, Survival, Suspicion},
         host_orders::HostOrders,
         job::Job,
         recent_starts::RecentStarts,
@@ -80,6 +80,9 @@
     pub failed_gang_runs: BTreeMap<StepKey, BTreeSet<u32>>,
     /// The runs that were assigned in the last seconds, and when.
     pub recent_starts: RecentStarts,
+    /// For how long the present runs of suspects have lived. Without it, a task would have to live
+    /// for long enough under a single leader.
+    pub survivals: BTreeMap<TaskKey, Survival>,
 }
 
 impl Ledger {
@@ -125,7 +128,7 @@
                     self.end(task, *run, *kind, checkpoint.as_ref());
                     if matches!(kind, EndKind::Done | EndKind::Failed) {
                         // The executor has survived the run.
-                        self.suspects.remove(task);
+                        self.clear_suspect(task);
                     }
                 }
             }
@@ -137,6 +140,7 @@
             Record::Finished { job, queue, outcome, at } => {
                 self.jobs.remove(job);
                 self.suspects.retain(|task, _| task.job != *job);
+                self.survivals.retain(|task, _| task.job != *job);
                 self.failed_gang_runs.retain(|step, _| step.job != *job);
                 let finished = Finished { queue: queue.clone(), outcome: *outcome, at: *at };
                 self.finished.insert(job.clone(), finished);
@@ -166,6 +170,7 @@
             Record::Survived { task, millis } => self.clear_survived(task, *millis),
             Record::GivenUp { task } => {
                 let crashes = self.suspects.remove(task).unwrap_or_default();
+                self.survivals.remove(task);
                 let given_up = GivenUp { task: task.clone(), crashes };
                 self.given_up.entry(task.job.clone()).or_insert(given_up);
             }
@@ -188,15 +193,35 @@
         if may_be_open {
             let crashes = self.suspects.entry(task.clone()).or_default();
             crashes::add(crashes, &suspicion.crash);
+            if crashes.is_empty() {
+                self.clear_suspect(task);
+            }
         }
     }
 
+    /// Drops what is held against a task.
+    fn clear_suspect(&mut self, task: &TaskKey) {
+        self.suspects.remove(task);
+        self.survivals.remove(task);
+    }
+
     fn clear_survived(&mut self, task: &TaskKey, lived_ms: u64) {
         let Some(crashes) = self.suspects.get_mut(task) else { return };
         crashes::clear_survived(crashes, lived_ms);
         if crashes.is_empty() {
-            self.suspects.remove(task);
+            self.clear_suspect(task);
+            return;
         }
+        let assigned = self.task(task).and_then(|state| state.assigned.as_ref());
+        if let Some(run) = assigned.map(|assigned| assigned.run) {
+            self.survivals.insert(task.clone(), Survival { run, millis: lived_ms });
+        }
+    }
+
+    /// Returns for how long a run of a suspect is known to have lived under earlier leaders.
+    pub fn survival_of(&self, task: &TaskKey, run: u32) -> Duration {
+        let survival = self.survivals.get(task).filter(|survival| survival.run == run);
+        Duration::from_millis(survival.map_or(0, |survival| survival.millis))
     }
 
     /// Returns the tasks of a job under which executors have crashed, with the crashes.
--- a/crates/borageswitch_scheduler/src/ledger/snapshot.rs
+++ b/crates/borageswitch_scheduler/src/ledger/snapshot.rs
@@ -11,7 +11,7 @@
     job::Submission,
     ledger::{
         Finished, Ledger,
-        crashes::{Crash, GivenUp},
+        crashes::{Crash, GivenUp, Survival},
         host_orders::HostOrders,
         job::{Job, Progress},
         recent_starts::RecentStarts,
@@ -49,6 +49,8 @@
     pub failed_gang_runs: BTreeMap<StepKey, BTreeSet<u32>>,
     /// The runs that were assigned in the last seconds, and when.
     pub recent_starts: RecentStarts,
+    /// For how long the present runs of suspects have lived.
+    pub survivals: BTreeMap<TaskKey, Survival>,
 }
 
 impl Snapshot {
@@ -68,6 +70,7 @@
             given_up: ledger.given_up.clone(),
             failed_gang_runs: ledger.failed_gang_runs.clone(),
             recent_starts: ledger.recent_starts.clone(),
+            survivals: ledger.survivals.clone(),
         }
     }
 
@@ -90,6 +93,7 @@
             given_up: self.given_up,
             failed_gang_runs: self.failed_gang_runs,
             recent_starts: self.recent_starts,
+            survivals: self.survivals,
         };
         let mut progress = self.jobs;
         for submission in submissions {
--- a/crates/borageswitch_scheduler/src/policy/crash_attribution.rs
+++ b/crates/borageswitch_scheduler/src/policy/crash_attribution.rs
@@ -24,11 +24,15 @@
 /// The minimum number of crashes before a task is given up.
 const MIN_CRASHES: usize = 2;
 /// A task is given up after this many crashes that its starts may have caused, if all of them are
-/// attributed to it or the evidence reaches [`LIMIT_EVIDENCE`].
+/// attributed to it.
 const MAX_CRASHES: usize = 5;
-/// Evidence from which a task is given up after [`MAX_CRASHES`] that are only in part attributed to
-/// it, in thousandths of a power of ten.
-const LIMIT_EVIDENCE: u32 = 2_500;
+/// Evidence from which a task is given up that has crashed [`MIN_CRASHES`] executors while it was
+/// isolated, in thousandths of a power of ten. Nothing else had started there, and the pool was
+/// calm.
+const ISOLATED_THRESHOLD: u32 = 2_000;
+/// The evidence of a crash, if the task is its only possible cause, from which the crash is
+/// attributed to it, in thousandths of a power of ten. Below, coincidence is about as likely.
+const MIN_ATTRIBUTION: u32 = 500;
 /// Evidence below which a task is scheduled like one without crashes, in thousandths of a power of
 /// ten. Tasks that had run for long, or beside a job that had just started, collect less.
 const SUSPECT_EVIDENCE: u32 = 500;
@@ -82,19 +86,18 @@
 impl SuspicionLevel {
     /// Determines the level from the crashes under a task since one of its runs last exonerated it.
     pub fn of(crashes: &[Crash]) -> SuspicionLevel {
-        let evidence: u32 = crashes.iter().map(|crash| crash.evidence).sum();
-        let start_related =
-            crashes.iter().filter(|crash| is_start_related(Duration::from_millis(crash.lived_ms)));
-        let (start_related, several) = (start_related.count(), crashes.len() >= MIN_CRASHES);
+        let tally = Tally::of(crashes);
         let all_attributed = crashes.iter().all(Crash::is_attributed);
-        let has_crashed_several = has_crashed_several(crashes);
-        let likely = has_crashed_several && evidence >= LIMIT_EVIDENCE;
-        let at_limit = start_related >= MAX_CRASHES && (all_attributed || likely);
-        if at_limit || has_crashed_several && evidence >= EVIDENCE_THRESHOLD {
+        let at_limit = tally.start_related >= MAX_CRASHES && all_attributed;
+        let required = match has_crashed_several_isolated(crashes) {
+            true => ISOLATED_THRESHOLD,
+            false => EVIDENCE_THRESHOLD,
+        };
+        if at_limit || has_crashed_several(crashes) && tally.evidence >= required {
             SuspicionLevel::Poison
-        } else if start_related >= ISOLATION_CRASHES || several && evidence >= ISOLATION_EVIDENCE {
+        } else if tally.isolates() {
             SuspicionLevel::Isolated
-        } else if evidence >= SUSPECT_EVIDENCE {
+        } else if tally.evidence >= SUSPECT_EVIDENCE {
             SuspicionLevel::Suspect
         } else {
             SuspicionLevel::Clear
@@ -102,6 +105,48 @@
     }
 }
 
+/// What the crashes under a task amount to.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    crashes: usize,
+    /// The crashes that its starts may have caused.
+    start_related: usize,
+    evidence: u32,
+}
+
+impl Tally {
+    fn of(crashes: &[Crash]) -> Self {
+        let mut tally = Self::default();
+        crashes.iter().for_each(|crash| tally.add(crash));
+        tally
+    }
+
+    fn add(&mut self, crash: &Crash) {
+        self.crashes += 1;
+        let lived = Duration::from_millis(crash.lived_ms);
+        self.start_related += usize::from(is_start_related(lived));
+        self.evidence = self.evidence.saturating_add(crash.evidence);
+    }
+
+    /// Whether the task is started apart from others after these crashes.
+    fn isolates(&self) -> bool {
+        self.start_related >= ISOLATION_CRASHES
+            || self.crashes >= MIN_CRASHES && self.evidence >= ISOLATION_EVIDENCE
+    }
+}
+
+/// Whether at least [`MIN_CRASHES`] crashes are attributed to a task that was isolated when it was
+/// started.
+fn has_crashed_several_isolated(crashes: &[Crash]) -> bool {
+    let mut before = Tally::default();
+    let isolated = crashes.iter().filter(|crash| {
+        let was_isolated = before.isolates();
+        before.add(crash);
+        was_isolated && crash.is_attributed()
+    });
+    isolated.count() >= MIN_CRASHES
+}
+
 /// Returns whether the crashes under all tasks of a job show that it crashes executors, although
 /// none of its tasks alone has seen enough of them.
 ///
@@ -129,6 +174,12 @@
     lived <= START_RELATED_AGE
 }
 
+/// Returns whether a crash `window` around the start of a task says more about the task than about
+/// the site, where a healthy task sees `rate` crashes per second.
+pub fn is_attributable(window: Duration, rate: f64) -> bool {
+    evidence(1.0, window, rate) >= MIN_ATTRIBUTION
+}
+
 /// Returns whether at least [`MIN_CRASHES`] crashes are attributed to a task.
 pub fn has_crashed_several(crashes: &[Crash]) -> bool {
     crashes.iter().filter(|crash| crash.is_attributed()).count() >= MIN_CRASHES
@@ -175,10 +226,22 @@
     window.max(MIN_AGE).as_secs_f64()
 }
 
-/// Returns whether executors that crash at the same moment indicate a cause other than a job's
-/// tasks: there are several of them, and the job had started on at most half.
-pub fn has_common_cause(others: usize, started_on: usize) -> bool {
-    others >= MIN_COMMON_CAUSE && started_on * 2 <= others + 1
+/// The executors that crashed at the same moment as another one and may share its cause.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Coincidence {
+    /// Their number.
+    pub others: usize,
+    /// Those of them that are not explained by a cause of their own: the starts of two isolated
+    /// suspects explain two crashes.
+    pub unexplained: usize,
+}
+
+impl Coincidence {
+    /// Returns whether they indicate a cause other than a job's tasks: there are several of them,
+    /// and the job had started on at most half.
+    pub fn has_common_cause(self, started_on: usize) -> bool {
+        self.others >= MIN_COMMON_CAUSE && self.unexplained > 0 && started_on * 2 <= self.others + 1
+    }
 }
 
 #[cfg(test)]
--- a/crates/borageswitch_scheduler/src/policy/crash_attribution/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/crash_attribution/tests.rs
@@ -101,10 +101,22 @@
 
 #[test]
 fn a_lost_rack_is_a_common_cause_unless_a_job_had_started_on_most_of_it() {
-    assert!(has_common_cause(3, 0));
-    assert!(has_common_cause(3, 2));
-    assert!(!has_common_cause(3, 4));
-    assert!(!has_common_cause(1, 0));
+    let crashed = |others| Coincidence { others, unexplained: others };
+
+    assert!(crashed(3).has_common_cause(0));
+    assert!(crashed(3).has_common_cause(2));
+    assert!(!crashed(3).has_common_cause(4));
+    assert!(!crashed(1).has_common_cause(0));
+}
+
+#[test]
+fn isolated_suspects_that_crash_executors_together_are_no_common_cause() {
+    // Guards against culprits that hide behind each other because they are started at one moment.
+    let culprits = Coincidence { others: 4, unexplained: 0 };
+    let rack = Coincidence { others: 4, unexplained: 1 };
+
+    assert!(!culprits.has_common_cause(1));
+    assert!(rack.has_common_cause(1));
 }
 
 #[test]
--- a/crates/borageswitch_scheduler/src/policy/crash_rate.rs
+++ b/crates/borageswitch_scheduler/src/policy/crash_rate.rs
@@ -43,6 +43,14 @@
         self.events.push_back(CrashEvent { at, host, jobs });
     }
 
+    /// Records a crash that an earlier leader has noted `age` ago; its host is not known.
+    pub fn add_earlier_crash(&mut self, now: Time, age: Duration, jobs: BTreeSet<JobName>) {
+        if age < RETENTION {
+            let at = Time::ZERO + now.since(Time::ZERO).saturating_sub(age);
+            self.events.push_back(CrashEvent { at, host: None, jobs });
+        }
+    }
+
     /// Removes the crashes under a job that has been found to cause them.
     pub fn discard_caused_by(&mut self, job: &JobName) {
         self.events.retain(|event| !event.jobs.contains(job));
--- a/crates/borageswitch_scheduler/src/reducer/containment.rs
+++ b/crates/borageswitch_scheduler/src/reducer/containment.rs
@@ -23,7 +23,7 @@
     job::{Size, Submission},
     ledger::{crashes::Crash, job::Job},
     policy::{
-        crash_attribution,
+        crash_attribution::{self, Coincidence},
         crash_containment::{self, ContainedGroups, Group},
     },
     reducer::{
@@ -71,21 +71,20 @@
 }
 
 impl Scheduler {
-    /// Notes the crash of an executor, if a start may have caused it. `others` is the number of
-    /// executors that crashed at the same moment, and `started_on` the number of crashed executors
-    /// on which each job had recently started.
+    /// Notes the crash of an executor, if a start may have caused it. `started_on` is the
+    /// number of crashed executors on which each job had recently started.
     pub(super) fn note_start_crash(
         &mut self,
         now: Now,
         ended: &EndedExecutor,
-        others: usize,
+        coincidence: Coincidence,
         started_on: &BTreeMap<JobName, usize>,
     ) {
         let pool = ended.pool().clone();
         let may_be_cause = |lost: &&LostRun| {
             let started_on = started_on.get(&lost.task.job).copied().unwrap_or(0);
             lost.is_start_related()
-                && !crash_attribution::has_common_cause(others, started_on)
+                && !coincidence.has_common_cause(started_on)
                 && !self.has_survived(&pool, &lost.task.job)
         };
         let causes: Vec<&LostRun> = ended.runs.iter().filter(may_be_cause).collect();
--- a/crates/borageswitch_scheduler/src/reducer/crashes.rs
+++ b/crates/borageswitch_scheduler/src/reducer/crashes.rs
@@ -19,10 +19,11 @@
 use crate::{
     event::Now,
     fleet::HostState,
-    policy::crash_attribution,
+    policy::crash_attribution::{self, Coincidence, SuspicionLevel},
     reducer::{
         Scheduler,
         executors::{Executor, Phase},
+        polls,
     },
     task::TaskKey,
 };
@@ -260,6 +261,9 @@
     let since_takeover = ended_by.since(circumstances.took_over_at);
     let started =
         known.runs.iter().filter(|(_, held)| !matches!(held.phase, Phase::Recorded | Phase::Ended));
+    // An executor that had stopped before a start was sent did not stop because of it.
+    let started = started
+        .filter(|(_, held)| held.confirmed || held.start_sent.is_none_or(|sent| sent < ended_by));
     let lost = started.map(|(task, held)| {
         let last_up = last_up.unwrap_or(Time::ZERO);
         // A start without a response may have been sent to an executor that had already crashed.
@@ -280,7 +284,11 @@
 fn ended_by(known: &Executor, now: Time) -> Time {
     // A call may get a response after another one failed.
     let last_contact = known.clock.map_or(Time::ZERO, |clock| clock.received);
-    known.polling.silent_since.filter(|since| *since >= last_contact).unwrap_or(now)
+    let polling = &known.polling;
+    let sent = polling.immediate_poll_in_flight.then_some(polling.immediate_poll_sent);
+    let unanswered = sent.map(|sent| sent + polls::PROMPT_RESPONSE_TIME);
+    let silent = [polling.silent_since, unanswered].into_iter().flatten();
+    silent.filter(|since| *since >= last_contact).min().unwrap_or(now).min(now)
 }
 
 fn cause(
@@ -331,22 +339,37 @@
                     format_runs(&executor.runs)
                 )
             });
-            let others = self.count_related(executor, &others);
-            self.note_start_crash(now, executor, others, &started_on);
-            self.attribute_crash(now, executor, others, &started_on);
+            let coincidence = self.coincidence(executor, &others);
+            self.note_start_crash(now, executor, coincidence, &started_on);
+            self.attribute_crash(now, executor, coincidence, &started_on);
         }
     }
 
-    /// The number of executors among `others`, which crashed at the same moment, that may have
-    /// crashed for the same reason: those of its rack, or all of them if a large part of all
-    /// executors is lost at once.
-    fn count_related(&self, executor: &EndedExecutor, others: &[&EndedExecutor]) -> usize {
+    /// Whether the start of an isolated suspect explains the crash of an executor by itself: several
+    /// suspects that start at the same moment crash their executors at the same moment.
+    fn is_explained(&self, executor: &EndedExecutor) -> bool {
+        let is_isolated =
+            |lost: &LostRun| self.suspicion_level(&lost.task) >= SuspicionLevel::Isolated;
+        executor.runs.iter().any(|lost| {
+            let just_started =
+                lost.window.is_some_and(|w| w <= crash_attribution::START_RELATED_AGE);
+            just_started && is_isolated(lost)
+        })
+    }
+
+    /// The executors among `others`, which crashed at the same moment, that may have crashed for the
+    /// same reason: those of its rack, or all of them if a large part of all executors is lost at
+    /// once.
+    fn coincidence(&self, executor: &EndedExecutor, others: &[&EndedExecutor]) -> Coincidence {
         let registered = self.executors.values().filter(|known| !known.ended).count();
         let lost = others.len() + 1;
-        if lost * MAJOR_LOSS_DIVISOR >= registered + lost {
-            return others.len();
-        }
-        others.iter().filter(|other| other.rack == executor.rack).count()
+        let is_major = lost * MAJOR_LOSS_DIVISOR >= registered + lost;
+        let is_related = |other: &&&EndedExecutor| is_major || other.rack == executor.rack;
+        let related: Vec<&&EndedExecutor> = others.iter().filter(is_related).collect();
+        let may_be_separate = !is_major && self.is_explained(executor);
+        let unexplained =
+            related.iter().filter(|other| !(may_be_separate && self.is_explained(other)));
+        Coincidence { others: related.len(), unexplained: unexplained.count() }
     }
 }
 
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -63,6 +63,8 @@
     /// How long it can have existed at most when this leader took over, if an earlier leader
     /// started it and that is known.
     pub inherited_age: Option<Duration>,
+    /// How long earlier leaders have known it to live.
+    pub inherited_survival: Duration,
     /// When the executor confirmed the start.
     pub started: Time,
     /// When the run was placed; `None` if an earlier leader placed it.
@@ -97,6 +99,7 @@
             phase_since: now,
             start_sent: None,
             inherited_age: None,
+            inherited_survival: Duration::ZERO,
             started: now,
             placed: (phase == Phase::Recorded).then_some(now),
             percent: 0,
@@ -171,6 +174,8 @@
     pub long_poll_in_flight: bool,
     /// Whether a poll that the executor answers without waiting is in flight.
     pub immediate_poll_in_flight: bool,
+    /// When the last such poll was sent.
+    pub immediate_poll_sent: Time,
     /// The number of consecutive polls that got no response.
     pub failures: u32,
     /// The end of the present backoff: no poll is sent earlier.
@@ -340,7 +345,8 @@
         let last_contact = self.clock.map(|clock| clock.received);
         let last_contact =
             last_contact.filter(|_| matches!(held.phase, Phase::Active | Phase::Stopping));
-        last_contact.map_or(Duration::ZERO, |contact| contact.since(held.started))
+        let observed = last_contact.map_or(Duration::ZERO, |contact| contact.since(held.started));
+        held.inherited_survival + observed
     }
 
     /// Whether new runs may be placed on it at present.
--- a/crates/borageswitch_scheduler/src/reducer/outbox.rs
+++ b/crates/borageswitch_scheduler/src/reducer/outbox.rs
@@ -8,6 +8,8 @@
 mod after_stored;
 mod removals;
 
+use std::time::Duration;
+
 use borageswitch_types::{
     Time,
     names::{ExecutorName, HostName, JobName},
@@ -73,6 +75,9 @@
 /// little. One call removes these appends, and the store accepts at most 32 entries per call.
 const APPENDS_PER_SNAPSHOT: u64 = 28;
 
+/// The time without a response to an append from which the store counts as silent.
+const STORE_SILENCE: Duration = Duration::from_millis(1_000);
+
 impl Outbox {
     /// Creates an outbox whose first append has the number `next_append`.
     pub fn new(next_append: u64) -> Self {
@@ -131,6 +136,12 @@
         }
     }
 
+    /// Whether an append has had no response for a while: what others write to the store does not
+    /// reach the leader either.
+    pub(super) fn is_store_silent(&self, now: Time) -> bool {
+        self.in_flight.is_some() && now.since(self.sent_at) >= STORE_SILENCE
+    }
+
     /// The ended jobs whose submissions may still be stored.
     pub(super) fn stored_submissions(&self) -> impl Iterator<Item = &JobName> {
         self.removals.outstanding()
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -278,6 +278,9 @@
                 return if nowhere { Placement::NoCapacity } else { Placement::Done };
             };
             if suspicion_level == SuspicionLevel::Isolated {
+                if !self.is_heard_from(now, &executor) {
+                    continue;
+                }
                 available.remove(&executor);
             } else if let Some(left) = available.get_mut(&executor) {
                 *left = left.less(&size);
--- a/crates/borageswitch_scheduler/src/reducer/polls.rs
+++ b/crates/borageswitch_scheduler/src/reducer/polls.rs
@@ -33,6 +33,11 @@
 /// append takes a third of a second. If the executor were polled only after that, capacity that is
 /// freed during a load peak would be noticed late and stay idle for that time.
 const UNSTORED_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// How often an executor is polled after the start of an isolated suspect. The shorter the time
+/// within which it can have crashed, the better a crash tells whether the start was the cause.
+const ISOLATED_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// The time within which an executor that runs has answered a poll without a wait.
+pub(super) const PROMPT_RESPONSE_TIME: Duration = Duration::from_millis(100);
 
 impl Scheduler {
     /// Sends the polls that are due.
@@ -47,6 +52,7 @@
             }
             if order.wait.is_zero() {
                 known.polling.immediate_poll_in_flight = true;
+                known.polling.immediate_poll_sent = now.time;
             } else {
                 known.polling.long_poll_in_flight = true;
             }
@@ -100,15 +106,25 @@
             PollResponse::OtherIncarnation => {
                 self.end_incarnation(now, executor, EndDetection::OtherIncarnationAnswered);
             }
-            PollResponse::Lost => self.handle_poll_failure(now, executor),
+            PollResponse::Lost => self.handle_poll_failure(now, executor, sent, &order),
         }
     }
 
-    fn handle_poll_failure(&mut self, now: Now, executor: &ExecutorName) {
+    fn handle_poll_failure(
+        &mut self,
+        now: Now,
+        executor: &ExecutorName,
+        sent: Time,
+        order: &PollOrder,
+    ) {
         let Some(known) = self.executors.get_mut(executor) else { return };
         let polling = &mut known.polling;
         polling.failures += 1;
-        polling.silent_since.get_or_insert(now.time);
+        let silent = match order.wait.is_zero() {
+            true => now.time.min(sent + PROMPT_RESPONSE_TIME),
+            false => now.time,
+        };
+        polling.silent_since = Some(polling.silent_since.map_or(silent, |since| since.min(silent)));
         let backoff = FIRST_BACKOFF * (1 << (polling.failures - 1).min(4));
         polling.not_before = now.time + backoff.min(MAX_BACKOFF);
         if polling.failures == 1 {
@@ -119,6 +135,7 @@
     fn apply_report(&mut self, now: Now, executor: &ExecutorName, sent: Time, report: &Report) {
         let Some(known) = self.executors.get_mut(executor) else { return };
         let recovered = known.polling.failures > 0;
+        let is_first = !known.fenced;
         known.polling.failures = 0;
         known.polling.silent_since = None;
         known.expired_runs.clear();
@@ -138,6 +155,9 @@
             known.polling.last_answered_sent = Some(sent);
             known.note_report(report.clock_ms);
         }
+        if is_first {
+            self.refute_crash(now, executor);
+        }
         if recovered {
             self.log("executor-answers", executor, || "after polls without a response".to_owned());
         }
@@ -287,7 +307,8 @@
     let unknown = in_doubt && (known.is_registered || !known.runs.is_empty());
     let last_contact = known.clock.map_or(Time::ZERO, |clock| clock.received);
     let probe_due = known.probe_due.is_some_and(|due| due <= now && last_contact < due);
-    let at_once = unknown || unsettled || probe_due;
+    let observed = now < known.isolated_until && now.since(last_contact) >= ISOLATED_POLL_INTERVAL;
+    let at_once = unknown || unsettled || probe_due || observed;
     let running =
         known.has_orphan_runs || known.runs.values().any(|held| held.phase != Phase::Recorded);
     if !at_once && (polling.long_poll_in_flight || !wants_poll(known, now, running)) {
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -98,6 +98,7 @@
         scheduler.refresh_job_states(now);
         scheduler.inherit_runs(now);
         scheduler.derive_containment(now);
+        scheduler.derive_crash_history(now);
         scheduler.maybe_ended = scheduler.ledger.jobs.keys().cloned().collect();
         scheduler
     }
@@ -124,6 +125,7 @@
             let held = self.held_for(now.time, &task, run, Phase::Inherited);
             let Some(mut held) = held else { continue };
             held.inherited_age = ages.get(&(task.clone(), run)).copied();
+            held.inherited_survival = self.ledger.survival_of(&task, run);
             let Some(pool) = self.pool_of(&task.job).cloned() else { continue };
             self.inherit_run(now, &executor, pool, &task, held, until);
         }
--- a/crates/borageswitch_scheduler/src/reducer/suspects.rs
+++ b/crates/borageswitch_scheduler/src/reducer/suspects.rs
@@ -9,7 +9,11 @@
     time::Duration,
 };
 
-use borageswitch_types::names::{ExecutorName, JobName, PoolName, QueueName};
+use borageswitch_types::{
+    Time,
+    names::{ExecutorName, JobName, PoolName, QueueName},
+    time::UnixMillis,
+};
 
 use crate::{
     effect::{CountedEvent, Effect},
@@ -19,13 +23,13 @@
         record::Record,
     },
     policy::{
-        crash_attribution::{self, PossibleCause, SuspicionLevel},
+        crash_attribution::{self, Coincidence, PossibleCause, SuspicionLevel},
         crash_calm::{self, PoolCrashes},
         crash_rate::{CrashHistory, RateContext},
     },
     reducer::{
         Scheduler,
-        crashes::{EndedExecutor, LostRun},
+        crashes::{EndCause, EndedExecutor, LostRun},
     },
     task::TaskKey,
 };
@@ -36,12 +40,22 @@
 /// How long nothing else is started on an executor after the start of an isolated suspect.
 const ISOLATION: Duration = crash_attribution::START_RELATED_AGE;
 
+/// How long before the start of an isolated suspect its executor must have answered.
+const MAX_CONTACT_AGE: Duration = Duration::from_millis(250);
+/// The time between the starts of two isolated suspects in a pool. If both crash their executors,
+/// the crashes have to be told from a loss of a rack.
+const ISOLATED_START_INTERVAL: Duration = Duration::from_millis(250);
+/// The steps in which it is stored for how long the run of a suspect has lived.
+const SURVIVAL_STEP: Duration = Duration::from_millis(500);
+
 /// The suspects that are running, and the history of crashes.
 #[derive(Debug, Default)]
 pub struct Suspects {
     history: CrashHistory,
     /// The recent crashes of each pool that isolated suspects do not explain.
     pool_crashes: BTreeMap<PoolName, PoolCrashes>,
+    /// When an isolated suspect was last placed, by pool.
+    last_isolated: BTreeMap<PoolName, Time>,
     /// Tasks with crashes whose present run has not survived for long enough yet, by executor.
     on_probation: BTreeMap<ExecutorName, BTreeMap<TaskKey, SuspicionLevel>>,
 }
@@ -91,7 +105,13 @@
         let waited = Duration::from_millis(now.wall.0.saturating_sub(last.at.0));
         self.suspicion_level(task) == SuspicionLevel::Isolated
             && waited < crash_calm::MAX_WAIT
-            && !self.is_calm(now, pool)
+            && (!self.is_calm(now, pool) || self.has_started_isolated(now, pool))
+    }
+
+    /// Whether an isolated suspect has just been started in a pool.
+    fn has_started_isolated(&self, now: Now, pool: &PoolName) -> bool {
+        let last = self.suspects.last_isolated.get(pool);
+        last.is_some_and(|at| now.time.since(*at) < ISOLATED_START_INTERVAL)
     }
 
     fn is_calm(&self, now: Now, pool: &PoolName) -> bool {
@@ -103,6 +123,20 @@
         crashes.is_calm(now.time, registered.count())
     }
 
+    /// Whether an executor has answered so recently that its crash after a start can be told from one
+    /// before it. If not, it is polled.
+    pub(super) fn is_heard_from(&mut self, now: Now, executor: &ExecutorName) -> bool {
+        let Some(known) = self.executors.get(executor) else { return false };
+        let contact = known.clock.map(|clock| clock.received);
+        if contact.is_some_and(|contact| now.time.since(contact) <= MAX_CONTACT_AGE) {
+            return true;
+        }
+        if let Some(known) = self.executors.get_mut(executor) {
+            known.probe_due = Some(now.time);
+        }
+        false
+    }
+
     /// Notes a crash that says how often the executors of a pool crash.
     fn note_pool_crash(&mut self, now: Now, ended: &EndedExecutor) {
         self.suspects.pool_crashes.retain(|_, crashes| !crashes.expire(now.time));
@@ -124,18 +158,19 @@
             && let Some(known) = self.executors.get_mut(executor)
         {
             known.isolated_until = now.time + ISOLATION;
+            let pool = known.registration.pool.clone();
+            self.suspects.last_isolated.insert(pool, now.time);
         }
     }
 
     /// Attributes the crash of an executor to its tasks.
     ///
-    /// `others` is the number of executors that crashed at the same moment, and `started_on` the
-    /// number of crashed executors on which each job had recently started.
+    /// `started_on` is the number of crashed executors on which each job had recently started.
     pub(super) fn attribute_crash(
         &mut self,
         now: Now,
         ended: &EndedExecutor,
-        others: usize,
+        coincidence: Coincidence,
         started_on: &BTreeMap<JobName, usize>,
     ) {
         let runs: Vec<&LostRun> =
@@ -149,10 +184,15 @@
         let suspicions = runs.iter().filter_map(|lost| {
             let job = &lost.task.job;
             let started_on = started_on.get(job).copied().unwrap_or(0);
-            let is_shared = crash_attribution::has_common_cause(others, started_on);
-            match lost.attributable_age().zip(lost.window).filter(|_| !is_shared) {
+            let is_shared =
+                coincidence.has_common_cause(started_on) || self.outbox.is_store_silent(now.time);
+            let rate = self.crash_rate(now, ended, job);
+            let is_attributable = |(_, window): &(Duration, Duration)| {
+                !is_shared && crash_attribution::is_attributable(*window, rate)
+            };
+            match lost.attributable_age().zip(lost.window).filter(is_attributable) {
                 Some((age, window)) => {
-                    let evidence = self.evidence(now, ended, lost, window, shares[job]);
+                    let evidence = crash_attribution::evidence(shares[job], window, rate);
                     Some(suspicion(now, ended, lost, age.as_millis() as u64, evidence))
                 }
                 None => lost.is_start_related().then(|| unattributed(now, ended, lost)),
@@ -175,8 +215,49 @@
     pub(super) fn note_unattributed_loss(&mut self, now: Now, ended: &EndedExecutor) {
         let recent =
             ended.runs.iter().filter(|lost| lost.is_start_related() && self.is_open(&lost.task));
-        let suspicions = recent.map(|lost| unattributed(now, ended, lost));
-        self.record_suspicions(ended, suspicions.collect());
+        let suspicions = recent.map(|lost| unattributed(now, ended, lost)).collect();
+        if ended.cause() == EndCause::Unknown && !ended.runs.is_empty() {
+            let jobs = ended.runs.iter().map(|lost| lost.task.job.clone()).collect();
+            self.suspects.history.add_crash(now.time, ended.host().cloned(), jobs);
+        }
+        self.record_suspicions(ended, suspicions);
+    }
+
+    /// Adds the recent crashes that earlier leaders have recorded to the history. Otherwise a new
+    /// leader would take a site for calm on which executors crash all the time.
+    pub(super) fn derive_crash_history(&mut self, now: Now) {
+        let mut crashes: BTreeMap<&ExecutorName, (UnixMillis, BTreeSet<JobName>)> = BTreeMap::new();
+        for (task, of_task) in &self.ledger.suspects {
+            for crash in of_task {
+                let jobs = crashes.entry(&crash.executor).or_insert((crash.at, BTreeSet::new()));
+                jobs.1.insert(task.job.clone());
+            }
+        }
+        for (at, jobs) in crashes.into_values() {
+            let age = Duration::from_millis(now.wall.0.saturating_sub(at.0));
+            self.suspects.history.add_earlier_crash(now.time, age, jobs);
+        }
+    }
+
+    /// Drops the crash of an executor that has answered, from all tasks that it counts against.
+    pub(super) fn refute_crash(&mut self, now: Now, executor: &ExecutorName) {
+        let suspects = self.ledger.suspects.iter();
+        let blamed =
+            suspects.filter(|(_, crashes)| crashes.iter().any(|c| c.executor == *executor));
+        let suspicions: Vec<Suspicion> = blamed
+            .map(|(task, _)| {
+                let crash = Crash::refuted(executor.clone(), now.wall);
+                Suspicion { task: task.clone(), crash }
+            })
+            .collect();
+        if suspicions.is_empty() {
+            return;
+        }
+        self.log("crash-refuted", executor, || {
+            let tasks: Vec<String> = suspicions.iter().map(|s| s.task.to_string()).collect();
+            format!("tasks=[{}]", tasks.join("; "))
+        });
+        self.record(Record::Crashed { suspicions });
     }
 
     /// Whether a task belongs to a job that has not ended, and is not done itself.
@@ -215,21 +296,10 @@
         });
     }
 
-    fn evidence(
-        &self,
-        now: Now,
-        ended: &EndedExecutor,
-        lost: &LostRun,
-        window: Duration,
-        share: f64,
-    ) -> u32 {
-        let site = RateContext {
-            job: &lost.task.job,
-            host: ended.host(),
-            executors: self.executors.len(),
-        };
-        let rate = self.suspects.history.rate(now.time, self.took_over_at, &site);
-        crash_attribution::evidence(share, window, rate)
+    /// How many crashes per second a healthy task of a job sees on the host of an executor.
+    fn crash_rate(&self, now: Now, ended: &EndedExecutor, job: &JobName) -> f64 {
+        let context = RateContext { job, host: ended.host(), executors: self.executors.len() };
+        self.suspects.history.rate(now.time, self.took_over_at, &context)
     }
 
     /// Summarises a job's runs on a crashed executor by the task that is the likeliest cause.
@@ -304,12 +374,15 @@
                 let known = self.executors.get(executor);
                 let held = known.and_then(|known| Some(known.min_run_age(known.runs.get(task)?)));
                 let crashes = self.ledger.crashes_of(task);
+                let stored = known
+                    .and_then(|known| known.runs.get(task))
+                    .map_or(Duration::ZERO, |held| self.ledger.survival_of(task, held.run));
+                let is_news = |age: Duration| {
+                    age >= stored + SURVIVAL_STEP
+                        || crashes.iter().any(|crash| crash_attribution::exonerates(age, crash))
+                };
                 match held {
-                    Some(age)
-                        if crashes
-                            .iter()
-                            .any(|crash| crash_attribution::exonerates(age, crash)) =>
-                    {
+                    Some(age) if !crashes.is_empty() && is_news(age) => {
                         survived.push((executor.clone(), task.clone(), age.as_millis() as u64));
                     }
                     Some(_) if !crashes.is_empty() => {}
@@ -321,8 +394,14 @@
             self.suspects.untrack(&executor, &task);
         }
         for (executor, task, millis) in survived {
-            self.log("suspect-lives", &task, || format!("executor={executor} lived_ms={millis}"));
-            self.record(Record::Survived { task, millis });
+            let before = self.ledger.crashes_of(&task).len();
+            self.record(Record::Survived { task: task.clone(), millis });
+            let left = self.ledger.crashes_of(&task).len();
+            if left < before {
+                self.log("suspect-lives", &task, || {
+                    format!("executor={executor} lived_ms={millis} crashes={left}")
+                });
+            }
         }
     }
 
--- a/crates/borageswitch_scheduler/tests/verdicts.rs
+++ b/crates/borageswitch_scheduler/tests/verdicts.rs
@@ -150,7 +150,10 @@
     }
     let mut session = session_with_run(ledger);
 
-    lose_executor(&mut session, 600);
+    session.now += 1_600;
+    session.settle();
+    session.list_hosts(vec![down("h1"), host("h2", "e2")]);
+    session.settle();
 
     let crashes = crashes(&session, &key("j", 0));
     assert_eq!(crashes.len(), 1);
