Name the ends and crashes on which the failure of a job rests

Cause: `job-ended` with cause=attempts printed a count. The lines `run-ended` behind it may be dropped by the bound of the log, or be in the log of an earlier leader, so a double count could not be told from a dropped line.

Change: the ledger keeps the ends that count, by task, with run, executor, number of the end and the term of the leader that counted it. The term is the number of the first append of the leader, which `leader-has-ledger` now names beside the token. The ends of a task are dropped when it is done or its job has ended. What counts, and when a job fails, is unchanged.

--- a/crates/borageswitch_runtime/src/codec.rs
+++ b/crates/borageswitch_runtime/src/codec.rs
@@ -48,10 +48,10 @@
 /// The number of fields appended to the first layout of a submission: the caller.
 const FIELDS_ADDED_TO_SUBMISSION: usize = 1;
 /// The number of fields appended to the first layout of a snapshot: lingering runs, suspects,
-/// given-up jobs, failed runs of gangs, recent starts.
-pub const FIELDS_ADDED_TO_SNAPSHOT: usize = 5;
-/// The number of fields appended to the first layout of an append: when it was sent.
-const FIELDS_ADDED_TO_APPEND: usize = 1;
+/// given-up jobs, failed runs of gangs, recent starts, counted ends.
+pub const FIELDS_ADDED_TO_SNAPSHOT: usize = 6;
+/// The number of fields appended to the first layout of an append: when it was sent, and the term.
+const FIELDS_ADDED_TO_APPEND: usize = 2;
 
 /// Decodes a stored value whose last `added_fields` fields were appended to its first layout and
 /// may be missing.
--- a/crates/borageswitch_runtime/src/control/tests.rs
+++ b/crates/borageswitch_runtime/src/control/tests.rs
@@ -96,8 +96,13 @@
     // Guards against a stored cancellation that cancels a later job of the same name.
     let mut cancels = cancels::StoredCancels::new(vec![JobName::from("j")]);
     let job = vec![JobName::from("j")];
-    let append =
-        Effect::Append { append: 1, at: UnixMillis(1), records: Vec::new(), forget: job.clone() };
+    let append = Effect::Append {
+        append: 1,
+        at: UnixMillis(1),
+        term: 1,
+        records: Vec::new(),
+        forget: job.clone(),
+    };
 
     let first = cancels.take_obsolete(&append);
     cancels.keep_last();
--- a/crates/borageswitch_runtime/src/election.rs
+++ b/crates/borageswitch_runtime/src/election.rs
@@ -401,7 +401,7 @@
     let executors_revision = executors.1;
     let took = clock::time().since(began).as_millis() as u64;
     log::info!(
-        token = term.token, took_ms = took, jobs = recovered.ledger.jobs.len(),
+        token = term.token, first_append = recovered.next_append, took_ms = took, jobs = recovered.ledger.jobs.len(),
         ended = recovered.ledger.finished.len(), executors = executors.0.len();
         "leader-has-ledger"
     );
--- a/crates/borageswitch_runtime/src/orders.rs
+++ b/crates/borageswitch_runtime/src/orders.rs
@@ -192,8 +192,8 @@
     P: Platform,
 {
     match effect {
-        Effect::Append { append, at, records, forget } => {
-            let content = StoredAppend { records, at };
+        Effect::Append { append, at, term, records, forget } => {
+            let content = StoredAppend { records, at, term };
             match appends::store(shared, token, append, &content, &forget, cancels).await {
                 AppendOutcome::Stored => Some(Event::Appended { append }),
                 AppendOutcome::StoredWithoutRemovals => {
--- a/crates/borageswitch_scheduler/src/effect.rs
+++ b/crates/borageswitch_scheduler/src/effect.rs
@@ -68,6 +68,8 @@
         append: u64,
         /// The wall clock of the leader, which is stored with the records.
         at: UnixMillis,
+        /// The sequence number of the first append of the leader, which is stored with the records.
+        term: u64,
         /// The records to store.
         records: Vec<Record>,
         /// Jobs whose stored submissions are deleted by the same call. Their ends are among these
--- a/crates/borageswitch_scheduler/src/ledger/mod.rs
+++ b/crates/borageswitch_scheduler/src/ledger/mod.rs
@@ -4,6 +4,7 @@
 //! [`Ledger::apply`]. A new leader reads the last [`Snapshot`](snapshot::Snapshot) and the records
 //! after it, which restores the ledger that its predecessor had stored.
 
+pub mod counted_ends;
 pub mod crashes;
 pub mod host_orders;
 pub mod job;
@@ -30,11 +31,13 @@
     executor::EndKind,
     job::Submission,
     ledger::{
+        counted_ends::{CountedEnd, CountedEnds, UNKNOWN_TERM},
         crashes::{Crash, GivenUp, Suspicion},
         host_orders::HostOrders,
         job::Job,
         recent_starts::RecentStarts,
         record::{LingeringRun, Outcome, Record, StoredAppend},
+        run_end::EndMeaning,
     },
     task::{StepKey, TaskKey},
 };
@@ -80,6 +83,8 @@
     pub failed_gang_runs: BTreeMap<StepKey, BTreeSet<u32>>,
     /// The runs that were assigned in the last seconds, and when.
     pub recent_starts: RecentStarts,
+    /// The ends of runs that count as failures of tasks that may run again.
+    pub counted_ends: CountedEnds,
 }
 
 impl Ledger {
@@ -95,7 +100,7 @@
 
     /// Applies the records of an append that an earlier leader has stored.
     pub fn apply_append(&mut self, append: &StoredAppend) {
-        append.records.iter().for_each(|record| self.apply(record));
+        append.records.iter().for_each(|record| self.apply_in_term(record, append.term));
         self.note_sent(append.at, &append.records);
     }
 
@@ -104,10 +109,15 @@
         self.recent_starts.note(at, records);
     }
 
-    /// Applies a record.
+    /// Applies a record of a leader whose term is not known.
+    pub fn apply(&mut self, record: &Record) {
+        self.apply_in_term(record, UNKNOWN_TERM);
+    }
+
+    /// Applies a record of the leader whose first append has the number `term`.
     ///
     /// A record about an unknown job has no effect: the job has ended since.
-    pub fn apply(&mut self, record: &Record) {
+    pub fn apply_in_term(&mut self, record: &Record, term: u64) {
         match record {
             Record::Assigned { task, run, executor } => self.assign(task, *run, executor),
             Record::Released { task, run } => {
@@ -122,7 +132,9 @@
                 let last_end = self.last_ends.entry(executor.clone()).or_default();
                 if *number > *last_end {
                     *last_end = *number;
-                    self.end(task, *run, *kind, checkpoint.as_ref());
+                    let (run, number, executor) = (*run, *number, executor.clone());
+                    let end = CountedEnd { run, executor, number, term };
+                    self.end(task, *kind, checkpoint.as_ref(), end);
                     if matches!(kind, EndKind::Done | EndKind::Failed) {
                         // The executor has survived the run.
                         self.suspects.remove(task);
@@ -138,6 +150,7 @@
                 self.jobs.remove(job);
                 self.suspects.retain(|task, _| task.job != *job);
                 self.failed_gang_runs.retain(|step, _| step.job != *job);
+                self.counted_ends.drop_job(job);
                 let finished = Finished { queue: queue.clone(), outcome: *outcome, at: *at };
                 self.finished.insert(job.clone(), finished);
             }
@@ -229,13 +242,30 @@
         }
     }
 
-    fn end(&mut self, task: &TaskKey, run: u32, kind: EndKind, checkpoint: Option<&Arc<str>>) {
+    /// Applies the end of a run; `end` is kept if it counts as a failure.
+    fn end(
+        &mut self,
+        task: &TaskKey,
+        kind: EndKind,
+        checkpoint: Option<&Arc<str>>,
+        end: CountedEnd,
+    ) {
+        let run = end.run;
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(step) = job.step(task.step) else { return };
+        if job.task(task).is_none_or(|state| state.done) {
+            return;
+        }
         let failed_runs = &mut self.failed_gang_runs;
         let kind = run_end::as_part_of_gang(step, kind, || {
             failed_runs.entry(task.step_key()).or_default().insert(run)
         });
+        match EndMeaning::of(step, kind) {
+            EndMeaning::Completed if step.gang => self.counted_ends.drop_step(&task.step_key()),
+            EndMeaning::Completed => self.counted_ends.drop_task(task),
+            EndMeaning::Failed if !step.lasting => self.counted_ends.add(task, end),
+            EndMeaning::Failed | EndMeaning::Interrupted => {}
+        }
         job.end(task, run, kind, checkpoint);
     }
 
--- a/crates/borageswitch_scheduler/src/ledger/record.rs
+++ b/crates/borageswitch_scheduler/src/ledger/record.rs
@@ -160,6 +160,9 @@
     /// When the append was sent, by the wall clock of the leader. This field was added later:
     /// appends of earlier daemons end before it, and it is 0.
     pub at: UnixMillis,
+    /// The number of the first append of the leader that sent it. This field was added later:
+    /// appends of earlier daemons end before it, and it is 0.
+    pub term: u64,
 }
 
 /// A run of an ended job that is being stopped.
--- a/crates/borageswitch_scheduler/src/ledger/snapshot.rs
+++ b/crates/borageswitch_scheduler/src/ledger/snapshot.rs
@@ -11,6 +11,7 @@
     job::Submission,
     ledger::{
         Finished, Ledger,
+        counted_ends::CountedEnds,
         crashes::{Crash, GivenUp},
         host_orders::HostOrders,
         job::{Job, Progress},
@@ -49,6 +50,8 @@
     pub failed_gang_runs: BTreeMap<StepKey, BTreeSet<u32>>,
     /// The runs that were assigned in the last seconds, and when.
     pub recent_starts: RecentStarts,
+    /// The ends of runs that count as failures of tasks that may run again.
+    pub counted_ends: CountedEnds,
 }
 
 impl Snapshot {
@@ -68,6 +71,7 @@
             given_up: ledger.given_up.clone(),
             failed_gang_runs: ledger.failed_gang_runs.clone(),
             recent_starts: ledger.recent_starts.clone(),
+            counted_ends: ledger.counted_ends.clone(),
         }
     }
 
@@ -90,6 +94,7 @@
             given_up: self.given_up,
             failed_gang_runs: self.failed_gang_runs,
             recent_starts: self.recent_starts,
+            counted_ends: self.counted_ends,
         };
         let mut progress = self.jobs;
         for submission in submissions {
--- a/crates/borageswitch_scheduler/src/reducer/explain.rs
+++ b/crates/borageswitch_scheduler/src/reducer/explain.rs
@@ -207,6 +207,11 @@
             Some(format!("step {number}: task {index} is run {run} on {executor}"))
         });
         lines.extend(assigned.take(MAX_LISTED_RUNS));
+        let failed = self.ledger.counted_ends.of_step(key).map(|(task, ends)| {
+            let ends: Vec<String> = ends.iter().map(ToString::to_string).collect();
+            format!("step {number}: task {} has failed: {}", task.index, ends.join("; "))
+        });
+        lines.extend(failed.take(MAX_LISTED_RUNS));
         let backing_off =
             |index: &u32| self.failed_starts.is_backing_off(now.time, &key.task(*index));
         let backing_off = (0..step.count).filter(backing_off).count();
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -190,10 +190,11 @@
         cause: Option<FailureCause>,
     ) {
         let took = self.job_states.get(job).map(|job_state| now.time.since(job_state.accepted));
+        let basis = cause.as_ref().map(|cause| self.basis_of(cause)).unwrap_or_default();
         self.log("job-ended", job, || {
             let cause = cause.map(|cause| format!(" cause={cause}")).unwrap_or_default();
             let took_ms = took.unwrap_or_default().as_millis();
-            format!("queue={queue} outcome={outcome}{cause} took_ms={took_ms}")
+            format!("queue={queue} outcome={outcome}{cause} took_ms={took_ms}{basis}")
         });
         self.mark_pool_dirty(job);
         self.ending_jobs.insert(job.clone());
--- a/crates/borageswitch_scheduler/src/reducer/mod.rs
+++ b/crates/borageswitch_scheduler/src/reducer/mod.rs
@@ -342,7 +342,7 @@
 
     /// Applies a record to the ledger and queues it for storing.
     fn record(&mut self, record: Record) {
-        self.ledger.apply(&record);
+        self.ledger.apply_in_term(&record, self.outbox.first_append());
         if let Some(job) = record.job() {
             self.waiting.mark_stale(job);
         }
--- a/crates/borageswitch_scheduler/src/reducer/outbox.rs
+++ b/crates/borageswitch_scheduler/src/reducer/outbox.rs
@@ -55,6 +55,8 @@
 /// Records on their way to the store, and the actions that wait for them.
 #[derive(Debug)]
 pub struct Outbox {
+    /// The number of the first append, which identifies the term of the leader.
+    first_append: u64,
     next_append: u64,
     in_flight: Option<InFlight>,
     sent_at: Time,
@@ -77,6 +79,7 @@
     /// Creates an outbox whose first append has the number `next_append`.
     pub fn new(next_append: u64) -> Self {
         Self {
+            first_append: next_append,
             next_append,
             in_flight: None,
             sent_at: Time::ZERO,
@@ -89,6 +92,11 @@
         }
     }
 
+    /// The number of the first append.
+    pub(super) fn first_append(&self) -> u64 {
+        self.first_append
+    }
+
     pub(super) fn add(&mut self, record: Record) {
         self.records.push(record);
     }
@@ -169,7 +177,8 @@
         outbox.next_append += 1;
         outbox.in_flight = Some(InFlight { append, through, snapshot });
         outbox.sent_at = now.time;
-        self.effects.push(Effect::Append { append, at: now.wall, records, forget });
+        let (at, term) = (now.wall, outbox.first_append);
+        self.effects.push(Effect::Append { append, at, term, records, forget });
     }
 
     /// Takes a snapshot if one is due.
--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -652,8 +652,8 @@
         for effect in effects {
             self.violations.extend(self.store.check_effect(&effect));
             match effect {
-                Effect::Append { append, at, records, forget } => {
-                    let content = StoredAppend { records, at };
+                Effect::Append { append, at, term, records, forget } => {
+                    let content = StoredAppend { records, at, term };
                     self.pending_appends.push((token, append, content, forget));
                 }
                 Effect::Start(..) | Effect::Stop(..) | Effect::Poll(..) => {
