Count the end of a run of a task at most once

What callers saw: possibly a sound job that is shown as failed. A task whose one failed run is listed again by its executor lost further attempts.

Cause: the ledger told repeated ends by the number of the last end of each executor, and drops that number when the executor is forgotten or taken for ended. An executor that comes back, or a response that is older than that, lists the end once more, and it was counted again.

Change: an end that counts is known by task and run. Run numbers of a task are never used twice and a run ends once, so a repeated end counts nothing, whoever lists it and under whichever leader, and does not clear later crashes of the task. It is still acknowledged, logged as `run-end-repeated`, and does not count against the executor.

--- a/crates/borageswitch_scheduler/src/ledger/counted_ends.rs
+++ b/crates/borageswitch_scheduler/src/ledger/counted_ends.rs
@@ -1,7 +1,9 @@
 //! The ends of runs that count as failures of their tasks.
 //!
 //! A task only keeps the number of its failures. The ends behind that number tell an operator what
-//! the end of a job rests on.
+//! the end of a job rests on, and keep one end from counting twice: an executor lists an end until
+//! it is acknowledged, and may list it again after the leader has forgotten the executor with the
+//! number of its last end. A task never has two runs of the same number, and a run ends once.
 
 use std::{collections::BTreeMap, fmt};
 
@@ -10,7 +12,7 @@
 use crate::task::{StepKey, TaskKey};
 
 /// The maximum number of ends that are kept for a task, so that a task with many attempts does not
-/// enlarge each snapshot; the oldest are dropped.
+/// enlarge each snapshot; those of the earliest runs are dropped.
 const MAX_KEPT: usize = 64;
 /// The term of a leader whose appends do not tell it.
 pub const UNKNOWN_TERM: u64 = 0;
@@ -47,13 +49,28 @@
 }
 
 impl CountedEnds {
-    /// Adds the end of a run of a task.
-    pub(super) fn add(&mut self, task: &TaskKey, end: CountedEnd) {
+    /// Adds the end of a run of a task unless it is known, and returns whether it is new.
+    ///
+    /// The end of a run before all that are kept is taken for known if some may have been dropped.
+    pub(super) fn add(&mut self, task: &TaskKey, end: CountedEnd) -> bool {
+        if self.is_known(task, end.run) {
+            return false;
+        }
         let ends = self.by_task.entry(task.clone()).or_default();
-        ends.push(end);
+        let position = ends.partition_point(|earlier| earlier.run < end.run);
+        ends.insert(position, end);
         if ends.len() > MAX_KEPT {
             ends.remove(0);
         }
+        true
+    }
+
+    /// Returns whether the end of a run counts already.
+    pub fn is_known(&self, task: &TaskKey, run: u32) -> bool {
+        let ends = self.of_task(task);
+        let may_be_dropped =
+            ends.len() == MAX_KEPT && ends.first().is_some_and(|first| run < first.run);
+        may_be_dropped || ends.binary_search_by_key(&run, |end| end.run).is_ok()
     }
 
     /// Drops the ends of a task that is done.
@@ -72,7 +89,7 @@
         self.by_task.retain(|task, _| task.job != *job);
     }
 
-    /// Returns the ends that count for a task, in the order in which they were counted.
+    /// Returns the ends that count for a task, in the order of its runs.
     pub fn of_task(&self, task: &TaskKey) -> &[CountedEnd] {
         self.by_task.get(task).map(Vec::as_slice).unwrap_or_default()
     }
--- a/crates/borageswitch_scheduler/src/ledger/mod.rs
+++ b/crates/borageswitch_scheduler/src/ledger/mod.rs
@@ -134,8 +134,8 @@
                     *last_end = *number;
                     let (run, number, executor) = (*run, *number, executor.clone());
                     let end = CountedEnd { run, executor, number, term };
-                    self.end(task, *kind, checkpoint.as_ref(), end);
-                    if matches!(kind, EndKind::Done | EndKind::Failed) {
+                    let is_new = self.end(task, *kind, checkpoint.as_ref(), end);
+                    if is_new && matches!(kind, EndKind::Done | EndKind::Failed) {
                         // The executor has survived the run.
                         self.suspects.remove(task);
                     }
@@ -242,19 +242,20 @@
         }
     }
 
-    /// Applies the end of a run; `end` is kept if it counts as a failure.
+    /// Applies the end of a run; `end` is kept if it counts as a failure. Returns `false` if it
+    /// counts already: it says nothing about later runs of the task.
     fn end(
         &mut self,
         task: &TaskKey,
         kind: EndKind,
         checkpoint: Option<&Arc<str>>,
         end: CountedEnd,
-    ) {
+    ) -> bool {
         let run = end.run;
-        let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        let Some(step) = job.step(task.step) else { return };
+        let Some(job) = self.jobs.get_mut(&task.job) else { return true };
+        let Some(step) = job.step(task.step) else { return true };
         if job.task(task).is_none_or(|state| state.done) {
-            return;
+            return true;
         }
         let failed_runs = &mut self.failed_gang_runs;
         let kind = run_end::as_part_of_gang(step, kind, || {
@@ -263,10 +264,16 @@
         match EndMeaning::of(step, kind) {
             EndMeaning::Completed if step.gang => self.counted_ends.drop_step(&task.step_key()),
             EndMeaning::Completed => self.counted_ends.drop_task(task),
-            EndMeaning::Failed if !step.lasting => self.counted_ends.add(task, end),
+            EndMeaning::Failed if !step.lasting => {
+                if !self.counted_ends.add(task, end) {
+                    self.release(task, run);
+                    return false;
+                }
+            }
             EndMeaning::Failed | EndMeaning::Interrupted => {}
         }
         job.end(task, run, kind, checkpoint);
+        true
     }
 
     /// Returns the state of a task of a job that has not ended.
--- a/crates/borageswitch_scheduler/src/ledger/tests.rs
+++ b/crates/borageswitch_scheduler/src/ledger/tests.rs
@@ -78,6 +78,87 @@
     assert_eq!(ledger.task(&key("j", 0)).unwrap().failures, 1);
 }
 
+#[test]
+fn an_end_counts_once_after_the_ledger_has_dropped_the_number_of_the_last_end() {
+    // Guards against a sound job that is shown as failed: an executor that was taken for ended
+    // lists an end again, to this leader or, from an append without answer, to the next one.
+    let mut ledger = Ledger::default();
+    ledger.submit(submission("j", vec![step(1)]));
+    let end = ended("j", 0, 1, 7, EndKind::Failed);
+    let gone = Record::ExecutorGone { executor: ExecutorName::from("e1") };
+    let records = [assigned("j", 0, 1), end.clone(), gone.clone(), end.clone(), gone, end];
+
+    records.iter().zip(1..).for_each(|(record, term)| ledger.apply_in_term(record, term));
+
+    let task = key("j", 0);
+    assert_eq!(ledger.task(&task).unwrap().failures, 1);
+    let counted = ledger.counted_ends.of_task(&task);
+    let executor = ExecutorName::from("e1");
+    assert_eq!(counted, [CountedEnd { run: 1, executor, number: 7, term: 2 }]);
+}
+
+#[test]
+fn a_repeated_end_does_not_clear_later_crashes() {
+    // Guards against a task that crashes executors and is cleared of it by the end of an earlier
+    // run, which is listed again.
+    let mut ledger = Ledger::default();
+    ledger.submit(submission("j", vec![step(1)]));
+    let executor = ExecutorName::from("e2");
+    let (at, run, age_ms) = (UnixMillis(5_000), 2, 300);
+    let crash = Crash { executor, at, run, age_ms, lived_ms: 0, evidence: 500 };
+    let suspicions = vec![Suspicion { task: key("j", 0), crash }];
+    let gone = Record::ExecutorGone { executor: ExecutorName::from("e1") };
+    let first = ended("j", 0, 1, 1, EndKind::Failed);
+    let records = [first.clone(), Record::Crashed { suspicions }, gone, first];
+
+    records.iter().for_each(|record| ledger.apply(record));
+
+    assert_eq!(ledger.crashes_of(&key("j", 0)).len(), 1);
+}
+
+#[test]
+fn ends_count_once_each_however_many_attempts_a_task_has() {
+    // Guards against a list of ends that grows without bound, and against ends that count again
+    // once they are dropped from it.
+    let mut ledger = Ledger::default();
+    ledger.submit(submission("j", vec![step(1)]));
+    let gone = Record::ExecutorGone { executor: ExecutorName::from("e1") };
+    let ends: Vec<Record> =
+        (1..=200).map(|run| ended("j", 0, run, u64::from(run), EndKind::Failed)).collect();
+
+    for _ in 0..2 {
+        ends.iter().for_each(|end| ledger.apply(end));
+        ledger.apply(&gone);
+    }
+
+    assert_eq!(ledger.task(&key("j", 0)).unwrap().failures, 200);
+    assert!(ledger.counted_ends.of_task(&key("j", 0)).len() < 100);
+}
+
+#[test]
+fn ends_are_dropped_with_their_task_or_job() {
+    // Guards against a ledger that grows with each failure for ever.
+    let mut ledger = Ledger::default();
+    ledger.submit(submission("done", vec![step(2)]));
+    ledger.submit(submission("over", vec![step(1)]));
+    let finished = Record::Finished {
+        job: JobName::from("over"),
+        queue: QueueName::from("payroll-runs"),
+        outcome: Outcome::Failed,
+        at: UnixMillis(9_000),
+    };
+    let records = [
+        ended("done", 0, 1, 1, EndKind::Failed),
+        ended("over", 0, 1, 2, EndKind::Failed),
+        ended("done", 0, 2, 3, EndKind::Done),
+        finished,
+    ];
+
+    records.iter().for_each(|record| ledger.apply(record));
+
+    assert_eq!(ledger.counted_ends, CountedEnds::default());
+}
+
 #[test]
 fn a_restored_ledger_equals_the_one_that_was_stored() {
     // All daemons lose power. The first one to start reads the snapshot, the appends after it and
--- a/crates/borageswitch_scheduler/src/reducer/run_ends.rs
+++ b/crates/borageswitch_scheduler/src/reducer/run_ends.rs
@@ -44,8 +44,13 @@
             known.idle_since = now.time;
         }
         let pool = known.registration.pool.clone();
+        // The number of its last end was forgotten with the executor. The end must be acknowledged
+        // again, but counts no second time.
+        let is_repeated = ended.how == EndKind::Failed
+            && self.ledger.counted_ends.is_known(&ended.task, ended.run);
         match ended.how {
             EndKind::Done => known.circuit_breaker.record_success(),
+            EndKind::Failed if is_repeated => {}
             EndKind::Failed => self.note_failure(now, executor, &ended.task),
             EndKind::GangIncomplete => self.note_gang_incomplete(now, &ended.task),
             EndKind::Stopped | EndKind::LeaseExpired | EndKind::GangBroken => {}
@@ -62,7 +67,8 @@
         if let Some(job_state) = self.job_states.get_mut(&ended.task.job) {
             job_state.begun = true;
         }
-        self.log("run-ended", &ended.task, || {
+        let kind = if is_repeated { "run-end-repeated" } else { "run-ended" };
+        self.log(kind, &ended.task, || {
             format!("run={} executor={executor} how={}", ended.run, ended.how)
         });
         self.record(Record::Ended {
