Check in simulations that a failed job had as many failed runs as attempts

A job that is shown as failed, and was not given up for crashes, must have a task with as many distinct runs that ended failed on executors as it has attempts. For a gang the runs of all members count.

--- a/crates/borageswitch_scheduler/tests/support/executor.rs
+++ b/crates/borageswitch_scheduler/tests/support/executor.rs
@@ -67,6 +67,8 @@
     /// The number of ended runs in one report.
     pub ended_per_report: usize,
     pub done: Vec<TaskKey>,
+    /// All runs that have ended failed here.
+    pub failed_runs: BTreeSet<(TaskKey, u32)>,
     /// The last ended run when the lease last expired.
     lapsed_after: u64,
     /// Tasks that were started again after their run here was done, which is not acknowledged yet.
@@ -96,6 +98,7 @@
             ends_lasting: false,
             ended_per_report: usize::MAX,
             done: Vec::new(),
+            failed_runs: BTreeSet::new(),
             lapsed_after: 0,
             repeated: BTreeSet::new(),
         }
@@ -149,6 +152,9 @@
         let Some(run) = self.active.remove(task) else { return };
         self.last_end_number += 1;
         self.mark_finished(task, run.run);
+        if how == EndKind::Failed {
+            self.failed_runs.insert((task.clone(), run.run));
+        }
         self.ended.push(EndedRun {
             number: self.last_end_number,
             task: task.clone(),
--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -8,7 +8,9 @@
 //! - [`store`]: what is stored, and what the next leader would know.
 //! - [`processor`]: the time that calls and events take the leader.
 //! - [`checks`]: the invariants.
+//! - [`attempts`]: the failed runs behind jobs that are shown as failed.
 
+mod attempts;
 mod checks;
 mod hosts;
 mod late_lists;
--- a/crates/borageswitch_scheduler/tests/support/simulation/checks.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation/checks.rs
@@ -84,6 +84,7 @@
 
     pub(super) fn check(&mut self) {
         self.check_failed();
+        self.check_attempts();
         if let Some(task) = self.executors.values_mut().find_map(SimExecutor::take_repeated) {
             self.violations.push(format!("{}: {task} started again after it was done", self.now));
         }
