Do not fail a job for a task that is done

What callers may see: a job that is lasting by one step is shown as failed for an ordinary task of another step that was done long ago.

Cause: the search for a task without attempts looked at tasks that are done. A job stays open as long as its lasting steps, with the failures that its ordinary tasks had before they were done. If max_attempts of its queue is lowered to that number, the job fails at the next end of one of its runs, or when the next leader takes over.

Change: tasks that are done use up no attempts.

--- a/crates/borageswitch_scheduler/src/ledger/run_end.rs
+++ b/crates/borageswitch_scheduler/src/ledger/run_end.rs
@@ -90,6 +90,6 @@
     if step.lasting {
         return None;
     }
-    let index = state.tasks.iter().position(|task| task.failures >= max_attempts)?;
+    let index = state.tasks.iter().position(|task| !task.done && task.failures >= max_attempts)?;
     Some(index as u32)
 }
--- a/crates/borageswitch_scheduler/src/ledger/tests.rs
+++ b/crates/borageswitch_scheduler/src/ledger/tests.rs
@@ -135,6 +135,23 @@
     assert!(ledger.counted_ends.of_task(&key("j", 0)).len() < 100);
 }
 
+#[test]
+fn a_task_that_is_done_uses_up_no_attempts() {
+    // Guards against a job, lasting by another step, that is shown as failed because of a task that
+    // was done long ago: its queue has fewer attempts now than the task needed then.
+    let mut ledger = Ledger::default();
+    ledger.submit(submission("j", vec![step(2)]));
+    let failed = |number| ended("j", 0, number as u32, number, EndKind::Failed);
+    [failed(1), failed(2)].iter().for_each(|record| ledger.apply(record));
+    let before = ledger.jobs[&JobName::from("j")].step_state(0, 0).unwrap().clone();
+
+    ledger.apply(&ended("j", 0, 3, 3, EndKind::Done));
+
+    let after = ledger.jobs[&JobName::from("j")].step_state(0, 0).unwrap();
+    assert_eq!(run_end::task_without_attempts(&before, &step(2), 2), Some(0));
+    assert_eq!(run_end::task_without_attempts(after, &step(2), 2), None);
+}
+
 #[test]
 fn ends_are_dropped_with_their_task_or_job() {
     // Guards against a ledger that grows with each failure for ever.
