--- a/crates/borageswitch_scheduler/src/ledger/snapshot.rs
+++ b/crates/borageswitch_scheduler/src/ledger/snapshot.rs
@@ -11,6 +11,7 @@
     job::Submission,
     ledger::{
         Finished, Ledger,
+        counted_ends::CountedEnds,
         crashes::{Crash, GivenUp, Survival},
         host_orders::HostOrders,
         job::{Job, Progress},
@@ -51,6 +52,8 @@
     pub recent_starts: RecentStarts,
     /// For how long the present runs of suspects have lived.
     pub survivals: BTreeMap<TaskKey, Survival>,
+    /// The ends of runs that count as failures of tasks that may run again.
+    pub counted_ends: CountedEnds,
 }
 
 impl Snapshot {
@@ -71,6 +74,7 @@
             failed_gang_runs: ledger.failed_gang_runs.clone(),
             recent_starts: ledger.recent_starts.clone(),
             survivals: ledger.survivals.clone(),
+            counted_ends: ledger.counted_ends.clone(),
         }
     }
 
@@ -94,6 +98,7 @@
             failed_gang_runs: self.failed_gang_runs,
             recent_starts: self.recent_starts,
             survivals: self.survivals,
+            counted_ends: self.counted_ends,
         };
         let mut progress = self.jobs;
         for submission in submissions {
--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -8,7 +8,9 @@
 //! - [`store`]: what is stored, and what the next leader would know.
 //! - [`processor`]: the time that calls and events take the leader.
 //! - [`checks`]: the invariants.
+//! - [`attempts`]: the failed runs behind jobs that are shown as failed.
 
+mod attempts;
 mod checks;
 mod hosts;
 mod late_lists;
@@ -652,8 +654,8 @@
         for effect in effects {
             self.violations.extend(self.store.check_effect(&effect));
             match effect {
-                Effect::Append { append, at, records, forget } => {
-                    let content = StoredAppend { records, at };
+                Effect::Append { append, at, term, records, forget } => {
+                    let content = StoredAppend { records, at, term };
                     self.pending_appends.push((token, append, content, forget));
                 }
                 Effect::Start(..) | Effect::Stop(..) | Effect::Poll(..) => {
