Release the runs of a live executor only once its restart is confirmed

Cause: a registration with a later start time than that of a known executor was taken for proof of a restart. An entry with an impossible start time (born = 2^64-1) over that of a live executor ended its runs, and from then on each right entry counted as outdated, so the executor was never used again by that leader.

Change: such an incarnation is held as unconfirmed beside the one before it and is polled. The runs are released, or carried over, once it answers, or the one before is known to have ended. Until then the one before keeps its runs, gets no new ones and is polled, as if its registration were missing. An unconfirmed incarnation is dropped once another one answers at its address or its entry is replaced; it never makes an earlier start time wrong. The same holds for incarnations that a new leader finds registered over assigned runs.

--- a/crates/borageswitch_scheduler/src/reducer/executor_table.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executor_table.rs
@@ -29,6 +29,10 @@
     /// The latest known incarnation by registered name, of executors whose names tell incarnations
     /// apart.
     latest_incarnations: BTreeMap<ExecutorName, ExecutorName>,
+    /// Incarnations that have not answered yet and were registered over one that may still run, by
+    /// registered name. They do not count as the latest incarnation: an entry alone does not prove
+    /// that the one before it has ended.
+    unconfirmed: BTreeMap<ExecutorName, ExecutorName>,
     /// What the runs of each caller use on all executors together.
     usage: Usage,
     /// What the runs of each caller reserve in each pool.
@@ -54,6 +58,57 @@
         known.or_else(|| self.all.get_key_value(registered).map(|(name, _)| name))
     }
 
+    /// The unconfirmed incarnation of the executor with the same registered name as `executor`.
+    pub fn unconfirmed_incarnation(&self, executor: &ExecutorName) -> Option<&ExecutorName> {
+        self.unconfirmed.get(incarnation::registered_name(executor))
+    }
+
+    /// Whether this is an unconfirmed incarnation.
+    pub fn is_unconfirmed(&self, executor: &ExecutorName) -> bool {
+        self.unconfirmed_incarnation(executor) == Some(executor)
+    }
+
+    /// The other known incarnations of an executor, from the earliest to the latest.
+    pub fn other_incarnations(&self, executor: &ExecutorName) -> Vec<ExecutorName> {
+        let registered = incarnation::registered_name(executor);
+        let from = self.all.range(ExecutorName::from(registered)..);
+        let same = from
+            .map(|(name, _)| name)
+            .take_while(|name| name.as_str().starts_with(registered))
+            .filter(|name| incarnation::registered_name(name) == registered && *name != executor);
+        let mut same: Vec<ExecutorName> = same.cloned().collect();
+        same.sort_by_key(incarnation::started_at);
+        same
+    }
+
+    /// Adds an executor that was registered over `before`, as an unconfirmed incarnation.
+    pub fn insert_unconfirmed(&mut self, executor: Executor, before: &ExecutorName) {
+        let name = executor.registration.executor.clone();
+        self.insert(executor);
+        self.hold_unconfirmed(&name, before);
+    }
+
+    /// Makes a known executor an unconfirmed incarnation, and `before` the latest one.
+    pub fn hold_unconfirmed(&mut self, executor: &ExecutorName, before: &ExecutorName) {
+        let registered = ExecutorName::from(incarnation::registered_name(executor));
+        match incarnation::started_at(before) {
+            Some(_) => self.latest_incarnations.insert(registered.clone(), before.clone()),
+            None => self.latest_incarnations.remove(&registered),
+        };
+        self.unconfirmed.insert(registered, executor.clone());
+    }
+
+    /// Makes an unconfirmed incarnation the latest one. Returns whether it was unconfirmed.
+    pub fn confirm_incarnation(&mut self, executor: &ExecutorName) -> bool {
+        let is_unconfirmed = self.is_unconfirmed(executor);
+        if is_unconfirmed {
+            let registered = ExecutorName::from(incarnation::registered_name(executor));
+            self.unconfirmed.remove(&registered);
+            self.latest_incarnations.insert(registered, executor.clone());
+        }
+        is_unconfirmed
+    }
+
     /// The executor of that name, marked as changed.
     ///
     /// Change its runs and registration by [`Self::insert_run`], [`Self::confirm`],
@@ -195,6 +250,9 @@
         if self.latest_incarnations.get(registered) == Some(executor) {
             self.latest_incarnations.remove(registered);
         }
+        if self.unconfirmed.get(registered) == Some(executor) {
+            self.unconfirmed.remove(registered);
+        }
         self.leave_pool(&known.registration.pool, executor);
         for (task, held) in &known.runs {
             discharge(&mut self.usage, held);
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -382,6 +382,11 @@
         may_return && self.clock.is_some_and(|clock| clock_ms < clock.least_reading(sent))
     }
 
+    /// Whether it has answered a call of this leader as itself.
+    pub fn has_answered(&self) -> bool {
+        self.clock.is_some()
+    }
+
     /// Stores a reading of its clock.
     pub fn read_clock(&mut self, now: Time, clock_ms: u64) {
         self.clock = Some(ClockReading { received: now, clock_ms });
--- a/crates/borageswitch_scheduler/src/reducer/lease_expiry.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lease_expiry.rs
@@ -68,6 +68,9 @@
         detection: EndDetection,
     ) {
         let (why, absent_at) = (detection.why(), detection.absent_at());
+        if self.executors.is_unconfirmed(executor) {
+            return self.drop_unconfirmed(executor, why);
+        }
         self.note_executor_end(now, executor, detection);
         let Some(known) = self.executors.get(executor) else { return };
         let may_return = incarnation::started_at(executor).is_some();
@@ -77,6 +80,10 @@
         for task in finished {
             self.release_run(executor, &task, why);
         }
+        if let Some(next) = self.executors.unconfirmed_incarnation(executor).cloned() {
+            // It was registered later, and so may carry out the start orders that are left.
+            return self.confirm_incarnation(now, &next);
+        }
         if self.executors.get(executor).is_some_and(|known| known.runs.is_empty()) {
             self.executors.remove(executor);
             self.forget_processed_ends(executor);
@@ -160,6 +167,8 @@
             .iter()
             .filter(|(_, known)| !known.is_registered && known.runs.is_empty())
             .filter(|(_, known)| known.ended || known.acknowledged_end >= known.processed_end)
+            // It is ended once the incarnation that was registered over it has answered.
+            .filter(|(executor, _)| self.executors.unconfirmed_incarnation(executor).is_none())
             .map(|(executor, known)| {
                 (executor.clone(), !known.ended && !known.expired_runs.is_empty())
             })
--- a/crates/borageswitch_scheduler/src/reducer/polls.rs
+++ b/crates/borageswitch_scheduler/src/reducer/polls.rs
@@ -88,6 +88,8 @@
         }
         match answer {
             PollResponse::Report(report) => {
+                self.confirm_incarnation(now, executor);
+                let Some(known) = self.executors.get_mut(executor) else { return };
                 known.acknowledged_end = known.acknowledged_end.max(order.acknowledged);
                 self.apply_report(now, executor, sent, &report);
             }
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -16,6 +16,7 @@
     config::Config,
     event::Now,
     executor::Registration,
+    incarnation,
     job::Size,
     ledger::{Ledger, host_orders::HostOrders, job::Job, record::Record},
     policy::{run_overhead::RunOverhead, runtime_estimates::RuntimeEstimates},
@@ -139,15 +140,19 @@
         self.inherit_restarts(now);
     }
 
-    /// Handles executors that have restarted since an earlier leader assigned them runs.
+    /// Handles executors that are registered as other incarnations than those to which an earlier
+    /// leader assigned runs. The answer of each one tells whether it has restarted.
     fn inherit_restarts(&mut self, now: Now) {
-        let later = |name: &ExecutorName| {
-            let latest = self.executors.latest_incarnation(name).filter(|latest| *latest != name);
-            Some((name.clone(), latest?.clone()))
-        };
-        let restarted: Vec<_> = self.executors.keys().filter_map(later).collect();
-        for (before, next) in restarted {
-            self.carry_over(now, &before, &next);
+        let registered = self.executors.iter().filter(|(_, known)| known.is_registered);
+        let registered: Vec<ExecutorName> = registered.map(|(name, _)| name.clone()).collect();
+        for executor in registered {
+            let Some(before) = self.executors.other_incarnations(&executor).pop() else { continue };
+            if incarnation::started_at(&executor).is_none() {
+                // An executor that reports its start time always does so.
+                self.carry_over(now, &executor, &before);
+                continue;
+            }
+            self.executors.hold_unconfirmed(&executor, &before);
         }
     }
 
--- a/crates/borageswitch_scheduler/src/reducer/registrations.rs
+++ b/crates/borageswitch_scheduler/src/reducer/registrations.rs
@@ -42,17 +42,70 @@
 
     fn handle_registered(&mut self, now: Now, registration: Registration) {
         let executor = registration.executor.clone();
-        let before = self.executors.latest_incarnation(&executor).cloned();
-        match before.filter(|before| *before != executor) {
-            // An executor that reports its start time always does so, and a restart cannot be
-            // earlier than the incarnation before it.
-            Some(before)
-                if incarnation::started_at(&before) > incarnation::started_at(&executor) =>
-            {
-                self.handle_unreadable(&executor);
-            }
-            Some(before) => self.handle_restart(now, &before, registration),
-            None => self.refresh_registration(now, registration),
+        self.withdraw_unconfirmed(&executor);
+        let Some(before) = self.executors.latest_incarnation(&executor).cloned() else {
+            return self.refresh_registration(now, registration);
+        };
+        if before == executor || self.executors.is_unconfirmed(&executor) {
+            return self.refresh_registration(now, registration);
+        }
+        let Some(known) = self.executors.get(&before) else { return };
+        let (started, started_before) =
+            (incarnation::started_at(&executor), incarnation::started_at(&before));
+        // An executor that reports its start time always does so. A restart cannot be earlier than
+        // an incarnation that has answered; the start time of any other may be wrong.
+        let is_wrong = started_before > started && (started.is_none() || known.has_answered());
+        let may_run = !known.ended && (known.has_answered() || !known.runs.is_empty());
+        if is_wrong {
+            self.handle_unreadable(&executor);
+        } else if may_run {
+            self.hold_unconfirmed(now, &before, registration);
+        } else {
+            self.handle_restart(now, &before, registration);
+        }
+    }
+
+    /// Adds an incarnation that is registered over one that may still run. It is polled, and the
+    /// runs of the one before are released once it answers, or that one is known to have ended.
+    ///
+    /// Until then the one before is treated as if its registration were missing.
+    fn hold_unconfirmed(&mut self, now: Now, before: &ExecutorName, registration: Registration) {
+        let executor = registration.executor.clone();
+        self.log("registration-unconfirmed", &executor, || format!("before={before}"));
+        self.mark_unregistered(before);
+        self.dirty_pools.insert(registration.pool.clone());
+        let added = self.new_executor(now, registration);
+        self.executors.insert_unconfirmed(added, before);
+    }
+
+    /// Drops an unconfirmed incarnation whose registration was replaced by that of `present`.
+    fn withdraw_unconfirmed(&mut self, present: &ExecutorName) {
+        let unconfirmed = self.executors.unconfirmed_incarnation(present);
+        if let Some(unconfirmed) = unconfirmed.filter(|other| *other != present).cloned() {
+            self.drop_unconfirmed(&unconfirmed, "its registration was replaced");
+        }
+    }
+
+    /// Drops an unconfirmed incarnation, which has no runs.
+    pub(super) fn drop_unconfirmed(&mut self, executor: &ExecutorName, why: &'static str) {
+        self.log("registration-refuted", executor, || format!("why={why}"));
+        self.executors.remove(executor);
+    }
+
+    /// Makes an unconfirmed incarnation the latest one, as it has answered or those before it have
+    /// ended, and ends all others of its name.
+    pub(super) fn confirm_incarnation(&mut self, now: Now, executor: &ExecutorName) {
+        if !self.executors.confirm_incarnation(executor) {
+            return;
+        }
+        let pool = self.executors.get(executor).map(|known| known.registration.pool.clone());
+        self.dirty_pools.extend(pool.clone());
+        self.log("executor-restarted", executor, || {
+            format!("pool={}", pool.as_ref().map_or("", |pool| pool.as_str()))
+        });
+        self.fleet.note_incarnation(executor);
+        for before in self.executors.other_incarnations(executor) {
+            self.carry_over(now, &before, executor);
         }
     }
 
@@ -101,20 +154,27 @@
     /// received that, it lists them again, and their numbers must be kept.
     fn insert_executor(&mut self, now: Now, registration: Registration) {
         let executor = registration.executor.clone();
-        let stored = self.ledger.last_ends.get(&executor).copied().unwrap_or(0);
+        let known = self.new_executor(now, registration);
+        self.executors.insert(known);
+        self.fleet.note_incarnation(&executor);
+    }
+
+    fn new_executor(&self, now: Now, registration: Registration) -> Executor {
+        let stored = self.ledger.last_ends.get(&registration.executor).copied().unwrap_or(0);
         let mut known = Executor::new(registration, now.time);
         known.processed_end = stored;
         known.stored_end = stored;
-        self.executors.insert(known);
-        self.fleet.note_incarnation(&executor);
+        known
     }
 
     /// Ends the incarnation that was registered at the same address before. An address has one
-    /// executor at a time, so its tasks need not wait for the lease to expire.
+    /// executor at a time, so its tasks need not wait for the lease to expire. An incarnation of the
+    /// same registered name is ended only once an answer shows which of the two runs.
     fn end_previous_incarnation(&mut self, now: Now, registration: &Registration) {
         let same_address = |known: &&Executor| {
             known.registration.address == registration.address
-                && known.registration.executor != registration.executor
+                && incarnation::registered_name(&known.registration.executor)
+                    != incarnation::registered_name(&registration.executor)
                 && !known.is_registered
         };
         let before = self.executors.values().find(same_address);
@@ -124,14 +184,24 @@
     }
 
     fn handle_unregistered(&mut self, executor: &ExecutorName) {
-        let known = self.executors.get(executor).map(|_| executor);
-        let known = known.or_else(|| self.executors.latest_incarnation(executor)).cloned();
-        let Some(executor) = known else { return };
-        let Some(known) = self.executors.get_mut(&executor) else { return };
+        let is_known = self.executors.get(executor).is_some();
+        let unconfirmed = self.executors.unconfirmed_incarnation(executor).cloned();
+        if let Some(unconfirmed) = unconfirmed.filter(|other| other == executor || !is_known) {
+            self.drop_unconfirmed(&unconfirmed, "its registration is gone");
+        }
+        let known =
+            if is_known { Some(executor) } else { self.executors.latest_incarnation(executor) };
+        if let Some(executor) = known.cloned() {
+            self.mark_unregistered(&executor);
+        }
+    }
+
+    fn mark_unregistered(&mut self, executor: &ExecutorName) {
+        let Some(known) = self.executors.get_mut(executor) else { return };
         if known.is_registered {
             known.is_registered = false;
             let runs = known.runs.len();
-            self.log("executor-gone", &executor, || format!("runs={runs}"));
+            self.log("executor-gone", executor, || format!("runs={runs}"));
         }
     }
 
