--- a/crates/borageswitch_scheduler/src/incarnation.rs
+++ b/crates/borageswitch_scheduler/src/incarnation.rs
@@ -7,7 +7,7 @@
 use borageswitch_types::{names::ExecutorName, time::UnixMillis};
 
 /// Separates the registered name from the start time; names of the platform do not contain it.
-const SEPARATOR: char = '@';
+pub const SEPARATOR: char = '@';
 
 /// Returns the identifier of the incarnation that started at the given time.
 pub fn name(registered: &str, started_at: Option<UnixMillis>) -> ExecutorName {
