Saturate arithmetic over sizes and clocks that others write

Cause: sums and products of capacities, and the arithmetic on the clocks of executors, overflowed near the largest number.

Change: sums and products of sizes, and of leases and clocks, saturate.

Evidence: impossible_capacities_do_not_overflow and an_impossible_clock_does_not_overflow panicked before and pass now.

--- a/crates/borageswitch_scheduler/src/job.rs
+++ b/crates/borageswitch_scheduler/src/job.rs
@@ -1,6 +1,10 @@
 //! Jobs as callers submit them, and their validation before they are stored.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    ops::{Add, AddAssign},
+    sync::Arc,
+    time::Duration,
+};
 
 use borageswitch_types::{
     names::{CallerName, JobName, RackName},
@@ -28,8 +32,6 @@
     Eq,
     serde::Serialize,
     serde::Deserialize,
-    derive_more::Add,
-    derive_more::AddAssign,
     derive_more::Display,
 )]
 #[display("{cpu_milli} thousandths of a core, {memory_mb} MB, {accelerators} accelerators")]
@@ -50,12 +52,12 @@
             && self.accelerators >= other.accelerators
     }
 
-    /// Returns this size multiplied by `count`.
+    /// Returns this size multiplied by `count`, at most the largest size.
     pub fn times(&self, count: u64) -> Size {
         Size {
-            cpu_milli: self.cpu_milli * count,
-            memory_mb: self.memory_mb * count,
-            accelerators: self.accelerators * count,
+            cpu_milli: self.cpu_milli.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
         }
     }
 
@@ -69,6 +71,25 @@
     }
 }
 
+/// Sums saturate: sizes are given by callers, operators and hosts.
+impl Add for Size {
+    type Output = Size;
+
+    fn add(self, rhs: Size) -> Size {
+        Size {
+            cpu_milli: self.cpu_milli.saturating_add(rhs.cpu_milli),
+            memory_mb: self.memory_mb.saturating_add(rhs.memory_mb),
+            accelerators: self.accelerators.saturating_add(rhs.accelerators),
+        }
+    }
+}
+
+impl AddAssign for Size {
+    fn add_assign(&mut self, rhs: Size) {
+        *self = *self + rhs;
+    }
+}
+
 /// A group of identical tasks within a job.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Step {
--- a/crates/borageswitch_scheduler/src/policy/last_chance.rs
+++ b/crates/borageswitch_scheduler/src/policy/last_chance.rs
@@ -63,12 +63,16 @@
     /// Creates the allowance of a pool with `pool_cpu_milli` in total, of which late work uses
     /// `late_cpu_milli` already.
     pub fn new(pool_cpu_milli: u64, late_cpu_milli: u64) -> Self {
-        Self::of_share(pool_cpu_milli * SHARE_PERCENT / 100, late_cpu_milli, false)
+        Self::of_share(pool_cpu_milli.saturating_mul(SHARE_PERCENT) / 100, late_cpu_milli, false)
     }
 
     /// Creates the allowance of a pool in which not all jobs that could be on time fit.
     pub fn contended(pool_cpu_milli: u64, late_cpu_milli: u64) -> Self {
-        Self::of_share(pool_cpu_milli * CONTENDED_SHARE_PERCENT / 100, late_cpu_milli, true)
+        Self::of_share(
+            pool_cpu_milli.saturating_mul(CONTENDED_SHARE_PERCENT) / 100,
+            late_cpu_milli,
+            true,
+        )
     }
 
     fn of_share(share: u64, late_cpu_milli: u64, strict: bool) -> Self {
--- a/crates/borageswitch_scheduler/src/reducer/clock.rs
+++ b/crates/borageswitch_scheduler/src/reducer/clock.rs
@@ -28,14 +28,15 @@
 impl ClockReading {
     /// An estimate of the executor's clock now, behind it by at most one round trip.
     pub fn estimate(&self, now: Time) -> u64 {
-        self.clock_ms + now.since(self.received).as_millis() as u64
+        self.clock_ms.saturating_add(now.since(self.received).as_millis() as u64)
     }
 
     /// The lowest reading that the executor may have taken for a call sent at `sent`.
     pub fn least_reading(&self, sent: Time) -> u64 {
         let later = sent.since(self.received).as_millis() as u64;
         let earlier = (self.received.since(sent) + REORDER_MARGIN).as_millis() as u64;
-        (self.clock_ms + later - later * MAX_DRIFT_PER_MILLE / 1_000).saturating_sub(earlier)
+        let least_passed = later - later.saturating_mul(MAX_DRIFT_PER_MILLE) / 1_000;
+        self.clock_ms.saturating_add(least_passed).saturating_sub(earlier)
     }
 
     /// The latest moment at which the executor's clock reaches `until_ms`.
@@ -44,7 +45,8 @@
     /// unreachable runs the task until then, and callers would see its work done twice.
     pub fn latest_expiry(&self, until_ms: u64) -> Time {
         let left = until_ms.saturating_sub(self.clock_ms);
-        let slow = left + left * MAX_DRIFT_PER_MILLE / (1_000 - MAX_DRIFT_PER_MILLE) + 1;
+        let drift = left.saturating_mul(MAX_DRIFT_PER_MILLE) / (1_000 - MAX_DRIFT_PER_MILLE);
+        let slow = left.saturating_add(drift).saturating_add(1);
         self.received + Duration::from_millis(slow) + TIMER_MARGIN
     }
 }
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -210,17 +210,17 @@
         if due.is_empty() {
             return Vec::new();
         }
-        let (mut total, mut late) = (0, 0);
+        let (mut total, mut late) = (0_u64, 0_u64);
         for (_, known) in self.executors.of_pool(pool) {
-            total += known.registration.capacity.cpu_milli;
+            total = total.saturating_add(known.registration.capacity.cpu_milli);
             let runs = known.runs.values().filter(|held| held.late);
-            late += runs.map(|held| held.size.cpu_milli).sum::<u64>();
+            late = runs.fold(late, |late, held| late.saturating_add(held.size.cpu_milli));
         }
         let mut allowance =
             if contended { Allowance::contended(total, late) } else { Allowance::new(total, late) };
-        let granted = due
-            .into_iter()
-            .filter(|step| allowance.try_take(step.size.cpu_milli * step.waiting.len() as u64));
+        let granted = due.into_iter().filter(|step| {
+            allowance.try_take(step.size.times(step.waiting.len() as u64).cpu_milli)
+        });
         let ahead = granted
             .map(|step| WaitingStep { urgency: step.urgency.as_last_chance(), ..step.clone() });
         ahead.collect()
--- a/crates/borageswitch_scheduler/src/reducer/polls.rs
+++ b/crates/borageswitch_scheduler/src/reducer/polls.rs
@@ -130,7 +130,8 @@
             if !report.active.is_empty() || !known.runs.is_empty() {
                 // Its present and possible runs hold a lease that an earlier leader granted.
                 let lease = self.limits.inherited_lease.as_millis() as u64;
-                known.lease_until_ms = known.lease_until_ms.max(report.clock_ms + lease);
+                known.lease_until_ms =
+                    known.lease_until_ms.max(report.clock_ms.saturating_add(lease));
             }
             self.dirty_pools.insert(known.registration.pool.clone());
         }
@@ -298,7 +299,7 @@
     let until_ms = known
         .clock
         .filter(|_| running)
-        .map(|clock| clock.estimate(now) + limits.lease.as_millis() as u64);
+        .map(|clock| clock.estimate(now).saturating_add(limits.lease.as_millis() as u64));
     let wait = if at_once || !running { Duration::ZERO } else { poll_wait(known, limits) };
     Some(PollOrder { until_ms, acknowledged: known.stored_end, wait })
 }
--- a/crates/borageswitch_scheduler/src/reducer/preemption.rs
+++ b/crates/borageswitch_scheduler/src/reducer/preemption.rs
@@ -69,8 +69,8 @@
 /// The short runs to stop for `size` in ascending order of loss, each with the core-milliseconds
 /// that it has worked; `None` if they do not free enough.
 fn victims(known: &Executor, size: &Size, now: Time) -> Option<Vec<(TaskKey, u64)>> {
-    let loss =
-        |held: &HeldRun| held.size.cpu_milli * now.since(held.started).as_millis() as u64 / 1_000;
+    let age_ms = |held: &HeldRun| now.since(held.started).as_millis() as u64;
+    let loss = |held: &HeldRun| held.size.times(age_ms(held)).cpu_milli / 1_000;
     let short = known.runs.iter().filter(|(_, h)| !h.lasting && h.phase == Phase::Active);
     let mut short: Vec<(&TaskKey, &HeldRun)> = short.collect();
     short.sort_by_key(|(_, held)| loss(held));
--- a/crates/borageswitch_scheduler/src/reducer/starts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/starts.rs
@@ -79,7 +79,7 @@
             task: task.clone(),
             run,
             payload: job.submission.spec.payload.clone(),
-            until_ms: clock.estimate(now.time) + self.limits.lease.as_millis() as u64,
+            until_ms: clock.estimate(now.time).saturating_add(self.limits.lease.as_millis() as u64),
             checkpoint: state.checkpoint.clone(),
             ticket,
         })
--- a/crates/borageswitch_scheduler/tests/odd_registrations.rs
+++ b/crates/borageswitch_scheduler/tests/odd_registrations.rs
@@ -5,8 +5,9 @@
 
 use borageswitch_scheduler::{
     event::{Event, PollResponse, RegistrationChange},
-    executor::Registration,
+    executor::{Registration, Report},
     incarnation,
+    job::Size,
     task::TaskKey,
 };
 use borageswitch_types::{names::ExecutorName, time::UnixMillis};
@@ -170,3 +171,38 @@
     assert!(started.iter().all(|(executor, _)| *executor == later), "{started:?}");
     assert_eq!(started.len(), 2);
 }
+
+/// Guards against sums over a pool that overflow if its executors report impossible capacities.
+#[test]
+fn impossible_capacities_do_not_overflow() {
+    let mut session = Session::new(&["e1", "e2", "e3"]);
+    // Tasks wait for memory, so that the backlog of the pool is computed.
+    let odd_size = Size { cpu_milli: u64::MAX, memory_mb: 8_000, accelerators: u64::MAX };
+    for name in ["e1", "e2"] {
+        let odd = Registration { capacity: odd_size, ..registration(name) };
+        session.handle(Event::RegistrationChanged(RegistrationChange::Present(odd)));
+    }
+
+    session.submit("j", vec![step(100)]);
+    let started: Vec<_> = (0..4).flat_map(|_| session.store_and_start()).collect();
+    let moment = session.moment();
+    session.scheduler.admission_limits(moment, 1);
+
+    assert_eq!(started.len(), 24);
+}
+
+/// Guards against arithmetic on the clock of an executor that overflows near the largest reading.
+#[test]
+fn an_impossible_clock_does_not_overflow() {
+    let mut session = Session::new(&["e1"]);
+    session.submit("j", vec![step(2)]);
+    session.store_and_start();
+
+    let report = Report { clock_ms: u64::MAX - 1, ..Report::default() };
+    session.poll_answered("e1", PollResponse::Report(report), 0);
+    for _ in 0..20 {
+        session.store_and_start();
+    }
+
+    assert_eq!(session.scheduler.executors().count(), 1);
+}
