Send stops to executors whose registration is missing or unreadable

Cause: a stop was sent only to registered executors, while polls went on extending the lease of others. The run of a cancelled job went on for as long as the entry of its executor was unreadable.

Change: a stop is sent unless the executor has ended or its address is not known. It keeps its other runs and gets no new ones.

Evidence: a_run_on_an_executor_with_an_unreadable_entry_can_be_stopped failed before and passes now.

--- a/crates/borageswitch_scheduler/src/reducer/starts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/starts.rs
@@ -209,14 +209,15 @@
         }
     }
 
-    /// Sends a stop for a run.
+    /// Sends a stop for a run, also to an executor whose registration is missing or unreadable: it
+    /// may be alive, and the polls extend its lease.
     pub(super) fn send_stop(&mut self, now: Now, executor: &ExecutorName, task: &TaskKey) {
         let Some(known) = self.executors.get_mut(executor) else { return };
         let recipient = known.recipient();
-        let present = known.is_registered;
+        let may_run = !known.ended && !known.known_from_ledger_only;
         let Some(held) = known.runs.get_mut(task) else { return };
         held.stop_sent = Some(now.time);
-        if present {
+        if may_run {
             self.effects.push(Effect::Stop(recipient, task.clone(), held.run));
         }
     }
--- a/crates/borageswitch_scheduler/tests/odd_registrations.rs
+++ b/crates/borageswitch_scheduler/tests/odd_registrations.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use borageswitch_scheduler::{
+    effect::Effect,
     event::{Event, PollResponse, RegistrationChange},
     executor::{Registration, Report},
     incarnation,
@@ -206,3 +207,44 @@
 
     assert_eq!(session.scheduler.executors().count(), 1);
 }
+
+/// Guards against a run that goes on for as long as the entry of its executor is unreadable, although
+/// its job was cancelled: polls extend the lease, and a stop was not sent.
+#[test]
+fn a_run_on_an_executor_with_an_unreadable_entry_can_be_stopped() {
+    let mut session = running();
+
+    let unreadable = RegistrationChange::Unreadable(ExecutorName::from("e1"));
+    session.handle(Event::RegistrationChanged(unreadable));
+    report_runs(&mut session);
+    let kept = (runs_on_right(&session), started_next(&mut session));
+    session.handle(Event::Cancelled("j".into()));
+    let mut stops = 0;
+    for _ in 0..4 {
+        for effect in session.advance(50) {
+            match effect {
+                Effect::Append { append, .. } => session.handle(Event::Appended { append }),
+                Effect::Stop(..) => stops += 1,
+                _ => {}
+            }
+        }
+    }
+
+    assert_eq!(kept, (2, Vec::new()));
+    assert_eq!(stops, 2);
+}
+
+/// Guards against an executor that is not used again after its unreadable entry was replaced.
+#[test]
+fn an_executor_is_used_again_once_its_entry_is_readable() {
+    let mut session = running();
+
+    let unreadable = RegistrationChange::Unreadable(ExecutorName::from("e1"));
+    session.handle(Event::RegistrationChanged(unreadable));
+    session.settle();
+    report_runs(&mut session);
+    write_entry(&mut session, &right());
+
+    assert_eq!(runs_on_right(&session), 2);
+    assert_eq!(started_next(&mut session), vec![right()]);
+}
