Ignore registrations of earlier incarnations that are still known

Cause: by reading, not by a run: a registration of an incarnation that is known besides the latest one could replace its entry, and its runs with it.

Change: such a registration is ignored, as it was before unconfirmed incarnations were introduced.

No test covers the case itself.

--- a/crates/borageswitch_scheduler/src/reducer/registrations.rs
+++ b/crates/borageswitch_scheduler/src/reducer/registrations.rs
@@ -54,7 +54,10 @@
             (incarnation::started_at(&executor), incarnation::started_at(&before));
         // An executor that reports its start time always does so. A restart cannot be earlier than
         // an incarnation that has answered; the start time of any other may be wrong.
-        let is_wrong = started_before > started && (started.is_none() || known.has_answered());
+        // One that is known besides the latest has ended, and may still have runs.
+        let is_known = self.executors.get(&executor).is_some();
+        let is_earlier = started_before > started && (started.is_none() || known.has_answered());
+        let is_wrong = is_known || is_earlier;
         let may_run = !known.ended && (known.has_answered() || !known.runs.is_empty());
         if is_wrong {
             self.handle_unreadable(&executor);
