--- a/crates/borageswitch_scheduler/src/reducer/polls.rs
+++ b/crates/borageswitch_scheduler/src/reducer/polls.rs
@@ -94,6 +94,8 @@
         }
         match answer {
             PollResponse::Report(report) => {
+                self.confirm_incarnation(now, executor);
+                let Some(known) = self.executors.get_mut(executor) else { return };
                 known.acknowledged_end = known.acknowledged_end.max(order.acknowledged);
                 self.apply_report(now, executor, sent, &report);
             }
@@ -145,7 +147,8 @@
             if !report.active.is_empty() || !known.runs.is_empty() {
                 // Its present and possible runs hold a lease that an earlier leader granted.
                 let lease = self.limits.inherited_lease.as_millis() as u64;
-                known.lease_until_ms = known.lease_until_ms.max(report.clock_ms + lease);
+                known.lease_until_ms =
+                    known.lease_until_ms.max(report.clock_ms.saturating_add(lease));
             }
             self.dirty_pools.insert(known.registration.pool.clone());
         }
@@ -317,7 +320,7 @@
     let until_ms = known
         .clock
         .filter(|_| running)
-        .map(|clock| clock.estimate(now) + limits.lease.as_millis() as u64);
+        .map(|clock| clock.estimate(now).saturating_add(limits.lease.as_millis() as u64));
     let wait = if at_once || !running { Duration::ZERO } else { poll_wait(known, limits) };
     Some(PollOrder { until_ms, acknowledged: known.stored_end, wait })
 }
