Do not take the executor that an order has ended for a new one

The list from before the order still named the executor that preceded the one on the host, so that one was drained; a later list that was older than the order named the executor that the order had ended, and since it was another one, the host passed for back. The same holds for an executor that the leader has already dropped from its table, and for one that lists name by the name that all its incarnations share.

An executor that this leader knows now shows its host as back only if it has answered a poll that was sent after the order was carried out. One that the leader has dropped does not until the host is overdue. One that it has never known shows the host as back as before.

Both new tests of tests/waves.rs fail without the change.

--- a/crates/borageswitch_scheduler/src/reducer/host_list.rs
+++ b/crates/borageswitch_scheduler/src/reducer/host_list.rs
@@ -19,7 +19,7 @@
     reducer::{
         Scheduler,
         crashes::{EndDetection, HostOutcome},
-        hosts::Withdrawal,
+        hosts::{RETURN_TIMEOUT, Withdrawal},
     },
 };
 
@@ -36,6 +36,10 @@
 /// registered.
 const LIST_LAG: Duration = Duration::from_millis(1_500);
 
+/// How long the names of dropped executors are kept; from then on a host that is listed as up counts
+/// as back whatever executor it has.
+const FORGOTTEN_RETENTION: Duration = RETURN_TIMEOUT;
+
 /// The executors in one list of hosts, by their registered names.
 #[derive(Debug, Default)]
 struct Listing {
@@ -61,6 +65,9 @@
     pub withdrawals: BTreeMap<HostName, Withdrawal>,
     listing: Listing,
     previous_listing: Listing,
+    /// The registered names of executors that were dropped from the table, and when. Old lists may
+    /// name them still.
+    forgotten: BTreeMap<ExecutorName, Time>,
     /// When the last list was requested that has not arrived, or when its call failed.
     requested_at: Option<Time>,
     /// Kinds of hosts of which there are few.
@@ -108,6 +115,18 @@
         }
     }
 
+    /// Records that an executor is dropped from the table.
+    pub(super) fn note_forgotten(&mut self, now: Time, executor: &ExecutorName) {
+        let registered = ExecutorName::from(incarnation::registered_name(executor));
+        self.forgotten.insert(registered, now);
+        self.forgotten.retain(|_, at| now.since(*at) < FORGOTTEN_RETENTION);
+    }
+
+    /// Whether an executor was dropped from the table, so that lists that name it are old.
+    pub(super) fn is_forgotten(&self, executor: &ExecutorName) -> bool {
+        self.forgotten.contains_key(incarnation::registered_name(executor))
+    }
+
     /// What happened to the host of an executor that is no longer listed or has restarted.
     pub(super) fn host_outcome(&self, executor: &ExecutorName) -> HostOutcome {
         let Some(host) = self.host_of(executor).cloned() else { return HostOutcome::Unknown };
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -26,7 +26,7 @@
 const MAX_ORDER_RETRY_DELAY: Duration = Duration::from_millis(4_000);
 /// The time after an order from which a host that is listed as up counts as back, although no list
 /// has shown it as away or with a new executor: a host that stays off has none.
-const RETURN_TIMEOUT: Duration = Duration::from_secs(30);
+pub(super) const RETURN_TIMEOUT: Duration = Duration::from_secs(30);
 /// The time after which a host that has not returned from a move is no longer expected; many times
 /// the duration of a move.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -88,17 +88,6 @@
         (ORDER_RETRY_DELAY * (1 << self.failed.saturating_sub(2).min(3))).min(MAX_ORDER_RETRY_DELAY)
     }
 
-    /// Whether a list that was requested at `listed` shows the host as back.
-    ///
-    /// A list may show the state before the order, even if it was requested after it. One that shows
-    /// a new executor, or the host as up after another list has shown it as away, does not.
-    fn is_back(&self, entry: &HostEntry, listed: Time) -> bool {
-        let Stage::Away { since, seen } = self.stage else { return false };
-        let has_new_executor = entry.executor.is_some() && entry.executor != self.drained;
-        let is_overdue = listed.since(since) >= RETURN_TIMEOUT;
-        entry.state == HostState::Up && (has_new_executor || seen || is_overdue)
-    }
-
     /// Whether an order for the host was recorded or sent, whether or not it was answered.
     pub(super) fn is_ordered(&self) -> bool {
         !matches!(self.stage, Stage::Emptying { .. })
@@ -117,6 +106,31 @@
         }
     }
 
+    /// Whether a list that was requested at `listed` shows a withdrawn host as back.
+    ///
+    /// A list may show the state before the order, even if it was requested after it. One that shows
+    /// a new executor, or the host as up after another list has shown it as away, does not.
+    fn is_back(&self, entry: &HostEntry, withdrawal: &Withdrawal, listed: Time) -> bool {
+        let Stage::Away { since, seen } = withdrawal.stage else { return false };
+        let has_new_executor =
+            || entry.executor != withdrawal.drained && self.has_executor_since(entry, since);
+        let is_overdue = listed.since(since) >= RETURN_TIMEOUT;
+        entry.state == HostState::Up && (seen || is_overdue || has_new_executor())
+    }
+
+    /// Whether the listed executor of a host was running after `since`. One that was known before may
+    /// have ended, and old lists still name it; it has to answer a poll that was sent later.
+    fn has_executor_since(&self, entry: &HostEntry, since: Time) -> bool {
+        let Some(executor) = &entry.executor else { return false };
+        match self.executors.get(executor) {
+            Some(known) => {
+                let answered = known.polling.last_answered_sent;
+                !known.ended && answered.is_some_and(|sent| sent > since)
+            }
+            None => !self.fleet.is_forgotten(executor),
+        }
+    }
+
     /// Ends the withdrawal of hosts that were away and are listed as up again.
     pub(super) fn return_to_service(&mut self, listed: Time) {
         let hosts = &self.fleet.hosts;
@@ -126,7 +140,7 @@
             match withdrawal.stage {
                 Stage::Emptying { .. } => false,
                 Stage::Away { since, .. } => {
-                    let is_back = entry.is_none_or(|entry| withdrawal.is_back(entry, listed));
+                    let is_back = entry.is_none_or(|entry| self.is_back(entry, withdrawal, listed));
                     is_back && listed > since
                 }
                 // The response was lost, and the host is in the pool that it was to move to.
--- a/crates/borageswitch_scheduler/src/reducer/lease_expiry.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lease_expiry.rs
@@ -79,6 +79,7 @@
         }
         if self.executors.get(executor).is_some_and(|known| known.runs.is_empty()) {
             self.executors.remove(executor);
+            self.fleet.note_forgotten(now.time, executor);
             self.forget_processed_ends(executor);
         }
     }
@@ -170,6 +171,7 @@
                 continue;
             }
             self.executors.remove(&executor);
+            self.fleet.note_forgotten(now.time, &executor);
             self.forget_processed_ends(&executor);
         }
     }
--- a/crates/borageswitch_scheduler/tests/waves.rs
+++ b/crates/borageswitch_scheduler/tests/waves.rs
@@ -4,11 +4,11 @@
 
 use borageswitch_scheduler::{
     effect::{Effect, HostOrder},
-    event::{Event, HostOrderResponse},
-    fleet::HostEntry,
+    event::{Event, HostOrderResponse, RegistrationChange},
+    fleet::{HostEntry, HostState},
 };
 use borageswitch_types::{Time, names::HostName};
-use support::session::{Session, host, wave_over};
+use support::session::{Session, host, registration, wave_over};
 
 /// The duration of a step, in milliseconds.
 const STEP: u64 = 50;
@@ -163,6 +163,62 @@
     assert!(is_maintained(&after, "h2"), "{after:?}");
 }
 
+fn answer_done(session: &mut Session, host: &str) {
+    let host = HostName::from(host);
+    session.handle(Event::HostOrderAnswered { host, response: HostOrderResponse::Done });
+}
+
+/// Registers an executor that responds to polls.
+fn join(session: &mut Session, executor: &str) {
+    let present = RegistrationChange::Present(registration(executor));
+    session.handle(Event::RegistrationChanged(present));
+    session.now += 10;
+    session.report(executor, &[], &[], 0);
+}
+
+#[test]
+fn an_executor_from_before_an_order_does_not_show_its_host_as_back() {
+    // Guards against more hosts in maintenance than permitted: an old list still names the executor
+    // that preceded the one that the order ended.
+    let mut session = Session::new(&["e1", "e2"]);
+    let outdated = [host("h1", "e0"), host("h2", "e2")];
+    run(&mut session, &outdated, 4_000);
+    session.handle(wave_over(&["h1", "h2"], 1));
+    run(&mut session, &outdated, 1_000);
+    answer_done(&mut session, "h1");
+
+    let from_before = [host("h1", "e1"), host("h2", "e2")];
+    let still_away = run(&mut session, &from_before, 4_000);
+    join(&mut session, "e3");
+    let after = run(&mut session, &[host("h1", "e3"), host("h2", "e2")], 2_000);
+
+    assert!(!is_maintained(&still_away, "h2"), "{still_away:?}");
+    assert!(is_maintained(&after, "h2"), "{after:?}");
+}
+
+#[test]
+fn an_executor_that_has_ended_does_not_show_its_host_as_back() {
+    // Guards against more hosts in maintenance than permitted: lists name an ended executor by the
+    // name that all its incarnations share, or after the leader has forgotten it.
+    for (ordered, listed) in [("e1@5", "e1"), ("e1", "e0")] {
+        let mut session = Session::new(&["e0", ordered, "e2"]);
+        let before = [host("h1", ordered), host("h2", "e2")];
+        run(&mut session, &before, 4_000);
+        session.handle(wave_over(&["h1", "h2"], 1));
+        run(&mut session, &before, 1_000);
+        answer_done(&mut session, "h1");
+        let gone = RegistrationChange::Unregistered("e0".into());
+        session.handle(Event::RegistrationChanged(gone));
+        let unlisted = HostEntry { state: HostState::Up, executor: None, ..host("h1", "none") };
+        let forgotten = run(&mut session, &[unlisted, host("h2", "e2")], 4_000);
+
+        let still_away = run(&mut session, &[host("h1", listed), host("h2", "e2")], 4_000);
+
+        assert!(!is_maintained(&forgotten, "h2"), "{listed}: {forgotten:?}");
+        assert!(!is_maintained(&still_away, "h2"), "{listed}: {still_away:?}");
+    }
+}
+
 #[test]
 fn a_host_whose_executor_is_not_listed_yet_is_drained_before_its_maintenance() {
     // Guards against tasks that end with a host which was taken for one that is off.
