Count hosts that an earlier leader has ordered as away until they are shown to be back

A new leader counted a host whose maintenance an earlier leader had begun only if a list showed it as away, and one with an order that got no response only for the pause after the takeover. Lists may be older than the order and show the host as it was before, so more hosts were in maintenance at once than the operator permits.

Such a host now counts until a list shows it as up after another one has shown it as away, until its listed executor has answered a poll of this leader (sent after the pause, if the order may have been in flight), or until the order is 20 s old, which is as long as orders are stored.

an_old_list_after_a_takeover_... and an_old_list_after_the_pause_... of tests/waves.rs fail without the change.

--- a/crates/borageswitch_scheduler/src/reducer/host_list.rs
+++ b/crates/borageswitch_scheduler/src/reducer/host_list.rs
@@ -65,6 +65,8 @@
     pub withdrawals: BTreeMap<HostName, Withdrawal>,
     listing: Listing,
     previous_listing: Listing,
+    /// Hosts with orders of earlier leaders that a list in this term has shown as away.
+    pub(super) seen_away: BTreeSet<HostName>,
     /// The registered names of executors that were dropped from the table, and when. Old lists may
     /// name them still.
     forgotten: BTreeMap<ExecutorName, Time>,
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -163,6 +163,17 @@
             self.log("host-back", &host, String::new);
         }
         self.note_hosts_away(listed);
+        self.note_inherited_away();
+    }
+
+    /// Records which hosts with orders of earlier leaders a list shows as away.
+    fn note_inherited_away(&mut self) {
+        let is_away = |host: &&HostName| {
+            self.fleet.hosts.get(*host).is_some_and(|entry| entry.state != HostState::Up)
+        };
+        let away: Vec<HostName> =
+            self.inherited_host_orders.keys().filter(is_away).cloned().collect();
+        self.fleet.seen_away.extend(away);
     }
 
     fn note_hosts_away(&mut self, listed: Time) {
@@ -281,6 +292,25 @@
             .is_some_and(|age| *age + now.since(self.took_over_at) < EARLIER_ORDER_TIME)
     }
 
+    /// Whether a host may still be away by an order of an earlier leader. `begun` says whether that
+    /// leader has stored that the platform carries the order out.
+    ///
+    /// As with the orders of this leader, a list that shows the host as up does not suffice: it may
+    /// show the state before the order.
+    pub(super) fn may_be_away(&self, now: Time, host: &HostName, begun: bool) -> bool {
+        let Some(entry) = self.fleet.hosts.get(host).filter(|_| self.may_be_ordered(now, host))
+        else {
+            return false;
+        };
+        let age = self.inherited_host_orders.get(host).copied().unwrap_or_default();
+        // An order that may still be in flight may take the host away until the pause is over.
+        let pause = if begun { Duration::ZERO } else { self.limits.host_order_pause };
+        let since = self.took_over_at + pause.saturating_sub(age);
+        let is_back = entry.state == HostState::Up
+            && (self.fleet.seen_away.contains(host) || self.has_executor_since(entry, since));
+        !is_back
+    }
+
     /// How long this leader has been leading, in milliseconds.
     pub(super) fn led_millis(&self, now: Time) -> u64 {
         now.since(self.took_over_at).as_millis() as u64
--- a/crates/borageswitch_scheduler/src/reducer/waves.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waves.rs
@@ -170,9 +170,9 @@
     }
 
     /// How many hosts count as out of service for the wave: those that are, those that are about to
-    /// be, and those that an earlier leader's order may still take away. Without the last, a new
-    /// leader could order the next host while such an order is in flight, and exceed the limit by
-    /// one.
+    /// be, and those that an earlier leader's order may still take away or has taken away. Without
+    /// the last, a new leader could order the next host while such an order is in flight or lists
+    /// are older than it, and exceed the limit by one.
     fn count_unavailable(&self, now: Now, wave: &WaveRequest) -> usize {
         let begun = self.ledger.maintained.get(&wave.wave);
         let begun: BTreeSet<&HostName> = begun.into_iter().flatten().collect();
@@ -186,7 +186,8 @@
                 matches!(entry.state, HostState::InMaintenance | HostState::Unknown)
             });
             let ordered = self.is_order_paused(now.time, host) && !is_begun(host);
-            chosen || away || ordered
+            let inherited = || self.may_be_away(now.time, host, is_begun(host));
+            chosen || away || ordered || inherited()
         };
         wave.hosts.iter().filter(counts).count()
     }
--- a/crates/borageswitch_scheduler/tests/waves.rs
+++ b/crates/borageswitch_scheduler/tests/waves.rs
@@ -6,6 +6,7 @@
     effect::{Effect, HostOrder},
     event::{Event, HostOrderResponse, RegistrationChange},
     fleet::{HostEntry, HostState},
+    ledger::{Ledger, record::Record},
 };
 use borageswitch_types::{Time, names::HostName};
 use support::session::{Session, host, registration, wave_over};
@@ -219,6 +220,81 @@
     }
 }
 
+/// A ledger with maintenance of a host that the platform has just begun.
+fn ledger_with_maintenance_of(host: &str) -> Ledger {
+    let host = HostName::from(host);
+    let mut ledger = Ledger::default();
+    ledger.apply(&Record::HostOrdered { host: host.clone() });
+    ledger.apply(&Record::HostOrderAnswered { host: host.clone(), millis: 1_000 });
+    ledger.apply(&Record::Maintained { wave: 1, host });
+    ledger
+}
+
+#[test]
+fn an_old_list_after_a_takeover_does_not_show_a_host_as_back() {
+    // Guards against more hosts in maintenance than permitted: an earlier leader has ordered one,
+    // and lists of the new leader still show the host as it was before.
+    let mut session = Session::without_reports(&["e1", "e2"], ledger_with_maintenance_of("h1"));
+    session.report("e2", &[], &[], 0);
+    session.handle(wave_over(&["h1", "h2"], 1));
+
+    let from_before = [host("h1", "e1"), host("h2", "e2")];
+    let still_away = run(&mut session, &from_before, 8_000);
+    join(&mut session, "e3");
+    let after = run(&mut session, &[host("h1", "e3"), host("h2", "e2")], 2_000);
+
+    assert!(!is_maintained(&still_away, "h2"), "{still_away:?}");
+    assert!(is_maintained(&after, "h2"), "{after:?}");
+}
+
+#[test]
+fn an_old_list_after_the_pause_of_a_takeover_does_not_show_a_host_as_back() {
+    // Guards against more hosts in maintenance than permitted: an earlier leader has ended without
+    // the response to its order, and the host stays away for longer than the next leader pauses.
+    let mut ledger = Ledger::default();
+    ledger.apply(&Record::HostOrdered { host: "h2".into() });
+    let mut session = Session::without_reports(&["e1", "e2"], ledger);
+    session.report("e1", &[], &[], 0);
+    session.handle(wave_over(&["h1", "h2"], 1));
+
+    let from_before = [host("h1", "e1"), host("h2", "e2")];
+    let still_away = run(&mut session, &from_before, 8_000);
+
+    assert!(!is_maintained(&still_away, "h1"), "{still_away:?}");
+}
+
+#[test]
+fn a_host_that_was_back_before_a_takeover_does_not_delay_its_wave() {
+    // Guards against waves that wait for the age of an order although its host is in service.
+    let mut session = Session::without_reports(&["e1", "e2"], ledger_with_maintenance_of("h1"));
+    session.now += 10;
+    session.report("e1", &[], &[], 0);
+    session.report("e2", &[], &[], 0);
+    session.handle(wave_over(&["h1", "h2"], 1));
+    let back = [host("h1", "e1"), host("h2", "e2")];
+
+    session.handle(Event::HostsListed {
+        requested: Time::from_millis(10_000),
+        hosts: Some(back.to_vec()),
+    });
+    let effects = run(&mut session, &back, 2_000);
+
+    assert!(is_maintained(&effects, "h2"), "{effects:?}");
+}
+
+#[test]
+fn a_host_of_an_earlier_order_is_back_once_its_order_is_old() {
+    // Guards against a wave that never ends, as a host that is off has no executor to respond.
+    let mut session = Session::without_reports(&["e2"], ledger_with_maintenance_of("h1"));
+    session.report("e2", &[], &[], 0);
+    session.handle(wave_over(&["h1", "h2"], 1));
+
+    let off = HostEntry { executor: None, ..host("h1", "none") };
+    let effects = run(&mut session, &[off, host("h2", "e2")], 22_000);
+
+    assert!(is_maintained(&effects, "h2"), "{effects:?}");
+}
+
 #[test]
 fn a_host_whose_executor_is_not_listed_yet_is_drained_before_its_maintenance() {
     // Guards against tasks that end with a host which was taken for one that is off.
