--- a/crates/borageswitch_scheduler/tests/crashes.rs
+++ b/crates/borageswitch_scheduler/tests/crashes.rs
@@ -7,6 +7,7 @@
     event::{Event, PollResponse, RegistrationChange},
     executor::Registration,
     fleet::{HostEntry, HostState},
+    ledger::{Ledger, record::Record},
 };
 use support::session::{Session, host, registration, step};
 
@@ -109,6 +110,38 @@
     assert_eq!(lines_of_kind(&logged, "executor-crashed").len(), 1, "{logged:?}");
 }
 
+/// Lets an executor start after the takeover of a leader whose predecessor had ordered its host, and
+/// then be replaced by another one at its address.
+fn replace_executor_of_ordered_host(listed: bool) -> Vec<LogLine> {
+    let mut ledger = Ledger::default();
+    ledger.apply(&Record::HostOrdered { host: "h1".into() });
+    let mut session = Session::with_ledger(&[], ledger);
+    session.now += 4_000;
+    let present = RegistrationChange::Present(registration("e1"));
+    session.handle(Event::RegistrationChanged(present));
+    session.now += 10;
+    session.report("e1", &[], &[], 0);
+    session.submit("j", vec![step(8)]);
+    session.store_and_start();
+    list_hosts(&mut session, if listed { vec![host("h1", "e1")] } else { Vec::new() });
+    session.poll_answered("e1", PollResponse::Lost, 0);
+    session.handle(Event::RegistrationChanged(RegistrationChange::Unregistered("e1".into())));
+    let next = RegistrationChange::Present(registration("e3"));
+    session.handle(Event::RegistrationChanged(next));
+    lines(&mut session, 50)
+}
+
+#[test]
+fn an_order_of_an_earlier_leader_does_not_explain_the_end_of_a_later_executor() {
+    // Guards against crashes that are not recorded, so that a task crashes one executor after the
+    // other.
+    for listed in [true, false] {
+        let logged = replace_executor_of_ordered_host(listed);
+
+        assert_eq!(lines_of_kind(&logged, "executor-crashed").len(), 1, "{listed}: {logged:?}");
+    }
+}
+
 #[test]
 fn an_executor_that_is_listed_late_keeps_its_tasks() {
     // Guards against tasks that run twice, as the platform lists a new host later than others.
