Do not take runs of earlier leaders for the youngest when making room

A lasting task that finds no place has short runs stopped, those with the least work first. Runs of an earlier leader counted from their first report to the new one, so that after each takeover a task with minutes of work was stopped and began again, although younger runs could have made room.

The age of such a run is now that of its stored assignment. If the assignment is no longer among the recent ones, the run counts as older than these.

The test fails without the change: the run of the earlier leader is stopped.

--- a/crates/borageswitch_scheduler/src/ledger/recent_starts.rs
+++ b/crates/borageswitch_scheduler/src/ledger/recent_starts.rs
@@ -15,7 +15,7 @@
 
 /// How long the time of an assignment is kept. Starts are not held responsible for anything that
 /// may have happened later.
-const RETENTION: Duration = Duration::from_secs(10);
+pub const RETENTION: Duration = Duration::from_secs(10);
 
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 struct Batch {
--- a/crates/borageswitch_scheduler/src/reducer/executors.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executors.rs
@@ -9,6 +9,7 @@
     executor::Registration,
     incarnation,
     job::Size,
+    ledger::recent_starts,
     policy::{circuit_breaker::CircuitBreaker, quotas::Charge},
     reducer::{clock::ClockReading, crashes::LostRun, speed_limits::FULL_SPEED},
     task::TaskKey,
@@ -109,6 +110,22 @@
         }
     }
 
+    /// How long the run has existed, if this leader has started it or its assignment is among the
+    /// recent ones in the ledger.
+    pub(super) fn known_age(&self, now: Time, took_over_at: Time) -> Option<Duration> {
+        if self.start_sent.is_some() || self.phase == Phase::Recorded {
+            return Some(now.since(self.started));
+        }
+        self.inherited_age.map(|age| age + now.since(took_over_at))
+    }
+
+    /// How long the run has worked, for weighing what its end would lose. An assignment that is no
+    /// longer among the recent ones in the ledger counts as just older than these.
+    pub(super) fn work_time(&self, now: Time, took_over_at: Time) -> Duration {
+        let age = self.known_age(now, took_over_at);
+        age.unwrap_or_else(|| recent_starts::RETENTION + now.since(took_over_at))
+    }
+
     /// Whether a complete report on a poll sent at `sent`, which did not list the run as active or
     /// ended, proves that the run does not exist and will not start.
     pub fn absence_proves_end(&self, sent: Time) -> bool {
--- a/crates/borageswitch_scheduler/src/reducer/preemption.rs
+++ b/crates/borageswitch_scheduler/src/reducer/preemption.rs
@@ -41,7 +41,7 @@
         let cheapest = suitable
             .iter()
             .filter_map(|(executor, known)| {
-                let victims = victims(known, &size, now.time)?;
+                let victims = self.victims(known, &size, now.time)?;
                 let loss: u64 = victims.iter().map(|(_, loss)| loss).sum();
                 Some((loss, (*executor).clone(), victims))
             })
@@ -54,6 +54,28 @@
             self.order_stop(now, &executor, &victim);
         }
     }
+
+    /// The short runs to stop for `size` in ascending order of loss, each with the core-milliseconds
+    /// that it has worked; `None` if they do not free enough.
+    fn victims(&self, known: &Executor, size: &Size, now: Time) -> Option<Vec<(TaskKey, u64)>> {
+        let loss = |held: &HeldRun| {
+            let worked = held.work_time(now, self.took_over_at);
+            held.size.cpu_milli * worked.as_millis() as u64 / 1_000
+        };
+        let short = known.runs.iter().filter(|(_, h)| !h.lasting && h.phase == Phase::Active);
+        let mut short: Vec<(&TaskKey, &HeldRun)> = short.collect();
+        short.sort_by_key(|(_, held)| loss(held));
+        let mut available = free_after_stops(known);
+        let mut victims = Vec::new();
+        for (task, held) in short {
+            if available.holds(size) {
+                break;
+            }
+            available += held.size;
+            victims.push((task.clone(), loss(held)));
+        }
+        available.holds(size).then_some(victims)
+    }
 }
 
 /// The free capacity once the ends of all runs that are being stopped or have ended are listed.
@@ -65,23 +87,3 @@
     }
     available
 }
-
-/// The short runs to stop for `size` in ascending order of loss, each with the core-milliseconds
-/// that it has worked; `None` if they do not free enough.
-fn victims(known: &Executor, size: &Size, now: Time) -> Option<Vec<(TaskKey, u64)>> {
-    let loss =
-        |held: &HeldRun| held.size.cpu_milli * now.since(held.started).as_millis() as u64 / 1_000;
-    let short = known.runs.iter().filter(|(_, h)| !h.lasting && h.phase == Phase::Active);
-    let mut short: Vec<(&TaskKey, &HeldRun)> = short.collect();
-    short.sort_by_key(|(_, held)| loss(held));
-    let mut available = free_after_stops(known);
-    let mut victims = Vec::new();
-    for (task, held) in short {
-        if available.holds(size) {
-            break;
-        }
-        available += held.size;
-        victims.push((task.clone(), loss(held)));
-    }
-    available.holds(size).then_some(victims)
-}
--- /dev/null
+++ b/crates/borageswitch_scheduler/tests/inherited_ages.rs
@@ -0,0 +1,97 @@
+//! What a new leader assumes about the ages of runs and crashes that earlier leaders have recorded.
+
+mod support;
+
+use borageswitch_scheduler::{
+    effect::Effect,
+    event::Event,
+    executor::ActiveRun,
+    job::{JobSpec, Step, Submission},
+    ledger::{Ledger, record::Record},
+    task::TaskKey,
+};
+use borageswitch_types::{
+    names::{ExecutorName, JobName},
+    time::UnixMillis,
+};
+use std::{sync::Arc, time::Duration};
+use support::{
+    fixtures::{cores, queue},
+    session::{Session, active, key, step},
+};
+
+/// The duration of a step of a session, in milliseconds.
+const STEP: u64 = 50;
+
+/// A ledger in which the tasks of a job run on an executor, each with this run.
+fn ledger_with_runs(job: &str, step: Step, executor: &str, run: u32) -> Ledger {
+    let mut ledger = Ledger::default();
+    let count = step.count;
+    ledger.submit(Arc::new(Submission {
+        job: JobName::from(job),
+        queue: queue(),
+        accepted: UnixMillis(1),
+        spec: JobSpec { payload: "text".into(), steps: vec![step], schedule: None },
+        caller: None,
+    }));
+    for index in 0..count {
+        let executor = ExecutorName::from(executor);
+        ledger.apply(&Record::Assigned { task: key(job, index), run, executor });
+    }
+    ledger
+}
+
+fn running(task: &TaskKey, run: u32, percent: u8) -> ActiveRun {
+    ActiveRun { run, percent, ..active(task) }
+}
+
+/// Runs the session while its executors report the same runs, and stores all appends. Returns the
+/// effects with the log lines.
+fn run(session: &mut Session, reports: &[(&str, Vec<ActiveRun>)], millis: u64) -> Vec<Effect> {
+    let mut all = Vec::new();
+    for _ in 0..millis / STEP {
+        session.now += STEP;
+        for (executor, runs) in reports {
+            session.report(executor, runs, &[], 0);
+        }
+        for effect in session.settle_with_log() {
+            if let Effect::Append { append, .. } = &effect {
+                session.handle(Event::Appended { append: *append });
+            }
+            all.push(effect);
+        }
+    }
+    all
+}
+
+/// The jobs whose runs were stopped.
+fn stopped_jobs(effects: &[Effect]) -> Vec<JobName> {
+    let stops = effects.iter().filter_map(|effect| match effect {
+        Effect::Stop(_, task, _) => Some(task.job.clone()),
+        _ => None,
+    });
+    stops.collect()
+}
+
+#[test]
+fn a_long_run_of_an_earlier_leader_is_not_preempted_as_the_youngest() {
+    // Guards against lasting tasks that displace runs with minutes of work after each takeover,
+    // although runs that have just begun could make room.
+    let long = Step { estimate: Duration::from_secs(600), ..step(8) };
+    let ledger = ledger_with_runs("long", long, "e0", 1);
+    let mut session = Session::without_reports(&["e0", "e1"], ledger);
+    let on_e0: Vec<ActiveRun> = (0..8).map(|i| running(&key("long", i), 1, 50)).collect();
+    run(&mut session, &[("e0", on_e0.clone()), ("e1", Vec::new())], STEP);
+    let wide = Step { size: cores(2), estimate: Duration::from_secs(600), ..step(4) };
+    session.submit("new", vec![wide]);
+    let started = session.store_and_start();
+    assert_eq!(started.len(), 4, "{started:?}");
+    let on_e1: Vec<ActiveRun> = (0..4).map(|i| running(&key("new", i), 1, 50)).collect();
+    let reports = [("e0", on_e0), ("e1", on_e1)];
+    run(&mut session, &reports, 1_000);
+
+    session.submit("lasting", vec![Step { lasting: true, ..step(1) }]);
+    let effects = run(&mut session, &reports, 500);
+
+    assert_eq!(stopped_jobs(&effects), ["new".into()], "{effects:?}");
+}
