Do not reserve hosts for gangs by progress that was made under earlier leaders

The remaining time of a run was computed from its progress and its age since the takeover. A run that had made 60 % of its progress in 36 s seemed to need another second, so its host was reserved for a gang, and other jobs were kept off its free capacity for up to 2 s.

With an unknown age, what is left of the run is now taken to proceed at the usual speed.

The test fails without the change: the gang is not logged as one that waits for capacity.

--- a/crates/borageswitch_scheduler/src/reducer/gang_reservations.rs
+++ b/crates/borageswitch_scheduler/src/reducer/gang_reservations.rs
@@ -236,9 +236,13 @@
     }
 
     /// The remaining run time, from the run's progress or from the usual duration of such runs.
+    ///
+    /// Progress that a run of unknown age has made under earlier leaders says nothing about its
+    /// speed, so what is left of it is taken to proceed at the usual one.
     fn remaining_time(&self, now: Now, task: &TaskKey, held: &HeldRun) -> Duration {
-        let elapsed = now.time.since(held.started);
-        if held.percent > 0 {
+        let age = held.known_age(now.time, self.took_over_at);
+        let elapsed = age.unwrap_or_else(|| now.time.since(held.started));
+        if held.percent > 0 && age.is_some() {
             let total = elapsed.mul_f64(100.0 / f64::from(held.percent));
             return total.saturating_sub(elapsed);
         }
@@ -247,7 +251,11 @@
             let step = job.step(task.step)?;
             Some(self.runtime_estimates.estimate(&job.submission.queue.name, step.estimate))
         });
-        expected.unwrap_or_default().saturating_sub(elapsed)
+        let expected = expected.unwrap_or_default();
+        if held.percent > 0 {
+            return expected.mul_f64(1.0 - f64::from(held.percent.min(100)) / 100.0);
+        }
+        expected.saturating_sub(elapsed)
     }
 
     /// The members of the gang for which hosts are fetched into a pool.
--- a/crates/borageswitch_scheduler/tests/inherited_ages.rs
+++ b/crates/borageswitch_scheduler/tests/inherited_ages.rs
@@ -73,6 +73,10 @@
     stops.collect()
 }
 
+fn is_logged(effects: &[Effect], kind: &str) -> bool {
+    effects.iter().any(|effect| matches!(effect, Effect::Log(line) if line.kind == kind))
+}
+
 #[test]
 fn a_long_run_of_an_earlier_leader_is_not_preempted_as_the_youngest() {
     // Guards against lasting tasks that displace runs with minutes of work after each takeover,
@@ -95,3 +99,19 @@
 
     assert_eq!(stopped_jobs(&effects), ["new".into()], "{effects:?}");
 }
+
+#[test]
+fn no_hosts_are_reserved_for_a_gang_beside_long_runs_of_an_earlier_leader() {
+    // Guards against capacity that is withheld from all other jobs because runs which have made
+    // their progress in minutes seem to have made it since the takeover.
+    let long = Step { estimate: Duration::from_secs(60), ..step(7) };
+    let ledger = ledger_with_runs("long", long, "e0", 1);
+    let mut session = Session::without_reports(&["e0"], ledger);
+    let runs: Vec<ActiveRun> = (0..7).map(|i| running(&key("long", i), 1, 60)).collect();
+    session.submit("gang", vec![Step { gang: true, size: cores(4), ..step(2) }]);
+
+    let effects = run(&mut session, &[("e0", runs)], 2_000);
+
+    assert!(is_logged(&effects, "gang-waits"), "{effects:?}");
+    assert!(!is_logged(&effects, "gang-room-kept"), "{effects:?}");
+}
