Leave runs of earlier leaders the time that they were given as stragglers

Each stopped run of a slow task doubles the time of the next one, so that the task is done at some point. The count is not stored. A new leader began at zero and stopped the inherited run after the usual time, however often the task had been given more before.

For a run of an earlier leader all earlier runs of its task now count as stopped ones. That may be too many, as runs end for other reasons too; a hanging run is then stopped later.

The test fails without the change: the fourth run of a task is stopped within 5 s of the takeover.

--- a/crates/borageswitch_scheduler/src/reducer/stragglers.rs
+++ b/crates/borageswitch_scheduler/src/reducer/stragglers.rs
@@ -59,14 +59,13 @@
         // Progress is as old as the report that contained it.
         let reported_at = known.clock.map_or(held.started, |clock| clock.received);
         let elapsed = reported_at.since(held.started);
+        let given_up = self.restarts(task, held);
         if held.lasting {
-            let given_up = self.stragglers.given_up(task);
             return held.percent < 100
                 && stragglers::should_restart_lasting(elapsed, held.percent, given_up);
         }
         let expected = self.runtime_estimates.estimate(&job.submission.queue.name, step.estimate);
         let kept = if step.checkpointing { f64::from(held.percent) / 200.0 } else { 0.0 };
-        let given_up = self.stragglers.given_up(task);
         let percent = held.percent;
         stragglers::should_restart(&ShortRun {
             elapsed,
@@ -77,16 +76,26 @@
         })
     }
 
+    /// The number of stopped stragglers of a task. Those that earlier leaders stopped are not stored;
+    /// at most all earlier runs were.
+    fn restarts(&self, task: &TaskKey, held: &HeldRun) -> u32 {
+        let earlier = if held.start_sent.is_none() { held.run.saturating_sub(1) } else { 0 };
+        self.stragglers.given_up(task).max(earlier)
+    }
+
     fn stop_straggler(&mut self, now: Now, executor: &ExecutorName, task: &TaskKey) {
         let Some(known) = self.executors.get_mut(executor) else { return };
         known.circuit_breaker.record_failure(now.time);
-        let Some(held) = known.runs.get(task) else { return };
+        let Some(held) = self.executors.get(executor).and_then(|known| known.runs.get(task)) else {
+            return;
+        };
         let (run, percent) = (held.run, held.percent);
+        let restarts = self.restarts(task, held) + 1;
         let elapsed = now.time.since(held.started).as_millis();
         self.log("run-given-up", task, || {
             format!("run={run} executor={executor} percent={percent} after_ms={elapsed}")
         });
-        *self.stragglers.given_up.entry(task.clone()).or_default() += 1;
+        self.stragglers.given_up.insert(task.clone(), restarts);
         self.order_stop(now, executor, task);
     }
 
--- a/crates/borageswitch_scheduler/tests/inherited_ages.rs
+++ b/crates/borageswitch_scheduler/tests/inherited_ages.rs
@@ -115,3 +115,18 @@
     assert!(is_logged(&effects, "gang-waits"), "{effects:?}");
     assert!(!is_logged(&effects, "gang-room-kept"), "{effects:?}");
 }
+
+#[test]
+fn a_run_that_was_given_more_time_keeps_it_after_a_takeover() {
+    // Guards against a slow task whose runs are stopped early again by each new leader, so that it
+    // is never done. One that hangs is still stopped.
+    let ledger = ledger_with_runs("slow", step(1), "e0", 4);
+    let mut session = Session::without_reports(&["e0", "e1"], ledger);
+    let reports = [("e0", vec![running(&key("slow", 0), 4, 0)]), ("e1", Vec::new())];
+
+    let early = run(&mut session, &reports, 5_000);
+    let late = run(&mut session, &reports, 10_000);
+
+    assert_eq!(stopped_jobs(&early), [], "{early:?}");
+    assert!(!stopped_jobs(&late).is_empty(), "{late:?}");
+}
