Do not contain queues after losses of runs of unknown age

A run of an earlier leader whose start is not known counted as one that had just started when its executor crashed. Two such losses after a takeover contained the queue of their jobs, and sound jobs waited for probes.

Such a run now contains nothing. Runs whose assignment is among the recent ones in the ledger count as before.

The test fails without the change: the second loss contains the queue.

--- a/crates/borageswitch_scheduler/src/reducer/containment.rs
+++ b/crates/borageswitch_scheduler/src/reducer/containment.rs
@@ -84,12 +84,14 @@
         let pool = ended.pool().clone();
         let may_be_cause = |lost: &&LostRun| {
             let started_on = started_on.get(&lost.task.job).copied().unwrap_or(0);
-            lost.is_start_related()
+            // How long a run of an earlier leader had lived may not be known.
+            lost.max_age.is_some()
+                && lost.is_start_related()
                 && !crash_attribution::has_common_cause(others, started_on)
                 && !self.has_survived(&pool, &lost.task.job)
         };
         let causes: Vec<&LostRun> = ended.runs.iter().filter(may_be_cause).collect();
-        let age = causes.iter().map(|lost| lost.max_age.unwrap_or(Duration::MAX)).min();
+        let age = causes.iter().filter_map(|lost| lost.max_age).min();
         let jobs: BTreeSet<&JobName> = causes.iter().map(|lost| &lost.task.job).collect();
         let groups: BTreeSet<Group> = jobs
             .iter()
--- a/crates/borageswitch_scheduler/tests/inherited_ages.rs
+++ b/crates/borageswitch_scheduler/tests/inherited_ages.rs
@@ -4,7 +4,7 @@
 
 use borageswitch_scheduler::{
     effect::Effect,
-    event::Event,
+    event::{Event, RegistrationChange},
     executor::ActiveRun,
     job::{JobSpec, Step, Submission},
     ledger::{
@@ -161,3 +161,23 @@
     let sound = started.iter().filter(|(_, task)| task.job.as_str() == "sound").count();
     assert_eq!(sound, 4, "{started:?}");
 }
+
+#[test]
+fn losses_of_runs_of_unknown_age_contain_no_queue() {
+    // Guards against sound jobs that wait for probes after a takeover, because runs that were lost
+    // with their executors pass for runs that had just started.
+    let mut ledger = ledger_with_runs("j", step(2), "e1", 1);
+    let moved = Record::Assigned { task: key("j", 1), run: 2, executor: "e2".into() };
+    ledger.apply(&moved);
+    let mut session = Session::without_reports(&["e0", "e1", "e2"], ledger);
+    let mut logged = Vec::new();
+    for (lost, millis) in [("e1", 5_000), ("e2", 10_000)] {
+        let gone = RegistrationChange::Unregistered(lost.into());
+        session.handle(Event::RegistrationChanged(gone));
+        let effects = run(&mut session, &[("e0", Vec::new())], millis);
+        logged.extend(effects.into_iter().filter(|effect| matches!(effect, Effect::Log(_))));
+    }
+
+    assert!(is_logged(&logged, "executor-crashed"), "{logged:?}");
+    assert!(!is_logged(&logged, "containment-began"), "{logged:?}");
+}
