Send relays no calls of an earlier term with the token of the new one

Calls that wait for their frame to a relay share one fencing token, that of the last call. If the same daemon leads again before the frame is sent, starts and stops of its earlier term are carried out under the new term's token and authority, after the new term may have found the runs missing and started the tasks elsewhere. A start that the earlier term left behind could thus run a task twice.

Calls of an earlier term are now dropped when one of a later term is queued, and refused after that. Their outcomes would have been ignored.

The new test fails without the change: the frame has the calls of both terms.

--- a/crates/borageswitch_runtime/src/relays/registry.rs
+++ b/crates/borageswitch_runtime/src/relays/registry.rs
@@ -1,6 +1,7 @@
 //! The leader's view of its relays: which calls go to which of them, and which have no outcome yet.
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, BTreeSet},
     hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
@@ -246,6 +247,13 @@
 
 impl Relay {
     fn enqueue(&mut self, now: Time, token: u64, number: u64, effect: Effect) {
+        // A frame has one fencing token. With that of a later term, calls of an earlier one would be
+        // carried out although the later one may have decided otherwise.
+        match token.cmp(&self.token) {
+            Ordering::Less => return,
+            Ordering::Equal => {}
+            Ordering::Greater => self.outbox.clear(),
+        }
         let (call, kind, executor, hold) = match effect {
             Effect::Start(to, order) => {
                 let kind = PendingKind::Start(order.task.clone(), order.run);
--- a/crates/borageswitch_runtime/src/relays/registry/tests.rs
+++ b/crates/borageswitch_runtime/src/relays/registry/tests.rs
@@ -164,6 +164,25 @@
     assert_eq!(frame.authority_until, 1_900_000);
 }
 
+#[test]
+fn a_frame_has_no_calls_of_an_earlier_term() {
+    // Guards against tasks that run twice: when the same daemon leads again at once, starts of its
+    // earlier term that wait for their frame would be made with the fencing token of the new one.
+    let (relays, ids) = relays(1, at(100), 0);
+    let route = |token, number| relays.route(at(110), CORES, token, start(1, number));
+    route(TOKEN, 1);
+    route(TOKEN + 1, 2);
+    route(TOKEN, 3);
+
+    let frame = relays.take_frame(ids[0], at(2_000)).unwrap();
+
+    let starts = frame.calls.iter().map(|(_, call)| match call {
+        Call::Start(_, order) => order.task.index,
+        other => panic!("{other:?}"),
+    });
+    assert_eq!((frame.token, starts.collect::<Vec<_>>()), (TOKEN + 1, vec![2]));
+}
+
 #[test]
 fn a_relay_that_has_fallen_silent_gets_no_more_calls() {
     let (relays, ids) = relays(1, at(0), 0);
