--- a/crates/borageswitch_scheduler/src/reducer/containment.rs
+++ b/crates/borageswitch_scheduler/src/reducer/containment.rs
@@ -83,12 +83,14 @@
         let pool = ended.pool().clone();
         let may_be_cause = |lost: &&LostRun| {
             let started_on = started_on.get(&lost.task.job).copied().unwrap_or(0);
-            lost.is_start_related()
+            // How long a run of an earlier leader had lived may not be known.
+            lost.max_age.is_some()
+                && lost.is_start_related()
                 && !coincidence.has_common_cause(started_on)
                 && !self.has_survived(&pool, &lost.task.job)
         };
         let causes: Vec<&LostRun> = ended.runs.iter().filter(may_be_cause).collect();
-        let age = causes.iter().map(|lost| lost.max_age.unwrap_or(Duration::MAX)).min();
+        let age = causes.iter().filter_map(|lost| lost.max_age).min();
         let jobs: BTreeSet<&JobName> = causes.iter().map(|lost| &lost.task.job).collect();
         let groups: BTreeSet<Group> = jobs
             .iter()
@@ -263,9 +265,11 @@
 }
 
 fn is_recent_start_crash(now: Now, crash: &Crash) -> bool {
-    // Evidence is recorded only for crashes that are attributed to the task.
+    // Evidence is recorded only for crashes that are attributed to the task. The age of a crash that
+    // lies ahead of this leader's clock is not known: the clocks of daemons differ.
     crash.evidence > 0
         && crash_attribution::is_start_related(Duration::from_millis(crash.lived_ms))
+        && crash.at <= now.wall
         && Duration::from_millis(now.wall.0.saturating_sub(crash.at.0))
             < crash_containment::TRIGGER_WINDOW
 }
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -26,7 +26,7 @@
 const MAX_ORDER_RETRY_DELAY: Duration = Duration::from_millis(4_000);
 /// The time after an order from which a host that is listed as up counts as back, although no list
 /// has shown it as away or with a new executor: a host that stays off has none.
-const RETURN_TIMEOUT: Duration = Duration::from_secs(30);
+pub(super) const RETURN_TIMEOUT: Duration = Duration::from_secs(30);
 /// The time after which a host that has not returned from a move is no longer expected; many times
 /// the duration of a move.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -88,17 +88,6 @@
         (ORDER_RETRY_DELAY * (1 << self.failed.saturating_sub(2).min(3))).min(MAX_ORDER_RETRY_DELAY)
     }
 
-    /// Whether a list that was requested at `listed` shows the host as back.
-    ///
-    /// A list may show the state before the order, even if it was requested after it. One that shows
-    /// a new executor, or the host as up after another list has shown it as away, does not.
-    fn is_back(&self, entry: &HostEntry, listed: Time) -> bool {
-        let Stage::Away { since, seen } = self.stage else { return false };
-        let has_new_executor = entry.executor.is_some() && entry.executor != self.drained;
-        let is_overdue = listed.since(since) >= RETURN_TIMEOUT;
-        entry.state == HostState::Up && (has_new_executor || seen || is_overdue)
-    }
-
     /// Whether an order for the host was recorded or sent, whether or not it was answered.
     pub(super) fn is_ordered(&self) -> bool {
         !matches!(self.stage, Stage::Emptying { .. })
@@ -117,6 +106,31 @@
         }
     }
 
+    /// Whether a list that was requested at `listed` shows a withdrawn host as back.
+    ///
+    /// A list may show the state before the order, even if it was requested after it. One that shows
+    /// a new executor, or the host as up after another list has shown it as away, does not.
+    fn is_back(&self, entry: &HostEntry, withdrawal: &Withdrawal, listed: Time) -> bool {
+        let Stage::Away { since, seen } = withdrawal.stage else { return false };
+        let has_new_executor =
+            || entry.executor != withdrawal.drained && self.has_executor_since(entry, since);
+        let is_overdue = listed.since(since) >= RETURN_TIMEOUT;
+        entry.state == HostState::Up && (seen || is_overdue || has_new_executor())
+    }
+
+    /// Whether the listed executor of a host was running after `since`. One that was known before may
+    /// have ended, and old lists still name it; it has to answer a poll that was sent later.
+    fn has_executor_since(&self, entry: &HostEntry, since: Time) -> bool {
+        let Some(executor) = &entry.executor else { return false };
+        match self.executors.get(executor) {
+            Some(known) => {
+                let answered = known.polling.last_answered_sent;
+                !known.ended && answered.is_some_and(|sent| sent > since)
+            }
+            None => !self.fleet.is_forgotten(executor),
+        }
+    }
+
     /// Ends the withdrawal of hosts that were away and are listed as up again.
     pub(super) fn return_to_service(&mut self, listed: Time) {
         let hosts = &self.fleet.hosts;
@@ -126,7 +140,7 @@
             match withdrawal.stage {
                 Stage::Emptying { .. } => false,
                 Stage::Away { since, .. } => {
-                    let is_back = entry.is_none_or(|entry| withdrawal.is_back(entry, listed));
+                    let is_back = entry.is_none_or(|entry| self.is_back(entry, withdrawal, listed));
                     is_back && listed > since
                 }
                 // The response was lost, and the host is in the pool that it was to move to.
@@ -149,6 +163,17 @@
             self.log("host-back", &host, String::new);
         }
         self.note_hosts_away(listed);
+        self.note_inherited_away();
+    }
+
+    /// Records which hosts with orders of earlier leaders a list shows as away.
+    fn note_inherited_away(&mut self) {
+        let is_away = |host: &&HostName| {
+            self.fleet.hosts.get(*host).is_some_and(|entry| entry.state != HostState::Up)
+        };
+        let away: Vec<HostName> =
+            self.inherited_host_orders.keys().filter(is_away).cloned().collect();
+        self.fleet.seen_away.extend(away);
     }
 
     fn note_hosts_away(&mut self, listed: Time) {
@@ -267,6 +292,25 @@
             .is_some_and(|age| *age + now.since(self.took_over_at) < EARLIER_ORDER_TIME)
     }
 
+    /// Whether a host may still be away by an order of an earlier leader. `begun` says whether that
+    /// leader has stored that the platform carries the order out.
+    ///
+    /// As with the orders of this leader, a list that shows the host as up does not suffice: it may
+    /// show the state before the order.
+    pub(super) fn may_be_away(&self, now: Time, host: &HostName, begun: bool) -> bool {
+        let Some(entry) = self.fleet.hosts.get(host).filter(|_| self.may_be_ordered(now, host))
+        else {
+            return false;
+        };
+        let age = self.inherited_host_orders.get(host).copied().unwrap_or_default();
+        // An order that may still be in flight may take the host away until the pause is over.
+        let pause = if begun { Duration::ZERO } else { self.limits.host_order_pause };
+        let since = self.took_over_at + pause.saturating_sub(age);
+        let is_back = entry.state == HostState::Up
+            && (self.fleet.seen_away.contains(host) || self.has_executor_since(entry, since));
+        !is_back
+    }
+
     /// How long this leader has been leading, in milliseconds.
     pub(super) fn led_millis(&self, now: Time) -> u64 {
         now.since(self.took_over_at).as_millis() as u64
