Simulate outages of the store with a takeover, lost responses and a second outage

Users saw a lasting job shown as failed after an outage of the store at whose end a leader began at once while responses of executors were lost. The simulation had no such series.

Rare faults, each off by default and drawing no random number while off: incidents of that shape with lapsed registrations, lists of hosts older than the return and appends stored without an answer; losses of power of all leaders; removals announced in a gap of the watch; executors of one job that crash in turn; executors that fail all that they start; leaders that run behind; and wall clocks of leaders that differ. No task that does not last fails by itself as often as its attempts allow, so every job stays sound.

The reports of lasting_jobs and poison_tasks have the new kinds, and tell the cause of a job that is shown as failed.

--- a/crates/borageswitch_scheduler/tests/lasting_jobs.rs
+++ b/crates/borageswitch_scheduler/tests/lasting_jobs.rs
@@ -23,6 +23,8 @@
 const LASTING_TASKS: u32 = 8;
 /// The number of ordinary jobs.
 const ORDINARY_JOBS: u32 = 120;
+/// Of so many jobs one has lasting and ordinary steps, where most jobs are ordinary.
+const MIXED_JOB_INTERVAL: u32 = 4;
 /// How long the demand for one of two pools lasts, in milliseconds.
 const DEMAND_PERIOD_MS: u64 = 8_000;
 /// The shortest and the longest time without faults at the end, in milliseconds.
@@ -46,14 +48,14 @@
     }
 
     /// The ordinary jobs that are shown as failed though each of their tasks can be done.
-    fn wrongly_failed(&self) -> usize {
+    fn wrongly_failed(&self) -> Vec<&JobName> {
         let reported = self.simulation.reported.iter();
         let wrong = reported.filter(|(job, outcome)| {
             matches!(outcome, Outcome::Failed)
                 && !self.lasting.contains(job)
                 && !self.simulation.may_fail(job)
         });
-        wrong.count()
+        wrong.map(|(job, _)| job).collect()
     }
 
     /// Whether all ordinary jobs have ended and all lasting tasks run.
@@ -134,6 +136,55 @@
     }
 }
 
+/// The shape of an incident on a site: an outage of the store with a takeover at its end, lost
+/// responses and a second outage, while executors and racks crash and hosts move and are maintained.
+fn incident_faults() -> Faults {
+    Faults {
+        incident: 15,
+        leaders_lose_power: 5,
+        announcement_gap: 10,
+        rack_failure: 1,
+        executor_crash: 1,
+        wave: 1,
+        late_lists: true,
+        silent_watch: true,
+        ..Faults::default()
+    }
+}
+
+/// Executors fail all that they start now and then, while responses are lost and leaders change.
+fn mixed_faults() -> Faults {
+    Faults {
+        failing_executors: 100,
+        incident: 10,
+        leaders_lose_power: 10,
+        lease_lapse: 50,
+        executor_crash: 1,
+        executor_partition: 1,
+        lost_response: 50,
+        lost_order: 10,
+        delayed_order: 10,
+        truncated_reports: true,
+        silent_watch: true,
+        ..Faults::default()
+    }
+}
+
+/// All faults at once.
+fn site_wide_faults() -> Faults {
+    Faults {
+        incident: 10,
+        leaders_lose_power: 5,
+        announcement_gap: 10,
+        crashes_in_turn: 5,
+        failing_executors: 50,
+        leader_behind: 20,
+        leader_clocks: true,
+        truncated_reports: true,
+        ..wide_faults()
+    }
+}
+
 fn submit_lasting(simulation: &mut Simulation, number: u32) -> JobName {
     // Some jobs spread over the hosts, some are packed onto a few.
     let max_per_host = if number.is_multiple_of(2) { Some(1) } else { None };
@@ -229,6 +280,32 @@
     session
 }
 
+/// A lasting job with ordinary steps before and beside its lasting one.
+fn submit_mixed(simulation: &mut Simulation) -> JobName {
+    let beside = ordinary_step(simulation);
+    let last = Step { after: vec![1], ..ordinary_step(simulation) };
+    let count = simulation.rng.u32(1..3);
+    simulation.submit(vec![lasting_step(count), beside, last])
+}
+
+/// As [`simulate`], with many lasting jobs that have ordinary steps, and some ordinary jobs.
+fn simulate_mixed(seed: u64, faults: Faults) -> Session {
+    let mut simulation = Simulation::with_hosts(seed, HOSTS, true, faults);
+    let mut lasting = Vec::new();
+    for number in 0..ORDINARY_JOBS {
+        if number.is_multiple_of(MIXED_JOB_INTERVAL) {
+            lasting.push(submit_mixed(&mut simulation));
+        } else {
+            let step = ordinary_step(&mut simulation);
+            simulation.submit(vec![step]);
+        }
+        simulation.run(500);
+    }
+    let mut session = Session { simulation, lasting };
+    session.settle();
+    session
+}
+
 /// Simulates a session of a named kind, for [`report`].
 fn simulate_kind(seed: u64, kind: &str) -> Session {
     let power = Faults { power_loss: 20, ..Faults::default() };
@@ -248,6 +325,9 @@
         }
         "rare" => simulate_two_pools(seed, rare_faults()),
         "wide" => simulate_two_pools(seed, wide_faults()),
+        "incident" => simulate_two_pools(seed, incident_faults()),
+        "mixed" => simulate_mixed(seed, mixed_faults()),
+        "sites" => simulate_two_pools(seed, site_wide_faults()),
         _ => simulate(seed, all_faults()),
     }
 }
@@ -310,11 +390,13 @@
         let simulation = &session.simulation;
         jobs += session.lasting.len();
         let wrong = session.failed();
-        if !wrong.is_empty() {
-            println!("seed {seed}: shown as failed: {wrong:?}");
+        for job in wrong.iter().copied().chain(session.wrongly_failed()) {
+            let cause = simulation.failure_causes.get(job).copied().unwrap_or("unknown");
+            let kind = if session.lasting.contains(job) { "lasting" } else { "ordinary" };
+            println!("seed {seed}: {kind} job {job} is shown as failed, cause {cause}");
         }
         failed += wrong.len();
-        wrongly_failed += session.wrongly_failed();
+        wrongly_failed += session.wrongly_failed().len();
         given_up += simulation.log_counts.get("task-given-up").copied().unwrap_or_default();
         let others = simulation.violations.iter().filter(|l| !l.contains("is reported as failed"));
         for line in others {
--- a/crates/borageswitch_scheduler/tests/poison_tasks.rs
+++ b/crates/borageswitch_scheduler/tests/poison_tasks.rs
@@ -258,6 +258,10 @@
         "crashes" => (crashes, 3),
         "racks" => (racks, 3),
         "leaders" => (Faults { leader_crash: 1, ..crashes }, 3),
+        "incident" => {
+            let incident = Faults { incident: 15, leaders_lose_power: 5, ..crashes };
+            (Faults { late_lists: true, silent_watch: true, ..incident }, 3)
+        }
         "sound" => (Faults { executor_crash: 1, ..racks }, 0),
         _ => (Faults::default(), 3),
     };
--- a/crates/borageswitch_scheduler/tests/support/executor.rs
+++ b/crates/borageswitch_scheduler/tests/support/executor.rs
@@ -64,6 +64,10 @@
     pub acknowledged: u64,
     /// Lasting runs end by themselves.
     pub ends_lasting: bool,
+    /// All runs that start before this time fail.
+    pub fails_until: u64,
+    /// The runs that were started and fail, or have failed.
+    failing_runs: BTreeSet<(TaskKey, u32)>,
     /// The number of ended runs in one report.
     pub ended_per_report: usize,
     pub done: Vec<TaskKey>,
@@ -94,6 +98,8 @@
             last_end_number: 0,
             acknowledged: 0,
             ends_lasting: false,
+            fails_until: 0,
+            failing_runs: BTreeSet::new(),
             ended_per_report: usize::MAX,
             done: Vec::new(),
             lapsed_after: 0,
@@ -137,7 +143,7 @@
         let due: Vec<(TaskKey, EndKind)> = self
             .active
             .iter()
-            .filter(|(_, run)| (!run.lasting || ends_lasting) && run.ends <= now)
+            .filter(|(_, run)| (!run.lasting || ends_lasting || run.fails) && run.ends <= now)
             .map(|(task, run)| (task.clone(), run.natural_end()))
             .collect();
         for (task, how) in due {
@@ -158,6 +164,11 @@
         });
     }
 
+    /// The number of runs of a task that fail or have failed here.
+    pub fn failing_runs(&self, task: &TaskKey) -> usize {
+        self.failing_runs.iter().filter(|(failing, _)| failing == task).count()
+    }
+
     fn mark_finished(&mut self, task: &TaskKey, run: u32) {
         let highest = self.finished_runs.entry(task.clone()).or_default();
         *highest = (*highest).max(run);
@@ -216,6 +227,9 @@
             ends: now + task.length,
             fails: task.fails,
         };
+        if run.fails {
+            self.failing_runs.insert((order.task.clone(), run.run));
+        }
         self.active.insert(order.task.clone(), run);
         StartResponse::Started
     }
--- a/crates/borageswitch_scheduler/tests/support/simulation.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation.rs
@@ -4,6 +4,7 @@
 //! - [`hosts`]: hosts that crash, lose capacity, are removed and are maintained.
 //! - [`late_lists`]: lists of hosts that are slow, old or incomplete.
 //! - [`poison_tasks`]: tasks that crash the executors that run them.
+//! - [`incidents`]: faults in a row, as an outage of the store with lost responses after it.
 //! - [`site_faults`]: losses of power, and outages of the store with their consequences.
 //! - [`store`]: what is stored, and what the next leader would know.
 //! - [`processor`]: the time that calls and events take the leader.
@@ -11,6 +12,7 @@
 
 mod checks;
 mod hosts;
+mod incidents;
 mod late_lists;
 mod orders;
 pub mod poison_tasks;
@@ -48,6 +50,7 @@
     fixtures::{config, cores, queue},
 };
 use hosts::Hosts;
+use incidents::Incidents;
 use poison_tasks::PoisonTasks;
 use processor::{Processor, Work};
 use store::{Store, TermEnd};
@@ -112,6 +115,25 @@
     /// The leader learns of no registration while the store is away. This is a switch, not a
     /// probability.
     pub silent_watch: bool,
+    /// The store is away, a new leader begins when it is back, responses are lost for seconds, and
+    /// later the store is away again. Registrations expire, lists of hosts are older than the end of
+    /// the outage, and the last appends may be stored without an answer. This and the following
+    /// five faults are rare: their probability is per hundred thousand steps.
+    pub incident: u32,
+    /// The store and all leaders lose power for two to three seconds; executors go on.
+    pub leaders_lose_power: u32,
+    /// A removal is announced and may be over while the watch of the registrations has a gap.
+    pub announcement_gap: u32,
+    /// The executors that run one lasting job crash one after the other.
+    pub crashes_in_turn: u32,
+    /// Some executors fail all that they start for seconds, but no task that does not last so often
+    /// that it uses up its attempts: all jobs stay sound.
+    pub failing_executors: u32,
+    /// The leader's calls and events take time for seconds, so that it runs behind.
+    pub leader_behind: u32,
+    /// The wall clock of each leader differs from the true time by up to some seconds. This is a
+    /// switch, not a probability.
+    pub leader_clocks: bool,
 }
 
 enum Due {
@@ -165,6 +187,9 @@
     unregistered_until: BTreeMap<ExecutorName, u64>,
     /// The leader has not learned of all registrations.
     registrations_due: bool,
+    incidents: Incidents,
+    /// Why each job that is shown as failed has failed.
+    pub failure_causes: BTreeMap<JobName, &'static str>,
 }
 
 impl Simulation {
@@ -204,6 +229,8 @@
             has_data_centres: faults.power_loss > 0,
             unregistered_until: BTreeMap::new(),
             registrations_due: false,
+            incidents: Incidents::default(),
+            failure_causes: BTreeMap::new(),
         };
         for _ in 0..hosts {
             simulation.add_executor(enforces_capacity);
@@ -255,6 +282,9 @@
     pub fn crash_leader(&mut self, pause: u64) {
         self.leader = None;
         self.leader_back_at = self.now + pause;
+        if let Some(processor) = &mut self.processor {
+            processor.clear();
+        }
     }
 
     fn add_executor(&mut self, enforces_capacity: bool) -> ExecutorName {
@@ -277,7 +307,7 @@
         enforces_capacity: bool,
     ) -> ExecutorName {
         let id =
-            incarnation::name(incarnation::registered_name(registered), Some(self.moment().wall));
+            incarnation::name(incarnation::registered_name(registered), Some(self.true_time()));
         let slow_clock = self.rng.bool();
         let mut executor = self.new_executor(enforces_capacity, 0, slow_clock);
         executor.started_at = self.now;
@@ -318,8 +348,14 @@
         declared.as_millis() as u64 * percent / 100
     }
 
+    fn true_time(&self) -> UnixMillis {
+        UnixMillis(WALL_CLOCK_START + self.now)
+    }
+
+    /// The time by the leader's clocks.
     fn moment(&self) -> Now {
-        Now { time: Time::from_millis(self.now), wall: UnixMillis(WALL_CLOCK_START + self.now) }
+        let wall = self.true_time().0.saturating_add_signed(self.incidents.clock_ahead);
+        Now { time: Time::from_millis(self.now), wall: UnixMillis(wall) }
     }
 
     fn registrations(&self) -> Vec<Registration> {
@@ -534,7 +570,8 @@
             self.partitioned_until.insert(victim, until);
         }
         if self.chance(self.faults.store_outage) {
-            self.store_outage_until = self.now + self.rng.u64(200..6_000);
+            let until = self.now + self.rng.u64(200..6_000);
+            self.store_outage_until = until.max(self.incidents.store_back_at);
             self.trace(|| format!("the store is away until {}", self.store_outage_until));
         }
         if self.chance(self.faults.cancel) {
@@ -542,6 +579,7 @@
         }
         self.inject_host_faults();
         self.inject_site_faults();
+        self.inject_incidents();
     }
 
     fn crash_random_executor(&mut self) {
@@ -563,7 +601,8 @@
     }
 
     fn send_registrations(&mut self) {
-        if self.faults.silent_watch && self.now < self.store_outage_until {
+        let is_silent = self.faults.silent_watch && self.now < self.store_outage_until;
+        if is_silent || self.is_in_watch_gap() {
             self.registrations_due = true;
             return;
         }
@@ -584,6 +623,7 @@
         }
         self.token += 1;
         self.pending_appends.clear();
+        self.draw_leader_clock();
         let (ledger, next) = self.store.restore();
         let stale = self.store.stale_submissions(&ledger);
         let moment = self.moment();
@@ -638,11 +678,17 @@
         let effects = leader.settle(moment);
         for (job, submission) in &self.submissions {
             use borageswitch_scheduler::reducer::view::JobStatus;
-            let outcome = match leader.status(&submission.queue.name, job) {
+            let status = leader.status(&submission.queue.name, job);
+            let outcome = match status {
                 Some(JobStatus::Ended(outcome)) => Some(outcome),
                 Some(JobStatus::GivenUp(_)) => Some(Outcome::Failed),
                 _ => None,
             };
+            if outcome == Some(Outcome::Failed) {
+                let is_given_up = matches!(status, Some(JobStatus::GivenUp(_)));
+                let cause = if is_given_up { "crashes" } else { "attempts" };
+                self.failure_causes.entry(job.clone()).or_insert(cause);
+            }
             if let Some(outcome) = outcome {
                 self.violations.extend(self.store.check_reported(job, outcome));
                 self.reported.entry(job.clone()).or_insert(outcome);
--- a/crates/borageswitch_scheduler/tests/support/simulation/checks.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation/checks.rs
@@ -101,6 +101,7 @@
         self.store_outage_until = 0;
         self.unregistered_until.values_mut().for_each(|until| *until = (*until).min(self.now));
         self.executors.values_mut().for_each(|known| known.ends_lasting = false);
+        self.clear_incidents();
     }
 
     /// Jobs that have not ended, except for lasting jobs.
--- a/crates/borageswitch_scheduler/tests/support/simulation/hosts.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation/hosts.rs
@@ -222,6 +222,14 @@
         }
     }
 
+    /// Expires the registrations of executors that have ended: they were renewed earlier than those
+    /// of the executors that run, and do not outlast them.
+    pub(super) fn expire_registrations_of_ended(&mut self) {
+        if let Some(hosts) = &mut self.hosts {
+            hosts.expiring.clear();
+        }
+    }
+
     pub(super) fn advance_hosts(&mut self) {
         let now = self.now;
         let Some(hosts) = &mut self.hosts else { return };
@@ -362,7 +370,7 @@
     }
 
     /// Drains a random host and schedules its removal and replacement some seconds later.
-    fn announce_removal(&mut self) {
+    pub(super) fn announce_removal(&mut self) {
         let Some(name) = self.random_host() else { return };
         let at = self.now + self.rng.u64(2_000..4_000);
         let host = self.hosts.as_mut().and_then(|hosts| hosts.all.get_mut(&name));
--- a/crates/borageswitch_scheduler/tests/support/simulation/late_lists.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation/late_lists.rs
@@ -59,7 +59,11 @@
 
     /// The list to return in place of the current one.
     pub(super) fn late_list(&mut self, current: Vec<HostEntry>) -> Vec<HostEntry> {
-        let age = if self.is_prompt() { 0 } else { self.rng.u64(..MAX_LIST_AGE) };
+        let age = match self.age_before_return() {
+            Some(age) => age,
+            None if self.is_prompt() => 0,
+            None => self.rng.u64(..MAX_LIST_AGE),
+        };
         let now = self.now;
         let Some(hosts) = &mut self.hosts else { return current };
         let at = (now - age.min(now)).max(hosts.lists.returned);
--- a/crates/borageswitch_scheduler/tests/support/simulation/orders.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation/orders.rs
@@ -10,6 +10,9 @@
 use super::{CALL_TIMEOUT, Due, LONGEST_DELAY, RESET_TIME, Simulation, processor::Work};
 use crate::support::executor::Behaviour;
 
+/// How long a run takes on an executor that fails all that it starts, in milliseconds.
+const FAILING_RUN_MS: u64 = 50;
+
 impl Simulation {
     pub(super) fn deliver(&mut self) {
         let (now, later) =
@@ -58,7 +61,7 @@
         }
         match effect {
             Effect::Start(asked, order) => {
-                let behaviour = self.behaviour(&order.task);
+                let behaviour = self.behaviour_on(&to, &order.task);
                 let executor = self.executors.get_mut(&to).unwrap();
                 let response = executor.start(self.now, token, &order, behaviour);
                 let clock_ms = Some(executor.clock(self.now));
@@ -127,11 +130,33 @@
         }
     }
 
+    /// How a task behaves on an executor that may fail all that it starts.
+    fn behaviour_on(&self, executor: &ExecutorName, task: &TaskKey) -> Behaviour {
+        let behaviour = self.behaviour(task);
+        let fails_all = self.executors[executor].fails_until > self.now;
+        let may_fail_again =
+            || behaviour.lasting || self.failing_runs(task) + 1 < self.max_attempts(task);
+        if behaviour.fails || !fails_all || !may_fail_again() {
+            return behaviour;
+        }
+        Behaviour { fails: true, length: behaviour.length.min(FAILING_RUN_MS), ..behaviour }
+    }
+
+    /// The number of runs of a task that have failed or will fail, on all executors.
+    pub fn failing_runs(&self, task: &TaskKey) -> usize {
+        self.executors.values().map(|known| known.failing_runs(task)).sum()
+    }
+
+    fn max_attempts(&self, task: &TaskKey) -> usize {
+        usize::from(self.submissions[&task.job].queue.max_attempts)
+    }
+
     pub(super) fn send(&mut self, token: u64, effect: Effect) {
         self.check_sent(&effect);
         let lost = self.chance(self.faults.lost_order);
         let late = self.chance(self.faults.delayed_order);
         let silent = self.chance(self.faults.lost_response) || lost || late;
+        let silent = silent || self.loses_response();
         let to = self.current_incarnation(&recipient(&effect).executor);
         let silent = silent || !self.is_reachable(&to);
         // An executor holds a poll with a wait until a run ends; 100 ms stand for that.
--- a/crates/borageswitch_scheduler/tests/support/simulation/processor.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation/processor.rs
@@ -16,6 +16,7 @@
 pub struct Processor {
     micros_per_call: i64,
     micros_per_event: i64,
+    usual_costs: (i64, i64),
     budget_micros: i64,
     queue: VecDeque<Work>,
 }
@@ -23,13 +24,35 @@
 impl Processor {
     /// Creates a processor that takes so long to send a call and to handle an event.
     pub fn new(micros_per_call: i64, micros_per_event: i64) -> Self {
-        Self { micros_per_call, micros_per_event, budget_micros: 0, queue: VecDeque::new() }
+        Self {
+            micros_per_call,
+            micros_per_event,
+            usual_costs: (micros_per_call, micros_per_event),
+            budget_micros: 0,
+            queue: VecDeque::new(),
+        }
+    }
+
+    /// Changes how long calls and events take for a while.
+    pub(super) fn set_costs(&mut self, micros_per_call: i64, micros_per_event: i64) {
+        self.micros_per_call = micros_per_call;
+        self.micros_per_event = micros_per_event;
+    }
+
+    /// Takes as long as at first again.
+    pub(super) fn set_costs_to_usual(&mut self) {
+        (self.micros_per_call, self.micros_per_event) = self.usual_costs;
     }
 
     pub(super) fn enqueue(&mut self, work: Work) {
         self.queue.push_back(work);
     }
 
+    /// Forgets the work of a leader that has ended.
+    pub(super) fn clear(&mut self) {
+        self.queue.clear();
+    }
+
     fn take(&mut self) -> Option<Work> {
         if self.budget_micros <= 0 {
             return None;
--- a/crates/borageswitch_scheduler/tests/support/simulation/site_faults.rs
+++ b/crates/borageswitch_scheduler/tests/support/simulation/site_faults.rs
@@ -48,7 +48,8 @@
     }
 
     fn begin_outage(&mut self) {
-        self.store_outage_until = self.now + self.rng.u64(MIN_OUTAGE..MAX_OUTAGE);
+        let until = self.now + self.rng.u64(MIN_OUTAGE..MAX_OUTAGE);
+        self.store_outage_until = until.max(self.incidents.store_back_at);
         self.trace(|| format!("the store is away until {}", self.store_outage_until));
     }
 
@@ -74,7 +75,7 @@
 
     /// Half of the executors are not registered when the store is back, and register within
     /// seconds.
-    fn expire_registrations(&mut self) {
+    pub(super) fn expire_registrations(&mut self) {
         for executor in self.executors_where(|_| true) {
             if self.rng.bool() {
                 let until = self.store_outage_until + self.rng.u64(1..MAX_REGISTRATION_GAP);
@@ -87,7 +88,7 @@
 
     /// Registers executors again, and sends the leader the registrations once the store is back.
     pub(super) fn advance_registrations(&mut self) {
-        let is_away = self.now < self.store_outage_until;
+        let is_away = self.now < self.store_outage_until || self.is_in_watch_gap();
         let before = self.unregistered_until.len();
         self.unregistered_until.retain(|_, until| *until > self.now);
         self.registrations_due |= before != self.unregistered_until.len();
