--- a/crates/borageswitch_scheduler/tests/lasting_jobs.rs
+++ b/crates/borageswitch_scheduler/tests/lasting_jobs.rs
@@ -378,6 +378,20 @@
     }
 }
 
+#[test]
+fn lasting_jobs_survive_incidents_of_the_store_and_failing_executors() {
+    // Guards against sound jobs that are shown as failed after an outage of the store with a
+    // takeover and lost responses, or because a failed run of an ordinary step counts twice.
+    for seed in seeds() {
+        for kind in ["incident", "mixed", "sites"] {
+            let session = simulate_kind(seed, kind);
+
+            assert_invariants(seed, &session);
+            assert!(session.wrongly_failed().is_empty(), "seed {seed}: {kind}");
+        }
+    }
+}
+
 /// Prints violations by kind of faults. `BORAGESWITCH_REPORT` selects the kind; without it the test
 /// does nothing.
 #[test]
