Give up a task that has used up its starts for evidence of a thousand to one

Two crashes of isolated starts are not always to be had: where leaders change, one of them is lost without a known age, and the task was started a sixth time. Five crashes with a thousand to one against the task, of which at least two are attributed, give it up as well.

--- a/crates/borageswitch_scheduler/src/policy/crash_attribution.rs
+++ b/crates/borageswitch_scheduler/src/policy/crash_attribution.rs
@@ -24,8 +24,11 @@
 /// The minimum number of crashes before a task is given up.
 const MIN_CRASHES: usize = 2;
 /// A task is given up after this many crashes that its starts may have caused, if all of them are
-/// attributed to it.
+/// attributed to it or the evidence reaches [`LIMIT_EVIDENCE`].
 const MAX_CRASHES: usize = 5;
+/// Evidence from which a task is given up after [`MAX_CRASHES`] that are only in part attributed to
+/// it, in thousandths of a power of ten.
+const LIMIT_EVIDENCE: u32 = 3_000;
 /// Evidence from which a task is given up that has crashed [`MIN_CRASHES`] executors while it was
 /// isolated, in thousandths of a power of ten. Nothing else had started there, and the pool was
 /// calm.
@@ -88,12 +91,14 @@
     pub fn of(crashes: &[Crash]) -> SuspicionLevel {
         let tally = Tally::of(crashes);
         let all_attributed = crashes.iter().all(Crash::is_attributed);
-        let at_limit = tally.start_related >= MAX_CRASHES && all_attributed;
+        let at_limit = tally.start_related >= MAX_CRASHES
+            && (all_attributed || tally.evidence >= LIMIT_EVIDENCE);
+        let has_crashed_several = has_crashed_several(crashes);
         let required = match has_crashed_several_isolated(crashes) {
             true => ISOLATED_THRESHOLD,
             false => EVIDENCE_THRESHOLD,
         };
-        if at_limit || has_crashed_several(crashes) && tally.evidence >= required {
+        if has_crashed_several && (at_limit || tally.evidence >= required) {
             SuspicionLevel::Poison
         } else if tally.isolates() {
             SuspicionLevel::Isolated
