--- a/crates/borageswitch_runtime/src/codec/tests.rs
+++ b/crates/borageswitch_runtime/src/codec/tests.rs
@@ -50,6 +50,7 @@
     assert_eq!(decode_submission(&stored), Ok(now));
     for added_field in [
         "counted ends",
+        "survivals of suspects",
         "recent starts",
         "failed runs of gangs",
         "given up jobs",
