--- a/crates/borageswitch_scheduler/src/reducer/crashes.rs
+++ b/crates/borageswitch_scheduler/src/reducer/crashes.rs
@@ -281,11 +281,16 @@
     lost.collect()
 }
 
+/// When an executor can have ended at the latest, by its last answer and the first call without one.
+///
+/// The polls after the start of an isolated suspect follow each other so closely that the first one
+/// without an answer dates the end; otherwise a single lost response would date it too early.
 fn ended_by(known: &Executor, now: Time) -> Time {
     // A call may get a response after another one failed.
     let last_contact = known.clock.map_or(Time::ZERO, |clock| clock.received);
     let polling = &known.polling;
     let sent = polling.immediate_poll_in_flight.then_some(polling.immediate_poll_sent);
+    let sent = sent.filter(|sent| *sent < known.isolated_until);
     let unanswered = sent.map(|sent| sent + polls::PROMPT_RESPONSE_TIME);
     let silent = [polling.silent_since, unanswered].into_iter().flatten();
     silent.filter(|since| *since >= last_contact).min().unwrap_or(now).min(now)
--- a/crates/borageswitch_scheduler/src/reducer/polls.rs
+++ b/crates/borageswitch_scheduler/src/reducer/polls.rs
@@ -120,12 +120,13 @@
         order: &PollOrder,
     ) {
         let Some(known) = self.executors.get_mut(executor) else { return };
-        let polling = &mut known.polling;
-        polling.failures += 1;
-        let silent = match order.wait.is_zero() {
+        let is_observed = order.wait.is_zero() && sent < known.isolated_until;
+        let silent = match is_observed {
             true => now.time.min(sent + PROMPT_RESPONSE_TIME),
             false => now.time,
         };
+        let polling = &mut known.polling;
+        polling.failures += 1;
         polling.silent_since = Some(polling.silent_since.map_or(silent, |since| since.min(silent)));
         let backoff = FIRST_BACKOFF * (1 << (polling.failures - 1).min(4));
         polling.not_before = now.time + backoff.min(MAX_BACKOFF);
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -149,6 +149,11 @@
         let registered: Vec<ExecutorName> = registered.map(|(name, _)| name.clone()).collect();
         for executor in registered {
             let Some(before) = self.executors.other_incarnations(&executor).pop() else { continue };
+            if self.executors.get(&executor).is_some_and(|known| !known.runs.is_empty()) {
+                // An earlier leader has used it, so it is no odd entry.
+                self.carry_over_to_latest(now, &executor, &before);
+                continue;
+            }
             if incarnation::started_at(&executor).is_none() {
                 // An executor that reports its start time always does so.
                 self.carry_over(now, &executor, &before);
@@ -158,6 +163,13 @@
         }
     }
 
+    fn carry_over_to_latest(&mut self, now: Now, executor: &ExecutorName, other: &ExecutorName) {
+        match self.executors.latest_incarnation(executor) == Some(executor) {
+            true => self.carry_over(now, other, executor),
+            false => self.carry_over(now, executor, other),
+        }
+    }
+
     /// Adds a run that an earlier leader assigned. The run may go on even if its executor is no
     /// longer registered.
     fn inherit_run(
