Order hosts whose inherited orders were answered long before the takeover

An order that was answered longer ago than the pause, and of which nothing began, takes no host away.

--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -303,6 +303,10 @@
             return false;
         };
         let age = self.inherited_host_orders.get(host).copied().unwrap_or_default();
+        if !begun && age >= self.limits.host_order_pause {
+            // It was answered long before the takeover, and nothing began.
+            return false;
+        }
         // An order that may still be in flight may take the host away until the pause is over.
         let pause = if begun { Duration::ZERO } else { self.limits.host_order_pause };
         let since = self.took_over_at + pause.saturating_sub(age);
