Keep the folders of soak runs apart

Cause: `daemons_keep_their_promises_under_the_faults_of_one_seed` and `lasting_jobs_survive_outages_of_the_store_with_lost_answers_between` both have the seed 1, run at the same time, and wrote settings and logs to one folder, `seed-1`. The daemons of one run started with the addresses of the other's store. Change: the folder is named by shape and seed, and locked while a run uses it, so that a second run of one seed is refused instead of mixed with the first.

--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! is checked is what callers and executors saw.
 //!
 //! - [`addresses`]: a loopback address for each run.
+//! - [`folder`]: the folder of a run.
 //! - [`plan`]: which faults, when and for how long.
 //! - [`proxy`]: connections that can be disturbed.
 //! - [`process`]: a daemon as a process, and signals to it.
@@ -18,6 +19,7 @@
 pub mod addresses;
 pub mod callers;
 pub mod faults;
+pub mod folder;
 pub mod plan;
 pub mod process;
 pub mod promises;
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -16,6 +16,7 @@
 use crate::{
     callers::{Callers, Fate},
     faults,
+    folder::Folder,
     plan::{self, Planned, Shape, Size},
     promises::{self, Seen},
     site::{self, Site},
@@ -34,7 +35,7 @@
 pub struct Options {
     /// The program of a daemon.
     pub program: PathBuf,
-    /// Where settings and logs go; a folder for each seed.
+    /// Where settings and logs go; a folder for each seed and shape.
     pub dir: PathBuf,
     /// How large it is.
     pub size: Size,
@@ -82,11 +83,11 @@
 /// When the site cannot be put together.
 pub fn run(options: &Options, seed: u64) -> io::Result<Verdict> {
     let began = Instant::now();
-    let dir = options.dir.join(format!("seed-{seed}"));
-    fs::create_dir_all(&dir)?;
+    let folder = Folder::claim(&options.dir, options.shape, seed)?;
+    let dir = folder.path();
     let ex: Runner = Arc::new(Executor::new());
     let size = options.size;
-    let site = Arc::new(Site::new(&ex, &options.program, &dir, size.daemons, size.hosts)?);
+    let site = Arc::new(Site::new(&ex, &options.program, dir, size.daemons, size.hosts)?);
     for daemon in &site.daemons {
         daemon.start()?;
     }
