Name the two steps of adding an unconfirmed incarnation apart

`hold_unconfirmed` was the name of a function of the reducer and of one of the executor table. The reducer now adds an unconfirmed incarnation, the table marks it. No behaviour changes.

--- a/crates/borageswitch_scheduler/src/reducer/executor_table.rs
+++ b/crates/borageswitch_scheduler/src/reducer/executor_table.rs
@@ -85,11 +85,11 @@
     pub fn insert_unconfirmed(&mut self, executor: Executor, before: &ExecutorName) {
         let name = executor.registration.executor.clone();
         self.insert(executor);
-        self.hold_unconfirmed(&name, before);
+        self.mark_unconfirmed(&name, before);
     }
 
     /// Makes a known executor an unconfirmed incarnation, and `before` the latest one.
-    pub fn hold_unconfirmed(&mut self, executor: &ExecutorName, before: &ExecutorName) {
+    pub fn mark_unconfirmed(&mut self, executor: &ExecutorName, before: &ExecutorName) {
         let registered = ExecutorName::from(incarnation::registered_name(executor));
         match incarnation::started_at(before) {
             Some(_) => self.latest_incarnations.insert(registered.clone(), before.clone()),
--- a/crates/borageswitch_scheduler/src/reducer/recovery.rs
+++ b/crates/borageswitch_scheduler/src/reducer/recovery.rs
@@ -159,7 +159,7 @@
                 self.carry_over(now, &executor, &before);
                 continue;
             }
-            self.executors.hold_unconfirmed(&executor, &before);
+            self.executors.mark_unconfirmed(&executor, &before);
         }
     }
 
--- a/crates/borageswitch_scheduler/src/reducer/registrations.rs
+++ b/crates/borageswitch_scheduler/src/reducer/registrations.rs
@@ -62,7 +62,7 @@
         if is_wrong {
             self.handle_unreadable(&executor);
         } else if may_run {
-            self.hold_unconfirmed(now, &before, registration);
+            self.add_unconfirmed(now, &before, registration);
         } else {
             self.handle_restart(now, &before, registration);
         }
@@ -72,7 +72,7 @@
     /// runs of the one before are released once it answers, or that one is known to have ended.
     ///
     /// Until then the one before is treated as if its registration were missing.
-    fn hold_unconfirmed(&mut self, now: Now, before: &ExecutorName, registration: Registration) {
+    fn add_unconfirmed(&mut self, now: Now, before: &ExecutorName, registration: Registration) {
         let executor = registration.executor.clone();
         self.log("registration-unconfirmed", &executor, || format!("before={before}"));
         self.mark_unregistered(before);
