Give lasting tasks without a host the idle reserve of other pools

Cause, from the daemons' logs: the pool roster was left with two hosts for a lasting job of three tasks with one task a host. The third task had no host, so no other task of its step could be interrupted (`max_unavailable` 1), and the host that the wave had closed was never drained. The other pool had four hosts, needed three and kept the fourth, idle, as its reserve for short work; only requests with a label could take a host from such a reserve. Change: a lasting task that lacks a host of any kind gets an idle host from a pool that has more than it needs at present. Its users are without service, the reserve only saves a later move. The new unit test failed before (no move) and passes.

--- a/crates/borageswitch_scheduler/src/policy/lending.rs
+++ b/crates/borageswitch_scheduler/src/policy/lending.rs
@@ -275,19 +275,25 @@
     urgent: bool,
 }
 
-/// Returns hosts with the requested label that other pools keep in reserve or use.
+/// Returns hosts that other pools keep in reserve, or use if the request is for a label.
 ///
 /// Where few hosts have a label, the idle reserve of one pool may hold the last of them while tasks
 /// of another wait for it, with dozens of other hosts at hand. For a lasting task even a busy host
 /// is drained, as its users are without service until then.
+///
+/// A lasting task that needs no label gets an idle host that its pool does not need at present.
 fn retained_hosts<'a, T>(
     pools: &'a [PoolLoad<T>],
     request: &HostRequest<'a, T>,
 ) -> Vec<SpareHost<'a, T>> {
-    let Some(label) = request.label else { return Vec::new() };
     let of = |from: &'a PoolLoad<T>, hosts: &'a [MovableHost<T>]| {
         hosts.iter().map(move |host| SpareHost { host, from })
     };
+    let Some(label) = request.label else {
+        let in_reserve =
+            pools.iter().filter(|pool| request.urgent && pool.hosts > pool.hosts_needed());
+        return in_reserve.flat_map(|pool| of(pool, &pool.idle)).collect();
+    };
     let satisfied = pools.iter().filter(|pool| !pool.uses_all(label));
     let mut retained: Vec<SpareHost<'a, T>> =
         satisfied.flat_map(|pool| of(pool, &pool.idle)).collect();
--- a/crates/borageswitch_scheduler/src/policy/lending/tests.rs
+++ b/crates/borageswitch_scheduler/src/policy/lending/tests.rs
@@ -149,6 +149,21 @@
     assert_eq!(moves, [Move { host: "t2", to: PoolName::from("roster") }]);
 }
 
+#[test]
+fn a_lasting_task_gets_a_host_of_the_idle_reserve_of_another_pool() {
+    // Guards against a lasting task without a host beside one that is idle, and with it against
+    // hosts that are never drained, as too many tasks of its step are unavailable already.
+    let needy = PoolLoad { missing_for_lasting: vec![None], ..load("roster", 2, &[]) };
+    let reserve = load("payroll", 4, &[("p1", 100, "a")]);
+    let in_need = PoolLoad { demand: demand_for(4), ..reserve.clone() };
+
+    let moves = lending::decide(&[needy.clone(), reserve], usize::MAX, |_, _| true);
+    let moves_in_need = lending::decide(&[needy, in_need], usize::MAX, |_, _| true);
+
+    assert_eq!(moves, [Move { host: "p1", to: PoolName::from("roster") }]);
+    assert_eq!(moves_in_need, []);
+}
+
 #[test]
 fn a_lasting_task_gets_a_host_that_short_tasks_use() {
     // Short tasks of another pool work through a backlog on all hosts with a label. A lasting task
