Store a failure that is listed again as an end that does not count

What callers would see: during a rolling upgrade a job with ordinary steps is shown as failed after fewer failed runs than its attempts. Cause: a failed end that is listed again counts once with this version, but it was still stored as another `failed` end; a daemon of the version before, which has only the number of the last end, counts it once more when it reads the append. Change: the repeated end is stored as `stopped`, which acknowledges it and counts nothing in either version. Found by the reviewer; the test failed before ([Failed] instead of [Stopped]).

--- a/crates/borageswitch_scheduler/src/reducer/run_ends.rs
+++ b/crates/borageswitch_scheduler/src/reducer/run_ends.rs
@@ -71,12 +71,14 @@
         self.log(kind, &ended.task, || {
             format!("run={} executor={executor} how={}", ended.run, ended.how)
         });
+        // Daemons of earlier versions would count a repeated failure once more.
+        let kind = if is_repeated { EndKind::Stopped } else { ended.how };
         self.record(Record::Ended {
             executor: executor.clone(),
             number: ended.number,
             task: ended.task.clone(),
             run: ended.run,
-            kind: ended.how,
+            kind,
             checkpoint: ended.checkpoint.clone(),
         });
         self.outbox.defer_acknowledge(executor.clone(), ended.number);
--- a/crates/borageswitch_scheduler/tests/attempts.rs
+++ b/crates/borageswitch_scheduler/tests/attempts.rs
@@ -340,3 +340,33 @@
 
     assert_eq!(failures(&next, &task), 2);
 }
+
+#[test]
+fn a_repeated_failure_is_stored_as_an_end_that_does_not_count() {
+    // Guards against a daemon of an earlier version that reads the append and counts the end again.
+    let task = key("j", 0);
+    let mut session = session_with_failure(&task, true);
+    unregister(&mut session, "e1");
+    store_appends(&mut session);
+
+    return_with_failure(&mut session, &task);
+    let stored: Vec<Record> = (0..20).flat_map(|_| stored_records(&mut session)).collect();
+
+    let ends = stored.iter().filter_map(|record| match record {
+        Record::Ended { kind, .. } => Some(*kind),
+        _ => None,
+    });
+    assert_eq!(ends.collect::<Vec<_>>(), [EndKind::Stopped]);
+}
+
+/// Stores the append that is sent within 50 ms, and returns its records.
+fn stored_records(session: &mut Session) -> Vec<Record> {
+    let mut stored = Vec::new();
+    for effect in session.advance(50) {
+        if let Effect::Append { append, records, .. } = effect {
+            stored.extend(records);
+            session.handle(Event::Appended { append });
+        }
+    }
+    stored
+}
