Bound what is assumed of and stored about runs of earlier leaders

A lasting run that hung over a takeover was not restarted for up to hours: took all earlier runs of the task for stopped stragglers, and each doubles the time that the next run gets. Run numbers also rise with every crash, drain and refused start. At most three stopped runs are assumed now, so a hung lasting run is stopped within half a minute; the test of slow tasks over several leaders still passes. It is stored now when the age has doubled, so a next leader knows at least half of it; the test that a run exonerates its task over two leaders passes unchanged.

--- a/crates/borageswitch_scheduler/src/policy/stragglers.rs
+++ b/crates/borageswitch_scheduler/src/policy/stragglers.rs
@@ -27,6 +27,16 @@
 /// The maximum number of doublings for a task: by then its runs get an hour.
 const MAX_DOUBLINGS: u32 = 12;
 
+/// The maximum number of stopped runs that is assumed of a task under earlier leaders. Runs also end
+/// with their executors, so a high run number does not show that the task is slow.
+const MAX_ASSUMED_RESTARTS: u32 = 3;
+
+/// Returns how many runs of a task earlier leaders are assumed to have stopped, by the number of the
+/// run that they have left.
+pub fn assumed_restarts(run: u32) -> u32 {
+    run.saturating_sub(1).min(MAX_ASSUMED_RESTARTS)
+}
+
 /// Returns the factor by which a run may take longer, after `restarts` stopped runs of its task.
 fn time_factor(restarts: u32) -> u32 {
     1 << restarts.min(MAX_DOUBLINGS)
--- a/crates/borageswitch_scheduler/src/reducer/stragglers.rs
+++ b/crates/borageswitch_scheduler/src/reducer/stragglers.rs
@@ -76,10 +76,10 @@
         })
     }
 
-    /// The number of stopped stragglers of a task. Those that earlier leaders stopped are not stored;
-    /// at most all earlier runs were.
+    /// The number of stopped stragglers of a task. Those that earlier leaders stopped are not stored.
     fn restarts(&self, task: &TaskKey, held: &HeldRun) -> u32 {
-        let earlier = if held.start_sent.is_none() { held.run.saturating_sub(1) } else { 0 };
+        let is_inherited = held.start_sent.is_none();
+        let earlier = if is_inherited { stragglers::assumed_restarts(held.run) } else { 0 };
         self.stragglers.given_up(task).max(earlier)
     }
 
--- a/crates/borageswitch_scheduler/src/reducer/suspects.rs
+++ b/crates/borageswitch_scheduler/src/reducer/suspects.rs
@@ -45,8 +45,9 @@
 /// The time between the starts of two isolated suspects in a pool. If both crash their executors,
 /// the crashes have to be told from a loss of a rack.
 const ISOLATED_START_INTERVAL: Duration = Duration::from_millis(250);
-/// The steps in which it is stored for how long the run of a suspect has lived.
-const SURVIVAL_STEP: Duration = Duration::from_millis(500);
+/// The age of the run of a suspect at which it is first stored for how long it has lived; after that,
+/// whenever the age has doubled.
+const FIRST_SURVIVAL: Duration = Duration::from_millis(500);
 
 /// The suspects that are running, and the history of crashes.
 #[derive(Debug, Default)]
@@ -378,7 +379,7 @@
                     .and_then(|known| known.runs.get(task))
                     .map_or(Duration::ZERO, |held| self.ledger.survival_of(task, held.run));
                 let is_news = |age: Duration| {
-                    age >= stored + SURVIVAL_STEP
+                    age >= FIRST_SURVIVAL.max(2 * stored)
                         || crashes.iter().any(|crash| crash_attribution::exonerates(age, crash))
                 };
                 match held {
