Keep crashes that came after a run when its end is listed late or again

Callers: a job of lasting tasks whose task brings executors down went on without a verdict, or lost evidence that a later run had given.

Cause: a failed or done end dropped all crashes of its task. Ends of lasting tasks are not kept by run, so one that was listed again did so each time; for every task the late end of an earlier run did.

An end now drops the crashes up to its own run only; the end of a task that is done drops all. The latest failed end of a lasting task still drops the crashes before it: its executor has survived the run, and a sound task that exits by itself would otherwise collect coincidences for as long as it lasts.

Failed before: ledger::tests::the_end_of_an_earlier_run_does_not_clear_later_crashes.

--- a/crates/borageswitch_scheduler/src/ledger/mod.rs
+++ b/crates/borageswitch_scheduler/src/ledger/mod.rs
@@ -139,8 +139,7 @@
                     let end = CountedEnd { run, executor, number, term };
                     let is_new = self.end(task, *kind, checkpoint.as_ref(), end);
                     if is_new && matches!(kind, EndKind::Done | EndKind::Failed) {
-                        // The executor has survived the run.
-                        self.clear_suspect(task);
+                        self.clear_crashes_until(task, run);
                     }
                 }
             }
@@ -218,6 +217,17 @@
         self.survivals.remove(task);
     }
 
+    /// Drops the crashes under a task up to a run whose executor has survived it. The end of a run
+    /// may be listed late or again, so it says nothing about later runs, unless the task is done.
+    fn clear_crashes_until(&mut self, task: &TaskKey, run: u32) {
+        let is_done = self.task(task).is_some_and(|state| state.done);
+        let Some(crashes) = self.suspects.get_mut(task) else { return };
+        crashes.retain(|crash| !is_done && crash.run > run);
+        if crashes.is_empty() {
+            self.clear_suspect(task);
+        }
+    }
+
     fn clear_survived(&mut self, task: &TaskKey, lived_ms: u64) {
         let Some(crashes) = self.suspects.get_mut(task) else { return };
         crashes::clear_survived(crashes, lived_ms);
--- a/crates/borageswitch_scheduler/src/ledger/tests.rs
+++ b/crates/borageswitch_scheduler/src/ledger/tests.rs
@@ -116,6 +116,51 @@
     assert_eq!(ledger.crashes_of(&key("j", 0)).len(), 1);
 }
 
+/// A crash of `e2` under a run of a task that is known to have lived for an instant only.
+fn crash_under_run(run: u32) -> Record {
+    let (executor, at) = (ExecutorName::from("e2"), UnixMillis(5_000));
+    let crash = Crash { executor, at, run, age_ms: 300, lived_ms: 0, evidence: 500 };
+    Record::Crashed { suspicions: vec![Suspicion { task: key("j", 0), crash }] }
+}
+
+#[test]
+fn the_end_of_an_earlier_run_does_not_clear_later_crashes() {
+    // Guards against a task that crashes executors and is cleared of it by the end of an earlier
+    // run, which is listed late, or listed again.
+    let lasting = Step { lasting: true, ..step(1) };
+    let gone = Record::ExecutorGone { executor: ExecutorName::from("e1") };
+    for (step, kind) in [
+        (step(1), EndKind::Failed),
+        (lasting.clone(), EndKind::Failed),
+        (lasting.clone(), EndKind::Done),
+    ] {
+        let first = ended("j", 0, 1, 1, kind);
+        let late = vec![crash_under_run(2), first.clone()];
+        let repeated = vec![first.clone(), crash_under_run(2), gone.clone(), first.clone()];
+        for records in [late, repeated] {
+            let mut ledger = Ledger::default();
+            ledger.submit(submission("j", vec![step.clone()]));
+
+            records.iter().for_each(|record| ledger.apply(record));
+
+            assert_eq!(ledger.crashes_of(&key("j", 0)).len(), 1, "{kind} {records:?}");
+        }
+    }
+}
+
+#[test]
+fn the_end_of_a_later_run_clears_earlier_crashes() {
+    // Guards against a lasting task that exits by itself again and again, and collects crashes by
+    // coincidence for as long as its job lasts.
+    let mut ledger = Ledger::default();
+    ledger.submit(submission("j", vec![Step { lasting: true, ..step(1) }]));
+
+    ledger.apply(&crash_under_run(2));
+    ledger.apply(&ended("j", 0, 3, 1, EndKind::Failed));
+
+    assert!(ledger.crashes_of(&key("j", 0)).is_empty());
+}
+
 #[test]
 fn ends_count_once_each_however_many_attempts_a_task_has() {
     // Guards against a list of ends that grows without bound, and against ends that count again
