--- a/crates/borageswitch_scheduler/tests/verdicts.rs
+++ b/crates/borageswitch_scheduler/tests/verdicts.rs
@@ -173,3 +173,29 @@
     assert_eq!(crashes.len(), 1);
     assert!(!crashes[0].is_attributed(), "{crashes:?}");
 }
+
+#[test]
+fn a_crash_that_is_noticed_just_after_an_outage_of_the_store_is_not_attributed() {
+    // Guards against crashes that are read out of an outage: registrations that lapsed in it come
+    // back only after it.
+    let mut session = session_with_run(Ledger::default());
+    session.submit("other", vec![step(1)]);
+    let in_flight = session.advance(50).into_iter().find_map(|effect| match effect {
+        Effect::Append { append, .. } => Some(append),
+        _ => None,
+    });
+    session.now += 50;
+    session.poll_answered("e1", PollResponse::Lost, 0);
+    session.now += 1_500;
+    session.settle();
+
+    session.handle(Event::Appended { append: in_flight.unwrap() });
+    session.now += 500;
+    session.settle();
+    session.list_hosts(vec![down("h1"), host("h2", "e2")]);
+    session.settle();
+
+    let crashes = crashes(&session, &key("j", 0));
+    assert_eq!(crashes.len(), 1);
+    assert!(!crashes[0].is_attributed(), "{crashes:?}");
+}
