Estimate the rate of crashes only where a crash can be attributed

The loss of many executors at once computed the rate for each lost run, also where a common cause or a silent store rules attribution out. No verdict changes.

--- a/crates/borageswitch_scheduler/src/reducer/suspects.rs
+++ b/crates/borageswitch_scheduler/src/reducer/suspects.rs
@@ -182,17 +182,17 @@
         let present: Vec<PossibleCause> = jobs.iter().map(|job| self.present(job, &runs)).collect();
         let shares: BTreeMap<&JobName, f64> =
             jobs.iter().zip(crash_attribution::cause_probabilities(&present)).collect();
+        let is_store_silent = self.outbox.is_store_silent(now.time);
         let suspicions = runs.iter().filter_map(|lost| {
             let job = &lost.task.job;
             let started_on = started_on.get(job).copied().unwrap_or(0);
-            let is_shared =
-                coincidence.has_common_cause(started_on) || self.outbox.is_store_silent(now.time);
-            let rate = self.crash_rate(now, ended, job);
-            let is_attributable = |(_, window): &(Duration, Duration)| {
-                !is_shared && crash_attribution::is_attributable(*window, rate)
-            };
-            match lost.attributable_age().zip(lost.window).filter(is_attributable) {
-                Some((age, window)) => {
+            let is_shared = is_store_silent || coincidence.has_common_cause(started_on);
+            let known = lost.attributable_age().zip(lost.window).filter(|_| !is_shared);
+            let rated = known.map(|(age, window)| (age, window, self.crash_rate(now, ended, job)));
+            let attributed = rated
+                .filter(|(_, window, rate)| crash_attribution::is_attributable(*window, *rate));
+            match attributed {
+                Some((age, window, rate)) => {
                     let evidence = crash_attribution::evidence(shares[job], window, rate);
                     Some(suspicion(now, ended, lost, age.as_millis() as u64, evidence))
                 }
