Keep hosts in the list whose entries cannot be decoded

Callers saw waves and lent hosts stand still, and crashes go unconfirmed: one host with a capacity or a label of a wrong type, with too deep nesting or a too large number failed the whole list for as long as it stood there. An id with the separator of incarnations, or a second entry under the name of a host, took the executor out of the list, so that it counted as ended while it lived.

Such a host keeps the pool and the executor that the list before has shown, nothing is ordered on it, and it does not count as seen away. If its executor cannot be decoded, the list does not prove that an executor is absent that no list in this term has named. `HostState::Unknown` does not suffice for this: it is a state that the platform reports, and counts as away.

--- a/crates/borageswitch_scheduler/src/fleet.rs
+++ b/crates/borageswitch_scheduler/src/fleet.rs
@@ -25,6 +25,10 @@
     /// still run tasks.
     #[display("unknown")]
     Unknown,
+    /// The entry cannot be decoded, except for the name of the host and perhaps its executor. Nothing
+    /// is ordered on the host, and its executor may still run tasks.
+    #[display("unreadable")]
+    Unreadable,
 }
 
 /// A host as the platform lists it.
--- a/crates/borageswitch_scheduler/src/reducer/host_list.rs
+++ b/crates/borageswitch_scheduler/src/reducer/host_list.rs
@@ -46,6 +46,9 @@
     /// When the request for the list was sent.
     at: Option<Time>,
     host_of: BTreeMap<ExecutorName, HostName>,
+    /// Whether the executor of a host could not be decoded. Any executor may be meant that was not
+    /// listed before.
+    lacks_executor: bool,
 }
 
 impl Listing {
@@ -95,14 +98,22 @@
     /// Applies a list that was requested at `asked`.
     fn apply_list(&mut self, asked: Time, hosts: Vec<HostEntry>) {
         self.listed = Some(asked);
-        self.hosts = hosts.into_iter().map(|entry| (entry.host.clone(), entry)).collect();
-        let may_run =
-            |entry: &&HostEntry| matches!(entry.state, HostState::Up | HostState::Unknown);
+        let is_unreadable = |entry: &HostEntry| entry.state == HostState::Unreadable;
+        let lacks_executor =
+            hosts.iter().any(|entry| is_unreadable(entry) && entry.executor.is_none());
+        let hosts = hosts.into_iter().map(|entry| match self.hosts.get(&entry.host) {
+            Some(before) if is_unreadable(&entry) => unreadable_entry(before, entry),
+            _ => entry,
+        });
+        self.hosts = hosts.map(|entry| (entry.host.clone(), entry)).collect();
+        let may_run = |entry: &&HostEntry| {
+            matches!(entry.state, HostState::Up | HostState::Unknown | HostState::Unreadable)
+        };
         let running = self.hosts.values().filter(may_run);
         let host_of = running
             .filter_map(|entry| Some((entry.executor.clone()?, entry.host.clone())))
             .collect();
-        let fresh = Listing { at: Some(asked), host_of };
+        let fresh = Listing { at: Some(asked), host_of, lacks_executor };
         self.previous_listing = std::mem::replace(&mut self.listing, fresh);
         self.update_scarce();
     }
@@ -137,9 +148,12 @@
         }
         match self.hosts.get(&host).map(|entry| entry.state) {
             Some(HostState::Moving | HostState::InMaintenance) => HostOutcome::Ordered(host),
-            Some(state @ (HostState::Up | HostState::Down | HostState::Unknown)) => {
-                HostOutcome::Listed(host, state)
-            }
+            Some(
+                state @ (HostState::Up
+                | HostState::Down
+                | HostState::Unknown
+                | HostState::Unreadable),
+            ) => HostOutcome::Listed(host, state),
             None => HostOutcome::Removed(host),
         }
     }
@@ -161,6 +175,14 @@
     }
 }
 
+/// What is known of a host whose entry cannot be decoded: what the list before has shown.
+fn unreadable_entry(before: &HostEntry, entry: HostEntry) -> HostEntry {
+    let registered =
+        |executor: &ExecutorName| ExecutorName::from(incarnation::registered_name(executor));
+    let executor = entry.executor.or_else(|| before.executor.as_ref().map(registered));
+    HostEntry { state: entry.state, executor, ..before.clone() }
+}
+
 impl Scheduler {
     pub(super) fn list_hosts(&mut self, now: Now) {
         let busy = self.containment.is_active()
@@ -220,7 +242,7 @@
     /// Ends executors that no host has any more, so that their runs need not wait for their leases.
     ///
     /// An executor that was never listed may be listed late. It counts as ended only if its
-    /// registration is missing too.
+    /// registration is missing too, and no host may have it whose entry cannot be decoded.
     fn end_unlisted(&mut self, now: Now, asked: Time) {
         let listed = &self.fleet.listing;
         let over: Vec<ExecutorName> = self
@@ -228,7 +250,7 @@
             .iter()
             .filter(|(executor, known)| {
                 asked.since(known.known_since) > LIST_LAG
-                    && (known.was_listed || !known.is_registered)
+                    && (known.was_listed || !known.is_registered && !listed.lacks_executor)
                     && listed.host_of(executor).is_none()
             })
             .map(|(executor, _)| executor.clone())
--- a/crates/borageswitch_scheduler/src/reducer/hosts.rs
+++ b/crates/borageswitch_scheduler/src/reducer/hosts.rs
@@ -94,6 +94,11 @@
     }
 }
 
+/// Whether a listed state shows that an order has taken the host away.
+fn shows_away(state: HostState) -> bool {
+    !matches!(state, HostState::Up | HostState::Unreadable)
+}
+
 impl Scheduler {
     pub(super) fn advance_fleet(&mut self, now: Now) {
         self.list_hosts(now);
@@ -169,7 +174,7 @@
     /// Records which hosts with orders of earlier leaders a list shows as away.
     fn note_inherited_away(&mut self) {
         let is_away = |host: &&HostName| {
-            self.fleet.hosts.get(*host).is_some_and(|entry| entry.state != HostState::Up)
+            self.fleet.hosts.get(*host).is_some_and(|entry| shows_away(entry.state))
         };
         let away: Vec<HostName> =
             self.inherited_host_orders.keys().filter(is_away).cloned().collect();
@@ -179,10 +184,10 @@
     fn note_hosts_away(&mut self, listed: Time) {
         let Fleet { hosts, withdrawals, .. } = &mut self.fleet;
         for (host, withdrawal) in withdrawals {
-            let is_up = hosts.get(host).is_none_or(|entry| entry.state == HostState::Up);
+            let is_away = hosts.get(host).is_some_and(|entry| shows_away(entry.state));
             if let Stage::Away { since, seen } = &mut withdrawal.stage
                 && listed > *since
-                && !is_up
+                && is_away
             {
                 *seen = true;
             }
--- a/crates/borageswitch_scheduler/src/reducer/waves.rs
+++ b/crates/borageswitch_scheduler/src/reducer/waves.rs
@@ -183,7 +183,10 @@
                     || matches!(withdrawal.stage, Stage::Away { .. })
             });
             let away = self.fleet.hosts.get(*host).is_some_and(|entry| {
-                matches!(entry.state, HostState::InMaintenance | HostState::Unknown)
+                matches!(
+                    entry.state,
+                    HostState::InMaintenance | HostState::Unknown | HostState::Unreadable
+                )
             });
             let ordered = self.is_order_paused(now.time, host) && !is_begun(host);
             let inherited = || self.may_be_away(now.time, host, is_begun(host));
--- a/crates/borageswitch_scheduler/tests/reports.rs
+++ b/crates/borageswitch_scheduler/tests/reports.rs
@@ -169,6 +169,54 @@
     assert!(session.scheduler.ledger().suspects.is_empty());
 }
 
+#[test]
+fn runs_on_a_host_whose_entry_cannot_be_decoded_do_not_start_again() {
+    // Guards against ending an executor because the entry of its host has lost its name.
+    let mut session = running(2);
+    let all = [active(&key("j", 0)), active(&key("j", 1))];
+    session.now += 5_000;
+    session.report("e1", &all, &[], 0);
+    session.settle();
+    session.list_hosts(vec![host("h", "e1")]);
+    for _ in 0..3 {
+        session.advance(2_000);
+        session.report("e1", &all, &[], 0);
+        let unreadable =
+            HostEntry { state: HostState::Unreadable, executor: None, ..host("h", "") };
+
+        session.list_hosts(vec![unreadable]);
+        session.settle();
+
+        let known = session.scheduler.executors().next();
+        assert_eq!(known.map(|known| known.runs.len()), Some(2));
+    }
+
+    session.advance(2_000);
+    session.list_hosts(vec![host("h", "e2")]);
+    session.settle();
+    assert!(session.scheduler.executors().all(|known| known.runs.is_empty()));
+}
+
+#[test]
+fn an_unregistered_executor_may_be_on_a_host_whose_entry_cannot_be_decoded() {
+    // Guards against ending an executor that no list has named, and that may be on that host.
+    let ledger = running(2).scheduler.ledger().clone();
+    let mut session = Session::without_reports(&["e1"], ledger);
+    session.handle(Event::RegistrationChanged(RegistrationChange::Unreadable("e1".into())));
+    session.advance(3_000);
+    let unreadable = HostEntry { state: HostState::Unreadable, executor: None, ..host("h", "") };
+
+    session.list_hosts(vec![unreadable]);
+    session.settle();
+    let kept: usize = session.scheduler.executors().map(|known| known.runs.len()).sum();
+    session.advance(2_000);
+    session.list_hosts(vec![host("h", "e2")]);
+    session.settle();
+
+    let left: usize = session.scheduler.executors().map(|known| known.runs.len()).sum();
+    assert_eq!((kept, left), (2, 0));
+}
+
 /// Starts all tasks; the start of one of them gets no response.
 fn start_all_but(session: &mut Session, unanswered: &TaskKey) {
     for effect in session.advance(50) {
