Measure the wait for a calm pool by one clock, and attribute no crash after it

Callers: an isolated lasting task may be given up by crashes on a pool that was not calm, or wait without a run for as long as clocks differ.

Cause: the wait ended a minute after the last crash by the wall clocks of two leaders; one that is ahead ended it at once, one that is behind never.

Each leader now measures the wait itself, from the crash or from its takeover, so it lasts at most a minute under each. A crash after a start that was made although the pool was not calm keeps its evidence and is not attributed. Inherited starts count so if a minute has passed since the last crash by the wall clock; a new leader knows no more. A clock that is behind by as much hides this; not mended, it needs a field in the stored crash. Starts in unrest under one leader for a whole minute have no test.

Failed before: verdicts::an_isolated_task_waits_for_calm_whatever_the_clock_of_a_new_leader_says, verdicts::an_inherited_start_after_the_longest_wait_counts_as_one_without_calm.

--- a/crates/borageswitch_scheduler/src/policy/crash_calm.rs
+++ b/crates/borageswitch_scheduler/src/policy/crash_calm.rs
@@ -14,8 +14,9 @@
 /// The rate of crashes of one executor up to which a pool is calm, per second.
 const CALM_RATE: f64 = 0.02;
 
-/// The longest time after its last crash that a suspect waits for its pool to calm down: where some
-/// executor crashes all the time, it would never start again.
+/// The longest time that a suspect waits under one leader for its pool to calm down after a crash:
+/// where some executor crashes all the time, it would never start again. A crash after such a start
+/// is evidence, but not attributed to the task.
 pub const MAX_WAIT: Duration = Duration::from_secs(60);
 
 /// The recent crashes of the executors of a pool.
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -323,8 +323,10 @@
         self.executors.insert_run(executor, task, held);
         let Some(known) = self.executors.get_mut(executor) else { return };
         known.circuit_breaker.record_placement(now.time);
-        self.pending_starts.begin(&known.registration.pool, task, run);
+        let pool = known.registration.pool.clone();
+        self.pending_starts.begin(&pool, task, run);
         self.track_suspect(now, executor, task);
+        self.note_start_in_unrest(now, &pool, task, run);
         self.record(Record::Assigned { task: task.clone(), run, executor: executor.clone() });
         self.outbox.defer_start(executor.clone(), task.clone(), run);
     }
--- a/crates/borageswitch_scheduler/src/reducer/suspects.rs
+++ b/crates/borageswitch_scheduler/src/reducer/suspects.rs
@@ -56,6 +56,10 @@
     pool_crashes: BTreeMap<PoolName, PoolCrashes>,
     /// When an isolated suspect was last placed, by pool.
     last_isolated: BTreeMap<PoolName, Time>,
+    /// When this leader has learned of the last crash under a suspect.
+    last_crash: BTreeMap<TaskKey, Time>,
+    /// Isolated suspects that were started although their pool was not calm, with the run.
+    started_in_unrest: BTreeMap<TaskKey, u32>,
     /// Tasks with crashes whose present run has not survived for long enough yet, by executor.
     on_probation: BTreeMap<ExecutorName, BTreeMap<TaskKey, SuspicionLevel>>,
 }
@@ -101,10 +105,10 @@
     /// The next crash under an isolated suspect may give its job up, so it must not be a crash that
     /// any task would have seen.
     pub(super) fn awaits_calm(&self, now: Now, pool: &PoolName, task: &TaskKey) -> bool {
-        let Some(last) = self.ledger.crashes_of(task).last() else { return false };
-        let waited = Duration::from_millis(now.wall.0.saturating_sub(last.at.0));
+        // Measured by this leader alone: the wall clocks of daemons differ.
+        let since = self.suspects.last_crash.get(task).copied().unwrap_or(self.took_over_at);
         self.suspicion_level(task) == SuspicionLevel::Isolated
-            && waited < crash_calm::MAX_WAIT
+            && now.time.since(since) < crash_calm::MAX_WAIT
             && (!self.is_calm(now, pool) || self.has_started_isolated(now, pool))
     }
 
@@ -163,6 +167,34 @@
         }
     }
 
+    /// Notes the start of an isolated suspect whose pool is not calm.
+    pub(super) fn note_start_in_unrest(
+        &mut self,
+        now: Now,
+        pool: &PoolName,
+        task: &TaskKey,
+        run: u32,
+    ) {
+        let is_isolated = self.suspicion_level(task) >= SuspicionLevel::Isolated;
+        if is_isolated && !self.is_calm(now, pool) {
+            self.suspects.started_in_unrest.insert(task.clone(), run);
+        }
+    }
+
+    /// Whether a run may have been started after its task had waited for a calm pool in vain.
+    ///
+    /// Of the start of an earlier leader only the time since the last crash is known.
+    fn may_have_started_in_unrest(&self, now: Now, lost: &LostRun) -> bool {
+        if !lost.is_inherited {
+            return self.suspects.started_in_unrest.get(&lost.task) == Some(&lost.run);
+        }
+        let last = self.ledger.crashes_of(&lost.task).last();
+        last.is_some_and(|last| {
+            let passed = Duration::from_millis(now.wall.0.saturating_sub(last.at.0));
+            passed >= crash_calm::MAX_WAIT
+        })
+    }
+
     /// Attributes the crash of an executor to its tasks.
     ///
     /// `started_on` is the number of crashed executors on which each job had recently started.
@@ -193,7 +225,12 @@
             match lost.attributable_age().zip(lost.window).filter(is_attributable) {
                 Some((age, window)) => {
                     let evidence = crash_attribution::evidence(shares[job], window, rate);
-                    Some(suspicion(now, ended, lost, age.as_millis() as u64, evidence))
+                    // What tells an isolated start from others is that its pool was calm.
+                    let age_ms = match self.may_have_started_in_unrest(now, lost) {
+                        true => crashes::UNATTRIBUTED,
+                        false => age.as_millis() as u64,
+                    };
+                    Some(suspicion(now, ended, lost, age_ms, evidence))
                 }
                 None => lost.is_start_related().then(|| unattributed(now, ended, lost)),
             }
@@ -204,7 +241,7 @@
         if !self.is_contained(ended.pool()) {
             self.suspects.history.add_crash(now.time, ended.host().cloned(), jobs);
         }
-        self.record_suspicions(ended, suspicions);
+        self.record_suspicions(now.time, ended, suspicions);
     }
 
     /// Records the loss of tasks that had recently started on an executor which ended for another
@@ -220,7 +257,7 @@
             let jobs = ended.runs.iter().map(|lost| lost.task.job.clone()).collect();
             self.suspects.history.add_crash(now.time, ended.host().cloned(), jobs);
         }
-        self.record_suspicions(ended, suspicions);
+        self.record_suspicions(now.time, ended, suspicions);
     }
 
     /// Adds the recent crashes that earlier leaders have recorded to the history. Otherwise a new
@@ -265,12 +302,13 @@
         self.ledger.task(task).is_some_and(|state| !state.done)
     }
 
-    fn record_suspicions(&mut self, ended: &EndedExecutor, suspicions: Vec<Suspicion>) {
+    fn record_suspicions(&mut self, now: Time, ended: &EndedExecutor, suspicions: Vec<Suspicion>) {
         if suspicions.is_empty() {
             return;
         }
         self.record(Record::Crashed { suspicions: suspicions.clone() });
         for suspicion in suspicions {
+            self.suspects.last_crash.insert(suspicion.task.clone(), now);
             self.log_suspicion(ended, &suspicion);
             self.review_suspect(&suspicion.task);
         }
@@ -368,6 +406,9 @@
     /// Records how long suspects have survived on executors that still respond, and stops tracking
     /// those that have no run or no crashes left.
     pub(super) fn clear_suspects(&mut self) {
+        let suspects = &self.ledger.suspects;
+        self.suspects.last_crash.retain(|task, _| suspects.contains_key(task));
+        self.suspects.started_in_unrest.retain(|task, _| suspects.contains_key(task));
         let (mut untracked, mut survived) = (Vec::new(), Vec::new());
         for (executor, tasks) in &self.suspects.on_probation {
             for task in tasks.keys() {
--- a/crates/borageswitch_scheduler/tests/verdicts.rs
+++ b/crates/borageswitch_scheduler/tests/verdicts.rs
@@ -199,3 +199,51 @@
     assert_eq!(crashes.len(), 1);
     assert!(!crashes[0].is_attributed(), "{crashes:?}");
 }
+
+/// A ledger with a lasting task that is isolated after three crashes, the last one a while before
+/// the session by the wall clock.
+fn ledger_with_isolated_task(millis: u64) -> Ledger {
+    let mut ledger = ledger_with_lasting_job();
+    for executor in ["lost-1", "lost-2", "lost-3"] {
+        record_crash(&mut ledger, &key("j", 0), crash(executor, SESSION_START - millis));
+    }
+    ledger
+}
+
+#[test]
+fn an_isolated_task_waits_for_calm_whatever_the_clock_of_a_new_leader_says() {
+    // Guards against a new leader whose clock is ahead, and that starts an isolated task at once
+    // without knowing whether its pool is calm.
+    let mut session = Session::with_ledger(&["e1"], ledger_with_isolated_task(61_000));
+
+    for _ in 0..20 {
+        session.report("e1", &[], &[], 0);
+        assert!(session.store_and_start().is_empty());
+    }
+}
+
+#[test]
+fn an_inherited_start_after_the_longest_wait_counts_as_one_without_calm() {
+    // Guards against a crash that proves something because the pool was calm, although the start
+    // did not wait for that any longer.
+    let task = key("j", 0);
+    for (millis, is_attributed) in [(1_000, true), (61_000, false)] {
+        let mut ledger = ledger_with_isolated_task(millis);
+        let executor = ExecutorName::from("e1");
+        let assigned = Record::Assigned { task: task.clone(), run: 1, executor };
+        ledger.apply(&assigned);
+        ledger.note_sent(UnixMillis(SESSION_START - 50), &[assigned]);
+        let mut session = Session::without_reports(&["e1"], ledger);
+        session.report("e1", &[active(&task)], &[], 0);
+        run(&mut session, 100);
+        session.list_hosts(vec![host("h1", "e1"), host("h2", "e2")]);
+        run(&mut session, 100);
+
+        lose_executor(&mut session, 1_500);
+
+        let crashes = crashes(&session, &task);
+        assert_eq!(crashes.len(), 4, "{crashes:?}");
+        assert_eq!(crashes[3].is_attributed(), is_attributed, "{crashes:?}");
+        assert!(crashes[3].evidence > 0, "{crashes:?}");
+    }
+}
