Bound the wait of an isolated suspect for an answer of its executor

A leader whose decisions take more than a quarter of a second, or whose best place changes from pass to pass, never started an isolated suspect: the wait for an answer had no bound, other than that for a calm pool. Both waits now end a minute after the last crash, by the clock of this leader, and a crash after a start without such an answer is not attributed.

--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -278,7 +278,7 @@
                 return if nowhere { Placement::NoCapacity } else { Placement::Done };
             };
             if suspicion_level == SuspicionLevel::Isolated {
-                if !self.is_heard_from(now, &executor) {
+                if self.awaits_answer(now, &executor, &task) {
                     continue;
                 }
                 available.remove(&executor);
@@ -323,10 +323,9 @@
         self.executors.insert_run(executor, task, held);
         let Some(known) = self.executors.get_mut(executor) else { return };
         known.circuit_breaker.record_placement(now.time);
-        let pool = known.registration.pool.clone();
-        self.pending_starts.begin(&pool, task, run);
+        self.pending_starts.begin(&known.registration.pool, task, run);
         self.track_suspect(now, executor, task);
-        self.note_start_in_unrest(now, &pool, task, run);
+        self.note_start_in_unrest(now, executor, task, run);
         self.record(Record::Assigned { task: task.clone(), run, executor: executor.clone() });
         self.outbox.defer_start(executor.clone(), task.clone(), run);
     }
--- a/crates/borageswitch_scheduler/src/reducer/suspects.rs
+++ b/crates/borageswitch_scheduler/src/reducer/suspects.rs
@@ -59,7 +59,8 @@
     last_isolated: BTreeMap<PoolName, Time>,
     /// When this leader has learned of the last crash under a suspect.
     last_crash: BTreeMap<TaskKey, Time>,
-    /// Isolated suspects that were started although their pool was not calm, with the run.
+    /// Isolated suspects that were started after the longest wait, without a calm pool or an answer of
+    /// their executor, with the run.
     started_in_unrest: BTreeMap<TaskKey, u32>,
     /// Tasks with crashes whose present run has not survived for long enough yet, by executor.
     on_probation: BTreeMap<ExecutorName, BTreeMap<TaskKey, SuspicionLevel>>,
@@ -106,13 +107,18 @@
     /// The next crash under an isolated suspect may give its job up, so it must not be a crash that
     /// any task would have seen.
     pub(super) fn awaits_calm(&self, now: Now, pool: &PoolName, task: &TaskKey) -> bool {
-        // Measured by this leader alone: the wall clocks of daemons differ.
-        let since = self.suspects.last_crash.get(task).copied().unwrap_or(self.took_over_at);
         self.suspicion_level(task) == SuspicionLevel::Isolated
-            && now.time.since(since) < crash_calm::MAX_WAIT
+            && !self.has_waited_longest(now, task)
             && (!self.is_calm(now, pool) || self.has_started_isolated(now, pool))
     }
 
+    /// Whether an isolated suspect is started without waiting any longer. Measured by this leader
+    /// alone, as the wall clocks of daemons differ.
+    fn has_waited_longest(&self, now: Now, task: &TaskKey) -> bool {
+        let since = self.suspects.last_crash.get(task).copied().unwrap_or(self.took_over_at);
+        now.time.since(since) >= crash_calm::MAX_WAIT
+    }
+
     /// Whether an isolated suspect has just been started in a pool.
     fn has_started_isolated(&self, now: Now, pool: &PoolName) -> bool {
         let last = self.suspects.last_isolated.get(pool);
@@ -128,18 +134,26 @@
         crashes.is_calm(now.time, registered.count())
     }
 
-    /// Whether an executor has answered so recently that its crash after a start can be told from one
-    /// before it. If not, it is polled.
-    pub(super) fn is_heard_from(&mut self, now: Now, executor: &ExecutorName) -> bool {
-        let Some(known) = self.executors.get(executor) else { return false };
-        let contact = known.clock.map(|clock| clock.received);
-        if contact.is_some_and(|contact| now.time.since(contact) <= MAX_CONTACT_AGE) {
-            return true;
+    /// Whether the start of an isolated suspect waits for an answer of its executor: only if it has
+    /// answered a moment ago, a crash after the start can be told from one before it. It is polled.
+    pub(super) fn awaits_answer(
+        &mut self,
+        now: Now,
+        executor: &ExecutorName,
+        task: &TaskKey,
+    ) -> bool {
+        if self.has_waited_longest(now, task) || self.is_heard_from(now, executor) {
+            return false;
         }
         if let Some(known) = self.executors.get_mut(executor) {
             known.probe_due = Some(now.time);
         }
-        false
+        true
+    }
+
+    fn is_heard_from(&self, now: Now, executor: &ExecutorName) -> bool {
+        let contact = self.executors.get(executor).and_then(|known| known.clock);
+        contact.is_some_and(|clock| now.time.since(clock.received) <= MAX_CONTACT_AGE)
     }
 
     /// Notes a crash that says how often the executors of a pool crash.
@@ -168,16 +182,20 @@
         }
     }
 
-    /// Notes the start of an isolated suspect whose pool is not calm.
+    /// Notes the start of an isolated suspect whose pool is not calm, or that has waited for an answer
+    /// of its executor in vain.
     pub(super) fn note_start_in_unrest(
         &mut self,
         now: Now,
-        pool: &PoolName,
+        executor: &ExecutorName,
         task: &TaskKey,
         run: u32,
     ) {
+        let Some(known) = self.executors.get(executor) else { return };
+        let pool = &known.registration.pool;
         let is_isolated = self.suspicion_level(task) >= SuspicionLevel::Isolated;
-        if is_isolated && !self.is_calm(now, pool) {
+        let is_unheard = self.has_waited_longest(now, task) && !self.is_heard_from(now, executor);
+        if is_isolated && (is_unheard || !self.is_calm(now, pool)) {
             self.suspects.started_in_unrest.insert(task.clone(), run);
         }
     }
