Do not end executors by lists that may be older than their answers

Callers saw a task run twice: an executor whose registration had lapsed, and that no list of hosts had named yet, was taken for ended 1.5 s after it became known although it still answered polls. Its task was started elsewhere, and a crash was held against it.

Cause: the absence from a list counted by the time since which the executor was known, whatever it had answered since. By reading, and shown by the second test, a restarted executor was ended in the same way even while registered: an old list that named its earlier incarnation marked it as listed.

An executor that no list has named, or that has restarted under its name, now ends by its absence only once it has been silent for LIST_LAG before the request of the list. For any other, the list must have been requested after the last answered poll was sent. Cost: for the first kind up to 1.5 s and one list after its last answer, at most; for the second one list, if it dies after answering a poll that was sent while the list was under way. A listed executor that is lost otherwise is ended as soon as before.

Not covered: an executor that is cut off, so silent, as well as unregistered and not yet listed; and one that is known from the ledger only.

--- a/crates/borageswitch_scheduler/src/reducer/host_list.rs
+++ b/crates/borageswitch_scheduler/src/reducer/host_list.rs
@@ -19,6 +19,7 @@
     reducer::{
         Scheduler,
         crashes::{EndDetection, HostOutcome},
+        executors::Executor,
         hosts::{RETURN_TIMEOUT, Withdrawal},
     },
 };
@@ -33,7 +34,7 @@
 const LIST_OVERDUE: Duration = Duration::from_millis(2_500);
 /// How long before the request of a list an executor must have been known for its absence from the
 /// list to count: one that restarts under its name appears there again a moment after it has
-/// registered.
+/// registered. One that may not have been listed yet must also have been silent for as long.
 const LIST_LAG: Duration = Duration::from_millis(1_500);
 
 /// How long the names of dropped executors are kept; from then on a host that is listed as up counts
@@ -218,18 +219,13 @@
     }
 
     /// Ends executors that no host has any more, so that their runs need not wait for their leases.
-    ///
-    /// An executor that was never listed may be listed late. It counts as ended only if its
-    /// registration is missing too.
     fn end_unlisted(&mut self, now: Now, asked: Time) {
         let listed = &self.fleet.listing;
         let over: Vec<ExecutorName> = self
             .executors
             .iter()
             .filter(|(executor, known)| {
-                asked.since(known.known_since) > LIST_LAG
-                    && (known.was_listed || !known.is_registered)
-                    && listed.host_of(executor).is_none()
+                listed.host_of(executor).is_none() && self.absence_proves_end(known, asked)
             })
             .map(|(executor, _)| executor.clone())
             .collect();
@@ -237,4 +233,24 @@
             self.end_incarnation(now, &executor, EndDetection::Unlisted { listed_at: asked });
         }
     }
+
+    /// Whether the absence of an executor from a list that was requested at `asked` shows that it has
+    /// ended: the list must not be older than what the leader has heard from it.
+    ///
+    /// One that no list has named may be listed late, and one that has restarted under its name may
+    /// owe its listing to the incarnation before. Either is listed late while it still answers.
+    fn absence_proves_end(&self, known: &Executor, asked: Time) -> bool {
+        let is_before_list = |moment: Time| asked.since(moment) > LIST_LAG;
+        if !is_before_list(known.known_since) {
+            return false;
+        }
+        let executor = &known.registration.executor;
+        let has_restarted = self.fleet.is_forgotten(executor)
+            || !self.executors.other_incarnations(executor).is_empty();
+        if known.was_listed && !has_restarted {
+            return known.polling.last_answered_sent.is_none_or(|sent| sent < asked);
+        }
+        let is_silent = known.clock.is_none_or(|clock| is_before_list(clock.received));
+        is_silent && (known.was_listed || !known.is_registered)
+    }
 }
--- a/crates/borageswitch_scheduler/tests/crashes.rs
+++ b/crates/borageswitch_scheduler/tests/crashes.rs
@@ -9,7 +9,7 @@
     fleet::{HostEntry, HostState},
     ledger::{Ledger, record::Record},
 };
-use support::session::{Session, host, registration, step};
+use support::session::{Session, active, host, key, registration, step};
 
 /// Advances the time by `millis` and returns the log lines of the next decision.
 fn lines(session: &mut Session, millis: u64) -> Vec<LogLine> {
@@ -169,3 +169,65 @@
 
     assert_eq!(lines_of_kind(&logged, "executor-ended").len(), 1, "{logged:?}");
 }
+
+/// The log lines of lists of hosts that lack `executor`, which runs tasks and answers a poll before
+/// each list arrives.
+fn lines_of_late_lists(session: &mut Session, executor: &str) -> Vec<LogLine> {
+    let mut logged = Vec::new();
+    for _ in 0..3 {
+        logged.extend(lines(session, 2_000));
+        session.report(executor, &[active(&key("j", 0))], &[], 0);
+        session.list_hosts(vec![host("h9", "e9")]);
+        logged.extend(lines(session, 0));
+    }
+    logged
+}
+
+/// Guards against tasks that run twice, as an executor that is not listed yet and whose registration
+/// has lapsed is taken for ended although it answers.
+#[test]
+fn an_executor_that_answers_outlives_its_registration_before_it_is_listed() {
+    let mut session = Session::new(&["e1"]);
+    session.submit("j", vec![step(1)]);
+    session.store_and_start();
+    let gone = RegistrationChange::Unregistered("e1".into());
+    session.handle(Event::RegistrationChanged(gone));
+
+    let logged = lines_of_late_lists(&mut session, "e1");
+
+    assert!(lines_of_kind(&logged, "executor-ended").is_empty(), "{logged:?}");
+}
+
+/// Guards against the end of an executor that has restarted, by a list of the time before its start.
+#[test]
+fn a_list_from_before_a_restart_does_not_end_the_next_incarnation() {
+    let mut session = Session::new(&["e1@1"]);
+    list_hosts(&mut session, vec![host("h1", "e1")]);
+    let next = RegistrationChange::Present(registration("e1@2"));
+    session.handle(Event::RegistrationChanged(next));
+    session.report("e1@2", &[], &[], 0);
+    session.submit("j", vec![step(1)]);
+    session.store_and_start();
+    list_hosts(&mut session, vec![host("h1", "e1")]);
+
+    let logged = lines_of_late_lists(&mut session, "e1@2");
+
+    assert!(lines_of_kind(&logged, "executor-ended").is_empty(), "{logged:?}");
+}
+
+/// Guards against the end of an executor that has answered a poll that was sent after the request of
+/// the list.
+#[test]
+fn a_list_that_was_requested_before_an_answer_ends_no_executor() {
+    let mut session = busy_pair();
+    lines(&mut session, 2_000);
+    session.now += 100;
+    session.report("e1", &[], &[], 0);
+
+    session.list_hosts(vec![host("h2", "e2")]);
+    let early = lines(&mut session, 0);
+    let late = list_hosts(&mut session, vec![host("h2", "e2")]);
+
+    assert!(lines_of_kind(&early, "executor-ended").is_empty(), "{early:?}");
+    assert_eq!(lines_of_kind(&late, "executor-ended").len(), 1, "{late:?}");
+}
