Attribute crashes after a silence of the store again

Cause: left every crash that is noticed within 2.5 s after a silence of the store without attribution. Where the store is away often, that takes the proof from real culprits.

--- a/crates/borageswitch_scheduler/src/reducer/outbox.rs
+++ b/crates/borageswitch_scheduler/src/reducer/outbox.rs
@@ -62,8 +62,6 @@
     next_append: u64,
     in_flight: Option<InFlight>,
     sent_at: Time,
-    /// When the store last answered after it had been silent.
-    silence_ended: Option<Time>,
     records: RecordQueue,
     /// The position after the records that are stored.
     stored: Position,
@@ -81,9 +79,6 @@
 
 /// The time without a response to an append from which the store counts as silent.
 const STORE_SILENCE: Duration = Duration::from_millis(1_000);
-/// How long the store counts as silent after it has answered again: registrations that have lapsed
-/// meanwhile come back within about two seconds.
-const AFTER_SILENCE: Duration = Duration::from_millis(2_500);
 
 impl Outbox {
     /// Creates an outbox whose first append has the number `next_append`.
@@ -93,7 +88,6 @@
             next_append,
             in_flight: None,
             sent_at: Time::ZERO,
-            silence_ended: None,
             records: RecordQueue::default(),
             stored: Position::default(),
             actions: AfterStored::default(),
@@ -150,14 +144,9 @@
         }
     }
 
-    /// Whether an append has had no response for a while, or one came only just now: what others
-    /// write to the store did not reach the leader either.
+    /// Whether an append has had no response for a while: what others write to the store does not
+    /// reach the leader either.
     pub(super) fn is_store_silent(&self, now: Time) -> bool {
-        self.is_append_overdue(now)
-            || self.silence_ended.is_some_and(|ended| now.since(ended) < AFTER_SILENCE)
-    }
-
-    fn is_append_overdue(&self, now: Time) -> bool {
         self.in_flight.is_some() && now.since(self.sent_at) >= STORE_SILENCE
     }
 
@@ -218,13 +207,9 @@
 
     pub(super) fn appended(&mut self, now: Now, append: u64) {
         let outbox = &mut self.outbox;
-        let was_overdue = outbox.is_append_overdue(now.time);
         let Some(in_flight) = outbox.in_flight.take_if(|sent| sent.append == append) else {
             return;
         };
-        if was_overdue {
-            outbox.silence_ended = Some(now.time);
-        }
         outbox.stored = in_flight.through;
         outbox.removals.confirm();
         if let Some(snapshot) = in_flight.snapshot {
