--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -7,6 +7,7 @@
 mod advisor_burst;
 mod executor;
 mod http;
+mod huge_demand;
 mod json;
 mod late_submission;
 mod record;
@@ -45,6 +46,7 @@
     let recorder = Recorder::create(&folder.join("record.txt"))?;
     recorder.line(&format!("case {case}, trouble: {trouble}"));
     let verdict = match case {
+        "huge-demand" => huge_demand::play(recorder.clone(), trouble),
         "late-submission" => late_submission::play(recorder.clone(), trouble),
         "advisor-burst" => advisor_burst::play(recorder.clone(), trouble),
         _ => Err(std::io::Error::other("there is no such case")),
--- a/review/standin-3/src/site.rs
+++ b/review/standin-3/src/site.rs
@@ -25,6 +25,12 @@
 const LEADER_KEY: &str = "bs/leader";
 /// How long the daemons may take to start.
 const START_TIME: Duration = Duration::from_secs(20);
+/// `memory_mb` of the small sites' machines.
+const MEMORY_LIMIT_MB: u64 = 260;
+/// How often the daemons are looked at.
+const SUPERVISION_INTERVAL: Duration = Duration::from_millis(10);
+/// The delay before a daemon that has ended is started again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
 /// The ports among which those of the daemons are chosen.
 const FIRST_PORT: u16 = 12_000;
 const PORTS: u32 = 16_000;
@@ -38,6 +44,12 @@
     child: Child,
     callers: SocketAddr,
     probes: SocketAddr,
+    settings: PathBuf,
+    output: PathBuf,
+    /// How often it has ended by itself, or was killed for its memory.
+    ends: u32,
+    /// When it is started again, if it has ended.
+    restart_at: Option<Instant>,
 }
 
 /// A running deployment. Dropping it ends its daemons.
@@ -112,16 +124,11 @@
         );
         let path = self.folder.join(format!("settings-{number}.jsonc"));
         fs::write(&path, settings)?;
-        let output = fs::File::create(self.folder.join(format!("daemon-{number}.log")))?;
-        let child = Command::new(Path::new(PROGRAM))
-            .env_clear()
-            .env("BORAGESWITCH_CONFIG", &path)
-            .stdin(Stdio::null())
-            .stdout(output.try_clone()?)
-            .stderr(output)
-            .spawn()?;
+        let output = self.folder.join(format!("daemon-{number}.log"));
+        let child = spawn(&path, &output)?;
         self.recorder.line(&format!("daemon {number} starts, callers at {callers}"));
-        Ok(Daemon { child, callers, probes })
+        let (ends, restart_at) = (0, None);
+        Ok(Daemon { child, callers, probes, settings: path, output, ends, restart_at })
     }
 
     fn wait_until_ready(&self) -> io::Result<()> {
@@ -141,6 +148,51 @@
         Ok(())
     }
 
+    /// Lets time pass as on the platform: a daemon that exceeds its memory is killed, and one that
+    /// has ended is started again after a short delay.
+    pub fn pass(&mut self, time: Duration) -> io::Result<()> {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            for number in 0..self.daemons.len() {
+                self.supervise(number)?;
+            }
+            thread::sleep(SUPERVISION_INTERVAL);
+        }
+        Ok(())
+    }
+
+    fn supervise(&mut self, number: usize) -> io::Result<()> {
+        let recorder = &self.recorder;
+        let daemon = &mut self.daemons[number];
+        if let Some(at) = daemon.restart_at {
+            if Instant::now() >= at {
+                daemon.child = spawn(&daemon.settings, &daemon.output)?;
+                daemon.restart_at = None;
+                recorder.line(&format!("daemon {number} is started again"));
+            }
+            return Ok(());
+        }
+        let used = memory_mb(daemon.child.id());
+        let reason = match daemon.child.try_wait()? {
+            Some(status) => format!("ends by itself: {status}"),
+            None if used > MEMORY_LIMIT_MB => {
+                daemon.child.kill()?;
+                daemon.child.wait()?;
+                format!("uses {used} MB of {MEMORY_LIMIT_MB} MB and is killed for it")
+            }
+            None => return Ok(()),
+        };
+        daemon.ends += 1;
+        daemon.restart_at = Some(Instant::now() + RESTART_DELAY);
+        recorder.line(&format!("daemon {number} {reason}"));
+        Ok(())
+    }
+
+    /// How often each daemon has ended by itself, or was killed for its memory.
+    pub fn ends(&self) -> Vec<u32> {
+        self.daemons.iter().map(|daemon| daemon.ends).collect()
+    }
+
     /// Sends a client's request about a job to a daemon, and records it with its answer.
     pub fn request(
         &self,
@@ -194,6 +246,28 @@
     Ok(addresses)
 }
 
+fn spawn(settings: &Path, output: &Path) -> io::Result<Child> {
+    let output = fs::File::options().create(true).append(true).open(output)?;
+    Command::new(Path::new(PROGRAM))
+        .env_clear()
+        .env("BORAGESWITCH_CONFIG", settings)
+        .stdin(Stdio::null())
+        .stdout(output.try_clone()?)
+        .stderr(output)
+        .spawn()
+}
+
+/// The memory that a process uses, in megabytes; 0 if it has ended.
+fn memory_mb(process: u32) -> u64 {
+    let read = || {
+        let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let kilobytes: u64 = line.split_whitespace().next()?.parse().ok()?;
+        Some(kilobytes / 1_024)
+    };
+    read().unwrap_or(0)
+}
+
 fn machine(number: usize, id: &str) -> String {
     let rack = number / 4;
     format!(
