Bound the occurrences of a schedule by the clock and by their tasks

Callers saw: an occurrence whose time lies beyond all clocks was due at once, as the product of interval and number wrapped around, and a debug build aborted. A schedule without an interval opened one occurrence each decision, each with all its tasks, without a bound.

Change: `Schedule::due` gives no time where the clock cannot show it. A further occurrence of a job begins once the open ones and it have at most as many tasks as a job without a schedule may have. Times of deadlines saturate.

--- a/crates/borageswitch_scheduler/src/ledger/job.rs
+++ b/crates/borageswitch_scheduler/src/ledger/job.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     executor::EndKind,
-    job::{Step, Submission},
+    job::{MAX_TASKS, Step, Submission},
     ledger::run_end::{self, RunEnd},
     task::TaskKey,
 };
@@ -150,6 +150,14 @@
         job
     }
 
+    /// Returns whether another occurrence can begin: occurrences may overlap, and those of a job
+    /// have at most as many tasks at a time as a job without a schedule.
+    pub fn has_room_for_occurrence(&self) -> bool {
+        let tasks: u64 = self.submission.spec.steps.iter().map(|s| u64::from(s.count)).sum();
+        let open = self.progress.open.len() as u64;
+        open == 0 || tasks.saturating_mul(open + 1) <= MAX_TASKS
+    }
+
     /// Begins an occurrence that is due: its tasks may run.
     pub(super) fn begin_occurrence(&mut self, occurrence: u32) {
         if occurrence < self.progress.begun {
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -228,8 +228,8 @@
             if next >= schedule.times {
                 continue;
             }
-            let at = schedule.first.0 + schedule.interval.as_millis() as u64 * u64::from(next);
-            if now.wall.0 >= at {
+            let is_due = schedule.due(next).is_some_and(|at| now.wall >= at);
+            if is_due && job.has_room_for_occurrence() {
                 due.push((name.clone(), next));
             }
         }
@@ -293,7 +293,7 @@
         let objective = whole.mul_f64(job_state.stretch) + job_state.allowance;
         let begin = match spec.schedule {
             // Only the order among jobs of the queue matters, so the due time need not be exact.
-            Some(schedule) => job_state.accepted + schedule.interval * occurrence,
+            Some(schedule) => job_state.accepted + schedule.interval.saturating_mul(occurrence),
             None => job_state.accepted,
         };
         JobView {
@@ -302,7 +302,7 @@
             priority: job_state.priority,
             accepted: begin,
             deadline: begin + objective,
-            useful_until: begin + objective * USEFUL_FACTOR,
+            useful_until: begin + objective.saturating_mul(USEFUL_FACTOR),
             remaining,
         }
     }
