Send one call to the advisor at a time, for as long as its times say

With an advisor of 3.5 s a call no job ever started, without any burst.

Cause: four calls were sent side by side to a service that handles one at a time for each machine, so each waited for three others. A call was given up after 3 s, whatever the queue's times are, and a ticket counted as valid from the sending of its call. Once the wait exceeded either, every answer was useless, its call was repeated, and the overload fed itself. Ruled out: lost answers (the advisor answers each call that is not abandoned) and capacity (all executors are idle).

Change: one call is in flight, also if its job has been cancelled, as the service is busy with it all the same. When it has been answered, the most urgent step of all pools without an answer goes next. The timeout follows from the queue's own times, and the validity begins when the answer was due. A call names what its tasks need and what takes no longer than the decision itself. Calls without an answer, and those answered with 429, back off for 0.3 to 2.4 s. A queue whose answers can never be used is not asked for, and its jobs are explained.

Evidence: four tests fail on the code before (with its form of the effect): 2 calls at a time where 1 is allowed; a job with a 3.5 s advisor not started; 19 calls in 20 s of outage, 8 allowed.

--- a/crates/borageswitch_fakes/src/platform/port.rs
+++ b/crates/borageswitch_fakes/src/platform/port.rs
@@ -187,6 +187,7 @@
         &self,
         _: &StepKey,
         executors: &[ExecutorName],
+        _: Duration,
     ) -> Option<Vec<(ExecutorName, Arc<str>)>> {
         Some(executors.iter().map(|executor| (executor.clone(), "ticket".into())).collect())
     }
--- a/crates/borageswitch_runtime/src/orders.rs
+++ b/crates/borageswitch_runtime/src/orders.rs
@@ -217,9 +217,9 @@
         Effect::LimitSpeed(to, task, run, percent) => {
             Some(set_speed_limit(shared, token, to, task, run, percent).await)
         }
-        Effect::RequestAdvice(step, candidates) => {
+        Effect::RequestAdvice { step, executors: candidates, timeout } => {
             let sent = clock::time();
-            let permitted = shared.platform.advise(&step, &candidates).await;
+            let permitted = shared.platform.advise(&step, &candidates, timeout).await;
             Some(Event::AdviceReceived { step, sent, candidates, permitted })
         }
         Effect::ListHosts { requested } => {
--- a/crates/borageswitch_runtime/src/ports.rs
+++ b/crates/borageswitch_runtime/src/ports.rs
@@ -224,11 +224,12 @@
         percent: u8,
     ) -> impl Future<Output = OrderResponse> + Send;
 
-    /// Requests which of the executors may run a step; `None` without a response.
+    /// Requests which of the executors may run a step; `None` without a response after `timeout`.
     fn advise(
         &self,
         step: &StepKey,
         executors: &[ExecutorName],
+        timeout: Duration,
     ) -> impl Future<Output = Option<Vec<(ExecutorName, Arc<str>)>>> + Send;
 
     /// Lists the hosts; `None` without a response.
--- a/crates/borageswitch_scheduler/src/effect.rs
+++ b/crates/borageswitch_scheduler/src/effect.rs
@@ -92,7 +92,14 @@
     /// Limit the speed of a run, given by its task and number, to a percentage of its full speed.
     LimitSpeed(Recipient, TaskKey, u32, u8),
     /// Request from the advisor which of these executors may run a step.
-    RequestAdvice(StepKey, Vec<ExecutorName>),
+    RequestAdvice {
+        /// The step.
+        step: StepKey,
+        /// The executors.
+        executors: Vec<ExecutorName>,
+        /// After how long the request is given up.
+        timeout: Duration,
+    },
     /// Read the list of hosts from the platform. The response repeats the time of the request.
     ListHosts {
         /// When the list was requested.
--- a/crates/borageswitch_scheduler/src/policy/mod.rs
+++ b/crates/borageswitch_scheduler/src/policy/mod.rs
@@ -15,6 +15,7 @@
 //! - [`lending`]: which hosts move to another pool, by the work that [`arrivals`] measures.
 //! - [`peaks`]: how many hosts a pool keeps powered on between two load peaks.
 //! - [`call_budget`]: how many orders for hosts are sent to the platform per second.
+//! - [`advice`]: how many executors a call to the advisor names, and how long it may take.
 //! - [`gangs`]: which hosts are reserved for tasks that work only together.
 //! - [`label_shares`]: how pools share a label's hosts when there are too few of them.
 //! - [`lasting`]: which additional hosts lasting tasks need.
@@ -35,6 +36,7 @@
 //! - [`speed_limits`]: how fast best-effort tasks may run beside serving tasks.
 
 pub mod admission;
+pub mod advice;
 pub mod arrivals;
 pub mod backlog;
 pub mod call_budget;
--- a/crates/borageswitch_scheduler/src/reducer/explain.rs
+++ b/crates/borageswitch_scheduler/src/reducer/explain.rs
@@ -10,7 +10,7 @@
     event::Now,
     job::{Size, Step},
     ledger::job::{Job, Occurrence, StepState},
-    policy::{crash_attribution::SuspicionLevel, order::Urgency},
+    policy::{advice, crash_attribution::SuspicionLevel, order::Urgency},
     reducer::{
         Scheduler,
         executors::Executor,
@@ -231,6 +231,16 @@
         if let Some(line) = self.explain_quota(key, step) {
             return line;
         }
+        let advisor = self.ledger.jobs.get(&key.job).and_then(|job| self.advisor_of(job));
+        if advisor.is_some_and(|times| !advice::is_useful(&times)) {
+            return "its queue's advisor answers too late, or for too short a time".to_owned();
+        }
+        if !self.is_feasible(pool, step) {
+            return format!(
+                "no host that could be in pool {pool} can run it: {}",
+                reserved_size(step)
+            );
+        }
         let size = reserved_size(step);
         let mut counts: BTreeMap<&'static str, usize> = BTreeMap::new();
         let members = self.executors.iter().filter(|(_, e)| e.registration.pool == *pool);
--- a/crates/borageswitch_scheduler/src/reducer/pass.rs
+++ b/crates/borageswitch_scheduler/src/reducer/pass.rs
@@ -97,15 +97,20 @@
     pub(super) fn place_waiting(&mut self, now: Now) {
         self.refresh_containment(now);
         let pools = std::mem::take(&mut self.dirty_pools);
+        self.place_in_rounds(now, &pools);
+        self.send_advice_request();
+    }
+
+    fn place_in_rounds(&mut self, now: Now, pools: &BTreeSet<PoolName>) {
         if !self.pending_starts.is_leader_slow(now.time) {
-            self.place_in(now, &pools, Round::All);
+            self.place_in(now, pools, Round::All);
             return;
         }
         // Where starts are limited, late work of one pool must not take them from another pool.
-        self.place_in(now, &pools, Round::Urgent);
+        self.place_in(now, pools, Round::Urgent);
         // Takes what was placed out of the order: late steps at their last chance are in both rounds.
         self.update_waiting(now, false);
-        self.place_in(now, &pools, Round::Late);
+        self.place_in(now, pools, Round::Late);
     }
 
     fn place_in(&mut self, now: Now, pools: &BTreeSet<PoolName>, round: Round) {
@@ -243,7 +248,7 @@
         if step.gang {
             let placed = self.place_gang(now, pool, waiting, &step, available);
             if needs_ticket && !placed {
-                self.request_advice(now, &waiting.key, &step, available);
+                self.propose_advice(now, pool, waiting, &step, available);
             }
             return Placement::Done;
         }
@@ -267,7 +272,7 @@
                     continue;
                 }
                 if needs_ticket {
-                    self.request_advice(now, &waiting.key, &step, available);
+                    self.propose_advice(now, pool, waiting, &step, available);
                 }
                 if step.lasting {
                     self.preempt_for(now, pool, &task, &step);
