Store a cancellation whose job is not known yet

Cause: 410 rested on a read of the job's key, while the write that submits the job could still be carried out. Nothing was left behind that would stop the job. Ruled out: the order of the leader's events; it already applies a stored cancellation that comes before its job.

Change: a cancellation of a job that neither the leader nor the store knows is stored under `bs/in/c/JOB` before it is answered, with queue and caller, so that it cancels neither another caller's job nor one of another queue. The leader applies it as soon as it is asked, whichever way the job comes. The write is repeated if it gets no response. Unused cancellations are removed after 150 s, as outcomes are, also those that came after the end of their job and stayed for good before; 2,000 of them at most are kept, further ones are answered with 503.

--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -27,10 +27,12 @@
     policy::manual_limits::ManualLimits,
     reducer::{Limits, Scheduler},
 };
+use borageswitch_types::names::JobName;
 use futures_lite::future;
 use smol::Timer;
 
 use crate::{
+    cancel_marks::CancelMark,
     clock,
     control::{
         load_account::{LoadAccount, Part},
@@ -157,11 +159,12 @@
                 }
             }
             Message::Event { token, event } => self.handle_event(token, event),
-            Message::CancelStored { token, job } => {
+            Message::CancelStored { token, job, mark } => {
                 if let Some(leading) = self.leading.as_mut().filter(|l| l.token == token) {
-                    leading.stored_cancels.insert(job.clone());
+                    let now = clock::now();
+                    leading.stored_cancels.insert(job.clone(), mark, now.time);
+                    cancels::apply(&mut leading.scheduler, &leading.stored_cancels, now, &job);
                 }
-                self.handle_event(token, Event::Cancelled(job));
             }
             Message::ManualLimits { token, change } => {
                 if let Some(leading) = self.leading.as_mut().filter(|l| l.token == token) {
@@ -202,8 +205,10 @@
         for submission in recovered.stale {
             scheduler.handle(now, Event::Submitted(submission));
         }
-        for job in &recovered.cancelled {
-            scheduler.handle(now, Event::Cancelled(job.clone()));
+        let cancelled: Vec<JobName> = recovered.cancelled.iter().map(|(j, _)| j.clone()).collect();
+        let stored_cancels = cancels::StoredCancels::new(recovered.cancelled, now.time);
+        for job in &cancelled {
+            cancels::apply(&mut scheduler, &stored_cancels, now, job);
         }
         self.instruments.set_leading(true);
         let mut manual_limits = ManualLimits::default();
@@ -215,7 +220,7 @@
             token: term.token,
             scheduler,
             ended,
-            stored_cancels: cancels::StoredCancels::new(recovered.cancelled),
+            stored_cancels,
             waiting_cancels: BTreeMap::new(),
         });
     }
@@ -229,17 +234,15 @@
         if matches!(event, Event::AppendedWithoutRemovals { .. }) {
             leading.stored_cancels.keep_last();
         }
-        // After a watch was cut, jobs and cancellations are read again, and a cancellation may
-        // arrive before its job. Without this the job would run although its caller cancelled it.
-        let cancelled = match &event {
-            Event::Submitted(submission) if leading.stored_cancels.contains(&submission.job) => {
-                Some(submission.job.clone())
-            }
+        // A cancellation may arrive before its job: the job was stored after it, or both were read
+        // again after a watch was cut.
+        let submitted = match &event {
+            Event::Submitted(submission) => Some(submission.job.clone()),
             _ => None,
         };
         leading.scheduler.handle(clock::now(), event);
-        if let Some(job) = cancelled {
-            leading.scheduler.handle(clock::now(), Event::Cancelled(job));
+        if let Some(job) = submitted {
+            cancels::apply(&mut leading.scheduler, &leading.stored_cancels, clock::now(), &job);
         }
         if appended {
             cancels::respond(&leading.scheduler, &mut leading.waiting_cancels);
@@ -287,8 +290,16 @@
             }
             PeerRequest::Overload => PeerResponse::Dumped(overview::overview(leading).to_string()),
             PeerRequest::Admission(query) => admission::decide(leading, &query),
-            PeerRequest::Cancel { queue, job, .. } => match scheduler.status(&queue, &job) {
-                None => PeerResponse::Status(None),
+            PeerRequest::Cancel { queue, job, caller } => match scheduler.status(&queue, &job) {
+                None => {
+                    // The requester stores the cancellation. From now on it applies to a job that
+                    // reaches this leader before the stored one does.
+                    let mark = CancelMark { queue: Some(queue), caller };
+                    match leading.stored_cancels.try_insert(&job, mark, clock::time()) {
+                        true => PeerResponse::Status(None),
+                        false => PeerResponse::Refused,
+                    }
+                }
                 Some(status) if status.has_ended() => PeerResponse::Status(Some(status)),
                 Some(_) => {
                     scheduler.handle(clock::now(), Event::Cancelled(job.clone()));
@@ -302,6 +313,9 @@
 
     fn decide(&mut self) {
         let Some(leading) = &mut self.leading else { return };
+        for job in leading.stored_cancels.expire(clock::time()) {
+            leading.scheduler.forget_job(job);
+        }
         let load = &mut self.load;
         let effects = leading
             .scheduler
--- a/crates/borageswitch_runtime/src/control/message.rs
+++ b/crates/borageswitch_runtime/src/control/message.rs
@@ -9,6 +9,7 @@
 use borageswitch_types::names::JobName;
 
 use crate::{
+    cancel_marks::CancelMark,
     election::Term,
     manual_limits::LimitChange,
     peers::{PeerRequest, PeerResponse},
@@ -46,12 +47,15 @@
         /// The event.
         event: Event,
     },
-    /// A cancellation was stored by a daemon that could not reach the leader.
+    /// A cancellation was stored by a daemon that could not reach the leader, or whose leader did
+    /// not know the job.
     CancelStored {
         /// The token of the term.
         token: u64,
         /// The job.
         job: JobName,
+        /// Whose job it is for.
+        mark: CancelMark,
     },
     /// An operator has changed a manual limit.
     ManualLimits {
--- a/crates/borageswitch_runtime/src/control/tests.rs
+++ b/crates/borageswitch_runtime/src/control/tests.rs
@@ -11,7 +11,8 @@
     },
 };
 use borageswitch_types::{
-    names::{JobName, PoolName, QueueName},
+    Time,
+    names::{CallerName, JobName, PoolName, QueueName},
     time::UnixMillis,
 };
 
@@ -72,12 +73,101 @@
     })
 }
 
+fn mark(queue: &str, caller: Option<&str>) -> CancelMark {
+    CancelMark { queue: Some(QueueName::from(queue)), caller: caller.map(CallerName::from) }
+}
+
+fn cancel(job: &str, caller: Option<&str>) -> PeerRequest {
+    let (queue, job) = (queue().name, JobName::from(job));
+    PeerRequest::Cancel { queue, job, caller: caller.map(CallerName::from) }
+}
+
+/// Whether a job runs, or will, that a caller submits.
+fn is_open_after_submission(control: &mut Control, job: &str, caller: Option<&str>) -> bool {
+    let caller = caller.map(CallerName::from);
+    let submission = Submission { caller, ..Submission::clone(&submission(job)) };
+    ask(control, PeerRequest::JobStored(Arc::new(submission)));
+    let leading = control.leading.as_ref().unwrap();
+    leading.scheduler.ledger().jobs.contains_key(&JobName::from(job))
+}
+
+/// Guards against a job that was cancelled while its submission was on its way to the store, and
+/// that the leader learns of before the stored cancellation.
+#[test]
+fn a_job_that_is_stored_after_its_cancellation_does_not_run() {
+    let (mut control, _effects_rx) = leading();
+
+    let response = ask(&mut control, cancel("j", None));
+
+    assert_eq!(response, PeerResponse::Status(None));
+    assert!(!is_open_after_submission(&mut control, "j", None));
+    assert!(is_open_after_submission(&mut control, "other", None));
+}
+
+/// Guards against a caller that cancels the jobs of others in advance, or of another queue.
+#[test]
+fn a_stored_cancellation_applies_to_its_own_caller_and_queue() {
+    let (mut control, _effects_rx) = leading();
+    ask(&mut control, cancel("foreign", Some("nosipho")));
+    let (job, mark) = (JobName::from("elsewhere"), mark("reports", None));
+    control.handle_message(Message::CancelStored { token: 7, job, mark });
+
+    assert!(is_open_after_submission(&mut control, "foreign", Some("thabo")));
+    assert!(is_open_after_submission(&mut control, "elsewhere", None));
+}
+
+/// Guards against cancellations of arbitrary ids that fill the store or the memory.
+#[test]
+fn cancellations_of_unknown_jobs_are_bounded() {
+    let (mut control, _effects_rx) = leading();
+    let responses = (0..3_000).map(|number| ask(&mut control, cancel(&format!("j{number}"), None)));
+
+    let refused = responses.filter(|response| *response == PeerResponse::Refused).count();
+
+    assert_eq!(refused, 1_000);
+}
+
+/// Guards against a cancellation that stays stored for ever as its job never comes, and against one
+/// that goes while its job may still come.
+#[test]
+fn an_unused_cancellation_is_removed_after_its_retention() {
+    let at = |seconds| Time::ZERO + Duration::from_secs(seconds);
+    let stored = vec![(JobName::from("j"), mark("runs", None))];
+    let mut cancels = cancels::StoredCancels::new(stored, at(0));
+    let job = vec![JobName::from("j")];
+    let append = Effect::Append {
+        append: 1,
+        at: UnixMillis(1),
+        term: 1,
+        records: Vec::new(),
+        forget: job.clone(),
+    };
+
+    assert!(cancels.expire(at(149)).is_empty());
+    assert_eq!(cancels.expire(at(150)), job);
+    assert!(cancels.expire(at(151)).is_empty());
+
+    assert_eq!(cancels.take_obsolete(&append), job);
+    assert!(cancels.applies_to(&submission("j")));
+    cancels.expire(at(161));
+    assert!(!cancels.applies_to(&submission("j")));
+}
+
+#[test]
+fn marks_of_earlier_versions_apply_to_every_caller() {
+    let stored = mark("runs", Some("nosipho"));
+
+    assert_eq!(CancelMark::decode(&stored.encode()), stored);
+    assert!(CancelMark::decode(&[1]).applies_to(&submission("j")));
+}
+
 #[test]
 fn a_cancellation_that_is_read_before_its_job_takes_effect() {
     // Guards against running a job although its caller was notified that it is cancelled. After a
     // watch was cut everything is read again, cancellations before jobs.
     let (mut control, effects_rx) = leading();
-    control.handle_message(Message::CancelStored { token: 7, job: JobName::from("j") });
+    let (job, mark) = (JobName::from("j"), mark("runs", None));
+    control.handle_message(Message::CancelStored { token: 7, job, mark });
 
     control.handle_message(Message::Event { token: 7, event: Event::Submitted(submission("j")) });
     control.decide();
@@ -94,7 +184,8 @@
 #[test]
 fn a_cancellation_whose_removal_is_refused_is_removed_later() {
     // Guards against a stored cancellation that cancels a later job of the same name.
-    let mut cancels = cancels::StoredCancels::new(vec![JobName::from("j")]);
+    let stored = vec![(JobName::from("j"), mark("runs", None))];
+    let mut cancels = cancels::StoredCancels::new(stored, Time::ZERO);
     let job = vec![JobName::from("j")];
     let append = Effect::Append {
         append: 1,
--- a/crates/borageswitch_runtime/src/intake.rs
+++ b/crates/borageswitch_runtime/src/intake.rs
@@ -18,12 +18,14 @@
 
 use crate::{
     admission::Call,
-    admission_check, clock, codec,
+    admission_check,
+    cancel_marks::CancelMark,
+    clock, codec,
     daemon::Shared,
     failures::{Failure, RequestResult},
     keys,
     peers::{PeerRequest, PeerResponse},
-    ports::{Platform, StoreError, Transaction},
+    ports::{CommitOutcome, Item, Platform, Revision, StoreError, Transaction},
 };
 
 pub use self::storing::PendingOutcome;
@@ -32,6 +34,10 @@
 
 /// The pause before a failed call is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
+/// How long writes of a cancellation are repeated that get no response.
+const CANCEL_RETRY_WINDOW: Duration = Duration::from_secs(2);
+/// The revision that a transaction expects of a key that does not exist.
+const NOT_STORED: Revision = 0;
 /// How long a request waits for a leader: about as long as an orderly handover takes.
 const LEADER_WAIT: Duration = Duration::from_millis(900);
 
@@ -157,14 +163,21 @@
     match send_with_retry(shared, &request).await {
         Some(PeerResponse::Status(Some(_))) => Ok(()),
         Some(PeerResponse::Foreign) => Err(Failure::Foreign),
-        Some(_) => match store_cancel(shared, call, job).await? {
-            true => Ok(()),
-            false => Err(Failure::NoJob),
-        },
-        None => match store_cancel(shared, call, job).await? {
-            true => Ok(()),
-            false => Err(Failure::NoLeader),
+        // The leader knows of too many cancellations of unknown jobs.
+        Some(PeerResponse::Refused) => Err(Failure::NoLeader),
+        Some(_) if is_stored(shared, call, job).await? => {
+            store_cancel(shared, call, job, None).await.map(drop)
+        }
+        // The job may still be stored, by a write whose outcome is unknown.
+        Some(_) => match store_cancel(shared, call, job, Some(NOT_STORED)).await? {
+            CommitOutcome::Done(_) => Err(Failure::NoJob),
+            CommitOutcome::Conflict(items) if is_cancelled(call, &items) => Err(Failure::NoJob),
+            CommitOutcome::Conflict(_) | CommitOutcome::NoLease => Err(Failure::NoLeader),
         },
+        None if is_stored(shared, call, job).await? => {
+            store_cancel(shared, call, job, None).await.map(drop)
+        }
+        None => Err(Failure::NoLeader),
     }
 }
 
@@ -228,23 +241,37 @@
     Ok(true)
 }
 
-/// Stores the cancellation of a job for the next leader. Gives whether the job exists.
+/// Stores the cancellation of a job for the leader, if its key has the `expected` revision. A write
+/// without a response is repeated: carried out twice or late, it changes nothing.
 async fn store_cancel<P>(
     shared: &Arc<Shared<P>>,
     call: Call<'_>,
     job: &JobName,
-) -> RequestResult<bool>
+    expected: Option<Revision>,
+) -> RequestResult<CommitOutcome>
 where
     P: Platform,
 {
-    if !is_stored(shared, call, job).await? {
-        return Ok(false);
-    }
     let key = keys::cancel(job);
-    let tx = Transaction { expect: Vec::new(), write: vec![(key, vec![1], None)], remove: vec![] };
-    match shared.platform.commit(&tx).await {
-        Ok(_) => Ok(true),
-        Err(StoreError::Refused) => Err(Failure::StoreUnavailable),
-        Err(_) => Err(Failure::StoreNoResponse),
+    let expect = expected.map(|revision| (key.clone(), revision)).into_iter().collect();
+    let write = vec![(key, cancel_mark(call).encode(), None)];
+    let tx = Transaction { expect, write, remove: Vec::new() };
+    let give_up = clock::time() + CANCEL_RETRY_WINDOW;
+    loop {
+        match shared.platform.commit(&tx).await {
+            Ok(outcome) => return Ok(outcome),
+            Err(StoreError::Refused) => return Err(Failure::StoreUnavailable),
+            Err(_) if clock::time() >= give_up => return Err(Failure::StoreNoResponse),
+            Err(_) => Timer::after(RETRY_PAUSE).await,
+        };
     }
 }
+
+fn cancel_mark(call: Call<'_>) -> CancelMark {
+    CancelMark { queue: Some(call.queue.name.clone()), caller: call.caller() }
+}
+
+/// Whether the same cancellation was stored before.
+fn is_cancelled(call: Call<'_>, items: &[Item]) -> bool {
+    items.iter().any(|item| CancelMark::decode(&item.value) == cancel_mark(call))
+}
--- a/crates/borageswitch_runtime/src/keys.rs
+++ b/crates/borageswitch_runtime/src/keys.rs
@@ -4,7 +4,7 @@
 //! |---|---|---|
 //! | `bs/leader` | [`LeaderRecord`], under the leader's lease | the leader |
 //! | `bs/in/j/JOB` | a [`Submission`](borageswitch_scheduler::job::Submission) | any daemon that accepts a job |
-//! | `bs/in/c/JOB` | one byte without meaning: the job's caller cancelled it | any daemon, while it cannot reach the leader |
+//! | `bs/in/c/JOB` | a [`CancelMark`](crate::cancel_marks::CancelMark): the job's caller cancelled it | any daemon, while the leader cannot be reached or does not know the job |
 //! | `bs/in/l/q/QUEUE`, `bs/in/l/c/CALLER` | a limit in jobs per second, as text ([`crate::manual_limits`]) | an operator |
 //! | `bs/log/NUMBER` | the [`Record`](borageswitch_scheduler::ledger::record::Record)s of an append | the leader |
 //! | `bs/snapshot` | a [`Snapshot`](borageswitch_scheduler::ledger::snapshot::Snapshot) | the leader |
--- a/crates/borageswitch_runtime/src/lib.rs
+++ b/crates/borageswitch_runtime/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod admission_limits;
 pub mod appends;
 pub mod authority;
+pub mod cancel_marks;
 pub mod clock;
 pub mod codec;
 pub mod control;
--- a/crates/borageswitch_runtime/src/takeover.rs
+++ b/crates/borageswitch_runtime/src/takeover.rs
@@ -13,6 +13,7 @@
 use borageswitch_types::names::JobName;
 
 use crate::{
+    cancel_marks::CancelMark,
     codec, keys, manual_limits,
     ports::{Item, Page, Platform, Revision, StoreError, StoreResult},
 };
@@ -28,8 +29,8 @@
     pub snapshot_revision: Revision,
     /// The numbers of the stored appends, also of those that the snapshot includes.
     pub appends: BTreeSet<u64>,
-    /// Jobs whose cancellation was stored while the last leader could not be reached.
-    pub cancelled: Vec<JobName>,
+    /// Jobs whose cancellation is stored; they may be known or not.
+    pub cancelled: Vec<(JobName, CancelMark)>,
     /// Stored submissions of jobs that have ended, which can be removed.
     pub stale: Vec<Arc<Submission>>,
     /// The limits that operators have set.
@@ -161,7 +162,7 @@
                 Err(err) => log::error!(key = &*item.key; "{err}"),
             }
         } else if let Some(job) = item.key.strip_prefix(keys::CANCELS) {
-            cancelled.push(JobName::from(job));
+            cancelled.push((JobName::from(job), CancelMark::decode(&item.value)));
         }
     }
     let through = snapshot.through;
--- a/crates/borageswitch_runtime/src/watching.rs
+++ b/crates/borageswitch_runtime/src/watching.rs
@@ -13,6 +13,7 @@
 use smol::Timer;
 
 use crate::{
+    cancel_marks::CancelMark,
     clock, codec,
     control::Message,
     daemon::Shared,
@@ -239,8 +240,8 @@
     P: Platform,
 {
     if let Some(job) = item.key.strip_prefix(keys::CANCELS) {
-        let job = JobName::from(job);
-        let _ = shared.control.send(Message::CancelStored { token, job }).await;
+        let (job, mark) = (JobName::from(job), CancelMark::decode(&item.value));
+        let _ = shared.control.send(Message::CancelStored { token, job, mark }).await;
         return;
     }
     if item.key.starts_with(keys::MANUAL_LIMITS) {
--- a/crates/borageswitch_scheduler/src/reducer/jobs.rs
+++ b/crates/borageswitch_scheduler/src/reducer/jobs.rs
@@ -166,6 +166,13 @@
         self.finish(now, job, queue, Outcome::Cancelled, None);
     }
 
+    /// Removes the keys of a job that is not known, or has ended.
+    pub fn forget_job(&mut self, job: JobName) {
+        if !self.ledger.jobs.contains_key(&job) {
+            self.outbox.forget(job);
+        }
+    }
+
     /// Finishes jobs that are done, have a task that failed too often, or were given up.
     pub(super) fn finish_jobs(&mut self, now: Now) {
         for name in std::mem::take(&mut self.maybe_ended) {
