Explain a job that no listed host could ever run

The line now says when no host that is listed for the pool, or could be moved to it, is large enough. The fixture of the extreme numbers follows the linter.

--- a/crates/borageswitch_scheduler/src/reducer/explain.rs
+++ b/crates/borageswitch_scheduler/src/reducer/explain.rs
@@ -235,12 +235,6 @@
         if advisor.is_some_and(|times| !advice::is_useful(&times)) {
             return "its queue's advisor answers too late, or for too short a time".to_owned();
         }
-        if !self.is_feasible(pool, step) {
-            return format!(
-                "no host that could be in pool {pool} can run it: {}",
-                reserved_size(step)
-            );
-        }
         let size = reserved_size(step);
         let mut counts: BTreeMap<&'static str, usize> = BTreeMap::new();
         let members = self.executors.iter().filter(|(_, e)| e.registration.pool == *pool);
@@ -259,7 +253,11 @@
         let counts: Vec<String> = counts.iter().map(|(why, n)| format!("{n} {why}")).collect();
         let counts = if counts.is_empty() { "none".to_owned() } else { counts.join(", ") };
         let (cpu, memory) = (size.cpu_milli, size.memory_mb);
-        format!("a task needs {cpu} thousandths of a core and {memory} MB; executors: {counts}")
+        let never =
+            if self.is_feasible(pool, step) { "" } else { "; no listed host could ever run it" };
+        format!(
+            "a task needs {cpu} thousandths of a core and {memory} MB; executors: {counts}{never}"
+        )
     }
 
     /// Explains that a step waits for its caller's quota, if it does.
--- a/crates/borageswitch_scheduler/tests/extreme_numbers.rs
+++ b/crates/borageswitch_scheduler/tests/extreme_numbers.rs
@@ -244,7 +244,7 @@
             allowed: draw_run_time(&mut rng),
             max_down: draw_u32(&mut rng, 1),
         }));
-        for number in 0..4 {
+        for (number, executor) in EXECUTORS.iter().enumerate() {
             site.submit(&format!("j{number}"), draw_spec(&mut rng));
             let moment = site.session.moment();
             site.session.scheduler.decide_admission(moment, &draw_query(&mut rng));
@@ -255,7 +255,7 @@
                 percent: draw(&mut rng, 100).min(255) as u8,
                 recent: draw(&mut rng, 0),
             };
-            site.session.report(EXECUTORS[number], &[run], &[], draw(&mut rng, 0));
+            site.session.report(executor, &[run], &[], draw(&mut rng, 0));
             site.run(500);
         }
     }
