Read the clock only where a stored cancellation may expire or apply

Each decision read the clock once more, also without any stored cancellation, and each event a second time. A stored cancellation is logged now (`cancel-stored`).

--- a/crates/borageswitch_runtime/src/control.rs
+++ b/crates/borageswitch_runtime/src/control.rs
@@ -240,9 +240,10 @@
             Event::Submitted(submission) => Some(submission.job.clone()),
             _ => None,
         };
-        leading.scheduler.handle(clock::now(), event);
+        let now = clock::now();
+        leading.scheduler.handle(now, event);
         if let Some(job) = submitted {
-            cancels::apply(&mut leading.scheduler, &leading.stored_cancels, clock::now(), &job);
+            cancels::apply(&mut leading.scheduler, &leading.stored_cancels, now, &job);
         }
         if appended {
             cancels::respond(&leading.scheduler, &mut leading.waiting_cancels);
@@ -313,8 +314,10 @@
 
     fn decide(&mut self) {
         let Some(leading) = &mut self.leading else { return };
-        for job in leading.stored_cancels.expire(clock::time()) {
-            leading.scheduler.forget_job(job);
+        if !leading.stored_cancels.is_empty() {
+            for job in leading.stored_cancels.expire(clock::time()) {
+                leading.scheduler.forget_job(job);
+            }
         }
         let load = &mut self.load;
         let effects = leading
--- a/crates/borageswitch_runtime/src/control/cancels.rs
+++ b/crates/borageswitch_runtime/src/control/cancels.rs
@@ -80,6 +80,10 @@
         cancels
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
     pub(super) fn insert(&mut self, job: JobName, mark: CancelMark, now: Time) {
         self.known.insert(job, Known { mark, since: now, expired: false });
     }
--- a/crates/borageswitch_runtime/src/intake.rs
+++ b/crates/borageswitch_runtime/src/intake.rs
@@ -259,7 +259,11 @@
     let give_up = clock::time() + CANCEL_RETRY_WINDOW;
     loop {
         match shared.platform.commit(&tx).await {
-            Ok(outcome) => return Ok(outcome),
+            Ok(outcome) => {
+                let stored = matches!(outcome, CommitOutcome::Done(_));
+                log::info!(job = job.as_str(), unknown = expected.is_some(), stored = stored; "cancel-stored");
+                return Ok(outcome);
+            }
             Err(StoreError::Refused) => return Err(Failure::StoreUnavailable),
             Err(_) if clock::time() >= give_up => return Err(Failure::StoreNoResponse),
             Err(_) => Timer::after(RETRY_PAUSE).await,
