--- a/benches/src/scheduler.rs
+++ b/benches/src/scheduler.rs
@@ -351,7 +351,7 @@
             Effect::Count(_) => {}
             Effect::StoreSnapshot { .. }
             | Effect::LimitSpeed(..)
-            | Effect::RequestAdvice(..)
+            | Effect::RequestAdvice { .. }
             | Effect::ReportWave { .. }
             | Effect::StepDown => {}
         }
