Check the feasibility of lasting tasks once for each step

A job of 10,000 lasting tasks that fit nowhere had every host looked at for every task in each decision on hosts. Constants of stored cancellations stand at the top of their file.

--- a/crates/borageswitch_runtime/src/control/cancels.rs
+++ b/crates/borageswitch_runtime/src/control/cancels.rs
@@ -15,6 +15,16 @@
 
 use crate::{cancel_marks::CancelMark, peers::PeerResponse};
 
+/// How long a cancellation is kept whose job is not known. The write that submits the job may be
+/// carried out until then; outcomes of jobs are kept for the same time.
+const UNUSED_RETENTION: Duration = OUTCOME_RETENTION;
+/// How long an unused cancellation still applies after its removal was ordered: its job may have
+/// been stored just before.
+const REMOVAL_GRACE: Duration = Duration::from_secs(10);
+/// The most cancellations of unknown jobs at a time, so that a caller that cancels arbitrary ids
+/// fills neither the store nor the memory.
+const MAX_UNUSED: usize = 2_000;
+
 /// The requesters that wait for the cancellation of a job to be stored.
 pub(super) type WaitingCancels = BTreeMap<JobName, Vec<Sender<PeerResponse>>>;
 
@@ -46,16 +56,6 @@
     });
 }
 
-/// How long a cancellation is kept whose job is not known. The write that submits the job may be
-/// carried out until then; outcomes of jobs are kept for the same time.
-const UNUSED_RETENTION: Duration = OUTCOME_RETENTION;
-/// How long an unused cancellation still applies after its removal was ordered: its job may have
-/// been stored just before.
-const REMOVAL_GRACE: Duration = Duration::from_secs(10);
-/// The most cancellations of unknown jobs at a time, so that a caller that cancels arbitrary ids
-/// fills neither the store nor the memory.
-const MAX_UNUSED: usize = 2_000;
-
 /// A cancellation that is stored, or about to be.
 #[derive(Clone, Debug)]
 struct Known {
--- a/crates/borageswitch_runtime/src/intake.rs
+++ b/crates/borageswitch_runtime/src/intake.rs
@@ -261,7 +261,10 @@
         match shared.platform.commit(&tx).await {
             Ok(outcome) => {
                 let stored = matches!(outcome, CommitOutcome::Done(_));
-                log::info!(job = job.as_str(), unknown = expected.is_some(), stored = stored; "cancel-stored");
+                log::info!(
+                    job = job.as_str(), unknown = expected.is_some(), stored = stored;
+                    "cancel-stored"
+                );
                 return Ok(outcome);
             }
             Err(StoreError::Refused) => return Err(Failure::StoreUnavailable),
--- a/crates/borageswitch_scheduler/src/reducer/lasting.rs
+++ b/crates/borageswitch_scheduler/src/reducer/lasting.rs
@@ -56,10 +56,14 @@
                 tasks.extend(waiting_tasks_of(name, job));
             }
         }
+        let mut feasible: BTreeMap<StepKey, bool> = BTreeMap::new();
         let seeker = |task: TaskKey| {
             let step = self.ledger.jobs.get(&task.job)?.step(task.step)?;
-            (step.lasting && self.is_feasible(pool, step)).then(|| UnplacedTask {
-                step: task.step_key(),
+            let key = task.step_key();
+            let is_feasible =
+                feasible.entry(key.clone()).or_insert_with(|| self.is_feasible(pool, step));
+            (step.lasting && *is_feasible).then(|| UnplacedTask {
+                step: key,
                 size: reserved_size(step),
                 label: step.label.clone(),
                 max_per_host: step.max_per_host,
